--- /dev/null
+++ b/fernweir/brain.py
@@ -0,0 +1,619 @@
+"""Every decision of a front. The types it takes and gives are in fernweir/interface.py.
+
+A front owns one Controller. It hands over what it saw, in order, and carries out what comes back.
+Read from the top: the constants, the account of loads, the servers, the guards, then the controller.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+from fernweir.interface import (
+    Abandoned, Action, Arrival, Effect, Ended, Event, Fail, ListKind, ListUpdate, Log, Note, NoteKind, Place,
+    Probe, Probed, Refuse, Result, ServerEntry, ServerState, SessionClass, SetRung, Settings, Started,
+    Subscribe, TakenOver, Timer, TimerFired, Viewer,
+)  # fmt: skip
+
+MARK = 0.80  # a link or uplink under this share takes more
+STEP = 0.10  # playing sessions drop a rung for each such step that the load lies above the mark
+FULL_MARK_MS = 5_000.0  # how long a refusal as full or a short delivery keeps new sessions away
+CLIMB_MS = 10_000.0  # a playing session climbs at most once in this time
+UPKEEP_MS = 250.0  # how often playing sessions and suspects are looked at
+ATTEMPT_AIMS = 0.5  # time-out of an attempt, in aims: a second one still meets the aim
+SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
+SUSPECT_DOUBLINGS = 3
+UPKEEP_TOKEN = 1
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
+LOST = (Result.CONNECT_FAILED, Result.RESET)  # the process is gone, so what comes back is cold
+
+
+# --- 1. Account -----------------------------------------------------------------------------------
+
+
+class Meter:
+    """What is asked of one link or uplink over what it gives: last told, plus own changes since."""
+
+    def __init__(self, capacity_kb: float, fronts: int, fade_ms: float) -> None:
+        self.capacity_kb = max(capacity_kb, 1.0)
+        self.fronts = fronts
+        self.fade_ms = fade_ms
+        self.own_kb = 0.0
+        self.told: float | None = None
+        self.told_at = float("-inf")
+        self.fresh = False
+        self._since: deque[tuple[float, float]] = deque()
+
+    def add(self, now: float, kb: float) -> None:
+        self.own_kb += kb
+        self._since.append((now, kb))
+
+    def hear(self, level: float, seen_at: float) -> None:
+        """Takes a report of how it stood at `seen_at`, unless something newer is known."""
+        if not 0.0 <= level < float("inf") or seen_at < self.told_at:
+            return
+        self.told, self.told_at, self.fresh = level, seen_at, True
+        while self._since and self._since[0][0] <= seen_at:
+            self._since.popleft()
+
+    def forget(self) -> None:
+        self.told, self.told_at, self.fresh = None, float("-inf"), False
+        self._since.clear()
+
+    def load(self, now: float) -> float:
+        """Own set-ups count once for each front: the others saw the same room and are taking it too.
+
+        A report fades into own sessions times the fronts, so that a server nobody asks any more is
+        not kept away for ever by what was once heard of it.
+        """
+        guess = self.own_kb * self.fronts / self.capacity_kb
+        if self.told is None:
+            return guess
+        unseen = sum(kb * self.fronts if kb > 0 else kb for _, kb in self._since)
+        known = max(self.told + unseen / self.capacity_kb, 0.0)
+        faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
+        return known * (1.0 - faded) + guess * faded
+
+    def after(self, now: float, kb: float) -> float:
+        return self.load(now) + kb / self.capacity_kb
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """One media server as this front knows it."""
+
+    id: int
+    link: Meter
+    uplink: Meter
+    streams: int
+    rack: int
+    state: ServerState = ServerState.READY
+    started_at: float = 0.0
+    cell: int = 0
+    weight: float = 1.0
+    sessions: dict[int, Session] = field(default_factory=dict)
+    shared: dict[tuple[int, int, int], int] = field(default_factory=dict)
+    setting_up: int = 0
+    full_until: float = float("-inf")
+    strikes: int = 0
+    suspect_until: float = float("-inf")
+    probing: bool = False
+    lost: bool = False
+    cold_since: float = float("-inf")
+    turn_used: int = -1
+
+    def room_kb(self, now: float) -> float:
+        link = (MARK - self.link.load(now)) * self.link.capacity_kb
+        return min(link, (MARK - self.uplink.load(now)) * self.uplink.capacity_kb)
+
+    def load(self, now: float) -> float:
+        return max(self.link.load(now), self.uplink.load(now))
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """A session from its request to its end."""
+
+    viewer: Viewer
+    kind: SessionClass
+    taken_at: float
+    answer_by: float
+    rung: int
+    top: int
+    server: Server | None = None
+    attempts: int = 0
+    out: bool = False
+    playing: bool = False
+    may_have_run: bool = False
+    tried: list[int] = field(default_factory=list)
+    changed_at: float = 0.0
+    told_start: bool = False
+
+
+# --- 5. Guards of the rules -----------------------------------------------------------------------
+
+
+class Guards:
+    """The last check on every send: nothing reaches a server that `allows` turned down."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.seats: dict[tuple[int, int], int] = {}
+        self.taken: deque[float] = deque()
+        self.extra: deque[float] = deque()
+
+    def may_go_to(self, server: Server, now: float) -> bool:
+        return server.state is ServerState.READY and self.cold_turn(server, now)
+
+    def may_send(self, session: Session, now: float) -> bool:
+        """One attempt at a time, within seats, cap and budget, and never twice what mustn't be."""
+        cap, kind = self.settings.attempts_cap, session.kind
+        if session.out or session.playing or (cap is not None and session.attempts >= cap):
+            return False
+        if session.may_have_run and kind.effect is not Effect.REPEATABLE:
+            return False
+        if kind.seats and self.seats.get((session.viewer.title, session.viewer.cls), 0) >= kind.seats:
+            return False
+        return session.attempts == 0 or self.within_budget(now)
+
+    def within_budget(self, now: float) -> bool:
+        budget = self.settings.budget
+        if budget is None:
+            return True
+        for times in (self.taken, self.extra):
+            while times and times[0] < now - budget.span_ms:
+                times.popleft()
+        in_span = sum(1 for at in self.taken if at > now - budget.span_ms)
+        return len(self.extra) + 1 <= budget.free + budget.share * in_span
+
+    def warmth(self, server: Server, now: float) -> float:
+        """Share of its capacity that a server has at least reached."""
+        cold = self.settings.cold
+        if cold is None or now - server.cold_since >= cold.warm_up_ms:
+            return 1.0
+        return cold.cold_from + (1.0 - cold.cold_from) * max(now - server.cold_since, 0.0) / cold.warm_up_ms
+
+    def cold_turn(self, server: Server, now: float) -> bool:
+        """Fronts take turns at a cold server: one set-up a turn, at the pace of its coldest moment.
+
+        Guards against a herd of fronts on a server that has just come back. Also covers servers that
+        were lost and answer again before the list says so. Harm: a fleet that is cold as a whole
+        takes set-ups slowly.
+        """
+        if self.warmth(server, now) >= 1.0 and not server.strikes:
+            return True
+        return self.turn(server, now) not in (None, server.turn_used)
+
+    def turn(self, server: Server, now: float) -> int | None:
+        """Number of the running turn if it is this front's."""
+        cold, settings = self.settings.cold, self.settings
+        length = settings.period_ms
+        if cold is not None:
+            length = max(length, cold.warm_up_ms / max(server.streams * cold.cold_from, 0.01))
+        number = int(now // length)
+        return number if number % settings.fronts == settings.ordinal % settings.fronts else None
+
+    def sent(self, session: Session, server: Server, now: float) -> None:
+        if session.attempts > 0:
+            self.extra.append(now)
+        turn = self.turn(server, now)
+        if turn is not None:
+            server.turn_used = turn
+
+    def hold(self, session: Session, count: int) -> None:
+        seat = (session.viewer.title, session.viewer.cls)
+        self.seats[seat] = self.seats.get(seat, 0) + count
+        if self.seats[seat] <= 0:
+            del self.seats[seat]
+
+
+class Controller:
+    """The decisions of one front: `handle` what was seen, get what to do."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = Random(seed)
+        self.guards = Guards(settings)
+        self.servers: dict[int, Server] = {}
+        self.order: list[Server] = []
+        self.sessions: dict[int, Session] = {}
+        self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
+        self.uplinks = [self._meter(settings.uplink_kb or float("inf")) for _ in range(settings.racks)]
+        self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
+        self.now = 0.0
+        self.ticking = False
+        self.out: list[Action] = []
+
+    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+        self.now, self.out = now_ms, []
+        if not self.ticking:
+            self.ticking = True
+            self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
+            if self.settings.must_subscribe:
+                self.out.append(Subscribe(True))
+        for event in events:
+            self._take(event)
+        return self.out
+
+    def _take(self, event: Event) -> None:
+        match event:
+            case Arrival(viewer):
+                self._arrive(viewer)
+            case Started():
+                self._started(event)
+            case Ended():
+                self._ended(event)
+            case Note():
+                self._note(event)
+            case TakenOver(viewer, server):
+                self._take_over(viewer, server)
+            case ListUpdate():
+                self._list(event)
+            case TimerFired(token) if token == UPKEEP_TOKEN:
+                self._upkeep()
+            case Probed():
+                self._probed(event)
+            case Abandoned(rid):
+                self._drop_request(rid)
+            case _:
+                pass
+
+    def _meter(self, capacity_kb: float) -> Meter:
+        return Meter(capacity_kb, self.settings.fronts, self.fade_ms)
+
+    # --- the list of servers ---
+
+    def _list(self, update: ListUpdate) -> None:
+        if update.kind is ListKind.FAILED:
+            self.out.append(Subscribe(True))
+            return
+        if update.kind is not ListKind.DELTA:
+            listed = {entry.server for entry in update.entries}
+            for server in self.servers.values():
+                if server.id not in listed:
+                    server.state = ServerState.GONE
+        for entry in update.entries:
+            self._entry(entry)
+        places: dict[int, int] = {}
+        ranked: list[tuple[float, int, int, Server]] = []
+        for server in sorted(self.servers.values(), key=lambda one: one.id):
+            place = places[server.rack] = places.get(server.rack, -1) + 1
+            ranked.append((-server.weight, place, server.rack, server))
+        self.order = [item[3] for item in sorted(ranked, key=lambda item: item[:3])]
+
+    def _entry(self, entry: ServerEntry) -> None:
+        settings, server = self.settings, self.servers.get(entry.server)
+        rack = entry.cell % settings.racks
+        if server is None:
+            streams = settings.kind_streams[entry.kind] if entry.kind < len(settings.kind_streams) else 1
+            link = self._meter(settings.weight_kb * (entry.weight if entry.weight > 0 else 1.0))
+            server = self.servers[entry.server] = Server(
+                entry.server, link, self.uplinks[rack], streams, rack, started_at=entry.started_at
+            )
+            server.cold_since = entry.started_at or float("-inf")
+        elif entry.started_at > server.started_at:
+            server.started_at = server.cold_since = entry.started_at
+            server.link.forget()
+        server.state, server.cell, server.weight = entry.state, entry.cell, entry.weight
+
+    # --- 2. Order and placement ---
+
+    def _arrive(self, viewer: Viewer) -> None:
+        kind, now = self.settings.classes[viewer.cls], self.now
+        self.guards.taken.append(now)
+        top = max(min(viewer.top_rung, kind.top_rung), 0)
+        session = Session(viewer, kind, now, now + viewer.left_ms, kind.lowest_rung, top)
+        self.sessions[viewer.session] = session
+        self._place(session)
+
+    def _place(self, session: Session) -> None:
+        """Sends the next attempt of a session, or gives its final answer at once."""
+        if not self.guards.may_send(session, self.now) or session.answer_by <= self.now:
+            self._give_up(session)
+            return
+        choice = self._choose(session)
+        if choice is None:
+            self._give_up(session)
+            return
+        server, rung = choice
+        self._send(session, server, rung)
+
+    def _choose(self, session: Session) -> tuple[Server, int] | None:
+        """The first free holder at the highest usable rung, else the roomiest at what fits there."""
+        holders = [server for server in self.order if self._usable(server, session)]
+        untried = [server for server in holders if server.id not in session.tried]
+        holders = untried or holders
+        for server in holders:
+            if self._fits(server, session, session.top):
+                return server, session.top
+        if not holders:
+            return None
+        roomiest = max(holders, key=lambda one: one.room_kb(self.now))
+        for rung in range(session.top - 1, session.kind.lowest_rung - 1, -1):
+            if self._fits(roomiest, session, rung):
+                return roomiest, rung
+        return None
+
+    def _usable(self, server: Server, session: Session) -> bool:
+        now, viewer = self.now, session.viewer
+        if (server.cell - viewer.first_cell) % self.settings.cells >= viewer.copies:
+            return False
+        if server.full_until > now or server.suspect_until > now or server.probing:
+            return False
+        if server.strikes and server.setting_up:
+            return False
+        return len(server.sessions) < server.streams and self.guards.may_go_to(server, now)
+
+    def _fits(self, server: Server, session: Session, rung: int) -> bool:
+        kb = self._adds_kb(server, session, rung)
+        warmth = self.guards.warmth(server, self.now)
+        return (
+            server.link.after(self.now, kb) < MARK * warmth and server.uplink.after(self.now, kb) < MARK
+        )
+
+    def _rate_kb(self, session: Session, rung: int) -> float:
+        return self.settings.rates_kb[rung] * session.kind.scale
+
+    def _adds_kb(self, server: Server, session: Session, rung: int) -> float:
+        """What the session adds there; a further viewer of a live stream adds a part."""
+        rate = self._rate_kb(session, rung)
+        if session.kind.live and server.shared.get((session.viewer.title, session.viewer.cls, rung)):
+            return rate * self.settings.join_adds
+        return rate
+
+    def _send(self, session: Session, server: Server, rung: int) -> None:
+        """The one way out for a set-up; the guards have the last word."""
+        now, rid = self.now, session.viewer.session
+        if not (self.guards.may_send(session, now) and self.guards.may_go_to(server, now)):
+            self._give_up(session)
+            return
+        left = session.answer_by - now
+        timeout = min(session.kind.aim_ms * ATTEMPT_AIMS, left)
+        self.guards.sent(session, server, now)
+        self.guards.hold(session, 1)
+        session.attempts += 1
+        session.out = True
+        session.tried.append(server.id)
+        session.rung = rung
+        self._join(session, server)
+        server.setting_up += 1
+        self.out.append(SetRung(rid, rung))
+        self.out.append(Place(rid, server.id, timeout))
+
+    def _join(self, session: Session, server: Server) -> None:
+        session.server = server
+        server.sessions[session.viewer.session] = session
+        self._count(session, server, 1)
+
+    def _count(self, session: Session, server: Server, step: int) -> None:
+        """Books a session's rate on its server and rack, or takes it off."""
+        group = (session.viewer.title, session.viewer.cls, session.rung)
+        if step < 0:
+            server.shared[group] -= 1
+            if not server.shared[group]:
+                del server.shared[group]
+        kb = step * self._adds_kb(server, session, session.rung)
+        if step > 0:
+            server.shared[group] = server.shared.get(group, 0) + 1
+        server.link.add(self.now, kb)
+        server.uplink.add(self.now, kb)
+
+    def _leave(self, session: Session) -> None:
+        server = session.server
+        if server is not None:
+            del server.sessions[session.viewer.session]
+            self._count(session, server, -1)
+            self.guards.hold(session, -1)
+            session.server = None
+
+    def _give_up(self, session: Session) -> None:
+        """The final answer, at once: a refusal where nothing can have run, else a failure."""
+        rid = session.viewer.session
+        self.sessions.pop(rid, None)
+        if session.may_have_run and session.kind.effect is not Effect.REPEATABLE:
+            self.out.append(Fail(rid))
+        else:
+            self.out.append(Refuse(rid, self.settings.retry_after_max_ms or 0.0))
+
+    def _take_over(self, viewer: Viewer, server_id: int) -> None:
+        kind, server = self.settings.classes[viewer.cls], self.servers.get(server_id)
+        top = max(min(viewer.top_rung, kind.top_rung), 0)
+        session = Session(viewer, kind, self.now, float("inf"), kind.lowest_rung, top, attempts=1)
+        session.playing = session.may_have_run = session.told_start = True
+        session.changed_at = self.now
+        self.sessions[viewer.session] = session
+        if server is not None:
+            self.guards.hold(session, 1)
+            self._join(session, server)
+
+    # --- 4. Health and attempts ---
+
+    def _started(self, event: Started) -> None:
+        session = self.sessions.get(event.session)
+        if session is None or session.server is None:
+            return
+        session.playing, session.out, session.changed_at = True, False, self.now
+        server = session.server
+        server.setting_up -= 1
+        if server.lost:
+            server.lost, server.cold_since = False, self.now
+        if server.strikes:
+            self.out.append(Log(f"server {server.id} sets up again after {server.strikes} failures"))
+        server.strikes, server.suspect_until = 0, float("-inf")
+
+    def _ended(self, event: Ended) -> None:
+        session, server = self.sessions.get(event.session), self.servers.get(event.server)
+        if server is not None:
+            self._hear_report(server, event.report)
+            if event.result in FAILED:
+                self._suspect(server, event.result)
+            elif event.result is Result.FULL:
+                server.full_until = self.now + FULL_MARK_MS
+        if session is None:
+            return
+        if session.out and session.server is not None:
+            session.server.setting_up -= 1
+        session.out = False
+        if event.result not in NEVER_RAN:
+            session.may_have_run = True
+        self._leave(session)
+        if event.closed or session.playing:
+            self.sessions.pop(event.session, None)
+        else:
+            self._place(session)
+
+    def _suspect(self, server: Server, result: Result) -> None:
+        """Keeps new sessions off a server that failed, for longer with every failure in a row.
+
+        Guards against servers that error, hang, go silent or die while the list still calls them
+        ready; should cover any server that sets up badly. Harm: one unlucky failure costs the head
+        of the order an aim's time.
+        """
+        server.lost = server.lost or result in LOST
+        if self.now < server.suspect_until:
+            return
+        doublings = min(server.strikes, SUSPECT_DOUBLINGS)
+        server.strikes += 1
+        server.suspect_until = self.now + self.aim_ms * SUSPECT_AIMS * 2.0**doublings
+        if result in LOST:
+            server.link.forget()
+        if server.strikes == 1:
+            self.out.append(Log(f"server {server.id} is suspect: {result.name.lower()}"))
+
+    def _probed(self, event: Probed) -> None:
+        server = self.servers.get(event.server)
+        if server is None:
+            return
+        server.probing = False
+        self._hear_report(server, event.report)
+        if event.result is not Result.OK:
+            self._suspect(server, event.result)
+
+    def _drop_request(self, rid: int) -> None:
+        session = self.sessions.get(rid)
+        if session is None:
+            return
+        if not session.out:
+            self._leave(session)
+            del self.sessions[rid]
+        else:
+            session.answer_by = float("-inf")
+            session.attempts = self.settings.attempts_cap or session.attempts
+
+    # --- reports and notes ---
+
+    def _hear_report(self, server: Server, report: tuple[float, ...]) -> None:
+        seen_at = self.now - self.settings.seen_after_ms
+        for name, value in zip(self.settings.report_fields, report, strict=False):
+            if name == "x0" or (name == "cpu" and value < 0.99):
+                server.link.hear(value, seen_at)
+            elif name == "x1":
+                server.uplink.hear(value, seen_at)
+
+    def _note(self, note: Note) -> None:
+        session, server = self.sessions.get(note.session), self.servers.get(note.server)
+        if note.kind is NoteKind.RUNG:
+            if session is not None and session.server is not None and 0 <= note.level < len(self.settings.rates_kb):
+                self._count(session, session.server, -1)
+                session.rung = int(note.level)
+                self._count(session, session.server, 1)
+            return
+        if server is None:
+            return
+        seen_at = self.now - self.settings.seen_after_ms
+        if note.kind is NoteKind.DELIVERED:
+            self._short(server, note.level, seen_at)
+            return
+        if session is not None and not session.told_start:
+            session.told_start = note.kind is NoteKind.UPLINK or "x1" not in self.settings.report_fields
+            seen_at = self.now
+        (server.link if note.kind is NoteKind.LINK else server.uplink).hear(note.level, seen_at)
+
+    def _short(self, server: Server, share: float, seen_at: float) -> None:
+        """Sessions there get less than they ask: the server is full, and so is one of its two lines.
+
+        The fuller one by the account is taken to be short, where the account knew nothing of it.
+        Guards against links and uplinks that give less than their weight, and against late reports.
+        """
+        if not 0.0 <= share < 0.98:
+            return
+        server.full_until = self.now + FULL_MARK_MS
+        over = 1.0 / max(share, 0.1)
+        if server.load(self.now) < over - STEP:
+            link, uplink = server.link.load(self.now), server.uplink.load(self.now)
+            (server.link if link >= uplink else server.uplink).hear(over, seen_at)
+
+    # --- 3. Rungs of playing sessions ---
+
+    def _upkeep(self) -> None:
+        self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
+        for server in self.order:
+            self._look_after_suspect(server)
+            self._relieve(server.link, list(server.sessions.values()))
+        for rack, uplink in enumerate(self.uplinks):
+            here = [one for server in self.order if server.rack == rack for one in server.sessions.values()]
+            self._relieve(uplink, here)
+        for server in self.order:
+            self._climb(server)
+
+    def _look_after_suspect(self, server: Server) -> None:
+        due = server.strikes > 0 and server.suspect_until <= self.now and server.setting_up == 0
+        if due and server.lost and not server.probing and self.settings.may_probe:
+            server.probing = True
+            self.out.append(Probe(server.id))
+
+    def _relieve(self, meter: Meter, sessions: list[Session]) -> None:
+        """Own sessions give up their part of what lies above the mark, once for each fresh report."""
+        load = meter.load(self.now)
+        steps = int((load - MARK) / STEP + 1e-9)
+        if not meter.fresh or steps < 1:
+            return
+        meter.fresh = False
+        excess = meter.own_kb * (1.0 - MARK / load)
+        dropped: dict[int, int] = {}
+        while excess > 0:
+            choices = [
+                one for one in sessions
+                if one.playing and one.rung > one.kind.lowest_rung and dropped.get(one.viewer.session, 0) < steps
+            ]  # fmt: skip
+            if not choices:
+                return
+            session = min(choices, key=lambda one: (self._price(one, one.rung), one.viewer.session))
+            freed = self._rate_kb(session, session.rung) - self._rate_kb(session, session.rung - 1)
+            if freed > 2.0 * excess:
+                return
+            excess -= freed
+            dropped[session.viewer.session] = dropped.get(session.viewer.session, 0) + 1
+            self._set_rung(session, session.rung - 1)
+
+    def _price(self, session: Session, rung: int) -> float:
+        """Worth that the step up to `rung` earns for each kB a second that it takes."""
+        worths = self.settings.worths
+        gain = (worths[rung] - worths[rung - 1]) * session.kind.gain
+        return gain / max(self._rate_kb(session, rung) - self._rate_kb(session, rung - 1), 1e-9)
+
+    def _climb(self, server: Server) -> None:
+        """One session a look climbs a rung where all fronts doing so would stay under the mark."""
+        if server.load(self.now) >= MARK or server.full_until > self.now:
+            return
+        choices = [
+            one for one in server.sessions.values()
+            if one.playing and one.rung < one.top and one.changed_at + CLIMB_MS <= self.now
+        ]  # fmt: skip
+        if not choices:
+            return
+        session = max(choices, key=lambda one: (self._price(one, one.rung + 1), -one.viewer.session))
+        kb = self._rate_kb(session, session.rung + 1) - self._rate_kb(session, session.rung)
+        kb *= self.settings.fronts
+        if server.link.after(self.now, kb) < MARK and server.uplink.after(self.now, kb) < MARK:
+            self._set_rung(session, session.rung + 1)
+
+    def _set_rung(self, session: Session, rung: int) -> None:
+        if session.server is None:
+            return
+        self._count(session, session.server, -1)
+        session.rung, session.changed_at = rung, self.now
+        self._count(session, session.server, 1)
+        self.out.append(SetRung(session.viewer.session, rung))
