--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,78 @@
+"""Order, placement and the account of loads."""
+
+from dataclasses import replace
+
+from fernweir.interface import NoteKind, Place, Refuse, Result, SetRung
+from tests.helpers import SETTINGS, Front, entry, placed
+
+
+def test_heaviest_holder_comes_first_at_the_highest_usable_rung() -> None:
+    front = Front(entry(1, weight=1.0), entry(2, weight=2.0, cell=1))
+    assert front.ask(1)[-2:] == [SetRung(1, 3), Place(1, 2, 500.0)]
+    assert front.ask(2, top_rung=1)[-2] == SetRung(2, 1)
+
+
+def test_equal_weights_alternate_between_racks() -> None:
+    front = Front(entry(1), entry(2), entry(3, cell=1), entry(4, cell=1))
+    assert [server.id for server in front.brain.order] == [1, 3, 2, 4]
+
+
+def test_only_holders_of_the_title_are_asked() -> None:
+    front = Front(entry(1), entry(2, cell=1), entry(3, cell=2))
+    assert placed(front.ask(1, first_cell=1, copies=2))[0].server == 2
+    assert placed(front.ask(2, first_cell=3, copies=2))[0].server == 1
+
+
+def test_next_holder_when_the_first_is_over_the_mark() -> None:
+    front = Front()
+    front.start(1)
+    front.note(1, 1, NoteKind.LINK, 0.7)
+    assert placed(front.ask(2))[0].server == 2
+
+
+def test_a_full_uplink_keeps_new_sessions_off_its_whole_rack() -> None:
+    front = Front(entry(1), entry(2, cell=2), entry(3, cell=1))
+    front.start(1)
+    front.note(1, 1, NoteKind.UPLINK, 0.79)
+    assert placed(front.ask(2))[0].server == 3
+
+
+def test_roomiest_holder_at_what_fits_when_none_is_free() -> None:
+    front = Front()
+    front.start(1)
+    front.take_over(2, 2, 0)
+    front.note(1, 1, NoteKind.LINK, 0.75)
+    front.note(2, 2, NoteKind.LINK, 0.65)
+    actions = front.ask(3)
+    assert placed(actions)[0].server == 2
+    assert SetRung(3, 1) in actions
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    front = Front(entry(1))
+    front.start(1)
+    front.note(1, 1, NoteKind.LINK, 0.79)
+    assert front.ask(2)[-1] == Refuse(2, 1000.0)
+
+
+def test_a_refusal_as_full_marks_the_server_for_a_while() -> None:
+    front = Front()
+    front.ask(1)
+    assert placed(front.end(1, 1, Result.FULL))[0].server == 2
+    assert placed(front.ask(2))[0].server == 2
+    front.now += 5000.0
+    assert placed(front.ask(3))[0].server == 1
+
+
+def test_unseen_set_ups_count_once_for_every_front() -> None:
+    front = Front(settings=replace(SETTINGS, fronts=3))
+    front.start(1)
+    assert placed(front.ask(2))[0].server == 2
+
+
+def test_not_a_number_in_a_report_is_no_report() -> None:
+    front = Front()
+    front.start(1)
+    front.note(1, 1, NoteKind.LINK, float("nan"))
+    front.note(1, 1, NoteKind.UPLINK, -1.0)
+    assert placed(front.ask(2))[0].server == 1
