--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -17,7 +17,7 @@
 )  # fmt: skip
 
 MARK = 0.80  # a link or uplink under this share takes more
-STEP = 0.10  # playing sessions drop a rung for each such step that the load lies above the mark
+STEP = 0.15  # playing sessions drop a rung for each such step that the load lies above the mark
 FULL_MARK_MS = 5_000.0  # how long a refusal as full or a short delivery keeps new sessions away
 CLIMB_MS = 10_000.0  # a playing session climbs at most once in this time
 UPKEEP_MS = 250.0  # how often playing sessions and suspects are looked at
@@ -44,6 +44,7 @@
         self.told: float | None = None
         self.told_at = float("-inf")
         self.fresh = False
+        self.feeders: list[Meter] = []
         self._since: deque[tuple[float, float]] = deque()
 
     def add(self, now: float, kb: float) -> None:
@@ -68,7 +69,10 @@
         A report fades into own sessions times the fronts, so that a server nobody asks any more is
         not kept away for ever by what was once heard of it.
         """
-        guess = self.own_kb * self.fronts / self.capacity_kb
+        if self.feeders:
+            guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
+        else:
+            guess = self.own_kb * self.fronts / self.capacity_kb
         if self.told is None:
             return guess
         unseen = sum(kb * self.fronts if kb > 0 else kb for _, kb in self._since)
@@ -293,6 +297,8 @@
                 entry.server, link, self.uplinks[rack], streams, rack, started_at=entry.started_at
             )
             server.cold_since = entry.started_at or float("-inf")
+            if "x1" not in settings.report_fields:
+                server.uplink.feeders.append(link)
         elif entry.started_at > server.started_at:
             server.started_at = server.cold_since = entry.started_at
             server.link.forget()
@@ -334,7 +340,23 @@
         for rung in range(session.top - 1, session.kind.lowest_rung - 1, -1):
             if self._fits(roomiest, session, rung):
                 return roomiest, rung
-        return None
+        return (roomiest, session.kind.lowest_rung) if self._make_room(roomiest, session) else None
+
+    def _make_room(self, server: Server, session: Session) -> bool:
+        """Rather than refuse, fills the first step above the mark, stepping own sessions down for it.
+
+        Guards against viewers turned away while others watch at high rungs. Also covers a mark
+        lowered by old reports. Harm: every step down costs its session a switch.
+        """
+        lowest, limit = session.kind.lowest_rung, MARK + STEP
+        while not self._fits(server, session, lowest, limit):
+            link_over = server.link.load(self.now) > server.uplink.load(self.now)
+            here = server.sessions.values() if link_over else self._in_rack(server.rack)
+            choices = [one for one in here if one.playing and one.rung > one.kind.lowest_rung]
+            if not choices:
+                return False
+            self._step_down(choices)
+        return True
 
     def _usable(self, server: Server, session: Session) -> bool:
         now, viewer = self.now, session.viewer
@@ -346,12 +368,10 @@
             return False
         return len(server.sessions) < server.streams and self.guards.may_go_to(server, now)
 
-    def _fits(self, server: Server, session: Session, rung: int) -> bool:
+    def _fits(self, server: Server, session: Session, rung: int, mark: float = MARK) -> bool:
         kb = self._adds_kb(server, session, rung)
-        warmth = self.guards.warmth(server, self.now)
-        return (
-            server.link.after(self.now, kb) < MARK * warmth and server.uplink.after(self.now, kb) < MARK
-        )
+        link_mark = mark * self.guards.warmth(server, self.now)
+        return server.link.after(self.now, kb) < link_mark and server.uplink.after(self.now, kb) < mark
 
     def _rate_kb(self, session: Session, rung: int) -> float:
         return self.settings.rates_kb[rung] * session.kind.scale
@@ -515,7 +535,8 @@
     def _note(self, note: Note) -> None:
         session, server = self.sessions.get(note.session), self.servers.get(note.server)
         if note.kind is NoteKind.RUNG:
-            if session is not None and session.server is not None and 0 <= note.level < len(self.settings.rates_kb):
+            known = 0 <= note.level < len(self.settings.rates_kb)
+            if session is not None and session.server is not None and known:
                 self._count(session, session.server, -1)
                 session.rung = int(note.level)
                 self._count(session, session.server, 1)
@@ -553,8 +574,7 @@
             self._look_after_suspect(server)
             self._relieve(server.link, list(server.sessions.values()))
         for rack, uplink in enumerate(self.uplinks):
-            here = [one for server in self.order if server.rack == rack for one in server.sessions.values()]
-            self._relieve(uplink, here)
+            self._relieve(uplink, self._in_rack(rack))
         for server in self.order:
             self._climb(server)
 
@@ -571,22 +591,26 @@
         if not meter.fresh or steps < 1:
             return
         meter.fresh = False
-        excess = meter.own_kb * (1.0 - MARK / load)
-        dropped: dict[int, int] = {}
+        excess = meter.own_kb * (1.0 - (MARK + STEP / 2.0) / load)
+        least = {one.viewer.session: one.rung - steps for one in sessions}
         while excess > 0:
             choices = [
                 one for one in sessions
-                if one.playing and one.rung > one.kind.lowest_rung and dropped.get(one.viewer.session, 0) < steps
+                if one.playing and one.rung > max(one.kind.lowest_rung, least[one.viewer.session])
             ]  # fmt: skip
             if not choices:
                 return
-            session = min(choices, key=lambda one: (self._price(one, one.rung), one.viewer.session))
-            freed = self._rate_kb(session, session.rung) - self._rate_kb(session, session.rung - 1)
-            if freed > 2.0 * excess:
-                return
-            excess -= freed
-            dropped[session.viewer.session] = dropped.get(session.viewer.session, 0) + 1
-            self._set_rung(session, session.rung - 1)
+            excess -= self._step_down(choices)
+
+    def _step_down(self, choices: list[Session]) -> float:
+        """Steps down the session that loses least worth for the rate it frees; tells that rate."""
+        session = min(choices, key=lambda one: (self._price(one, one.rung), one.viewer.session))
+        freed = self._rate_kb(session, session.rung) - self._rate_kb(session, session.rung - 1)
+        self._set_rung(session, session.rung - 1)
+        return freed
+
+    def _in_rack(self, rack: int) -> list[Session]:
+        return [one for server in self.order if server.rack == rack for one in server.sessions.values()]
 
     def _price(self, session: Session, rung: int) -> float:
         """Worth that the step up to `rung` earns for each kB a second that it takes."""
--- a/fernweir/wire.py
+++ b/fernweir/wire.py
@@ -133,7 +133,8 @@
             else:
                 items.append((front, self._record(int(code), reader, start)))
         if reader.at != len(body):
-            raise WireError(f"batch {number}: {len(body) - reader.at} bytes left over after {records} records")
+            left = len(body) - reader.at
+            raise WireError(f"batch {number}: {left} bytes left over after {records} records")
         return Batch(number, now_ms, tuple(items))
 
     def _page(self, reader: _Reader) -> None:
