--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -19,11 +19,13 @@
 MARK = 0.80  # a link or uplink under this share takes more
 STEP = 0.15  # playing sessions drop a rung for each such step that the load lies above the mark
 FULL_MARK_MS = 5_000.0  # how long a refusal as full or a short delivery keeps new sessions away
+SHORT_MS = 1_500.0  # short deliveries this close together have one cause
 CLIMB_MS = 10_000.0  # a playing session climbs at most once in this time
 UPKEEP_MS = 250.0  # how often playing sessions and suspects are looked at
 ATTEMPT_AIMS = 0.5  # time-out of an attempt, in aims: a second one still meets the aim
 SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
 SUSPECT_DOUBLINGS = 3
+UNSEEN = 0.3  # part of own unseen set-ups that every other front is taken to have added as well
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
@@ -63,25 +65,27 @@
         self.told, self.told_at, self.fresh = None, float("-inf"), False
         self._since.clear()
 
-    def load(self, now: float) -> float:
-        """Own set-ups count once for each front: the others saw the same room and are taking it too.
+    def load(self, now: float, herd: float = 0.0) -> float:
+        """The load now; with `herd`, other fronts are taken to have set up that part of own set-ups.
 
         A report fades into own sessions times the fronts, so that a server nobody asks any more is
         not kept away for ever by what was once heard of it.
         """
         if self.feeders:
-            guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
+            guess = sum(one.load(now, herd) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
             guess = self.own_kb * self.fronts / self.capacity_kb
         if self.told is None:
             return guess
-        unseen = sum(kb * self.fronts if kb > 0 else kb for _, kb in self._since)
+        others = 1.0 + herd * (self.fronts - 1)
+        unseen = sum(kb * others if kb > 0 else kb for _, kb in self._since)
         known = max(self.told + unseen / self.capacity_kb, 0.0)
         faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
         return known * (1.0 - faded) + guess * faded
 
     def after(self, now: float, kb: float) -> float:
-        return self.load(now) + kb / self.capacity_kb
+        """The load once `kb` more are asked, with allowance for what other fronts add meanwhile."""
+        return self.load(now, UNSEEN) + kb / self.capacity_kb
 
 
 @dataclass(slots=True, eq=False)
@@ -101,6 +105,7 @@
     shared: dict[tuple[int, int, int], int] = field(default_factory=dict)
     setting_up: int = 0
     full_until: float = float("-inf")
+    short_at: float = float("-inf")
     strikes: int = 0
     suspect_until: float = float("-inf")
     probing: bool = False
@@ -349,14 +354,16 @@
         lowered by old reports. Harm: every step down costs its session a switch.
         """
         lowest, limit = session.kind.lowest_rung, MARK + STEP
-        while not self._fits(server, session, lowest, limit):
+        for _ in range(len(self.sessions)):
+            if self._fits(server, session, lowest, limit):
+                return True
             link_over = server.link.load(self.now) > server.uplink.load(self.now)
             here = server.sessions.values() if link_over else self._in_rack(server.rack)
             choices = [one for one in here if one.playing and one.rung > one.kind.lowest_rung]
             if not choices:
                 return False
             self._step_down(choices)
-        return True
+        return False
 
     def _usable(self, server: Server, session: Session) -> bool:
         now, viewer = self.now, session.viewer
@@ -555,16 +562,20 @@
     def _short(self, server: Server, share: float, seen_at: float) -> None:
         """Sessions there get less than they ask: the server is full, and so is one of its two lines.
 
-        The fuller one by the account is taken to be short, where the account knew nothing of it.
-        Guards against links and uplinks that give less than their weight, and against late reports.
+        Where the account knew nothing of it, the uplink is taken to be short if half of the rack's
+        servers with own sessions deliver short at the time, else the link. Guards against links and
+        uplinks that give less than their weight, and against late reports.
         """
         if not 0.0 <= share < 0.98:
             return
-        server.full_until = self.now + FULL_MARK_MS
+        server.full_until, server.short_at = self.now + FULL_MARK_MS, self.now
         over = 1.0 / max(share, 0.1)
-        if server.load(self.now) < over - STEP:
-            link, uplink = server.link.load(self.now), server.uplink.load(self.now)
-            (server.link if link >= uplink else server.uplink).hear(over, seen_at)
+        if server.load(self.now) >= over - STEP:
+            return
+        used = [one for one in self.order if one.rack == server.rack and one.sessions]
+        short = [one for one in used if one.short_at > self.now - SHORT_MS]
+        whole_rack = len(short) > 1 and 2 * len(short) >= len(used)
+        (server.uplink if whole_rack else server.link).hear(over, seen_at)
 
     # --- 3. Rungs of playing sessions ---
 
@@ -630,7 +641,7 @@
             return
         session = max(choices, key=lambda one: (self._price(one, one.rung + 1), -one.viewer.session))
         kb = self._rate_kb(session, session.rung + 1) - self._rate_kb(session, session.rung)
-        kb *= self.settings.fronts
+        kb *= 1.0 + UNSEEN * (self.settings.fronts - 1)
         if server.link.after(self.now, kb) < MARK and server.uplink.after(self.now, kb) < MARK:
             self._set_rung(session, session.rung + 1)
 
