--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -234,6 +234,7 @@
         self.now = 0.0
         self.ticking = False
         self.out: list[Action] = []
+        self.rerung: dict[int, None] = {}
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         self.now, self.out = now_ms, []
@@ -244,6 +245,10 @@
                 self.out.append(Subscribe(True))
         for event in events:
             self._take(event)
+        for rid in self.rerung:
+            if rid in self.sessions:
+                self.out.append(SetRung(rid, self.sessions[rid].rung))
+        self.rerung.clear()
         return self.out
 
     def _take(self, event: Event) -> None:
@@ -624,26 +629,43 @@
         return [one for server in self.order if server.rack == rack for one in server.sessions.values()]
 
     def _price(self, session: Session, rung: int) -> float:
-        """Worth that the step up to `rung` earns for each kB a second that it takes."""
-        worths = self.settings.worths
-        gain = (worths[rung] - worths[rung - 1]) * session.kind.gain
-        return gain / max(self._rate_kb(session, rung) - self._rate_kb(session, rung - 1), 1e-9)
+        """Worth lost for each kB a second freed by stepping down from `rung` until the next climb."""
+        settings = self.settings
+        seconds = (settings.worths[rung] - settings.worths[rung - 1]) * CLIMB_MS / 1000.0
+        freed = self._rate_kb(session, rung) - self._rate_kb(session, rung - 1)
+        return (seconds + settings.switch_cost_s) * session.kind.gain / max(freed, 1e-9)
 
     def _climb(self, server: Server) -> None:
-        """One session a look climbs a rung where all fronts doing so would stay under the mark."""
+        """One session a look climbs where all stays under the mark, into half of the room at most.
+
+        One rung is always allowed if it fits; several at once cost one switch. A session that will
+        soon end by its hint stays where it is.
+        """
         if server.load(self.now) >= MARK or server.full_until > self.now:
             return
-        choices = [
-            one for one in server.sessions.values()
-            if one.playing and one.rung < one.top and one.changed_at + CLIMB_MS <= self.now
-        ]  # fmt: skip
+        choices = [one for one in server.sessions.values() if self._may_climb(one)]
         if not choices:
             return
         session = max(choices, key=lambda one: (self._price(one, one.rung + 1), -one.viewer.session))
-        kb = self._rate_kb(session, session.rung + 1) - self._rate_kb(session, session.rung)
-        kb *= 1.0 + UNSEEN * (self.settings.fronts - 1)
-        if server.link.after(self.now, kb) < MARK and server.uplink.after(self.now, kb) < MARK:
-            self._set_rung(session, session.rung + 1)
+        best, room = session.rung, server.room_kb(self.now) / 2.0
+        for rung in range(session.rung + 1, session.top + 1):
+            kb = self._rate_kb(session, rung) - self._rate_kb(session, session.rung)
+            herd = kb * (1.0 + UNSEEN * (self.settings.fronts - 1))
+            over = max(server.link.after(self.now, herd), server.uplink.after(self.now, herd)) >= MARK
+            if over or (kb > room and best > session.rung):
+                break
+            best = rung
+        if best > session.rung:
+            self._set_rung(session, best)
+
+    def _may_climb(self, session: Session) -> bool:
+        if not session.playing or session.rung >= session.top or session.changed_at + CLIMB_MS > self.now:
+            return False
+        if session.viewer.length_ms is None:
+            return True
+        left_s = (session.taken_at + session.viewer.length_ms - self.now) / 1000.0
+        gain = self.settings.worths[session.rung + 1] - self.settings.worths[session.rung]
+        return gain * left_s > self.settings.switch_cost_s
 
     def _set_rung(self, session: Session, rung: int) -> None:
         if session.server is None:
@@ -651,4 +673,4 @@
         self._count(session, session.server, -1)
         session.rung, session.changed_at = rung, self.now
         self._count(session, session.server, 1)
-        self.out.append(SetRung(session.viewer.session, rung))
+        self.rerung[session.viewer.session] = None
