--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -26,6 +26,7 @@
 SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
 SUSPECT_DOUBLINGS = 3
 UNSEEN = 0.3  # part of own unseen set-ups that every other front is taken to have added as well
+LEARN = 0.2  # weight of the newest report in what is learnt of the others' part of a load
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
@@ -43,6 +44,7 @@
         self.fronts = fronts
         self.fade_ms = fade_ms
         self.own_kb = 0.0
+        self.per_own = float(fronts)
         self.told: float | None = None
         self.told_at = float("-inf")
         self.fresh = False
@@ -58,6 +60,9 @@
         if not 0.0 <= level < float("inf") or seen_at < self.told_at:
             return
         self.told, self.told_at, self.fresh = level, seen_at, True
+        if self.own_kb >= 0.05 * self.capacity_kb:
+            ratio = min(max(level * self.capacity_kb / self.own_kb, 0.5), 4.0 * self.fronts)
+            self.per_own += (ratio - self.per_own) * LEARN
         while self._since and self._since[0][0] <= seen_at:
             self._since.popleft()
 
@@ -68,13 +73,14 @@
     def load(self, now: float, herd: float = 0.0) -> float:
         """The load now; with `herd`, other fronts are taken to have set up that part of own set-ups.
 
-        A report fades into own sessions times the fronts, so that a server nobody asks any more is
-        not kept away for ever by what was once heard of it.
+        A report fades into own sessions times what was learnt to be asked for each of them (at first
+        the fronts). Guards against late reports, and against a server that nobody asks any more
+        being kept away for ever by what was once heard of it.
         """
         if self.feeders:
             guess = sum(one.load(now, herd) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
-            guess = self.own_kb * self.fronts / self.capacity_kb
+            guess = self.own_kb * self.per_own / self.capacity_kb
         if self.told is None:
             return guess
         others = 1.0 + herd * (self.fronts - 1)
