--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -47,7 +47,7 @@
         self.per_own = float(fronts)
         self.told: float | None = None
         self.told_at = float("-inf")
-        self.fresh = False
+        self.relieved_at = float("-inf")
         self.feeders: list[Meter] = []
         self._since: deque[tuple[float, float]] = deque()
 
@@ -59,7 +59,7 @@
         """Takes a report of how it stood at `seen_at`, unless something newer is known."""
         if not 0.0 <= level < float("inf") or seen_at < self.told_at:
             return
-        self.told, self.told_at, self.fresh = level, seen_at, True
+        self.told, self.told_at = level, seen_at
         if self.own_kb >= 0.05 * self.capacity_kb:
             ratio = min(max(level * self.capacity_kb / self.own_kb, 0.5), 4.0 * self.fronts)
             self.per_own += (ratio - self.per_own) * LEARN
@@ -67,7 +67,7 @@
             self._since.popleft()
 
     def forget(self) -> None:
-        self.told, self.told_at, self.fresh = None, float("-inf"), False
+        self.told, self.told_at = None, float("-inf")
         self._since.clear()
 
     def load(self, now: float, herd: float = 0.0) -> float:
@@ -607,12 +607,16 @@
             self.out.append(Probe(server.id))
 
     def _relieve(self, meter: Meter, sessions: list[Session]) -> None:
-        """Own sessions give up their part of what lies above the mark, once for each fresh report."""
+        """Own sessions give up their part of what lies above the mark.
+
+        Then nothing until a report shows how it stood after that: the other fronts heard the same and
+        give up their part too, and to count only one's own would give up all of it at every front.
+        """
         load = meter.load(self.now)
         steps = int((load - MARK) / STEP + 1e-9)
-        if not meter.fresh or steps < 1:
+        if meter.told_at <= meter.relieved_at or steps < 1:
             return
-        meter.fresh = False
+        meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - (MARK + STEP / 2.0) / load)
         least = {one.viewer.session: one.rung - steps for one in sessions}
         while excess > 0:
