--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -235,6 +235,7 @@
         self.order: list[Server] = []
         self.sessions: dict[int, Session] = {}
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
+        self.late_ms = settings.seen_after_ms + UPKEEP_MS
         self.uplinks = [self._meter(settings.uplink_kb or float("inf")) for _ in range(settings.racks)]
         self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
         self.now = 0.0
@@ -484,7 +485,8 @@
     def _ended(self, event: Ended) -> None:
         session, server = self.sessions.get(event.session), self.servers.get(event.server)
         if server is not None:
-            self._hear_report(server, event.report)
+            if session is None or not session.playing:
+                self._hear_report(server, event.report)
             if event.result in FAILED:
                 self._suspect(server, event.result)
             elif event.result is Result.FULL:
@@ -543,7 +545,8 @@
     # --- reports and notes ---
 
     def _hear_report(self, server: Server, report: tuple[float, ...]) -> None:
-        seen_at = self.now - self.settings.seen_after_ms
+        """Takes the report of a set-up or a probe; one that ends a played session is as old as that."""
+        seen_at = self.now - self.late_ms
         for name, value in zip(self.settings.report_fields, report, strict=False):
             if name == "x0" or (name == "cpu" and value < 0.99):
                 server.link.hear(value, seen_at)
@@ -561,7 +564,7 @@
             return
         if server is None:
             return
-        seen_at = self.now - self.settings.seen_after_ms
+        seen_at = self.now - self.late_ms
         if note.kind is NoteKind.DELIVERED:
             self._short(server, note.level, seen_at)
             return
@@ -581,7 +584,8 @@
             return
         server.full_until, server.short_at = self.now + FULL_MARK_MS, self.now
         over = 1.0 / max(share, 0.1)
-        if server.load(self.now) >= over - STEP:
+        relieved = max(server.link.relieved_at, server.uplink.relieved_at)
+        if server.load(self.now) >= over - STEP or seen_at < relieved + SHORT_MS:
             return
         used = [one for one in self.order if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
