--- a/fernweir/adapter.py
+++ b/fernweir/adapter.py
@@ -7,7 +7,17 @@
 
 from fernweir.brain import Controller
 from fernweir.interface import Event
-from fernweir.wire import HEADER, Batch, Configure, Decoder, Killed, WireError, encode_action, encode_fault, encode_reply
+from fernweir.wire import (
+    HEADER,
+    Batch,
+    Configure,
+    Decoder,
+    Killed,
+    WireError,
+    encode_action,
+    encode_fault,
+    encode_reply,
+)
 
 _HEADER_AFTER_LENGTH = HEADER.size - 8
 
--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -530,6 +530,8 @@
         self._hear_report(server, event.report)
         if event.result is not Result.OK:
             self._suspect(server, event.result)
+        elif server.lost:
+            server.lost, server.cold_since = False, self.now
 
     def _drop_request(self, rid: int) -> None:
         session = self.sessions.get(rid)
--- /dev/null
+++ b/tests/test_rungs.py
@@ -0,0 +1,73 @@
+"""Rungs of playing sessions."""
+
+from dataclasses import replace
+
+from fernweir.interface import Ended, NoteKind, Result, SetRung
+from tests.helpers import SETTINGS, Front, entry, rungs
+
+
+def test_sessions_step_down_when_the_load_lies_a_step_above_the_mark() -> None:
+    front = Front()
+    front.start(1)
+    front.note(1, 1, NoteKind.LINK, 0.9)
+    assert rungs(front.tick()) == []
+    front.tick(2000.0)
+    front.note(1, 1, NoteKind.LINK, 1.0)
+    assert rungs(front.tick()) == [SetRung(1, 2)]
+
+
+def test_steps_down_once_for_what_one_report_shows() -> None:
+    front = Front(settings=replace(SETTINGS, fronts=2))
+    for session in (1, 2):
+        front.take_over(session, 1, 3)
+    front.tick(2000.0)
+    front.note(1, 1, NoteKind.LINK, 1.4)
+    assert rungs(front.tick()) != []
+    front.note(2, 1, NoteKind.LINK, 1.4)
+    assert rungs(front.tick()) == []
+
+
+def test_no_class_is_stepped_under_its_floor() -> None:
+    front = Front(entry(1))
+    front.start(1, cls=1)
+    for _ in range(6):
+        front.tick(2000.0)
+        front.note(1, 1, NoteKind.LINK, 3.0)
+        front.tick()
+    assert front.brain.sessions[1].rung == 1
+
+
+def test_climbs_with_room_and_not_sooner_than_ten_seconds() -> None:
+    front = Front()
+    front.take_over(1, 1, 0, top_rung=1)
+    front.note(1, 1, NoteKind.LINK, 0.1)
+    assert rungs(front.tick()) == []
+    front.note(1, 1, NoteKind.LINK, 0.1)
+    assert rungs(front.tick(10_000.0)) == [SetRung(1, 1)]
+
+
+def test_a_session_near_its_hinted_end_does_not_climb() -> None:
+    front = Front()
+    front.take_over(1, 1, 0, length_ms=10_500.0)
+    front.note(1, 1, NoteKind.LINK, 0.1)
+    assert rungs(front.tick(10_000.0)) == []
+
+
+def test_one_short_link_is_not_taken_for_a_short_uplink() -> None:
+    front = Front(entry(1), entry(2, cell=2))
+    front.take_over(1, 1, 2)
+    front.take_over(2, 2, 2)
+    front.tick(4000.0)
+    front.note(1, 1, NoteKind.DELIVERED, 0.5)
+    assert [change.session for change in rungs(front.tick())] == [1]
+    front.send(Ended(1, 1, 0, Result.OK, True, 100.0, ()))
+
+
+def test_half_the_rack_short_is_taken_for_a_short_uplink() -> None:
+    front = Front(entry(1), entry(2, cell=2), entry(3, cell=4))
+    for session in (1, 2, 3):
+        front.take_over(session, session, 2)
+    front.tick(4000.0)
+    front.note(1, 1, NoteKind.DELIVERED, 0.97)
+    front.note(2, 2, NoteKind.DELIVERED, 0.5)
+    assert {change.session for change in rungs(front.tick())} == {1, 2, 3}
