--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -26,7 +26,6 @@
 SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
 SUSPECT_DOUBLINGS = 3
 UNSEEN = 0.3  # part of own unseen set-ups that every other front is taken to have added as well
-RECOVER = 0.02  # growth a second of an uplink's capacity that was learnt from short deliveries
 LEARN = 0.2  # weight of the newest report in what is learnt of the others' part of a load
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -41,7 +40,7 @@
     """What is asked of one link or uplink over what it gives: last told, plus own changes since."""
 
     def __init__(self, capacity_kb: float, fronts: int, fade_ms: float) -> None:
-        self.capacity_kb = self.nominal_kb = max(capacity_kb, 1.0)
+        self.capacity_kb = max(capacity_kb, 1.0)
         self.fronts = fronts
         self.fade_ms = fade_ms
         self.own_kb = 0.0
@@ -67,16 +66,6 @@
         while self._since and self._since[0][0] <= seen_at:
             self._since.popleft()
 
-    def learn(self, now: float, share: float) -> None:
-        """An uplink that nobody reports gives the share delivered of what its links are asked."""
-        asked = sum(one.load(now) * one.capacity_kb for one in self.feeders)
-        self.capacity_kb = min(max(asked * share, 0.2 * self.nominal_kb), self.capacity_kb)
-
-    def recover(self, now: float, elapsed_ms: float) -> None:
-        """What was learnt of a short uplink is slowly forgotten while it is well used and not short."""
-        if self.feeders and self.capacity_kb < self.nominal_kb:
-            self.capacity_kb *= 1.0 + RECOVER * elapsed_ms / 1000.0
-
     def forget(self) -> None:
         self.told, self.told_at = None, float("-inf")
         self._since.clear()
@@ -100,9 +89,9 @@
         faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
         return known * (1.0 - faded) + guess * faded
 
-    def after(self, now: float, kb: float, herd: float = UNSEEN) -> float:
+    def after(self, now: float, kb: float) -> float:
         """The load once `kb` more are asked, with allowance for what other fronts add meanwhile."""
-        return self.load(now, herd) + kb / self.capacity_kb
+        return self.load(now, UNSEEN) + kb / self.capacity_kb
 
 
 @dataclass(slots=True, eq=False)
@@ -603,8 +592,6 @@
         used = [one for one in self.order if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
         whole_rack = len(short) > 1 and 2 * len(short) >= len(used)
-        if whole_rack and server.uplink.feeders:
-            server.uplink.learn(self.now, share)
         (server.uplink if whole_rack else server.link).hear(over, seen_at)
 
     # --- 3. Rungs of playing sessions ---
@@ -615,7 +602,6 @@
             self._look_after_suspect(server)
             self._relieve(server.link, list(server.sessions.values()))
         for rack, uplink in enumerate(self.uplinks):
-            uplink.recover(self.now, UPKEEP_MS)
             self._relieve(uplink, self._in_rack(rack))
         for server in self.order:
             self._climb(server)
@@ -668,7 +654,7 @@
     def _climb(self, server: Server) -> None:
         """One session a look climbs where all stays under the mark, into half of the room at most.
 
-        All fronts see room on an uplink at the same time, so what one climbs counts for each. One rung is always allowed if it fits; several at once cost one switch. A session that will
+        One rung is always allowed if it fits; several at once cost one switch. A session that will
         soon end by its hint stays where it is.
         """
         if server.load(self.now) >= MARK or server.full_until > self.now:
@@ -680,8 +666,9 @@
         best, room = session.rung, server.room_kb(self.now) / 2.0
         for rung in range(session.rung + 1, session.top + 1):
             kb = self._rate_kb(session, rung) - self._rate_kb(session, session.rung)
-            over = server.uplink.after(self.now, kb * self.settings.fronts, 1.0) >= MARK
-            if over or server.link.after(self.now, kb) >= MARK or (kb > room and best > session.rung):
+            herd = kb * (1.0 + UNSEEN * (self.settings.fronts - 1))
+            over = max(server.link.after(self.now, herd), server.uplink.after(self.now, herd)) >= MARK
+            if over or (kb > room and best > session.rung):
                 break
             best = rung
         if best > session.rung:
