--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -587,7 +587,7 @@
         server.full_until, server.short_at = self.now + FULL_MARK_MS, self.now
         over = 1.0 / max(share, 0.1)
         relieved = max(server.link.relieved_at, server.uplink.relieved_at)
-        if server.load(self.now) >= over - STEP or seen_at < relieved + SHORT_MS:
+        if server.load(self.now) >= over or seen_at < relieved + SHORT_MS:
             return
         used = [one for one in self.order if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
