--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -350,7 +350,7 @@
         holders = untried or holders
         for server in holders:
             if self._fits(server, session, session.top):
-                return server, session.top
+                return server, self._fair_rung(server, session)
         if not holders:
             return None
         roomiest = max(holders, key=lambda one: one.room_kb(self.now))
@@ -359,6 +359,24 @@
                 return roomiest, rung
         return (roomiest, session.kind.lowest_rung) if self._make_room(roomiest, session) else None
 
+    def _fair_rung(self, server: Server, session: Session) -> int:
+        """The highest usable rung, or less while most sessions of the rack are held below theirs.
+
+        Each step must be worth as much for its rate as the next step of the rack's middle session.
+        Guards against newcomers taking at the top what many could share. Also covers uplinks that
+        carry less than told. Harm: a rack held low by one bad report starts its newcomers low.
+        """
+        rung, worth = session.top, self._going_price(server.rack)
+        while rung > session.kind.lowest_rung and self._price(session, rung) < worth:
+            rung -= 1
+        return rung
+
+    def _going_price(self, rack: int) -> float:
+        """What the next step up is worth to the middle one of the own sessions playing in a rack."""
+        playing = [one for one in self._in_rack(rack) if one.playing]
+        prices = sorted(self._price(one, one.rung + 1) if one.rung < one.top else 0.0 for one in playing)
+        return prices[len(prices) // 2] if prices else 0.0
+
     def _make_room(self, server: Server, session: Session) -> bool:
         """Rather than refuse, fills the first step above the mark, stepping own sessions down for it.
 
@@ -587,7 +605,7 @@
         server.full_until, server.short_at = self.now + FULL_MARK_MS, self.now
         over = 1.0 / max(share, 0.1)
         relieved = max(server.link.relieved_at, server.uplink.relieved_at)
-        if server.load(self.now) >= over or seen_at < relieved + SHORT_MS:
+        if server.load(self.now) >= over - STEP or seen_at < relieved + SHORT_MS:
             return
         used = [one for one in self.order if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
@@ -664,11 +682,14 @@
             return
         session = max(choices, key=lambda one: (self._price(one, one.rung + 1), -one.viewer.session))
         best, room = session.rung, server.room_kb(self.now) / 2.0
+        worth = self._going_price(server.rack)
+        if self._price(session, session.rung + 1) < worth:
+            return
         for rung in range(session.rung + 1, session.top + 1):
             kb = self._rate_kb(session, rung) - self._rate_kb(session, session.rung)
             herd = kb * (1.0 + UNSEEN * (self.settings.fronts - 1))
             over = max(server.link.after(self.now, herd), server.uplink.after(self.now, herd)) >= MARK
-            if over or (kb > room and best > session.rung):
+            if over or (best > session.rung and (kb > room or self._price(session, rung) < worth)):
                 break
             best = rung
         if best > session.rung:
