--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,194 @@
+"""The six rules, one by one, and then on random histories."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fernweir.interface import (
+    Abandoned,
+    Action,
+    Arrival,
+    Effect,
+    Ended,
+    Event,
+    Fail,
+    ListKind,
+    ListUpdate,
+    Note,
+    NoteKind,
+    Place,
+    Probed,
+    Refuse,
+    Result,
+    ServerState,
+    SetRung,
+    Started,
+    TimerFired,
+)
+from tests.helpers import BUDGET, CLASS, COLD, SETTINGS, Front, entry, placed, viewer
+
+
+def answers(actions: list[Action]) -> list[Action]:
+    return [action for action in actions if isinstance(action, Refuse | Fail)]
+
+
+def test_a_failed_attempt_is_followed_by_another_elsewhere_then_by_an_answer() -> None:
+    front = Front()
+    front.ask(1)
+    assert placed(front.end(1, 1, Result.TIMEOUT))[0].server == 2
+    last = front.end(1, 2, Result.TIMEOUT, attempt=1)
+    assert placed(last) == [] and answers(last) == [Refuse(1, 1000.0)]
+
+
+def test_no_answer_and_no_attempt_after_the_request_is_over() -> None:
+    front = Front()
+    front.ask(1)
+    late = front.send(Ended(1, 1, 0, Result.TIMEOUT, True, 100.0, ()))
+    assert placed(late) == [] and answers(late) == []
+
+
+def test_an_attempt_that_may_have_run_is_not_repeated_where_once_is_told() -> None:
+    once = replace(SETTINGS, classes=(replace(CLASS, effect=Effect.ONCE),))
+    front = Front(settings=once)
+    front.ask(1)
+    assert answers(front.end(1, 1, Result.TIMEOUT)) == [Fail(1)]
+    front.now += 60_000.0
+    place = placed(front.ask(2))[0]
+    assert len(placed(front.end(2, place.server, Result.CONNECT_FAILED))) == 1
+
+
+def test_only_one_attempt_is_out_at_once() -> None:
+    front = Front()
+    front.ask(1)
+    assert placed(front.tick()) == []
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_nothing_new_goes_to_a_server_that_drains_or_is_gone(state: ServerState) -> None:
+    front = Front()
+    front.send(ListUpdate(ListKind.DELTA, 2, (entry(1, state=state),)))
+    assert placed(front.ask(1))[0].server == 2
+
+
+def test_a_server_missing_from_a_whole_list_is_gone() -> None:
+    front = Front()
+    front.send(ListUpdate(ListKind.FULL, 2, (entry(2, cell=1),)))
+    assert placed(front.ask(1))[0].server == 2
+
+
+def test_fronts_take_turns_at_a_cold_server() -> None:
+    told = replace(SETTINGS, cold=COLD, fronts=2)
+    sent = []
+    for ordinal in (0, 1):
+        front = Front(entry(1, started_at=1.0), settings=replace(told, ordinal=ordinal))
+        for session in range(1, 200):
+            place = placed(front.ask(session, top_rung=0))
+            if place:
+                sent.append(front.now)
+                front.end(session, 1, Result.OK, closed=True)
+    pace_ms = COLD.warm_up_ms / (SETTINGS.kind_streams[0] * COLD.cold_from)
+    assert 1 < len(sent) <= 2 + front.now / pace_ms
+
+
+def test_seats_hold_for_one_title_and_class() -> None:
+    front = Front(settings=replace(SETTINGS, classes=(replace(CLASS, seats=1),)))
+    front.start(1, top_rung=0)
+    assert answers(front.ask(2, top_rung=0)) == [Refuse(2, 1000.0)]
+    assert len(placed(front.ask(3, top_rung=0, title=6))) == 1
+
+
+def test_further_attempts_stay_within_the_budget() -> None:
+    front = Front(settings=replace(SETTINGS, budget=BUDGET))
+    front.ask(1)
+    assert len(placed(front.end(1, 1, Result.ERROR))) == 1
+    front.ask(2)
+    assert placed(front.end(2, 2, Result.ERROR)) == []
+
+
+def test_refuses_at_once_and_does_not_hold_a_request() -> None:
+    front = Front(entry(1, state=ServerState.DRAINING))
+    assert answers(front.ask(1)) == [Refuse(1, 1000.0)]
+
+
+STEPS = st.lists(
+    st.tuples(st.integers(0, 8), st.integers(0, 60), st.integers(0, 7), st.floats(0, 2), st.integers(1, 900)),
+    max_size=120,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(STEPS)
+def test_the_rules_hold_on_any_history(steps: list[tuple[int, int, int, float, int]]) -> None:
+    classes = (replace(CLASS, seats=4), replace(CLASS, name="course", lowest_rung=1))
+    told = replace(SETTINGS, classes=classes, budget=BUDGET, cold=COLD, fronts=2)
+    front = Front(entry(1), entry(2, cell=1), entry(3, cell=2), settings=told)
+    out: dict[int, Place] = {}
+    shots: dict[int, int] = {}
+    owed: dict[int, int] = {}
+    playing: dict[int, int] = {}
+    held: dict[int, tuple[int, int]] = {}
+    gone: set[int] = set()
+    extra: list[float] = []
+
+    def check(actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Place):
+                rid = action.session
+                assert rid in owed and rid not in out and rid not in playing
+                assert action.server not in gone
+                shots[rid] = shots.get(rid, -1) + 1
+                out[rid] = action
+                if shots[rid] > 0:
+                    extra.append(front.now)
+                    assert sum(at > front.now - BUDGET.span_ms for at in extra) <= BUDGET.free
+                held[rid] = (owed[rid], 5)
+                if owed[rid] == 0:
+                    assert sum(seat == held[rid] for seat in held.values()) <= 4
+            elif isinstance(action, Refuse | Fail):
+                assert action.session in owed and action.session not in out
+                del owed[action.session]
+            elif isinstance(action, SetRung):
+                cls = owed.get(action.session, playing.get(action.session))
+                assert cls is not None and classes[cls].lowest_rung <= action.rung <= 3
+
+    next_session = 0
+    for what, pick, result, level, wait in steps:
+        front.now += wait
+        event: Event = TimerFired(1)
+        rid = sorted(out)[pick % len(out)] if out else None
+        live = sorted(playing)[pick % len(playing)] if playing else None
+        server = pick % 3 + 1
+        if what in (0, 1):
+            next_session += 1
+            owed[next_session] = pick % 2
+            event = Arrival(viewer(next_session, pick % 2))
+        elif what == 2 and rid is not None:
+            place = out.pop(rid)
+            playing[rid] = owed.pop(rid)
+            event = Started(rid, place.server, shots[rid], 50.0)
+        elif what == 3 and rid is not None and result != Result.OK:
+            place = out.pop(rid)
+            held.pop(rid)
+            event = Ended(rid, place.server, shots[rid], Result(result), False, 50.0, (level, level))
+        elif what == 4 and live is not None:
+            del playing[live]
+            held.pop(live)
+            event = Ended(live, server, shots[live], Result.OK, True, 50.0, (level,))
+        elif what == 5:
+            event = Note(live or 0, server, 0, NoteKind(result % 4 + 1), level)
+            if event.kind is NoteKind.RUNG:
+                event = Note(live or 0, server, 0, NoteKind.LINK, level)
+        elif what == 6:
+            state = ServerState(result % 3)
+            (gone.discard if state is ServerState.READY else gone.add)(server)
+            event = ListUpdate(ListKind.DELTA, 9, (entry(server, cell=server - 1, state=state),))
+        elif what == 7:
+            event = Probed(server, Result(result), 5.0, (level, level))
+        elif what == 8:
+            event = Abandoned(10_000 + pick)
+        check(front.send(event))
+    assert set(owed) == set(out)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,172 @@
+"""The codec, and the real adapter as a process."""
+
+from __future__ import annotations
+
+import re
+import struct
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fernweir.interface import Arrival, ListKind, ListUpdate, Place, Refuse, ServerState, SetRung
+from fernweir.wire import Configure, Decoder, WireError, encode_action, encode_reply, parse_settings
+from tests.helpers import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+TEXT = """Categories.count=1
+Categories.0.Name=film
+Categories.0.Aim=900
+Categories.0.Deadline=3000
+Categories.0.Gain=1
+Categories.0.Idempotency=repeatable
+Extra.RatesKb=100,200,400
+Extra.LevelWorth=0.3,0.6,1
+Extra.KindSlots=20
+Extra.WeightKb=2000
+Extra.UplinkKb=9000
+Extra.Cells=4
+Extra.Groups=2
+Instances=1
+Ordinal=0
+Period=10
+Limits.RetryAfter=true
+Limits.MaxRetryAfter=1500
+Something.New=yes
+"""
+
+
+def select(front: int) -> bytes:
+    return struct.pack("<HI", 269, front)
+
+
+def configure(text: str = TEXT) -> bytes:
+    return struct.pack("<HQI", 256, 42, len(text)) + text.encode()
+
+
+def page(number: int, *servers: int) -> bytes:
+    lines = (
+        struct.pack("<BdBHBfI", 1, 0.0, 0, place, 0, 1.0, server) for place, server in enumerate(servers)
+    )
+    return struct.pack("<HBI", 268, number, len(servers)) + b"".join(lines)
+
+
+def listing(how: int, number: int) -> bytes:
+    return struct.pack("<HBIB", 257, how, 1, number)
+
+
+def knock(rid: int) -> bytes:
+    return struct.pack("<HIHfdQdQBIff", 258, rid, 0, 2.0, 0.0, 7, 3000.0, 5, 0, 0, 0.0, 4.0)
+
+
+def frame(number: int, *records: bytes) -> bytes:
+    body = b"".join(records)
+    return struct.pack("<IIdI", len(records), 12 + len(body), 1000.0 + number, number) + body
+
+
+START = (select(3), configure(), page(0, 11, 12), listing(1, 0))
+
+
+def run(data: bytes, **env: str) -> subprocess.CompletedProcess[bytes]:
+    command = [sys.executable, "-B", "-m", "fernweir.adapter"]
+    return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, env=env, check=False)
+
+
+def test_the_adapter_answers_every_batch_and_ends_cleanly() -> None:
+    done = run(frame(1) + frame(2, *START) + frame(3, select(3), knock(9)))
+    assert done.returncode == 0 and done.stderr == b""
+    assert done.stdout.startswith(struct.pack("<II", 4, 1))
+    wanted = encode_action(SetRung(9, 2)) + encode_action(Place(9, 11, 450.0))
+    assert done.stdout.endswith(encode_reply(3, iter([(3, wanted)])))
+
+
+def test_the_same_events_give_the_same_bytes_under_any_hash_seed() -> None:
+    data = frame(1, *START) + b"".join(frame(n, select(3), knock(n), knock(n + 500)) for n in range(2, 60))
+    assert run(data, PYTHONHASHSEED="1").stdout == run(data, PYTHONHASHSEED="2").stdout
+
+
+def test_a_front_killed_and_started_in_one_batch_begins_anew() -> None:
+    again = (select(3), knock(1), struct.pack("<H", 265), *START[1:], knock(2))
+    done = run(frame(1, *START) + frame(2, *again))
+    assert done.returncode == 0
+    assert encode_action(Place(2, 11, 450.0)) in done.stdout
+    assert encode_action(Place(1, 11, 450.0)) not in done.stdout
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (frame(1)[:-3], "input ended after"),
+        (struct.pack("<IIdI", 0, 3, 0.0, 1), "too short"),
+        (frame(1, select(3), struct.pack("<H", 999)), "unknown event code 999"),
+        (frame(1, knock(1)), "before any instance"),
+        (frame(1, select(3), knock(1)), "has not started"),
+        (frame(1, select(3), knock(1)[:-4]), "runs past the end"),
+        (frame(1, select(3), configure("Instances=1\n")), "needed key Extra.RatesKb is missing"),
+        (frame(1, select(3), configure(TEXT.replace("Aim=900", "Aim=soon"))), "Categories.0.Aim"),
+        (frame(1, select(3), configure(), listing(1, 4)), "list 4"),
+    ],
+)
+def test_bad_input_ends_with_one_plain_line(data: bytes, said: str) -> None:
+    done = run(data)
+    assert done.returncode == 2 and done.stdout == b""
+    lines = done.stderr.decode().splitlines()
+    assert len(lines) == 1 and said in lines[0]
+
+
+def test_numbered_lists_are_resolved_in_order_within_a_batch() -> None:
+    records = (select(1), configure(), page(0, 5), listing(2, 0), page(0, 6, 7), listing(3, 0))
+    body = b"".join(records)
+    lists = [
+        item for _, item in Decoder().decode(len(records), 0.0, 1, body).items if isinstance(item, ListUpdate)
+    ]
+    assert [[line.server for line in update.entries] for update in lists] == [[5], [6, 7]]
+    assert lists[0].kind is ListKind.FULL and lists[0].entries[0].state is ServerState.READY
+
+
+def test_absent_rules_are_off_and_unknown_keys_are_skipped() -> None:
+    told = parse_settings(TEXT.encode())
+    assert told.cold is None and told.budget is None and told.attempts_cap is None
+    assert told.retry_after_max_ms == 1500.0
+    assert told.classes[0].top_rung == 2 and told.classes[0].seats == 0
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1), st.floats(0, 1e7))
+def test_actions_keep_their_values_on_the_wire(session: int, server: int, after: float) -> None:
+    assert struct.unpack("<HIId", encode_action(Place(session, server, after))) == (
+        320,
+        session,
+        server,
+        after,
+    )
+    assert struct.unpack("<HId", encode_action(Refuse(session, after))) == (321, session, after)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 2**32 - 1), st.integers(1, 31))
+def test_a_request_keeps_its_values_and_no_cut_of_it_passes(rid: int, cut: int) -> None:
+    body = select(1) + knock(rid)
+    ((_, event),) = Decoder().decode(2, 5.0, 1, body).items
+    assert isinstance(event, Arrival)
+    assert (event.viewer.session, event.viewer.left_ms, event.viewer.title) == (rid, 3000.0, 5)
+    with pytest.raises(WireError):
+        Decoder().decode(2, 5.0, 1, body[:-cut])
+
+
+def test_a_front_starts_from_the_settings_it_is_sent() -> None:
+    ((_, start),) = Decoder().decode(2, 5.0, 1, select(1) + configure()).items
+    assert isinstance(start, Configure) and start.seed == 42
+    assert replace(start.settings, classes=()) != replace(SETTINGS, classes=())
+
+
+def test_the_readme_example_runs() -> None:
+    (code,) = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.DOTALL)
+    names: dict[str, object] = {}
+    exec(code, names)
+    actions = names["first_session"](SETTINGS)  # type: ignore[operator]
+    assert actions == [SetRung(1, 2), Place(1, 1, 500.0)]
