--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -142,7 +142,6 @@
     out: bool = False
     playing: bool = False
     may_have_run: bool = False
-    queued: int = 1
     tried: list[int] = field(default_factory=list)
     changed_at: float = 0.0
     told_start: bool = False
@@ -239,7 +238,6 @@
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
         self.uplinks = [self._meter(settings.uplink_kb or float("inf")) for _ in range(settings.racks)]
         self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
-        self.set_up_ms = self.aim_ms / 16.0
         self.now = 0.0
         self.ticking = False
         self.out: list[Action] = []
@@ -403,18 +401,10 @@
             return False
         if server.full_until > now or server.suspect_until > now or server.probing:
             return False
-        if server.setting_up and (server.strikes or self._crowded(server, session)):
+        if server.strikes and server.setting_up:
             return False
         return len(server.sessions) < server.streams and self.guards.may_go_to(server, now)
 
-    def _crowded(self, server: Server, session: Session) -> bool:
-        """Own set-ups out there would make one more take half of its time-out.
-
-        Guards against a crowd sent whole to the head of the order, where it times out and makes
-        sound servers suspect. Also covers servers slow at setting up. Harm: refusals in a real rush.
-        """
-        return server.setting_up * self.set_up_ms >= session.kind.aim_ms * ATTEMPT_AIMS / 2.0
-
     def _fits(self, server: Server, session: Session, rung: int, mark: float = MARK) -> bool:
         kb = self._adds_kb(server, session, rung)
         link_mark = mark * self.guards.warmth(server, self.now)
@@ -446,7 +436,6 @@
         session.rung = rung
         self._join(session, server)
         server.setting_up += 1
-        session.queued = server.setting_up
         self.out.append(SetRung(rid, rung))
         self.out.append(Place(rid, server.id, timeout))
 
@@ -505,7 +494,6 @@
         session.playing, session.out, session.changed_at = True, False, self.now
         server = session.server
         server.setting_up -= 1
-        self.set_up_ms += (event.took_ms / session.queued - self.set_up_ms) * LEARN
         if server.lost:
             server.lost, server.cold_since = False, self.now
         if server.strikes:
