--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -345,7 +345,8 @@
 
     def _choose(self, session: Session) -> tuple[Server, int] | None:
         """The first free holder at the highest usable rung, else the roomiest at what fits there."""
-        holders = [server for server in self.order if self._usable(server, session)]
+        usable = [server for server in self.order if self._usable(server, session)]
+        holders = [server for server in usable if not self._marked_full(server)] or usable
         untried = [server for server in holders if server.id not in session.tried]
         holders = untried or holders
         for server in holders:
@@ -399,12 +400,21 @@
         now, viewer = self.now, session.viewer
         if (server.cell - viewer.first_cell) % self.settings.cells >= viewer.copies:
             return False
-        if server.full_until > now or server.suspect_until > now or server.probing:
+        if server.suspect_until > now or server.probing:
             return False
         if server.strikes and server.setting_up:
             return False
         return len(server.sessions) < server.streams and self.guards.may_go_to(server, now)
 
+    def _marked_full(self, server: Server) -> bool:
+        """Full for five seconds, or until a report seen after the mark shows it under the mark.
+
+        Where every holder is marked, all are asked all the same: guards against a moment's shortage
+        everywhere shutting a front's viewers out. Harm: an attempt that is turned away at once.
+        """
+        seen_since = server.link.told_at > server.full_until - FULL_MARK_MS
+        return server.full_until > self.now and not (seen_since and server.load(self.now) < MARK)
+
     def _fits(self, server: Server, session: Session, rung: int, mark: float = MARK) -> bool:
         kb = self._adds_kb(server, session, rung)
         link_mark = mark * self.guards.warmth(server, self.now)
@@ -675,7 +685,7 @@
         One rung is always allowed if it fits; several at once cost one switch. A session that will
         soon end by its hint stays where it is.
         """
-        if server.load(self.now) >= MARK or server.full_until > self.now:
+        if server.load(self.now) >= MARK or self._marked_full(server):
             return
         choices = [one for one in server.sessions.values() if self._may_climb(one)]
         if not choices:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -99,3 +99,21 @@
     front.note(1, 1, NoteKind.LINK, float("nan"))
     front.note(1, 1, NoteKind.UPLINK, -1.0)
     assert placed(front.ask(2))[0].server == 1
+
+
+def test_viewers_are_not_shut_out_where_every_holder_is_marked_full() -> None:
+    front = Front()
+    front.ask(1, top_rung=0)
+    front.end(1, 1, Result.FULL)
+    front.end(1, 2, Result.FULL, attempt=1)
+    assert len(placed(front.ask(2, top_rung=0))) == 1
+
+
+def test_a_newer_report_with_room_ends_a_full_mark() -> None:
+    front = Front()
+    front.start(1, top_rung=0)
+    front.note(1, 1, NoteKind.DELIVERED, 0.9)
+    assert placed(front.ask(2, top_rung=0))[0].server == 2
+    front.now += 2000.0
+    front.note(1, 1, NoteKind.LINK, 0.3)
+    assert placed(front.ask(3, top_rung=0))[0].server == 1
