--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -18,6 +18,7 @@
 
 MARK = 0.80  # a link or uplink under this share takes more
 STEP = 0.15  # playing sessions drop a rung for each such step that the load lies above the mark
+RELIEVED = MARK + STEP / 2.0  # where stepping down leaves the load
 FULL_MARK_MS = 5_000.0  # how long a refusal as full or a short delivery keeps new sessions away
 SHORT_MS = 1_500.0  # short deliveries this close together have one cause
 CLIMB_MS = 10_000.0  # a playing session climbs at most once in this time
@@ -75,12 +76,14 @@
 
         A report fades into own sessions times what was learnt to be asked for each of them (at first
         the fronts). Guards against late reports, and against a server that nobody asks any more
-        being kept away for ever by what was once heard of it.
+        being kept away for ever by what was once heard of it. What is guessed stays under the first
+        step, as a line that is short makes itself heard.
         """
         if self.feeders:
             guess = sum(one.load(now, herd) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
             guess = self.own_kb * self.per_own / self.capacity_kb
+        guess = min(guess, RELIEVED)
         if self.told is None:
             return guess
         others = 1.0 + herd * (self.fronts - 1)
@@ -358,6 +361,9 @@
         for rung in range(session.top - 1, session.kind.lowest_rung - 1, -1):
             if self._fits(roomiest, session, rung):
                 return roomiest, rung
+        for rung in range(self._fair_rung(roomiest, session), session.kind.lowest_rung, -1):
+            if self._fits(roomiest, session, rung, RELIEVED):
+                return roomiest, rung
         return (roomiest, session.kind.lowest_rung) if self._make_room(roomiest, session) else None
 
     def _fair_rung(self, server: Server, session: Session) -> int:
@@ -651,7 +657,7 @@
         if meter.told_at <= meter.relieved_at or steps < 1:
             return
         meter.relieved_at = self.now
-        excess = meter.own_kb * (1.0 - (MARK + STEP / 2.0) / load)
+        excess = meter.own_kb * (1.0 - RELIEVED / load)
         least = {one.viewer.session: one.rung - steps for one in sessions}
         while excess > 0:
             choices = [
