--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -361,9 +361,6 @@
         for rung in range(session.top - 1, session.kind.lowest_rung - 1, -1):
             if self._fits(roomiest, session, rung):
                 return roomiest, rung
-        for rung in range(self._fair_rung(roomiest, session), session.kind.lowest_rung, -1):
-            if self._fits(roomiest, session, rung, RELIEVED):
-                return roomiest, rung
         return (roomiest, session.kind.lowest_rung) if self._make_room(roomiest, session) else None
 
     def _fair_rung(self, server: Server, session: Session) -> int:
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -71,3 +71,12 @@
     front.note(1, 1, NoteKind.DELIVERED, 0.97)
     front.note(2, 2, NoteKind.DELIVERED, 0.5)
     assert {change.session for change in rungs(front.tick())} == {1, 2, 3}
+
+
+def test_what_is_only_guessed_steps_nobody_down_and_refuses_nobody() -> None:
+    front = Front(entry(1), settings=replace(SETTINGS, fronts=4))
+    for session in range(1, 5):
+        front.take_over(session, 1, 2)
+    assert rungs(front.tick()) == []
+    place = front.ask(9, top_rung=0)
+    assert [change.session for change in rungs(place)] == [9]
