--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -688,7 +688,7 @@
         One rung is always allowed if it fits; several at once cost one switch. A session that will
         soon end by its hint stays where it is.
         """
-        if self._marked_full(server):
+        if server.load(self.now) >= MARK or self._marked_full(server):
             return
         choices = [one for one in server.sessions.values() if self._may_climb(one)]
         if not choices:
@@ -701,8 +701,8 @@
         for rung in range(session.rung + 1, session.top + 1):
             kb = self._rate_kb(session, rung) - self._rate_kb(session, session.rung)
             herd = kb * (1.0 + UNSEEN * (self.settings.fronts - 1))
-            over = server.uplink.after(self.now, herd) >= RELIEVED
-            if over or server.link.after(self.now, herd) >= MARK or (best > session.rung and (kb > room or self._price(session, rung) < worth)):
+            over = max(server.link.after(self.now, herd), server.uplink.after(self.now, herd)) >= MARK
+            if over or (best > session.rung and (kb > room or self._price(session, rung) < worth)):
                 break
             best = rung
         if best > session.rung:
