--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -387,7 +387,7 @@
         Guards against viewers turned away while others watch at high rungs. Also covers a mark
         lowered by old reports. Harm: every step down costs its session a switch.
         """
-        lowest, limit = session.kind.lowest_rung, RELIEVED
+        lowest, limit = session.kind.lowest_rung, MARK + STEP
         for _ in range(len(self.sessions)):
             if self._fits(server, session, lowest, limit):
                 return True
