--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -26,7 +26,6 @@
 ATTEMPT_AIMS = 0.5  # time-out of an attempt, in aims: a second one still meets the aim
 SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
 SUSPECT_DOUBLINGS = 3
-UNSEEN = 0.3  # part of own unseen set-ups that every other front is taken to have added as well
 LEARN = 0.2  # weight of the newest report in what is learnt of the others' part of a load
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -71,8 +70,8 @@
         self.told, self.told_at = None, float("-inf")
         self._since.clear()
 
-    def load(self, now: float, herd: float = 0.0) -> float:
-        """The load now; with `herd`, other fronts are taken to have set up that part of own set-ups.
+    def load(self, now: float) -> float:
+        """The load now: as last told, plus own changes since.
 
         A report fades into own sessions times what was learnt to be asked for each of them (at first
         the fronts). Guards against late reports, and against a server that nobody asks any more
@@ -80,21 +79,20 @@
         step, as a line that is short makes itself heard.
         """
         if self.feeders:
-            guess = sum(one.load(now, herd) * one.capacity_kb for one in self.feeders) / self.capacity_kb
+            guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
             guess = self.own_kb * self.per_own / self.capacity_kb
         guess = min(guess, RELIEVED)
         if self.told is None:
             return guess
-        others = 1.0 + herd * (self.fronts - 1)
-        unseen = sum(kb * others if kb > 0 else kb for _, kb in self._since)
+        unseen = sum(kb for _, kb in self._since)
         known = max(self.told + unseen / self.capacity_kb, 0.0)
         faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
         return known * (1.0 - faded) + guess * faded
 
     def after(self, now: float, kb: float) -> float:
-        """The load once `kb` more are asked, with allowance for what other fronts add meanwhile."""
-        return self.load(now, UNSEEN) + kb / self.capacity_kb
+        """The load once `kb` more are asked."""
+        return self.load(now) + kb / self.capacity_kb
 
 
 @dataclass(slots=True, eq=False)
@@ -700,8 +698,7 @@
             return
         for rung in range(session.rung + 1, session.top + 1):
             kb = self._rate_kb(session, rung) - self._rate_kb(session, session.rung)
-            herd = kb * (1.0 + UNSEEN * (self.settings.fronts - 1))
-            over = max(server.link.after(self.now, herd), server.uplink.after(self.now, herd)) >= MARK
+            over = max(server.link.after(self.now, kb), server.uplink.after(self.now, kb)) >= MARK
             if over or (best > session.rung and (kb > room or self._price(session, rung) < worth)):
                 break
             best = rung
