--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -18,7 +18,7 @@
 
 MARK = 0.80  # a link or uplink under this share takes more
 STEP = 0.20  # playing sessions drop a rung for each such step that the load lies above the mark
-RELIEVED = MARK + STEP / 2.0  # where stepping down leaves the load
+RELIEVED = MARK + 0.75 * STEP  # where stepping down leaves the load
 FULL_MARK_MS = 5_000.0  # how long a refusal as full or a short delivery keeps new sessions away
 SHORT_MS = 1_500.0  # short deliveries this close together have one cause
 CLIMB_MS = 10_000.0  # a playing session climbs at most once in this time
