--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -490,8 +490,9 @@
         top = max(min(viewer.top_rung, kind.top_rung), 0)
         session = Session(viewer, kind, self.now, float("inf"), kind.lowest_rung, top, attempts=1)
         session.playing = session.may_have_run = session.told_start = True
-        # Handed over low with links idle, it may climb after one round of notes, not ten seconds.
-        session.changed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
+        # Handed over low with links idle, they needn't all wait ten seconds, nor climb as one.
+        notes = min(self.settings.tell_ms + self.late_ms, CLIMB_MS)
+        session.changed_at = self.now - self.random.random() * (CLIMB_MS - notes)
         self.sessions[viewer.session] = session
         if server is not None:
             self.guards.hold(session, 1)
