Sessions handed over climb after one round of notes; a failed call to the list is made again later

A failed subscription was asked for again at once, which would hammer a loaded list: now after an aim's time.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from random import Random
 
 from fernweir.interface import (
     Abandoned, Action, Arrival, Effect, Ended, Event, Fail, ListKind, ListUpdate, Log, Note, NoteKind, Place,
@@ -230,7 +229,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.random = Random(seed)
+        self.seed = seed  # no decision draws lots so far
         self.guards = Guards(settings)
         self.servers: dict[int, Server] = {}
         self.order: list[Server] = []
@@ -240,6 +239,7 @@
         self.uplinks = [self._meter(settings.uplink_kb or float("inf")) for _ in range(settings.racks)]
         self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
         self.now = 0.0
+        self.ask_again_at = float("inf")
         self.ticking = False
         self.out: list[Action] = []
         self.rerung: dict[int, None] = {}
@@ -289,7 +289,7 @@
 
     def _list(self, update: ListUpdate) -> None:
         if update.kind is ListKind.FAILED:
-            self.out.append(Subscribe(True))
+            self.ask_again_at = self.now + self.aim_ms
             return
         if update.kind is not ListKind.DELTA:
             listed = {entry.server for entry in update.entries}
@@ -490,9 +490,8 @@
         top = max(min(viewer.top_rung, kind.top_rung), 0)
         session = Session(viewer, kind, self.now, float("inf"), kind.lowest_rung, top, attempts=1)
         session.playing = session.may_have_run = session.told_start = True
-        # Handed over low with links idle, they needn't all wait ten seconds, nor climb as one.
-        notes = min(self.settings.tell_ms + self.late_ms, CLIMB_MS)
-        session.changed_at = self.now - self.random.random() * (CLIMB_MS - notes)
+        # Handed over low with links idle, it may climb after one round of notes, not ten seconds.
+        session.changed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
         self.sessions[viewer.session] = session
         if server is not None:
             self.guards.hold(session, 1)
@@ -629,6 +628,9 @@
 
     def _upkeep(self) -> None:
         self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
+        if self.ask_again_at <= self.now:
+            self.ask_again_at = float("inf")
+            self.out.append(Subscribe(True))
         for server in self.order:
             self._look_after_suspect(server)
             self._relieve(server.link, list(server.sessions.values()))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -27,6 +27,7 @@
     ServerState,
     SetRung,
     Started,
+    Subscribe,
     TimerFired,
 )
 from tests.helpers import BUDGET, CLASS, COLD, SETTINGS, Front, entry, placed, viewer
@@ -114,6 +115,14 @@
     assert answers(front.ask(1)) == [Refuse(1, 1000.0)]
 
 
+def test_a_failed_call_to_the_list_is_made_again_a_while_later() -> None:
+    front = Front(settings=replace(SETTINGS, must_subscribe=True))
+    failed = front.send(ListUpdate(ListKind.FAILED, 0, ()))
+    assert Subscribe(True) not in failed
+    assert Subscribe(True) in front.tick(1500.0)
+    assert Subscribe(True) not in front.tick()
+
+
 STEPS = st.lists(
     st.tuples(st.integers(0, 8), st.integers(0, 60), st.integers(0, 7), st.floats(0, 2), st.integers(1, 900)),
     max_size=120,
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -39,11 +39,13 @@
 
 def test_climbs_with_room_and_not_sooner_than_ten_seconds() -> None:
     front = Front()
-    front.take_over(1, 1, 0, top_rung=1)
-    front.note(1, 1, NoteKind.LINK, 0.1)
-    assert rungs(front.tick()) == []
+    front.start(1)
+    front.note(1, 1, NoteKind.LINK, 1.1)
+    assert rungs(front.tick()) == [SetRung(1, 2)]
+    front.tick(2000.0)
     front.note(1, 1, NoteKind.LINK, 0.1)
-    assert rungs(front.tick(10_000.0)) == [SetRung(1, 1)]
+    assert rungs(front.tick(7000.0)) == []
+    assert rungs(front.tick(1000.0)) == [SetRung(1, 3)]
 
 
 def test_a_session_near_its_hinted_end_does_not_climb() -> None:
@@ -80,3 +82,12 @@
     assert rungs(front.tick()) == []
     place = front.ask(9, top_rung=0)
     assert [change.session for change in rungs(place)] == [9]
+
+
+def test_sessions_handed_over_low_climb_after_one_round_of_notes() -> None:
+    front = Front()
+    front.take_over(1, 1, 0, top_rung=1)
+    front.note(1, 1, NoteKind.LINK, 0.1)
+    assert rungs(front.tick()) == []
+    front.note(1, 1, NoteKind.LINK, 0.1)
+    assert rungs(front.tick(2800.0)) == [SetRung(1, 1)]
