--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -685,7 +685,7 @@
         return (seconds + settings.switch_cost_s) * session.kind.gain / max(freed, 1e-9)
 
     def _climb(self, server: Server) -> None:
-        """One session a look climbs where all stays under the mark, into half of the room at most.
+        """One session a look climbs where all stays under the mark, into its front's part of the room.
 
         One rung is always allowed if it fits; several at once cost one switch. A session that will
         soon end by its hint stays where it is.
@@ -696,7 +696,7 @@
         if not choices:
             return
         session = max(choices, key=lambda one: (self._price(one, one.rung + 1), -one.viewer.session))
-        best, room = session.rung, server.room_kb(self.now) / 2.0
+        best, room = session.rung, server.room_kb(self.now) / (1.0 + self.settings.fronts)
         worth = self._going_price(server.rack)
         if self._price(session, session.rung + 1) < worth:
             return
