--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -118,6 +118,7 @@
     lost: bool = False
     cold_since: float = float("-inf")
     turn_used: int = -1
+    rank: int = 0
 
     def room_kb(self, now: float) -> float:
         link = (MARK - self.link.load(now)) * self.link.capacity_kb
@@ -234,6 +235,8 @@
         self.servers: dict[int, Server] = {}
         self.order: list[Server] = []
         self.sessions: dict[int, Session] = {}
+        self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
+        self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
         self.uplinks = [self._meter(settings.uplink_kb or float("inf")) for _ in range(settings.racks)]
@@ -304,6 +307,8 @@
             place = places[server.rack] = places.get(server.rack, -1) + 1
             ranked.append((-server.weight, place, server.rack, server))
         self.order = [item[3] for item in sorted(ranked, key=lambda item: item[:3])]
+        for rank, server in enumerate(self.order):
+            server.rank = rank
 
     def _entry(self, entry: ServerEntry) -> None:
         settings, server = self.settings, self.servers.get(entry.server)
@@ -375,7 +380,7 @@
 
     def _going_price(self, rack: int) -> float:
         """What the next step up is worth to the middle one of the own sessions playing in a rack."""
-        playing = [one for one in self._in_rack(rack) if one.playing]
+        playing = [one for one in self.in_rack[rack].values() if one.playing]
         prices = sorted(self._price(one, one.rung + 1) if one.rung < one.top else 0.0 for one in playing)
         return prices[len(prices) // 2] if prices else 0.0
 
@@ -390,8 +395,8 @@
             if self._fits(server, session, lowest, limit):
                 return True
             link_over = server.link.load(self.now) > server.uplink.load(self.now)
-            here = server.sessions.values() if link_over else self._in_rack(server.rack)
-            choices = [one for one in here if one.playing and one.rung > one.kind.lowest_rung]
+            here = server.sessions if link_over else self.in_rack[server.rack]
+            choices = [one for one in here.values() if one.playing and one.rung > one.kind.lowest_rung]
             if not choices:
                 return False
             self._step_down(choices)
@@ -453,6 +458,8 @@
     def _join(self, session: Session, server: Server) -> None:
         session.server = server
         server.sessions[session.viewer.session] = session
+        self.in_rack[server.rack][session.viewer.session] = session
+        self.watched[server.id] = server
         self._count(session, server, 1)
 
     def _count(self, session: Session, server: Server, step: int) -> None:
@@ -472,6 +479,7 @@
         server = session.server
         if server is not None:
             del server.sessions[session.viewer.session]
+            del self.in_rack[server.rack][session.viewer.session]
             self._count(session, server, -1)
             self.guards.hold(session, -1)
             session.server = None
@@ -541,6 +549,7 @@
         ready; should cover any server that sets up badly. Harm: one unlucky failure costs the head
         of the order an aim's time.
         """
+        self.watched[server.id] = server
         server.lost = server.lost or result in LOST
         if self.now < server.suspect_until:
             return
@@ -578,6 +587,7 @@
 
     def _hear_report(self, server: Server, report: tuple[float, ...]) -> None:
         """Takes the report of a set-up or a probe; one that ends a played session is as old as that."""
+        self.watched[server.id] = server
         seen_at = self.now - self.late_ms
         for name, value in zip(self.settings.report_fields, report, strict=False):
             if name == "x0" or (name == "cpu" and value < 0.99):
@@ -596,6 +606,7 @@
             return
         if server is None:
             return
+        self.watched[server.id] = server
         seen_at = self.now - self.late_ms
         if note.kind is NoteKind.DELIVERED:
             self._short(server, note.level, seen_at)
@@ -619,7 +630,7 @@
         relieved = max(server.link.relieved_at, server.uplink.relieved_at)
         if server.load(self.now) >= over - STEP or seen_at < relieved + SHORT_MS:
             return
-        used = [one for one in self.order if one.rack == server.rack and one.sessions]
+        used = [one for one in self.watched.values() if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
         whole_rack = len(short) > 1 and 2 * len(short) >= len(used)
         (server.uplink if whole_rack else server.link).hear(over, seen_at)
@@ -631,13 +642,17 @@
         if self.ask_again_at <= self.now:
             self.ask_again_at = float("inf")
             self.out.append(Subscribe(True))
-        for server in self.order:
+        watched = sorted(self.watched.values(), key=lambda one: one.rank)
+        for server in watched:
             self._look_after_suspect(server)
-            self._relieve(server.link, list(server.sessions.values()))
-        for rack, uplink in enumerate(self.uplinks):
-            self._relieve(uplink, self._in_rack(rack))
-        for server in self.order:
-            self._climb(server)
+            self._relieve(server.link, server.sessions)
+        for rack in sorted({one.rack for one in watched}):
+            self._relieve(self.uplinks[rack], self.in_rack[rack])
+        for server in watched:
+            if server.sessions:
+                self._climb(server)
+            elif not server.strikes:
+                del self.watched[server.id]
 
     def _look_after_suspect(self, server: Server) -> None:
         due = server.strikes > 0 and server.suspect_until <= self.now and server.setting_up == 0
@@ -645,7 +660,7 @@
             server.probing = True
             self.out.append(Probe(server.id))
 
-    def _relieve(self, meter: Meter, sessions: list[Session]) -> None:
+    def _relieve(self, meter: Meter, sessions: dict[int, Session]) -> None:
         """Own sessions give up their part of what lies above the mark.
 
         Then nothing until a report shows how it stood after that: the other fronts heard the same and
@@ -657,11 +672,11 @@
             return
         meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - RELIEVED / load)
-        least = {one.viewer.session: one.rung - steps for one in sessions}
+        least = {rid: one.rung - steps for rid, one in sessions.items()}
         while excess > 0:
             choices = [
-                one for one in sessions
-                if one.playing and one.rung > max(one.kind.lowest_rung, least[one.viewer.session])
+                one for rid, one in sessions.items()
+                if one.playing and one.rung > max(one.kind.lowest_rung, least[rid])
             ]  # fmt: skip
             if not choices:
                 return
@@ -674,9 +689,6 @@
         self._set_rung(session, session.rung - 1)
         return freed
 
-    def _in_rack(self, rack: int) -> list[Session]:
-        return [one for server in self.order if server.rack == rack for one in server.sessions.values()]
-
     def _price(self, session: Session, rung: int) -> float:
         """Worth lost for each kB a second freed by stepping down from `rung` until the next climb."""
         settings = self.settings
