--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import log
 
 from fernweir.interface import (
     Abandoned, Action, Arrival, Effect, Ended, Event, Fail, ListKind, ListUpdate, Log, Note, NoteKind, Place,
@@ -32,6 +33,14 @@
 LOST = (Result.CONNECT_FAILED, Result.RESET)  # the process is gone, so what comes back is cold
 
 
+def lot(title: int, server: int) -> float:
+    """A number over 0, the same at all fronts, spread like the wait for an arrival at a pace of 1."""
+    mixed = (title ^ (server * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
+    mixed = ((mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
+    mixed = ((mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
+    return -log(((mixed >> 11) + 0.5) / 2.0**53)
+
+
 # --- 1. Account -----------------------------------------------------------------------------------
 
 
@@ -118,7 +127,6 @@
     lost: bool = False
     cold_since: float = float("-inf")
     turn_used: int = -1
-    rank: int = 0
 
     def room_kb(self, now: float) -> float:
         link = (MARK - self.link.load(now)) * self.link.capacity_kb
@@ -233,7 +241,6 @@
         self.seed = seed  # no decision draws lots so far
         self.guards = Guards(settings)
         self.servers: dict[int, Server] = {}
-        self.order: list[Server] = []
         self.sessions: dict[int, Session] = {}
         self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
         self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
@@ -282,8 +289,6 @@
                 self._probed(event)
             case Abandoned(rid):
                 self._drop_request(rid)
-            case _:
-                pass
 
     def _meter(self, capacity_kb: float) -> Meter:
         return Meter(capacity_kb, self.settings.fronts, self.fade_ms)
@@ -301,14 +306,6 @@
                     server.state = ServerState.GONE
         for entry in update.entries:
             self._entry(entry)
-        places: dict[int, int] = {}
-        ranked: list[tuple[float, int, int, Server]] = []
-        for server in sorted(self.servers.values(), key=lambda one: one.id):
-            place = places[server.rack] = places.get(server.rack, -1) + 1
-            ranked.append((-server.weight, place, server.rack, server))
-        self.order = [item[3] for item in sorted(ranked, key=lambda item: item[:3])]
-        for rank, server in enumerate(self.order):
-            server.rank = rank
 
     def _entry(self, entry: ServerEntry) -> None:
         settings, server = self.settings, self.servers.get(entry.server)
@@ -325,7 +322,8 @@
         elif entry.started_at > server.started_at:
             server.started_at = server.cold_since = entry.started_at
             server.link.forget()
-        server.state, server.cell, server.weight = entry.state, entry.cell, entry.weight
+        server.state, server.cell = entry.state, entry.cell
+        server.weight = max(entry.weight, 1e-3)
 
     # --- 2. Order and placement ---
 
@@ -351,7 +349,7 @@
 
     def _choose(self, session: Session) -> tuple[Server, int] | None:
         """The first free holder at the highest usable rung, else the roomiest at what fits there."""
-        usable = [server for server in self.order if self._usable(server, session)]
+        usable = [server for server in self._order(session) if self._usable(server, session)]
         holders = [server for server in usable if not self._marked_full(server)] or usable
         untried = [server for server in holders if server.id not in session.tried]
         holders = untried or holders
@@ -366,6 +364,16 @@
                 return roomiest, rung
         return (roomiest, session.kind.lowest_rung) if self._make_room(roomiest, session) else None
 
+    def _order(self, session: Session) -> list[Server]:
+        """The holders of a title, each drawn for it in proportion to its weight: alike at all fronts.
+
+        One order for all titles would send all fronts to the same few servers, of whose load each
+        front learns only by being turned away.
+        """
+        viewer, cells, known = session.viewer, self.settings.cells, self.servers.values()
+        holders = [one for one in known if (one.cell - viewer.first_cell) % cells < viewer.copies]
+        return sorted(holders, key=lambda one: (lot(viewer.title, one.id) / one.weight, one.id))
+
     def _fair_rung(self, server: Server, session: Session) -> int:
         """The highest usable rung, or less while most sessions of the rack are held below theirs.
 
@@ -403,9 +411,7 @@
         return False
 
     def _usable(self, server: Server, session: Session) -> bool:
-        now, viewer = self.now, session.viewer
-        if (server.cell - viewer.first_cell) % self.settings.cells >= viewer.copies:
-            return False
+        now = self.now
         if server.suspect_until > now or server.probing:
             return False
         if server.strikes and server.setting_up:
@@ -642,7 +648,7 @@
         if self.ask_again_at <= self.now:
             self.ask_again_at = float("inf")
             self.out.append(Subscribe(True))
-        watched = sorted(self.watched.values(), key=lambda one: one.rank)
+        watched = sorted(self.watched.values(), key=lambda one: one.id)
         for server in watched:
             self._look_after_suspect(server)
             self._relieve(server.link, server.sessions)
