--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from math import log
 
 from fernweir.interface import (
@@ -27,6 +28,8 @@
 SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
 SUSPECT_DOUBLINGS = 3
 LEARN = 0.2  # weight of the newest report in what is learnt of the others' part of a load
+RATE_MS = 10_000.0  # own arrivals of this long tell what all fronts take
+HERD = 4.0  # a cold server is left room for so many times a server's usual part of the arrivals
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
@@ -35,24 +38,31 @@
 
 def lot(title: int, server: int) -> float:
     """A number over 0, the same at all fronts, spread like the wait for an arrival at a pace of 1."""
-    mixed = (title ^ (server * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
-    mixed = ((mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
-    mixed = ((mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
-    return -log(((mixed >> 11) + 0.5) / 2.0**53)
+    digest = blake2b(b"%d %d" % (title, server), digest_size=8).digest()
+    return -log((int.from_bytes(digest, "big") + 0.5) / 2.0**64)
 
 
 # --- 1. Account -----------------------------------------------------------------------------------
 
 
+@dataclass(slots=True, eq=False)
+class Usual:
+    """What links, or uplinks, have lately been heard to carry: stands in for what nothing is known of."""
+
+    level: float = 0.0
+
+    def hear(self, level: float) -> None:
+        self.level += (min(level, 1.0 / MARK) - self.level) * LEARN
+
+
 class Meter:
     """What is asked of one link or uplink over what it gives: last told, plus own changes since."""
 
-    def __init__(self, capacity_kb: float, fronts: int, fade_ms: float) -> None:
+    def __init__(self, capacity_kb: float, usual: Usual, fade_ms: float) -> None:
         self.capacity_kb = max(capacity_kb, 1.0)
-        self.fronts = fronts
+        self.usual = usual
         self.fade_ms = fade_ms
         self.own_kb = 0.0
-        self.per_own = float(fronts)
         self.told: float | None = None
         self.told_at = float("-inf")
         self.relieved_at = float("-inf")
@@ -68,9 +78,7 @@
         if not 0.0 <= level < float("inf") or seen_at < self.told_at:
             return
         self.told, self.told_at = level, seen_at
-        if self.own_kb >= 0.05 * self.capacity_kb:
-            ratio = min(max(level * self.capacity_kb / self.own_kb, 0.5), 4.0 * self.fronts)
-            self.per_own += (ratio - self.per_own) * LEARN
+        self.usual.hear(level)
         while self._since and self._since[0][0] <= seen_at:
             self._since.popleft()
 
@@ -81,15 +89,15 @@
     def load(self, now: float) -> float:
         """The load now: as last told, plus own changes since.
 
-        A report fades into own sessions times what was learnt to be asked for each of them (at first
-        the fronts). Guards against late reports, and against a server that nobody asks any more
-        being kept away for ever by what was once heard of it. What is guessed stays under the first
-        step, as a line that is short makes itself heard.
+        A report fades into what is usual, under the first step, as a short line makes itself heard.
+        Guards against late reports, against a server kept away for ever by what was once heard of
+        it, and against fronts that take all they know nothing of for empty. Harm: an empty server
+        is taken for a usual one.
         """
         if self.feeders:
             guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
-            guess = self.own_kb * self.per_own / self.capacity_kb
+            guess = max(self.usual.level, self.own_kb / self.capacity_kb)
         guess = min(guess, RELIEVED)
         if self.told is None:
             return guess
@@ -99,7 +107,6 @@
         return known * (1.0 - faded) + guess * faded
 
     def after(self, now: float, kb: float) -> float:
-        """The load once `kb` more are asked."""
         return self.load(now) + kb / self.capacity_kb
 
 
@@ -117,7 +124,6 @@
     cell: int = 0
     weight: float = 1.0
     sessions: dict[int, Session] = field(default_factory=dict)
-    shared: dict[tuple[int, int, int], int] = field(default_factory=dict)
     setting_up: int = 0
     full_until: float = float("-inf")
     short_at: float = float("-inf")
@@ -126,7 +132,7 @@
     probing: bool = False
     lost: bool = False
     cold_since: float = float("-inf")
-    turn_used: int = -1
+    cold_sent_at: float = float("-inf")
 
     def room_kb(self, now: float) -> float:
         link = (MARK - self.link.load(now)) * self.link.capacity_kb
@@ -162,14 +168,16 @@
 class Guards:
     """The last check on every send: nothing reaches a server that `allows` turned down."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.seed = settings, seed
+        self.span_ms = max(settings.budget.span_ms if settings.budget else 0.0, RATE_MS)
+        self.ready = 1
         self.seats: dict[tuple[int, int], int] = {}
         self.taken: deque[float] = deque()
         self.extra: deque[float] = deque()
 
-    def may_go_to(self, server: Server, now: float) -> bool:
-        return server.state is ServerState.READY and self.cold_turn(server, now)
+    def may_go_to(self, server: Server, session: Session, now: float) -> bool:
+        return server.state is ServerState.READY and self.cold_turn(server, session, now)
 
     def may_send(self, session: Session, now: float) -> bool:
         """One attempt at a time, within seats, cap and budget, and never twice what mustn't be."""
@@ -186,11 +194,17 @@
         budget = self.settings.budget
         if budget is None:
             return True
-        for times in (self.taken, self.extra):
-            while times and times[0] < now - budget.span_ms:
-                times.popleft()
-        in_span = sum(1 for at in self.taken if at > now - budget.span_ms)
-        return len(self.extra) + 1 <= budget.free + budget.share * in_span
+        while self.extra and self.extra[0] < now - budget.span_ms:
+            self.extra.popleft()
+        return len(self.extra) + 1 <= budget.free + budget.share * self.taken_since(now - budget.span_ms)
+
+    def take(self, now: float) -> None:
+        self.taken.append(now)
+        while self.taken[0] < now - self.span_ms:
+            self.taken.popleft()
+
+    def taken_since(self, then: float) -> int:
+        return sum(1 for at in self.taken if at > then)
 
     def warmth(self, server: Server, now: float) -> float:
         """Share of its capacity that a server has at least reached."""
@@ -199,32 +213,27 @@
             return 1.0
         return cold.cold_from + (1.0 - cold.cold_from) * max(now - server.cold_since, 0.0) / cold.warm_up_ms
 
-    def cold_turn(self, server: Server, now: float) -> bool:
-        """Fronts take turns at a cold server: one set-up a turn, at the pace of its coldest moment.
+    def cold_turn(self, server: Server, session: Session, now: float) -> bool:
+        """Whether a cold server takes this session: a lot decides that is drawn from the front's seed.
 
-        Guards against a herd of fronts on a server that has just come back. Also covers servers that
-        were lost and answer again before the list says so. Harm: a fleet that is cold as a whole
-        takes set-ups slowly.
+        What all fronts take, by own arrivals times fronts, and HERD times one server's usual part of
+        that stay within the pace of the cold server; no front alone goes faster than that. Guards
+        against a herd on a server that has just come back, also before the list says so. Harm: a
+        front with more than its part of the arrivals thins too much.
         """
-        if self.warmth(server, now) >= 1.0 and not server.strikes:
+        cold, warmth = self.settings.cold, self.warmth(server, now)
+        if cold is None or (warmth >= 1.0 and not server.lost):
             return True
-        return self.turn(server, now) not in (None, server.turn_used)
-
-    def turn(self, server: Server, now: float) -> int | None:
-        """Number of the running turn if it is this front's."""
-        cold, settings = self.settings.cold, self.settings
-        length = settings.period_ms
-        if cold is not None:
-            length = max(length, cold.warm_up_ms / max(server.streams * cold.cold_from, 0.01))
-        number = int(now // length)
-        return number if number % settings.fronts == settings.ordinal % settings.fronts else None
+        pace = server.streams * (cold.cold_from if server.lost else warmth) / cold.warm_up_ms
+        if (now - server.cold_sent_at) * pace < 1.0:
+            return False
+        fleet = self.settings.fronts * (self.taken_since(now - RATE_MS) + 1) / RATE_MS
+        return lot(session.viewer.session ^ self.seed, server.id) * fleet * min(HERD / self.ready, 1.0) < pace
 
     def sent(self, session: Session, server: Server, now: float) -> None:
         if session.attempts > 0:
             self.extra.append(now)
-        turn = self.turn(server, now)
-        if turn is not None:
-            server.turn_used = turn
+        server.cold_sent_at = now
 
     def hold(self, session: Session, count: int) -> None:
         seat = (session.viewer.title, session.viewer.cls)
@@ -238,15 +247,16 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.seed = seed  # no decision draws lots so far
-        self.guards = Guards(settings)
+        self.guards = Guards(settings, seed)
         self.servers: dict[int, Server] = {}
         self.sessions: dict[int, Session] = {}
         self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
         self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
-        self.uplinks = [self._meter(settings.uplink_kb or float("inf")) for _ in range(settings.racks)]
+        self.usual_link, self.usual_uplink = Usual(), Usual()
+        uplink_kb = settings.uplink_kb or float("inf")
+        self.uplinks = [Meter(uplink_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)]
         self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
         self.now = 0.0
         self.ask_again_at = float("inf")
@@ -290,9 +300,6 @@
             case Abandoned(rid):
                 self._drop_request(rid)
 
-    def _meter(self, capacity_kb: float) -> Meter:
-        return Meter(capacity_kb, self.settings.fronts, self.fade_ms)
-
     # --- the list of servers ---
 
     def _list(self, update: ListUpdate) -> None:
@@ -306,13 +313,16 @@
                     server.state = ServerState.GONE
         for entry in update.entries:
             self._entry(entry)
+        ready = sum(1 for server in self.servers.values() if server.state is ServerState.READY)
+        self.guards.ready = max(ready, 1)
 
     def _entry(self, entry: ServerEntry) -> None:
         settings, server = self.settings, self.servers.get(entry.server)
         rack = entry.cell % settings.racks
         if server is None:
             streams = settings.kind_streams[entry.kind] if entry.kind < len(settings.kind_streams) else 1
-            link = self._meter(settings.weight_kb * (entry.weight if entry.weight > 0 else 1.0))
+            link_kb = settings.weight_kb * (entry.weight if entry.weight > 0 else 1.0)
+            link = Meter(link_kb, self.usual_link, self.fade_ms)
             server = self.servers[entry.server] = Server(
                 entry.server, link, self.uplinks[rack], streams, rack, started_at=entry.started_at
             )
@@ -329,7 +339,7 @@
 
     def _arrive(self, viewer: Viewer) -> None:
         kind, now = self.settings.classes[viewer.cls], self.now
-        self.guards.taken.append(now)
+        self.guards.take(now)
         top = max(min(viewer.top_rung, kind.top_rung), 0)
         session = Session(viewer, kind, now, now + viewer.left_ms, kind.lowest_rung, top)
         self.sessions[viewer.session] = session
@@ -416,7 +426,7 @@
             return False
         if server.strikes and server.setting_up:
             return False
-        return len(server.sessions) < server.streams and self.guards.may_go_to(server, now)
+        return len(server.sessions) < server.streams and self.guards.may_go_to(server, session, now)
 
     def _marked_full(self, server: Server) -> bool:
         """Full for five seconds, or until a report seen after the mark shows it under the mark.
@@ -428,24 +438,17 @@
         return server.full_until > self.now and not (seen_since and server.load(self.now) < MARK)
 
     def _fits(self, server: Server, session: Session, rung: int, mark: float = MARK) -> bool:
-        kb = self._adds_kb(server, session, rung)
-        link_mark = mark * self.guards.warmth(server, self.now)
-        return server.link.after(self.now, kb) < link_mark and server.uplink.after(self.now, kb) < mark
+        kb = self._rate_kb(session, rung)
+        warm = mark * self.guards.warmth(server, self.now)
+        return server.link.after(self.now, kb) < warm and server.uplink.after(self.now, kb) < mark
 
     def _rate_kb(self, session: Session, rung: int) -> float:
         return self.settings.rates_kb[rung] * session.kind.scale
 
-    def _adds_kb(self, server: Server, session: Session, rung: int) -> float:
-        """What the session adds there; a further viewer of a live stream adds a part."""
-        rate = self._rate_kb(session, rung)
-        if session.kind.live and server.shared.get((session.viewer.title, session.viewer.cls, rung)):
-            return rate * self.settings.join_adds
-        return rate
-
     def _send(self, session: Session, server: Server, rung: int) -> None:
         """The one way out for a set-up; the guards have the last word."""
         now, rid = self.now, session.viewer.session
-        if not (self.guards.may_send(session, now) and self.guards.may_go_to(server, now)):
+        if not (self.guards.may_send(session, now) and self.guards.may_go_to(server, session, now)):
             self._give_up(session)
             return
         left = session.answer_by - now
@@ -469,15 +472,7 @@
         self._count(session, server, 1)
 
     def _count(self, session: Session, server: Server, step: int) -> None:
-        """Books a session's rate on its server and rack, or takes it off."""
-        group = (session.viewer.title, session.viewer.cls, session.rung)
-        if step < 0:
-            server.shared[group] -= 1
-            if not server.shared[group]:
-                del server.shared[group]
-        kb = step * self._adds_kb(server, session, session.rung)
-        if step > 0:
-            server.shared[group] = server.shared.get(group, 0) + 1
+        kb = step * self._rate_kb(session, session.rung)
         server.link.add(self.now, kb)
         server.uplink.add(self.now, kb)
 
@@ -565,6 +560,8 @@
         if result in LOST:
             server.link.forget()
         if server.strikes == 1:
+            if result is Result.TIMEOUT:
+                self._probe(server)
             self.out.append(Log(f"server {server.id} is suspect: {result.name.lower()}"))
 
     def _probed(self, event: Probed) -> None:
@@ -574,9 +571,12 @@
         server.probing = False
         self._hear_report(server, event.report)
         if event.result is not Result.OK:
+            server.lost = True
             self._suspect(server, event.result)
         elif server.lost:
             server.lost, server.cold_since = False, self.now
+        elif server.strikes == 1:
+            server.suspect_until = float("-inf")
 
     def _drop_request(self, rid: int) -> None:
         session = self.sessions.get(rid)
@@ -661,8 +661,11 @@
                 del self.watched[server.id]
 
     def _look_after_suspect(self, server: Server) -> None:
-        due = server.strikes > 0 and server.suspect_until <= self.now and server.setting_up == 0
-        if due and server.lost and not server.probing and self.settings.may_probe:
+        if server.lost and server.suspect_until <= self.now and server.setting_up == 0:
+            self._probe(server)
+
+    def _probe(self, server: Server) -> None:
+        if self.settings.may_probe and not server.probing:
             server.probing = True
             self.out.append(Probe(server.id))
 
--- a/fernweir/interface.py
+++ b/fernweir/interface.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionClass:
-    """One class of session; `seats` of 0 is no cap, `live` titles may share a stream."""
+    """One class of session; `seats` of 0 is no cap."""
 
     name: str
     aim_ms: float
@@ -64,7 +64,6 @@
     lowest_rung: int
     top_rung: int
     seats: int
-    live: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +100,6 @@
     kind_streams: tuple[int, ...]
     weight_kb: float
     uplink_kb: float | None
-    join_adds: float
     switch_cost_s: float
     seen_after_ms: float
     tell_ms: float
--- a/fernweir/wire.py
+++ b/fernweir/wire.py
@@ -318,7 +318,6 @@
         kind_streams=tuple(int(value) for value in fields.numbers("Extra.KindSlots")),
         weight_kb=fields.number("Extra.WeightKb"),
         uplink_kb=fields.optional("Extra.UplinkKb"),
-        join_adds=fields.number("Extra.JoinAdds", 1.0),
         switch_cost_s=fields.number("Extra.SwitchCostS", 0.0),
         seen_after_ms=fields.number("Extra.SeenAfter", 0.0),
         tell_ms=fields.number("Extra.Tell", 0.0),
@@ -346,7 +345,6 @@
         effect = Effect(fields.text(f"{path}.Idempotency"))
     except ValueError:
         raise WireError(f"settings: {path}.Idempotency has an unreadable value") from None
-    live = fields.table.get("Extra.IsLive", "").split(",")
     return SessionClass(
         name=fields.text(f"{path}.Name"),
         aim_ms=fields.number(f"{path}.Aim"),
@@ -357,5 +355,4 @@
         lowest_rung=int(extra("LowestRung", 0)),
         top_rung=min(int(extra("ClassTop", rungs - 1)), rungs - 1),
         seats=int(extra("Seats", 0)),
-        live=place < len(live) and live[place] == "true",
     )
