--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import log
@@ -101,8 +102,7 @@
         guess = min(guess, RELIEVED)
         if self.told is None:
             return guess
-        unseen = sum(kb for _, kb in self._since)
-        known = max(self.told + unseen / self.capacity_kb, 0.0)
+        known = max(self.told + sum(kb for _, kb in self._since) / self.capacity_kb, 0.0)
         faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
         return known * (1.0 - faded) + guess * faded
 
@@ -160,17 +160,18 @@
     tried: list[int] = field(default_factory=list)
     changed_at: float = 0.0
     told_start: bool = False
+    asked: bool = False
 
 
 # --- 5. Guards of the rules -----------------------------------------------------------------------
 
 
 class Guards:
-    """The last check on every send: nothing reaches a server that `allows` turned down."""
+    """The last check on every send."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.seed = settings, seed
-        self.span_ms = max(settings.budget.span_ms if settings.budget else 0.0, RATE_MS)
+        self.span_ms = settings.budget.span_ms if settings.budget else RATE_MS
         self.ready = 1
         self.seats: dict[tuple[int, int], int] = {}
         self.taken: deque[float] = deque()
@@ -196,15 +197,12 @@
             return True
         while self.extra and self.extra[0] < now - budget.span_ms:
             self.extra.popleft()
-        return len(self.extra) + 1 <= budget.free + budget.share * self.taken_since(now - budget.span_ms)
+        return len(self.extra) + 1 <= budget.free + budget.share * self.taken_lately(now)
 
-    def take(self, now: float) -> None:
-        self.taken.append(now)
-        while self.taken[0] < now - self.span_ms:
+    def taken_lately(self, now: float) -> int:
+        while self.taken and self.taken[0] <= now - self.span_ms:
             self.taken.popleft()
-
-    def taken_since(self, then: float) -> int:
-        return sum(1 for at in self.taken if at > then)
+        return len(self.taken)
 
     def warmth(self, server: Server, now: float) -> float:
         """Share of its capacity that a server has at least reached."""
@@ -227,7 +225,7 @@
         pace = server.streams * (cold.cold_from if server.lost else warmth) / cold.warm_up_ms
         if (now - server.cold_sent_at) * pace < 1.0:
             return False
-        fleet = self.settings.fronts * (self.taken_since(now - RATE_MS) + 1) / RATE_MS
+        fleet = self.settings.fronts * (self.taken_lately(now) + 1) / self.span_ms
         return lot(session.viewer.session ^ self.seed, server.id) * fleet * min(HERD / self.ready, 1.0) < pace
 
     def sent(self, session: Session, server: Server, now: float) -> None:
@@ -251,55 +249,41 @@
         self.servers: dict[int, Server] = {}
         self.sessions: dict[int, Session] = {}
         self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
+        self.waiting: dict[int, list[Session]] = {}
         self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
         self.usual_link, self.usual_uplink = Usual(), Usual()
-        uplink_kb = settings.uplink_kb or float("inf")
-        self.uplinks = [Meter(uplink_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)]
+        self.all_uplinks_kb = (settings.uplink_kb or float("inf")) * settings.racks
+        self.uplinks = [
+            Meter(self.all_uplinks_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)
+        ]
         self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
-        self.now = 0.0
+        self.takers: dict[type, Callable[..., None]] = {
+            Arrival: self._arrive, Started: self._started, Ended: self._ended, Abandoned: self._drop_request,
+            Note: self._note, TakenOver: self._take_over, TimerFired: self._upkeep, Probed: self._probed,
+            ListUpdate: self._list,
+        }  # fmt: skip
+        self.now = float("-inf")
         self.ask_again_at = float("inf")
-        self.ticking = False
         self.out: list[Action] = []
         self.rerung: dict[int, None] = {}
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
-        self.now, self.out = now_ms, []
-        if not self.ticking:
-            self.ticking = True
+        first, self.now, self.out = self.now == float("-inf"), now_ms, []
+        if first:
             self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
-            if self.settings.must_subscribe:
-                self.out.append(Subscribe(True))
+        if first and self.settings.must_subscribe:
+            self.out.append(Subscribe(True))
         for event in events:
-            self._take(event)
+            if take := self.takers.get(type(event)):
+                take(event)
         for rid in self.rerung:
             if rid in self.sessions:
                 self.out.append(SetRung(rid, self.sessions[rid].rung))
         self.rerung.clear()
         return self.out
 
-    def _take(self, event: Event) -> None:
-        match event:
-            case Arrival(viewer):
-                self._arrive(viewer)
-            case Started():
-                self._started(event)
-            case Ended():
-                self._ended(event)
-            case Note():
-                self._note(event)
-            case TakenOver(viewer, server):
-                self._take_over(viewer, server)
-            case ListUpdate():
-                self._list(event)
-            case TimerFired(token) if token == UPKEEP_TOKEN:
-                self._upkeep()
-            case Probed():
-                self._probed(event)
-            case Abandoned(rid):
-                self._drop_request(rid)
-
     # --- the list of servers ---
 
     def _list(self, update: ListUpdate) -> None:
@@ -313,8 +297,16 @@
                     server.state = ServerState.GONE
         for entry in update.entries:
             self._entry(entry)
-        ready = sum(1 for server in self.servers.values() if server.state is ServerState.READY)
-        self.guards.ready = max(ready, 1)
+        self._size_up()
+
+    def _size_up(self) -> None:
+        """Shares out what uplinks carry: only the mean is told, so each gets its part by its links."""
+        there = [server for server in self.servers.values() if server.state is not ServerState.GONE]
+        self.guards.ready = max(sum(1 for server in there if server.state is ServerState.READY), 1)
+        total_kb = sum(server.link.capacity_kb for server in there)
+        for rack, uplink in enumerate(self.uplinks if there else ()):
+            links_kb = sum(server.link.capacity_kb for server in there if server.rack == rack)
+            uplink.capacity_kb = max(1.0, links_kb / total_kb * self.all_uplinks_kb)
 
     def _entry(self, entry: ServerEntry) -> None:
         settings, server = self.settings, self.servers.get(entry.server)
@@ -337,32 +329,37 @@
 
     # --- 2. Order and placement ---
 
-    def _arrive(self, viewer: Viewer) -> None:
-        kind, now = self.settings.classes[viewer.cls], self.now
-        self.guards.take(now)
+    def _arrive(self, event: Arrival) -> None:
+        self.guards.taken.append(self.now)
+        self._place(self._open(event.viewer, self.now + event.viewer.left_ms))
+
+    def _open(self, viewer: Viewer, answer_by: float) -> Session:
+        kind = self.settings.classes[viewer.cls]
         top = max(min(viewer.top_rung, kind.top_rung), 0)
-        session = Session(viewer, kind, now, now + viewer.left_ms, kind.lowest_rung, top)
+        session = Session(viewer, kind, self.now, answer_by, kind.lowest_rung, top)
         self.sessions[viewer.session] = session
-        self._place(session)
+        return session
 
     def _place(self, session: Session) -> None:
         """Sends the next attempt of a session, or gives its final answer at once."""
-        if not self.guards.may_send(session, self.now) or session.answer_by <= self.now:
-            self._give_up(session)
-            return
-        choice = self._choose(session)
+        may = self.guards.may_send(session, self.now) and session.answer_by > self.now
+        choice = self._choose(session) if may else None
         if choice is None:
             self._give_up(session)
             return
         server, rung = choice
+        if self._blind(session, server):
+            session.asked = True
+            self.waiting.setdefault(server.id, []).append(session)
+            self._probe(server)
+            return
         self._send(session, server, rung)
 
     def _choose(self, session: Session) -> tuple[Server, int] | None:
         """The first free holder at the highest usable rung, else the roomiest at what fits there."""
         usable = [server for server in self._order(session) if self._usable(server, session)]
         holders = [server for server in usable if not self._marked_full(server)] or usable
-        untried = [server for server in holders if server.id not in session.tried]
-        holders = untried or holders
+        holders = [server for server in holders if server.id not in session.tried] or holders
         for server in holders:
             if self._fits(server, session, session.top):
                 return server, self._fair_rung(server, session)
@@ -374,6 +371,18 @@
                 return roomiest, rung
         return (roomiest, session.kind.lowest_rung) if self._make_room(roomiest, session) else None
 
+    def _blind(self, session: Session, server: Server) -> bool:
+        """Whether to probe first: no session on the server nor news of it, nor of most holders.
+
+        Guards against fronts too small to hear of most servers. Also covers notes that stay out.
+        Harm: the price of a probe, at most one a session, where the guess was right.
+        """
+        holders, old = self._order(session), self.now - self.fade_ms
+        unheard = [one for one in holders if not one.sessions and one.link.told_at < old]
+        time = session.answer_by - self.now >= session.kind.aim_ms and session.attempts == 0
+        may = self.settings.may_probe and self.settings.fronts > 1 and time and not session.asked
+        return may and server in unheard and 2 * len(unheard) > len(holders)
+
     def _order(self, session: Session) -> list[Server]:
         """The holders of a title, each drawn for it in proportion to its weight: alike at all fronts.
 
@@ -413,16 +422,13 @@
             if self._fits(server, session, lowest, limit):
                 return True
             link_over = server.link.load(self.now) > server.uplink.load(self.now)
-            here = server.sessions if link_over else self.in_rack[server.rack]
-            choices = [one for one in here.values() if one.playing and one.rung > one.kind.lowest_rung]
-            if not choices:
+            if not self._step_down(server.sessions if link_over else self.in_rack[server.rack], {}):
                 return False
-            self._step_down(choices)
         return False
 
     def _usable(self, server: Server, session: Session) -> bool:
         now = self.now
-        if server.suspect_until > now or server.probing:
+        if server.suspect_until > now or (server.probing and server.strikes):
             return False
         if server.strikes and server.setting_up:
             return False
@@ -451,8 +457,7 @@
         if not (self.guards.may_send(session, now) and self.guards.may_go_to(server, session, now)):
             self._give_up(session)
             return
-        left = session.answer_by - now
-        timeout = min(session.kind.aim_ms * ATTEMPT_AIMS, left)
+        timeout = min(session.kind.aim_ms * ATTEMPT_AIMS, session.answer_by - now)
         self.guards.sent(session, server, now)
         self.guards.hold(session, 1)
         session.attempts += 1
@@ -494,14 +499,12 @@
         else:
             self.out.append(Refuse(rid, self.settings.retry_after_max_ms or 0.0))
 
-    def _take_over(self, viewer: Viewer, server_id: int) -> None:
-        kind, server = self.settings.classes[viewer.cls], self.servers.get(server_id)
-        top = max(min(viewer.top_rung, kind.top_rung), 0)
-        session = Session(viewer, kind, self.now, float("inf"), kind.lowest_rung, top, attempts=1)
+    def _take_over(self, event: TakenOver) -> None:
+        session, server = self._open(event.viewer, float("inf")), self.servers.get(event.server)
         session.playing = session.may_have_run = session.told_start = True
+        session.attempts = 1
         # Handed over low with links idle, it may climb after one round of notes, not ten seconds.
         session.changed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
-        self.sessions[viewer.session] = session
         if server is not None:
             self.guards.hold(session, 1)
             self._join(session, server)
@@ -577,17 +580,17 @@
             server.lost, server.cold_since = False, self.now
         elif server.strikes == 1:
             server.suspect_until = float("-inf")
+        for session in self.waiting.pop(server.id, []):
+            if session.viewer.session in self.sessions and not session.out:
+                self._place(session)
 
-    def _drop_request(self, rid: int) -> None:
-        session = self.sessions.get(rid)
-        if session is None:
-            return
-        if not session.out:
-            self._leave(session)
-            del self.sessions[rid]
-        else:
+    def _drop_request(self, event: Abandoned) -> None:
+        session = self.sessions.get(event.session)
+        if session is not None and session.out:
             session.answer_by = float("-inf")
-            session.attempts = self.settings.attempts_cap or session.attempts
+        elif session is not None:
+            self._leave(session)
+            del self.sessions[event.session]
 
     # --- reports and notes ---
 
@@ -643,14 +646,17 @@
 
     # --- 3. Rungs of playing sessions ---
 
-    def _upkeep(self) -> None:
+    def _upkeep(self, event: TimerFired) -> None:
+        if event.token != UPKEEP_TOKEN:
+            return
         self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
         if self.ask_again_at <= self.now:
             self.ask_again_at = float("inf")
             self.out.append(Subscribe(True))
         watched = sorted(self.watched.values(), key=lambda one: one.id)
         for server in watched:
-            self._look_after_suspect(server)
+            if server.lost and server.suspect_until <= self.now and server.setting_up == 0:
+                self._probe(server)
             self._relieve(server.link, server.sessions)
         for rack in sorted({one.rack for one in watched}):
             self._relieve(self.uplinks[rack], self.in_rack[rack])
@@ -660,10 +666,6 @@
             elif not server.strikes:
                 del self.watched[server.id]
 
-    def _look_after_suspect(self, server: Server) -> None:
-        if server.lost and server.suspect_until <= self.now and server.setting_up == 0:
-            self._probe(server)
-
     def _probe(self, server: Server) -> None:
         if self.settings.may_probe and not server.probing:
             server.probing = True
@@ -682,18 +684,18 @@
         meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - RELIEVED / load)
         least = {rid: one.rung - steps for rid, one in sessions.items()}
-        while excess > 0:
-            choices = [
-                one for rid, one in sessions.items()
-                if one.playing and one.rung > max(one.kind.lowest_rung, least[rid])
-            ]  # fmt: skip
-            if not choices:
-                return
-            excess -= self._step_down(choices)
-
-    def _step_down(self, choices: list[Session]) -> float:
+        while excess > 0 and (freed := self._step_down(sessions, least)):
+            excess -= freed
+
+    def _step_down(self, sessions: dict[int, Session], least: dict[int, int]) -> float:
         """Steps down the session that loses least worth for the rate it frees; tells that rate."""
-        session = min(choices, key=lambda one: (self._price(one, one.rung), one.viewer.session))
+        able = [
+            one for rid, one in sessions.items()
+            if one.playing and one.rung > max(one.kind.lowest_rung, least.get(rid, 0))
+        ]  # fmt: skip
+        if not able:
+            return 0.0
+        session = min(able, key=lambda one: (self._price(one, one.rung), one.viewer.session))
         freed = self._rate_kb(session, session.rung) - self._rate_kb(session, session.rung - 1)
         self._set_rung(session, session.rung - 1)
         return freed
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,9 @@
 """Order, placement and the account of loads."""
 
-from fernweir.interface import Ended, NoteKind, Place, Refuse, Result, SetRung
-from tests.helpers import Front, entry, placed
+from dataclasses import replace
+
+from fernweir.interface import Ended, NoteKind, Place, Probe, Probed, Refuse, Result, SetRung
+from tests.helpers import SETTINGS, Front, entry, placed
 
 
 def first_for(title: int, seed: int = 7, weight: float = 1.0) -> int:
@@ -138,3 +140,19 @@
     front.now += 2000.0
     front.note(1, 1, NoteKind.LINK, 0.3)
     assert placed(front.ask(3, top_rung=0))[0].server == 1
+
+
+def test_one_of_several_fronts_probes_a_server_it_knows_nothing_of_and_places_by_the_answer() -> None:
+    front = Front(settings=replace(SETTINGS, fronts=50))
+    actions = front.ask(1)
+    assert Probe(1) in actions and placed(actions) == []
+    answer = front.send(Probed(1, Result.OK, 5.0, (0.9, 0.5)))
+    assert placed(answer)[0].server == 2
+
+
+def test_no_probe_where_there_is_no_time_or_the_server_is_known() -> None:
+    front = Front(settings=replace(SETTINGS, fronts=50))
+    assert len(placed(front.ask(1, left_ms=500.0))) == 1
+    front = Front(settings=replace(SETTINGS, fronts=50))
+    front.take_over(1, 1, 0)
+    assert placed(front.ask(2))[0].server == 1
