--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import log
+from random import Random
 
 from fernweir.interface import (
     Abandoned, Action, Arrival, Effect, Ended, Event, Fail, ListKind, ListUpdate, Log, Note, NoteKind, Place,
@@ -130,6 +131,8 @@
     strikes: int = 0
     suspect_until: float = float("-inf")
     probing: bool = False
+    climbed_at: float = float("-inf")
+    climb_kb: float = 0.0
     lost: bool = False
     cold_since: float = float("-inf")
     cold_sent_at: float = float("-inf")
@@ -246,6 +249,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.guards = Guards(settings, seed)
+        self.dice = Random(seed)
         self.servers: dict[int, Server] = {}
         self.sessions: dict[int, Session] = {}
         self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
@@ -254,9 +258,9 @@
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
         self.usual_link, self.usual_uplink = Usual(), Usual()
-        self.all_uplinks_kb = (settings.uplink_kb or float("inf")) * settings.racks
+        self.uplinks_kb = (settings.uplink_kb or float("inf")) * settings.racks
         self.uplinks = [
-            Meter(self.all_uplinks_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)
+            Meter(self.uplinks_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)
         ]
         self.aim_ms = min((kind.aim_ms for kind in settings.classes), default=1000.0)
         self.takers: dict[type, Callable[..., None]] = {
@@ -284,8 +288,6 @@
         self.rerung.clear()
         return self.out
 
-    # --- the list of servers ---
-
     def _list(self, update: ListUpdate) -> None:
         if update.kind is ListKind.FAILED:
             self.ask_again_at = self.now + self.aim_ms
@@ -306,7 +308,7 @@
         total_kb = sum(server.link.capacity_kb for server in there)
         for rack, uplink in enumerate(self.uplinks if there else ()):
             links_kb = sum(server.link.capacity_kb for server in there if server.rack == rack)
-            uplink.capacity_kb = max(1.0, links_kb / total_kb * self.all_uplinks_kb)
+            uplink.capacity_kb = max(1.0, links_kb / total_kb * self.uplinks_kb)
 
     def _entry(self, entry: ServerEntry) -> None:
         settings, server = self.settings, self.servers.get(entry.server)
@@ -324,8 +326,7 @@
         elif entry.started_at > server.started_at:
             server.started_at = server.cold_since = entry.started_at
             server.link.forget()
-        server.state, server.cell = entry.state, entry.cell
-        server.weight = max(entry.weight, 1e-3)
+        server.state, server.cell, server.weight = entry.state, entry.cell, max(entry.weight, 1e-3)
 
     # --- 2. Order and placement ---
 
@@ -592,8 +593,6 @@
             self._leave(session)
             del self.sessions[event.session]
 
-    # --- reports and notes ---
-
     def _hear_report(self, server: Server, report: tuple[float, ...]) -> None:
         """Takes the report of a set-up or a probe; one that ends a played session is as old as that."""
         self.watched[server.id] = server
@@ -708,29 +707,28 @@
         return (seconds + settings.switch_cost_s) * session.kind.gain / max(freed, 1e-9)
 
     def _climb(self, server: Server) -> None:
-        """One session a look climbs where all stays under the mark, into its front's part of the room.
+        """One session a look climbs where all stays under the mark, into this front's part of the room.
 
-        One rung is always allowed if it fits; several at once cost one switch. A session that will
-        soon end by its hint stays where it is.
+        The part goes by own part of the load and lasts until the next note; a draw decides where it
+        is less than a rung. So what many fronts do on one note, heard by all at once, adds up to the
+        room and not to a rung each. Several rungs at once cost one switch.
         """
-        if server.load(self.now) >= MARK or self._marked_full(server):
-            return
         choices = [one for one in server.sessions.values() if self._may_climb(one)]
-        if not choices:
+        if not choices or server.load(self.now) >= MARK or self._marked_full(server):
             return
         session = max(choices, key=lambda one: (self._price(one, one.rung + 1), -one.viewer.session))
-        best, room = session.rung, server.room_kb(self.now) / (1.0 + self.settings.fronts)
-        worth = self._going_price(server.rack)
-        if self._price(session, session.rung + 1) < worth:
-            return
-        for rung in range(session.rung + 1, session.top + 1):
+        lines = (server.link, server.uplink)
+        if server.link.told_at > server.climbed_at:
+            part = min(one.own_kb * (MARK / max(one.load(self.now), 0.01) - 1.0) for one in lines)
+            server.climbed_at, server.climb_kb = server.link.told_at, max(part, 0.0)
+        for rung in range(session.top, session.rung, -1):
             kb = self._rate_kb(session, rung) - self._rate_kb(session, session.rung)
-            over = max(server.link.after(self.now, kb), server.uplink.after(self.now, kb)) >= MARK
-            if over or (best > session.rung and (kb > room or self._price(session, rung) < worth)):
-                break
-            best = rung
-        if best > session.rung:
-            self._set_rung(session, best)
+            drawn = rung == session.rung + 1 and self.dice.random() * kb < server.climb_kb
+            if (drawn or kb <= server.climb_kb) and all(one.after(self.now, kb) < MARK for one in lines):
+                server.climb_kb -= kb
+                self._set_rung(session, rung)
+                return
+        server.climb_kb = 0.0
 
     def _may_climb(self, session: Session) -> bool:
         if not session.playing or session.rung >= session.top or session.changed_at + CLIMB_MS > self.now:
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from fernweir.interface import Ended, NoteKind, Result, SetRung
 from tests.helpers import SETTINGS, Front, entry, rungs
 
@@ -91,3 +93,18 @@
     assert rungs(front.tick()) == []
     front.note(1, 1, NoteKind.LINK, 0.1)
     assert rungs(front.tick(2800.0)) == [SetRung(1, 1)]
+
+
+@pytest.mark.parametrize("fronts", [20, 200])
+def test_what_all_fronts_climb_on_one_note_adds_up_to_the_room(fronts: int) -> None:
+    settings = replace(SETTINGS, fronts=fronts, weight_kb=500.0 * fronts, uplink_kb=None)
+    climbed = 0.0
+    for seed in range(fronts):
+        front = Front(entry(1), settings=settings, seed=seed)
+        front.take_over(1, 1, 1)
+        front.now += 15_000.0
+        front.note(1, 1, NoteKind.LINK, 0.6)
+        for _ in range(8):
+            climbed += sum(SETTINGS.rates_kb[one.rung] - 200.0 for one in rungs(front.tick()))
+    room = (0.80 - 0.60) * settings.weight_kb
+    assert 0.3 * room <= climbed <= 1.0 * room
