--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import log
+from math import inf, log
 from random import Random
 
 from fernweir.interface import (
@@ -66,8 +66,8 @@
         self.fade_ms = fade_ms
         self.own_kb = 0.0
         self.told: float | None = None
-        self.told_at = float("-inf")
-        self.relieved_at = float("-inf")
+        self.told_at = -inf
+        self.relieved_at = -inf
         self.feeders: list[Meter] = []
         self._since: deque[tuple[float, float]] = deque()
 
@@ -77,7 +77,7 @@
 
     def hear(self, level: float, seen_at: float) -> None:
         """Takes a report of how it stood at `seen_at`, unless something newer is known."""
-        if not 0.0 <= level < float("inf") or seen_at < self.told_at:
+        if not 0.0 <= level < inf or seen_at < self.told_at:
             return
         self.told, self.told_at = level, seen_at
         self.usual.hear(level)
@@ -85,7 +85,7 @@
             self._since.popleft()
 
     def forget(self) -> None:
-        self.told, self.told_at = None, float("-inf")
+        self.told, self.told_at = None, -inf
         self._since.clear()
 
     def load(self, now: float) -> float:
@@ -126,16 +126,16 @@
     weight: float = 1.0
     sessions: dict[int, Session] = field(default_factory=dict)
     setting_up: int = 0
-    full_until: float = float("-inf")
-    short_at: float = float("-inf")
+    full_until: float = -inf
+    short_at: float = -inf
     strikes: int = 0
-    suspect_until: float = float("-inf")
+    suspect_until: float = -inf
     probing: bool = False
-    climbed_at: float = float("-inf")
+    climbed_at: float = -inf
     climb_kb: float = 0.0
     lost: bool = False
-    cold_since: float = float("-inf")
-    cold_sent_at: float = float("-inf")
+    cold_since: float = -inf
+    cold_sent_at: float = -inf
 
     def room_kb(self, now: float) -> float:
         link = (MARK - self.link.load(now)) * self.link.capacity_kb
@@ -176,7 +176,7 @@
         self.settings, self.seed = settings, seed
         self.span_ms = settings.budget.span_ms if settings.budget else RATE_MS
         self.ready = 1
-        self.seats: dict[tuple[int, int], int] = {}
+        self.seats: Counter[tuple[int, int]] = Counter()
         self.taken: deque[float] = deque()
         self.extra: deque[float] = deque()
 
@@ -190,7 +190,7 @@
             return False
         if session.may_have_run and kind.effect is not Effect.REPEATABLE:
             return False
-        if kind.seats and self.seats.get((session.viewer.title, session.viewer.cls), 0) >= kind.seats:
+        if kind.seats and self.seats[session.viewer.title, session.viewer.cls] >= kind.seats:
             return False
         return session.attempts == 0 or self.within_budget(now)
 
@@ -237,10 +237,7 @@
         server.cold_sent_at = now
 
     def hold(self, session: Session, count: int) -> None:
-        seat = (session.viewer.title, session.viewer.cls)
-        self.seats[seat] = self.seats.get(seat, 0) + count
-        if self.seats[seat] <= 0:
-            del self.seats[seat]
+        self.seats[session.viewer.title, session.viewer.cls] += count
 
 
 class Controller:
@@ -258,7 +255,7 @@
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
         self.usual_link, self.usual_uplink = Usual(), Usual()
-        self.uplinks_kb = (settings.uplink_kb or float("inf")) * settings.racks
+        self.uplinks_kb = (settings.uplink_kb or inf) * settings.racks
         self.uplinks = [
             Meter(self.uplinks_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)
         ]
@@ -268,13 +265,15 @@
             Note: self._note, TakenOver: self._take_over, TimerFired: self._upkeep, Probed: self._probed,
             ListUpdate: self._list,
         }  # fmt: skip
-        self.now = float("-inf")
-        self.ask_again_at = float("inf")
+        self.now, self.looked_at, self.stood_ms = -inf, inf, 0.0
+        self.ask_again_at = inf
         self.out: list[Action] = []
         self.rerung: dict[int, None] = {}
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
-        first, self.now, self.out = self.now == float("-inf"), now_ms, []
+        first, self.now, self.out = self.now == -inf, now_ms, []
+        # How long the front stood still: what it finds then may be as old, and blames no server.
+        self.stood_ms = max(now_ms - self.looked_at - 2.0 * UPKEEP_MS, 0.0)
         if first:
             self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
         if first and self.settings.must_subscribe:
@@ -320,7 +319,7 @@
             server = self.servers[entry.server] = Server(
                 entry.server, link, self.uplinks[rack], streams, rack, started_at=entry.started_at
             )
-            server.cold_since = entry.started_at or float("-inf")
+            server.cold_since = entry.started_at or -inf
             if "x1" not in settings.report_fields:
                 server.uplink.feeders.append(link)
         elif entry.started_at > server.started_at:
@@ -501,7 +500,7 @@
             self.out.append(Refuse(rid, self.settings.retry_after_max_ms or 0.0))
 
     def _take_over(self, event: TakenOver) -> None:
-        session, server = self._open(event.viewer, float("inf")), self.servers.get(event.server)
+        session, server = self._open(event.viewer, inf), self.servers.get(event.server)
         session.playing = session.may_have_run = session.told_start = True
         session.attempts = 1
         # Handed over low with links idle, it may climb after one round of notes, not ten seconds.
@@ -523,7 +522,7 @@
             server.lost, server.cold_since = False, self.now
         if server.strikes:
             self.out.append(Log(f"server {server.id} sets up again after {server.strikes} failures"))
-        server.strikes, server.suspect_until = 0, float("-inf")
+        server.strikes, server.suspect_until = 0, -inf
 
     def _ended(self, event: Ended) -> None:
         session, server = self.sessions.get(event.session), self.servers.get(event.server)
@@ -556,7 +555,7 @@
         """
         self.watched[server.id] = server
         server.lost = server.lost or result in LOST
-        if self.now < server.suspect_until:
+        if self.now < server.suspect_until or (result is Result.TIMEOUT and self.stood_ms > 0.0):
             return
         doublings = min(server.strikes, SUSPECT_DOUBLINGS)
         server.strikes += 1
@@ -580,7 +579,7 @@
         elif server.lost:
             server.lost, server.cold_since = False, self.now
         elif server.strikes == 1:
-            server.suspect_until = float("-inf")
+            server.suspect_until = -inf
         for session in self.waiting.pop(server.id, []):
             if session.viewer.session in self.sessions and not session.out:
                 self._place(session)
@@ -588,7 +587,7 @@
     def _drop_request(self, event: Abandoned) -> None:
         session = self.sessions.get(event.session)
         if session is not None and session.out:
-            session.answer_by = float("-inf")
+            session.answer_by = -inf
         elif session is not None:
             self._leave(session)
             del self.sessions[event.session]
@@ -596,7 +595,7 @@
     def _hear_report(self, server: Server, report: tuple[float, ...]) -> None:
         """Takes the report of a set-up or a probe; one that ends a played session is as old as that."""
         self.watched[server.id] = server
-        seen_at = self.now - self.late_ms
+        seen_at = self.now - self.late_ms - self.stood_ms
         for name, value in zip(self.settings.report_fields, report, strict=False):
             if name == "x0" or (name == "cpu" and value < 0.99):
                 server.link.hear(value, seen_at)
@@ -615,13 +614,13 @@
         if server is None:
             return
         self.watched[server.id] = server
-        seen_at = self.now - self.late_ms
+        seen_at = self.now - self.late_ms - self.stood_ms
         if note.kind is NoteKind.DELIVERED:
             self._short(server, note.level, seen_at)
             return
         if session is not None and not session.told_start:
             session.told_start = note.kind is NoteKind.UPLINK or "x1" not in self.settings.report_fields
-            seen_at = self.now
+            seen_at = self.now - self.stood_ms
         (server.link if note.kind is NoteKind.LINK else server.uplink).hear(note.level, seen_at)
 
     def _short(self, server: Server, share: float, seen_at: float) -> None:
@@ -648,9 +647,10 @@
     def _upkeep(self, event: TimerFired) -> None:
         if event.token != UPKEEP_TOKEN:
             return
+        self.looked_at = self.now
         self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
         if self.ask_again_at <= self.now:
-            self.ask_again_at = float("inf")
+            self.ask_again_at = inf
             self.out.append(Subscribe(True))
         watched = sorted(self.watched.values(), key=lambda one: one.id)
         for server in watched:
@@ -733,9 +733,7 @@
     def _may_climb(self, session: Session) -> bool:
         if not session.playing or session.rung >= session.top or session.changed_at + CLIMB_MS > self.now:
             return False
-        if session.viewer.length_ms is None:
-            return True
-        left_s = (session.taken_at + session.viewer.length_ms - self.now) / 1000.0
+        left_s = (session.taken_at + (session.viewer.length_ms or inf) - self.now) / 1000.0
         gain = self.settings.worths[session.rung + 1] - self.settings.worths[session.rung]
         return gain * left_s > self.settings.switch_cost_s
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -218,3 +218,23 @@
     while probed:
         check(front.send(Probed(probed.pop(0), Result.TIMEOUT, 250.0, ())))
     assert set(owed) == set(out)
+
+
+def test_a_front_that_stood_still_blames_no_server_for_what_it_then_finds() -> None:
+    front = Front()
+    front.tick()
+    front.ask(1)
+    front.now += 2000.0
+    found = front.send(Ended(1, 1, 0, Result.TIMEOUT, False, 500.0, ()), TimerFired(1))
+    assert placed(found)[0].server == 2 and Probe(1) not in found
+    assert front.brain.servers[1].strikes == 0
+
+
+def test_a_note_found_after_a_standstill_does_not_pass_for_new() -> None:
+    front = Front()
+    front.take_over(1, 1, 0)
+    front.tick()
+    front.note(1, 1, NoteKind.LINK, 0.1)
+    front.now += 2000.0
+    front.send(Note(1, 1, 0, NoteKind.LINK, 0.9), TimerFired(1))
+    assert front.brain.servers[1].link.told_at <= front.now - 2000.0
