--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -32,6 +32,7 @@
 LEARN = 0.2  # weight of the newest report in what is learnt of the others' part of a load
 RATE_MS = 10_000.0  # own arrivals of this long tell what all fronts take
 HERD = 4.0  # a cold server is left room for so many times a server's usual part of the arrivals
+FEW = 0.05  # own sessions under this share of a line tell nothing of the others on it
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
@@ -64,7 +65,7 @@
         self.capacity_kb = max(capacity_kb, 1.0)
         self.usual = usual
         self.fade_ms = fade_ms
-        self.own_kb = 0.0
+        self.own_kb = self.per_own = 0.0
         self.told: float | None = None
         self.told_at = -inf
         self.relieved_at = -inf
@@ -81,6 +82,9 @@
             return
         self.told, self.told_at = level, seen_at
         self.usual.hear(level)
+        if self.own_kb >= FEW * self.capacity_kb:
+            ratio = level * self.capacity_kb / self.own_kb
+            self.per_own += (ratio - self.per_own) * (LEARN if self.per_own else 1.0)
         while self._since and self._since[0][0] <= seen_at:
             self._since.popleft()
 
@@ -91,15 +95,16 @@
     def load(self, now: float) -> float:
         """The load now: as last told, plus own changes since.
 
-        A report fades into what is usual, under the first step, as a short line makes itself heard.
-        Guards against late reports, against a server kept away for ever by what was once heard of
-        it, and against fronts that take all they know nothing of for empty. Harm: an empty server
-        is taken for a usual one.
+        A report fades into own sessions times what was learnt to be asked for each of them, or, with
+        few, into what is usual; both under the first step, as a short line makes itself heard. Guards
+        against late reports, and against taking what nothing is known of for empty. Harm: an empty
+        server is taken for a usual one.
         """
         if self.feeders:
             guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
-            guess = max(self.usual.level, self.own_kb / self.capacity_kb)
+            known, own = self.per_own > 0.0, self.own_kb / self.capacity_kb
+            guess = own * self.per_own if known and own >= FEW else max(self.usual.level, own)
         guess = min(guess, RELIEVED)
         if self.told is None:
             return guess
@@ -272,12 +277,9 @@
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         first, self.now, self.out = self.now == -inf, now_ms, []
-        # How long the front stood still: what it finds then may be as old, and blames no server.
-        self.stood_ms = max(now_ms - self.looked_at - 2.0 * UPKEEP_MS, 0.0)
+        self.stood_ms = max(now_ms - self.looked_at - 2.0 * UPKEEP_MS, 0.0)  # what is found may be as old
         if first:
-            self.out.append(Timer(UPKEEP_TOKEN, UPKEEP_MS))
-        if first and self.settings.must_subscribe:
-            self.out.append(Subscribe(True))
+            self.out += [Timer(UPKEEP_TOKEN, UPKEEP_MS)] + [Subscribe(True)] * self.settings.must_subscribe
         for event in events:
             if take := self.takers.get(type(event)):
                 take(event)
@@ -709,9 +711,8 @@
     def _climb(self, server: Server) -> None:
         """One session a look climbs where all stays under the mark, into this front's part of the room.
 
-        The part goes by own part of the load and lasts until the next note; a draw decides where it
-        is less than a rung. So what many fronts do on one note, heard by all at once, adds up to the
-        room and not to a rung each. Several rungs at once cost one switch.
+        The part goes by own part of the load and lasts until the next note; a draw decides on less
+        than a rung. So what many fronts do on one note adds up to the room, not to a rung each.
         """
         choices = [one for one in server.sessions.values() if self._may_climb(one)]
         if not choices or server.load(self.now) >= MARK or self._marked_full(server):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from fernweir.interface import Ended, NoteKind, Place, Probe, Probed, Refuse, Result, SetRung
 from tests.helpers import SETTINGS, Front, entry, placed
 
@@ -96,6 +98,18 @@
     assert SetRung(2, 3) not in many.ask(2)
 
 
+def test_a_late_report_fades_into_what_was_learnt_beside_own_sessions() -> None:
+    front = Front(entry(1), entry(2, cell=1))
+    front.take_over(1, 1, 2)
+    front.take_over(2, 2, 2)
+    for _ in range(20):
+        front.note(1, 1, NoteKind.LINK, 0.9)
+        front.note(2, 2, NoteKind.LINK, 0.3)
+    front.now += 60_000.0
+    loads = [server.link.load(front.now) for server in front.brain.servers.values()]
+    assert loads == pytest.approx([0.9, 0.3])
+
+
 def test_a_server_nothing_is_known_of_is_taken_to_carry_what_others_carry() -> None:
     front = Front(entry(1), entry(2, cell=1))
     front.take_over(1, 1, 2)
