--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -103,8 +103,8 @@
         if self.feeders:
             guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
         else:
-            known, own = self.per_own > 0.0, self.own_kb / self.capacity_kb
-            guess = own * self.per_own if known and own >= FEW else max(self.usual.level, own)
+            learnt, own = self.per_own > 0.0, self.own_kb / self.capacity_kb
+            guess = own * self.per_own if learnt and own >= FEW else max(self.usual.level, own)
         guess = min(guess, RELIEVED)
         if self.told is None:
             return guess
