--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -396,20 +396,20 @@
         return sorted(holders, key=lambda one: (lot(viewer.title, one.id) / one.weight, one.id))
 
     def _fair_rung(self, server: Server, session: Session) -> int:
-        """The highest usable rung, or less while most sessions of the rack are held below theirs.
+        """The highest usable rung, or less while most own sessions are held below theirs.
 
-        Each step must be worth as much for its rate as the next step of the rack's middle session.
+        Each step must be worth as much for its rate as the next step of the middle one of them.
         Guards against newcomers taking at the top what many could share. Also covers uplinks that
-        carry less than told. Harm: a rack held low by one bad report starts its newcomers low.
+        carry less than told. Harm: a front held low by one bad rack starts all newcomers low.
         """
-        rung, worth = session.top, self._going_price(server.rack)
+        rung, worth = session.top, self._going_price()
         while rung > session.kind.lowest_rung and self._price(session, rung) < worth:
             rung -= 1
         return rung
 
-    def _going_price(self, rack: int) -> float:
-        """What the next step up is worth to the middle one of the own sessions playing in a rack."""
-        playing = [one for one in self.in_rack[rack].values() if one.playing]
+    def _going_price(self) -> float:
+        """What the next step up is worth to the middle one of the own sessions that play."""
+        playing = [one for one in self.sessions.values() if one.playing]
         prices = sorted(self._price(one, one.rung + 1) if one.rung < one.top else 0.0 for one in playing)
         return prices[len(prices) // 2] if prices else 0.0
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -170,3 +170,10 @@
     front = Front(settings=replace(SETTINGS, fronts=50))
     front.take_over(1, 1, 0)
     assert placed(front.ask(2))[0].server == 1
+
+
+def test_newcomers_start_at_what_own_sessions_elsewhere_are_held_to() -> None:
+    front = Front(entry(1), entry(2, cell=1))
+    for session in range(1, 4):
+        front.take_over(session, 2, 0)
+    assert SetRung(9, 3) not in front.ask(9, first_cell=0, copies=1)
