Unreported uplinks: summed from links heard of evenly; alone in a rack, the link's own report tells which line is short

And a front with one server a rack can't compare servers, so it blames the link for a short uplink and forgets it at the link's next note.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -50,12 +50,22 @@
 
 @dataclass(slots=True, eq=False)
 class Usual:
-    """What links, or uplinks, have lately been heard to carry: stands in for what nothing is known of."""
+    """What links, or uplinks, have lately been heard to carry: stands in for what nothing is known of.
+
+    A full line is heard of more often, by every front with a session there. So the plain mean, which
+    decides on single lines, errs to the full side; `evenly`, for sums of lines, counts each report
+    by one over its level. Guards against a rack taken for full because its busiest servers are.
+    Harm: what is heard of whatever it carries, as by a probe, pulls `evenly` too low.
+    """
 
     level: float = 0.0
+    evenly: float = 0.0
 
     def hear(self, level: float) -> None:
         self.level += (min(level, 1.0 / MARK) - self.level) * LEARN
+        heard = 1.0 / max(level, FEW)
+        before = 1.0 / self.evenly if self.evenly else heard
+        self.evenly = 1.0 / (before + (heard - before) * LEARN)
 
 
 class Meter:
@@ -101,7 +111,7 @@
         server is taken for a usual one.
         """
         if self.feeders:
-            guess = sum(one.load(now) * one.capacity_kb for one in self.feeders) / self.capacity_kb
+            guess = sum(one.asked_kb(now) for one in self.feeders) / self.capacity_kb
         else:
             learnt, own = self.per_own > 0.0, self.own_kb / self.capacity_kb
             guess = own * self.per_own if learnt and own >= FEW else max(self.usual.level, own)
@@ -112,6 +122,14 @@
         faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
         return known * (1.0 - faded) + guess * faded
 
+    def fresh(self, now: float) -> bool:
+        return self.told is not None and now - self.told_at < self.fade_ms
+
+    def asked_kb(self, now: float) -> float:
+        """What an unreported uplink carries for this link, a full one at most."""
+        level = self.load(now) if self.fresh(now) else max(self.usual.evenly, self.own_kb / self.capacity_kb)
+        return min(level, 1.0) * self.capacity_kb
+
     def after(self, now: float, kb: float) -> float:
         return self.load(now) + kb / self.capacity_kb
 
@@ -637,8 +655,10 @@
         """Sessions there get less than they ask: the server is full, and so is one of its two lines.
 
         Where the account knew nothing of it, the uplink is taken to be short if half of the rack's
-        servers with own sessions deliver short at the time, else the link. Guards against links and
-        uplinks that give less than their weight, and against late reports.
+        servers with own sessions deliver short at the time, else the link. With sessions on one
+        server only there is nothing to compare: an unreported uplink is short if the link was lately
+        told under the mark. Guards against links and uplinks that give less than their weight, and
+        against late reports. Harm: a link that shrank since it was told holds its rack low.
         """
         if not 0.0 <= share < 0.98:
             return
@@ -650,7 +670,9 @@
         used = [one for one in self.watched.values() if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
         whole_rack = len(short) > 1 and 2 * len(short) >= len(used)
-        (server.uplink if whole_rack else server.link).hear(over, seen_at)
+        alone = len(used) == 1 and bool(server.uplink.feeders)
+        link_well = server.link.fresh(self.now) and server.link.load(self.now) < MARK
+        (server.uplink if whole_rack or (alone and link_well) else server.link).hear(over, seen_at)
 
     # --- 3. Rungs of playing sessions ---
 
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -77,6 +77,31 @@
     assert {change.session for change in rungs(front.tick())} == {1, 2, 3}
 
 
+@pytest.mark.parametrize(("told", "rack_is_short"), [(0.5, True), (1.0, False)])
+def test_alone_in_a_rack_its_uplink_is_short_where_the_link_was_told_to_have_room(
+    told: float, rack_is_short: bool
+) -> None:
+    front = Front(entry(1), entry(2, cell=2), settings=replace(SETTINGS, report_fields=("x0",)))
+    front.take_over(1, 1, 2)
+    front.note(1, 1, NoteKind.LINK, told)
+    front.tick(1000.0)
+    front.note(1, 1, NoteKind.DELIVERED, 0.7)
+    assert (front.brain.servers[2].uplink.load(front.now) > 1.0) is rack_is_short
+
+
+def test_busy_servers_heard_of_often_do_not_fill_an_unreported_uplink() -> None:
+    """Every front hears most of full servers: 90% of racks were taken for full where 10% were."""
+    settings = replace(SETTINGS, report_fields=("x0",), racks=1, uplink_kb=8000.0)
+    front = Front(*(entry(server) for server in range(1, 7)), settings=settings)
+    for session in (1, 2):
+        front.take_over(session, session, 0)
+    for _ in range(8):
+        for level in (0.9, 0.9, 0.9):
+            front.note(1, 1, NoteKind.LINK, level)
+        front.note(2, 2, NoteKind.LINK, 0.2)
+    assert front.brain.servers[3].uplink.load(front.now) < 0.8
+
+
 def test_what_is_only_guessed_steps_nobody_down_and_refuses_nobody() -> None:
     front = Front(entry(1, weight=2.0), settings=replace(SETTINGS, fronts=4))
     for session in range(1, 5):
