For the record, in work: repeated relief of an unreported uplink that stays short

Cause on h64bc47: of the short notes 80% find the uplink known as over and relieved once, so nothing more is done though two thirds of the sessions stay short.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -79,6 +79,7 @@
         self.told: float | None = None
         self.told_at = -inf
         self.relieved_at = -inf
+        self.again = False
         self.feeders: list[Meter] = []
         self._since: deque[tuple[float, float]] = deque()
 
@@ -664,15 +665,21 @@
             return
         server.full_until, server.short_at = self.now + FULL_MARK_MS, self.now
         over = 1.0 / max(share, 0.1)
-        relieved = max(server.link.relieved_at, server.uplink.relieved_at)
-        if server.load(self.now) >= over - STEP or seen_at < relieved + SHORT_MS:
+        link, uplink = server.link, server.uplink
+        if seen_at < max(link.relieved_at, uplink.relieved_at) + SHORT_MS:
+            return
+        acted = bool(uplink.feeders) and uplink.told_at <= uplink.relieved_at
+        again = acted and uplink.load(self.now) >= link.load(self.now)
+        if server.load(self.now) >= over - STEP and not again:
             return
         used = [one for one in self.watched.values() if one.rack == server.rack and one.sessions]
         short = [one for one in used if one.short_at > self.now - SHORT_MS]
         whole_rack = len(short) > 1 and 2 * len(short) >= len(used)
-        alone = len(used) == 1 and bool(server.uplink.feeders)
-        link_well = server.link.fresh(self.now) and server.link.load(self.now) < MARK
-        (server.uplink if whole_rack or (alone and link_well) else server.link).hear(over, seen_at)
+        alone = len(used) == 1 and bool(uplink.feeders)
+        link_well = link.fresh(self.now) and link.load(self.now) < MARK
+        rack_short = whole_rack or (alone and link_well) or (again and uplink.fresh(self.now))
+        uplink.again = again
+        (uplink if rack_short else link).hear(over, seen_at)
 
     # --- 3. Rungs of playing sessions ---
 
@@ -715,10 +722,12 @@
         meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - RELIEVED / load)
         least = {rid: one.rung - steps for rid, one in sessions.items()}
-        while excess > 0 and (freed := self._step_down(sessions, least)):
+        while excess > 0 and (freed := self._step_down(sessions, least, excess if meter.again else inf)):
             excess -= freed
 
-    def _step_down(self, sessions: dict[int, Session], least: dict[int, int]) -> float:
+    def _step_down(
+        self, sessions: dict[int, Session], least: dict[int, int], needed_kb: float = inf
+    ) -> float:
         """Steps down the session that loses least worth for the rate it frees; tells that rate."""
         able = [
             one for rid, one in sessions.items()
@@ -728,6 +737,8 @@
             return 0.0
         session = min(able, key=lambda one: (self._price(one, one.rung), one.viewer.session))
         freed = self._rate_kb(session, session.rung) - self._rate_kb(session, session.rung - 1)
+        if self.dice.random() * freed > needed_kb:
+            return 0.0
         self._set_rung(session, session.rung - 1)
         return freed
 
