--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -79,7 +79,6 @@
         self.told: float | None = None
         self.told_at = -inf
         self.relieved_at = -inf
-        self.again = False
         self.feeders: list[Meter] = []
         self._since: deque[tuple[float, float]] = deque()
 
@@ -658,8 +657,9 @@
         Where the account knew nothing of it, the uplink is taken to be short if half of the rack's
         servers with own sessions deliver short at the time, else the link. With sessions on one
         server only there is nothing to compare: an unreported uplink is short if the link was lately
-        told under the mark. Guards against links and uplinks that give less than their weight, and
-        against late reports. Harm: a link that shrank since it was told holds its rack low.
+        told under the mark. No report tells whether relief of it was enough, so a short delivery
+        seen after that is news. Guards against links and uplinks that give less than their weight,
+        and against late reports. Harm: a link that shrank since it was told holds its rack low.
         """
         if not 0.0 <= share < 0.98:
             return
@@ -678,7 +678,6 @@
         alone = len(used) == 1 and bool(uplink.feeders)
         link_well = link.fresh(self.now) and link.load(self.now) < MARK
         rack_short = whole_rack or (alone and link_well) or (again and uplink.fresh(self.now))
-        uplink.again = again
         (uplink if rack_short else link).hear(over, seen_at)
 
     # --- 3. Rungs of playing sessions ---
@@ -714,6 +713,8 @@
 
         Then nothing until a report shows how it stood after that: the other fronts heard the same and
         give up their part too, and to count only one's own would give up all of it at every front.
+        On an unreported uplink, which is relieved again if it stays short, a draw decides on less
+        than a rung; elsewhere a rung too many costs less than a line that stays short.
         """
         load = meter.load(self.now)
         steps = int((load - MARK) / STEP + 1e-9)
@@ -722,7 +723,7 @@
         meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - RELIEVED / load)
         least = {rid: one.rung - steps for rid, one in sessions.items()}
-        while excess > 0 and (freed := self._step_down(sessions, least, excess if meter.again else inf)):
+        while excess > 0 and (freed := self._step_down(sessions, least, excess if meter.feeders else inf)):
             excess -= freed
 
     def _step_down(
@@ -737,7 +738,7 @@
             return 0.0
         session = min(able, key=lambda one: (self._price(one, one.rung), one.viewer.session))
         freed = self._rate_kb(session, session.rung) - self._rate_kb(session, session.rung - 1)
-        if self.dice.random() * freed > needed_kb:
+        if needed_kb < freed and self.dice.random() * freed > needed_kb:
             return 0.0
         self._set_rung(session, session.rung - 1)
         return freed
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -89,6 +89,33 @@
     assert (front.brain.servers[2].uplink.load(front.now) > 1.0) is rack_is_short
 
 
+def test_an_unreported_uplink_that_stays_short_is_relieved_again() -> None:
+    """h64bc47: two thirds of the sessions stayed short, as each front took the uplink for relieved."""
+    front = Front(entry(1), settings=replace(SETTINGS, report_fields=("x0",)))
+    for session in (1, 2, 3):
+        front.take_over(session, 1, 3)
+    downs = []
+    for _ in range(3):
+        front.tick(4000.0)
+        front.note(1, 1, NoteKind.LINK, 0.5)
+        front.note(1, 1, NoteKind.DELIVERED, 0.5)
+        downs.append(len(rungs(front.tick())))
+    assert min(downs) > 0
+
+
+def test_fronts_that_hear_of_one_short_uplink_give_up_what_it_lacks_together() -> None:
+    settings = replace(SETTINGS, report_fields=("x0",), fronts=50, weight_kb=60_000.0, uplink_kb=30_000.0)
+    given_up = 0.0
+    for seed in range(50):
+        front = Front(entry(1), settings=replace(settings, racks=1), seed=seed)
+        front.take_over(1, 1, 3)
+        front.note(1, 1, NoteKind.LINK, 0.5)
+        front.tick(4000.0)
+        front.note(1, 1, NoteKind.DELIVERED, 0.85)
+        given_up += sum(800.0 - SETTINGS.rates_kb[one.rung] for one in rungs(front.tick()))
+    assert 0.5 <= given_up / (50 * 800.0 * (1.0 - 0.85 * 0.95)) <= 1.5
+
+
 def test_busy_servers_heard_of_often_do_not_fill_an_unreported_uplink() -> None:
     """Every front hears most of full servers: 90% of racks were taken for full where 10% were."""
     settings = replace(SETTINGS, report_fields=("x0",), racks=1, uplink_kb=8000.0)
