--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -723,7 +723,7 @@
         meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - RELIEVED / load)
         least = {rid: one.rung - steps for rid, one in sessions.items()}
-        while excess > 0 and (freed := self._step_down(sessions, least, excess if meter.feeders else inf)):
+        while excess > 0 and (freed := self._step_down(sessions, least, excess)):
             excess -= freed
 
     def _step_down(
