--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -721,7 +721,7 @@
         if meter.told_at <= meter.relieved_at or steps < 1:
             return
         meter.relieved_at = self.now
-        excess = meter.own_kb * (1.0 - RELIEVED / load)
+        excess = meter.own_kb * (1.0 - MARK / load)
         least = {rid: one.rung - steps for rid, one in sessions.items()}
         while excess > 0 and (freed := self._step_down(sessions, least, excess)):
             excess -= freed
