--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -33,7 +33,6 @@
 RATE_MS = 10_000.0  # own arrivals of this long tell what all fronts take
 HERD = 4.0  # a cold server is left room for so many times a server's usual part of the arrivals
 FEW = 0.05  # own sessions under this share of a line tell nothing of the others on it
-MOST = 0.25  # with this part of what a line carries, a front's whole rungs overshoot by little
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
@@ -724,9 +723,7 @@
         meter.relieved_at = self.now
         excess = meter.own_kb * (1.0 - RELIEVED / load)
         least = {rid: one.rung - steps for rid, one in sessions.items()}
-        few = meter.own_kb >= MOST * load * meter.capacity_kb
-        lean = 1.0 if meter.feeders else inf if few else 2.0
-        while excess > 0 and (freed := self._step_down(sessions, least, lean * excess)):
+        while excess > 0 and (freed := self._step_down(sessions, least, excess if meter.feeders else inf)):
             excess -= freed
 
     def _step_down(
