--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -62,7 +62,7 @@
     evenly: float = 0.0
 
     def hear(self, level: float) -> None:
-        self.level += (min(level, 1.0 / MARK) - self.level) * LEARN
+        self.level += (min(level, 1.0 / MARK) - self.level) * (LEARN if self.level else 1.0)
         heard = 1.0 / max(level, FEW)
         before = 1.0 / self.evenly if self.evenly else heard
         self.evenly = 1.0 / (before + (heard - before) * LEARN)
