--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -55,14 +55,16 @@
     A full line is heard of more often, by every front with a session there. So the plain mean, which
     decides on single lines, errs to the full side; `evenly`, for sums of lines, counts each report
     by one over its level. Guards against a rack taken for full because its busiest servers are.
-    Harm: what is heard of whatever it carries, as by a probe, pulls `evenly` too low.
+    Harm: what is heard of whatever it carries, as by a probe, pulls `evenly` too low. The first
+    report counts by `first`: one of an uplink, which sums many links, is taken as it stands.
     """
 
+    first: float = LEARN
     level: float = 0.0
     evenly: float = 0.0
 
     def hear(self, level: float) -> None:
-        self.level += (min(level, 1.0 / MARK) - self.level) * (LEARN if self.level else 1.0)
+        self.level += (min(level, 1.0 / MARK) - self.level) * (LEARN if self.level else self.first)
         heard = 1.0 / max(level, FEW)
         before = 1.0 / self.evenly if self.evenly else heard
         self.evenly = 1.0 / (before + (heard - before) * LEARN)
@@ -285,7 +287,7 @@
         self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
-        self.usual_link, self.usual_uplink = Usual(), Usual()
+        self.usual_link, self.usual_uplink = Usual(), Usual(first=1.0)
         self.uplinks_kb = (settings.uplink_kb or inf) * settings.racks
         self.uplinks = [
             Meter(self.uplinks_kb, self.usual_uplink, self.fade_ms) for _ in range(settings.racks)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -46,7 +46,9 @@
 def test_a_full_uplink_keeps_new_sessions_off_its_whole_rack() -> None:
     front = Front(entry(1), entry(2, cell=2), entry(3, cell=1))
     front.start(1)
+    front.take_over(9, 3, 0)
     front.note(1, 1, NoteKind.UPLINK, 0.79)
+    front.note(9, 3, NoteKind.UPLINK, 0.2)
     assert placed(front.ask(2))[0].server == 3
 
 
@@ -134,6 +136,15 @@
     assert placed(action)[0].server == 2
 
 
+def test_the_first_report_of_an_uplink_tells_what_uplinks_carry() -> None:
+    """i33c865: the usual grew from 0, so a crowd at the start met racks that all looked empty."""
+    front = Front(entry(1), entry(2, cell=1))
+    front.take_over(1, 1, 0)
+    front.note(1, 1, NoteKind.UPLINK, 0.9)
+    assert front.brain.servers[2].uplink.load(front.now) > 0.8
+    assert SetRung(2, 3) not in front.ask(2)
+
+
 def test_a_report_that_ends_a_played_session_is_as_old_as_its_start() -> None:
     front = Front()
     front.start(1, top_rung=0)
