--- /dev/null
+++ b/fernweir/config/front.py
@@ -0,0 +1,282 @@
+"""The settings of a front, and the module's `Settings` made of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import pairwise
+from pathlib import Path
+from typing import Annotated, Literal
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator, Field
+
+from fernweir.config.ini import IniFile, Reader, Section, read_file
+from fernweir.config.units import (
+    Address,
+    Count,
+    Counts,
+    Millis,
+    Names,
+    Number,
+    Positive,
+    PositiveMillis,
+    RateKb,
+    RatesKb,
+    Share,
+    Shares,
+    Size,
+    YesNo,
+)
+from fernweir.interface import Budget, ColdRule, Effect, SessionClass, Settings
+
+
+def _http_url(value: str) -> str:
+    parts = urlsplit(value)
+    try:
+        port = parts.port
+    except ValueError:
+        port = 0
+    if parts.scheme != "http" or not parts.hostname or port == 0 or parts.query or parts.fragment:
+        raise ValueError("not an address of the form http://host:port/path")
+    return value
+
+
+HttpUrl = Annotated[str, AfterValidator(_http_url)]
+Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+
+
+class FrontSection(Section):
+    name: Name
+    listen: Address
+    public_url: HttpUrl | None = None
+    ordinal: Count = 0
+    fronts: Positive = 1
+    seed: Count = 0
+    batch: Millis = 0.0
+    margin: Millis = 40.0
+    linger: Millis = 2_000.0
+    stop_within: PositiveMillis = 10_000.0
+    record: str | None = None
+
+
+class ListSection(Section):
+    url: HttpUrl
+    cache: str | None = None
+    silence: PositiveMillis = 15_000.0
+
+
+class TokensSection(Section):
+    keys: str
+    sign_with: str | None = None
+    issuer: str | None = None
+    audience: str = "fernweir-front"
+    box_audience: str = "fernweir-box"
+    skew: Millis = 5_000.0
+    box_life: PositiveMillis = 14_400_000.0
+    longest: Positive = 4_096
+
+
+class FleetSection(Section):
+    cells: Positive
+    racks: Positive
+    streams: Counts
+    link: RateKb
+    uplink: RateKb | None = None
+
+
+class LadderSection(Section):
+    rates: RatesKb
+    worths: Shares
+    switch_cost: Millis = 500.0
+
+
+class ReportsSection(Section):
+    fields: Names = Field(default_factory=list)
+    tell: Millis = 0.0
+    seen_after: Millis = 500.0
+    probes: YesNo = True
+
+
+class RulesSection(Section):
+    attempts: Positive | None = None
+    retry_after_max: Millis | None = None
+    answer_slack: Millis = 0.0
+    drain_grace: Millis | None = None
+    budget_span: PositiveMillis | None = None
+    budget_free: Number = 0.0
+    budget_share: Share = 0.0
+    cold_warm_up: PositiveMillis | None = None
+    cold_from: Share = 0.5
+    cold_multiple: Number = 3.0
+    cold_span: PositiveMillis = 2_000.0
+
+
+class ClassSection(Section):
+    aim: PositiveMillis
+    deadline: PositiveMillis
+    gain: Number = 1.0
+    effect: Literal["repeatable", "by_key", "once"] = "repeatable"
+    scale: Annotated[Number, Field(gt=0)] = 1.0
+    lowest_rung: Count = 0
+    top_rung: Count | None = None
+    seats: Count = 0
+
+
+class HttpSection(Section):
+    line: Size = 8_192
+    head: Size = 16_384
+    fields: Positive = 100
+    body: Size = 65_536
+    connections: Positive = 20_000
+    pipeline: Positive = 32
+    head_time: PositiveMillis = 10_000.0
+    body_time: PositiveMillis = 10_000.0
+    idle_time: PositiveMillis = 75_000.0
+    stalled_time: PositiveMillis = 10_000.0
+    waiting: Positive = 10_000
+
+
+class BoxesSection(Section):
+    connections: Positive = 64
+    connect_time: PositiveMillis = 250.0
+    idle_time: PositiveMillis = 15_000.0
+    probe_time: PositiveMillis = 250.0
+    call_time: PositiveMillis = 1_000.0
+    manifest: Size = 1_048_576
+
+
+class LogSection(Section):
+    format: Literal["json", "text"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class FrontConfig:
+    """All settings of one front; relative paths are resolved against the file's folder."""
+
+    folder: Path
+    front: FrontSection
+    list: ListSection
+    tokens: TokensSection
+    http: HttpSection
+    boxes: BoxesSection
+    log: LogSection
+    class_names: dict[str, int]
+    settings: Settings
+
+    def path(self, name: str) -> Path:
+        return self.folder / name
+
+
+def load_front(path: Path) -> FrontConfig:
+    """Reads and checks a file. ConfigError names every mistake in it."""
+    return parse_front(read_file(path), path.parent)
+
+
+def parse_front(file: IniFile, folder: Path) -> FrontConfig:
+    reader = Reader(file)
+    front = reader.take("front", FrontSection)
+    box_list = reader.take("list", ListSection)
+    tokens = reader.take("tokens", TokensSection)
+    fleet = reader.take("fleet", FleetSection)
+    ladder = reader.take("ladder", LadderSection)
+    reports = reader.take("reports", ReportsSection, required=False)
+    rules = reader.take("rules", RulesSection, required=False)
+    http = reader.take("http", HttpSection, required=False)
+    boxes = reader.take("boxes", BoxesSection, required=False)
+    log = reader.take("log", LogSection, required=False)
+    classes = reader.take_all("class", ClassSection)
+    if not any(name.startswith("class.") for name in file.sections):
+        reader.wrong("class.NAME", "", "at least one class is needed")
+    if front is not None and front.ordinal >= front.fronts:
+        reader.wrong("front", "ordinal", f"counts from 0, and there are {front.fronts} fronts")
+    if front is not None and front.listen[1] == 0 and front.public_url is not None:
+        reader.wrong("front", "public-url", "needs a fixed port in listen")
+    if ladder is not None:
+        _check_ladder(reader, ladder, classes)
+    if fleet is not None and fleet.racks > fleet.cells:
+        reader.wrong("fleet", "racks", f"more racks than the {fleet.cells} cells")
+    if reports is not None:
+        _check_reports(reader, reports)
+    reader.finish()
+    assert front and box_list and tokens and fleet and ladder and reports and rules and http and boxes and log
+    settings = _settings(front, fleet, ladder, reports, rules, classes)
+    numbers = {name: index for index, name in enumerate(classes)}
+    return FrontConfig(folder, front, box_list, tokens, http, boxes, log, numbers, settings)
+
+
+def _check_ladder(reader: Reader, ladder: LadderSection, classes: dict[str, ClassSection]) -> None:
+    rungs = len(ladder.rates)
+    if len(ladder.worths) != rungs:
+        reader.wrong("ladder", "worths", f"{len(ladder.worths)} worths for {rungs} rates")
+    for key, values in (("rates", ladder.rates), ("worths", ladder.worths)):
+        if any(later <= earlier for earlier, later in pairwise(values)):
+            reader.wrong("ladder", key, "must rise from the lowest rung to the highest")
+    for name, one in classes.items():
+        top = one.top_rung if one.top_rung is not None else rungs - 1
+        if top >= rungs:
+            reader.wrong(f"class.{name}", "top-rung", f"counts from 0, and there are {rungs} rungs")
+        if one.lowest_rung > top:
+            reader.wrong(f"class.{name}", "lowest-rung", f"is above the highest rung, {top}")
+        if one.aim > one.deadline:
+            reader.wrong(f"class.{name}", "aim", "is later than the deadline")
+
+
+def _check_reports(reader: Reader, reports: ReportsSection) -> None:
+    known = ("active", "waiting", "cpu", "avg_ms", "rps", "err_rps", "x0", "x1")
+    for field in reports.fields:
+        if field not in known:
+            reader.wrong("reports", "fields", f"unknown field {field}; known are {', '.join(known)}")
+
+
+def _settings(
+    front: FrontSection,
+    fleet: FleetSection,
+    ladder: LadderSection,
+    reports: ReportsSection,
+    rules: RulesSection,
+    classes: dict[str, ClassSection],
+) -> Settings:
+    budget = cold = None
+    if rules.budget_span is not None:
+        budget = Budget(rules.budget_span, rules.budget_free, rules.budget_share)
+    if rules.cold_warm_up is not None:
+        cold = ColdRule(rules.cold_warm_up, rules.cold_from, rules.cold_multiple, rules.cold_span)
+    return Settings(
+        classes=tuple(
+            SessionClass(
+                name=name,
+                aim_ms=one.aim,
+                deadline_ms=one.deadline,
+                gain=one.gain,
+                effect=Effect(one.effect),
+                scale=one.scale,
+                lowest_rung=one.lowest_rung,
+                top_rung=one.top_rung if one.top_rung is not None else len(ladder.rates) - 1,
+                seats=one.seats,
+            )
+            for name, one in classes.items()
+        ),
+        fronts=front.fronts,
+        ordinal=front.ordinal,
+        period_ms=front.batch,
+        cells=fleet.cells,
+        racks=fleet.racks,
+        rates_kb=tuple(ladder.rates),
+        worths=tuple(ladder.worths),
+        kind_streams=tuple(fleet.streams),
+        weight_kb=fleet.link,
+        uplink_kb=fleet.uplink,
+        switch_cost_s=ladder.switch_cost / 1000.0,
+        seen_after_ms=reports.seen_after,
+        tell_ms=reports.tell,
+        report_fields=tuple(reports.fields),
+        must_subscribe=False,
+        may_probe=reports.probes,
+        attempts_cap=rules.attempts,
+        retry_after_max_ms=rules.retry_after_max,
+        answer_slack_ms=rules.answer_slack,
+        drain_grace_ms=rules.drain_grace,
+        cold=cold,
+        budget=budget,
+    )
--- /dev/null
+++ b/fernweir/front/boxes.py
@@ -0,0 +1,313 @@
+"""The way to the boxes: set-ups, rungs, releases, probes and the streams of notes. A thin shell."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from urllib.parse import quote
+
+from fernweir.front.boxlist import BoxList
+from fernweir.front.commands import ChangeRung, Release, SendProbe, SetUp, SetUpResult
+from fernweir.front.core import BadAnswerError, Core
+from fernweir.front.notes import NotesError, NotesState, Told
+from fernweir.front.rungsync import RungSync, Send
+from fernweir.front.verdict import judge, load_report
+from fernweir.http.client import Call, Origin, Outcome, Pool, Reply
+from fernweir.http.parse import ResponseHead
+from fernweir.http.sse import EventReader
+from fernweir.interface import Result
+
+MERGE_PATCH = "application/merge-patch+json"  # RFC 7396
+
+
+@dataclass(frozen=True, slots=True)
+class BoxTimes:
+    """Seconds. A stream of notes that says nothing for `silence_s` is opened anew."""
+
+    probe_s: float = 0.25
+    call_s: float = 1.0
+    silence_s: float = 3.0
+    unused_s: float = 30.0
+    retry_s: float = 0.05
+    retry_most_s: float = 2.0
+
+
+class BoxClient:
+    """Carries out commands towards boxes and tells the host how they ended."""
+
+    def __init__(
+        self,
+        core: Core,
+        pool: Pool,
+        boxes: BoxList,
+        control_token: Callable[[], str],
+        times: BoxTimes | None = None,
+        seed: int = 0,
+    ) -> None:
+        self.core, self.pool, self.boxes = core, pool, boxes
+        self.times = times or BoxTimes()
+        self._token = control_token
+        self._dice = Random(seed)
+        self._rungs = RungSync()
+        self._rung_timer_at: float | None = None
+        self._streams: dict[int, _NotesStream] = {}
+        self.closed = False
+
+    # --- commands ---
+
+    def set_up(self, command: SetUp) -> None:
+        core, host, jti = self.core, self.core.host, command.session.jti
+        sent_at = core.now()
+        origin = self.boxes.address(command.server)
+        carrier = core.carriers[command.session.via]
+
+        def done(reply: Reply) -> None:
+            result, why = judge(reply)
+            payload = None
+            if result is Result.OK:
+                try:
+                    payload = carrier.accept(command, reply)
+                except BadAnswerError as error:
+                    result, why = Result.ERROR, str(error)
+            now = core.now()
+            if result is not Result.OK:
+                core.log.info(
+                    "set-up failed", session=jti, box=command.server, attempt=command.attempt,
+                    result=result.name.lower(), why=why,
+                )  # fmt: skip
+            end = SetUpResult(result, now - sent_at, load_report(reply), payload, why)
+            host.set_up_done(now, jti, command.attempt, end)
+            core.kick()
+            if result is Result.OK:
+                self._listen(command.server)
+
+        if origin is None:
+            core.loop.call_soon(done, Reply(Outcome.UNWANTED, detail="no address"))
+            return
+        request = carrier.request(command)
+        self.pool.request(
+            origin,
+            request.method,
+            request.target,
+            done,
+            headers=request.headers,
+            body=request.body,
+            timeout_s=command.timeout_ms / 1000.0,
+            wanted=lambda: host.still_wanted(jti, command.attempt),
+        )
+
+    def change_rung(self, command: ChangeRung) -> None:
+        send = self._rungs.want(command.jti, command.attempt, command.server, command.rung)
+        if send is not None:
+            self._send_rung(send)
+
+    def release(self, command: Release) -> None:
+        self._rungs.forget(command.jti, command.attempt)
+        self._delete(command, again=True)
+
+    def probe(self, command: SendProbe) -> None:
+        core, sent_at = self.core, self.core.now()
+
+        def done(reply: Reply) -> None:
+            result, _ = judge(reply)
+            now = core.now()
+            core.host.probe_done(now, command.server, result, now - sent_at, load_report(reply))
+            core.kick()
+
+        origin = self.boxes.address(command.server)
+        if origin is None:
+            core.loop.call_soon(done, Reply(Outcome.REFUSED, detail="no address"))
+        else:
+            self.pool.request(origin, "GET", "/probe", done, timeout_s=self.times.probe_s)
+
+    def close(self) -> None:
+        self.closed = True
+        for stream in list(self._streams.values()):
+            stream.stop()
+
+    # --- pieces ---
+
+    def _send_rung(self, send: Send) -> None:
+        core = self.core
+
+        def done(reply: Reply) -> None:
+            result, why = judge(reply)
+            if reply.status == 404 and reply.outcome is Outcome.ANSWERED:
+                self._rungs.forget(send.jti, send.attempt)
+                core.host.session_over(core.now(), send.jti, send.attempt, Result.RESET)
+                core.kick()
+                return
+            arrived = result is Result.OK
+            if not arrived:
+                core.log.info("rung not set", session=send.jti, box=send.server, why=why)
+            following = self._rungs.done(core.now(), send, arrived)
+            if following is not None:
+                self._send_rung(following)
+            self._rungs_later()
+
+        origin = self.boxes.address(send.server)
+        if origin is None:
+            self._rungs.forget(send.jti, send.attempt)
+            return
+        self._call(
+            origin, "PATCH", _session(send.jti, send.attempt), done, json.dumps({"rung": send.rung}).encode()
+        )
+
+    def _rungs_later(self) -> None:
+        due = self._rungs.next_due()
+        if due is not None and due != self._rung_timer_at and not self.closed:
+            self._rung_timer_at = due
+            self.core.loop.call_at(due / 1000.0, self._rungs_due)
+
+    def _rungs_due(self) -> None:
+        self._rung_timer_at = None
+        for send in [] if self.closed else self._rungs.due(self.core.now()):
+            self._send_rung(send)
+        self._rungs_later()
+
+    def _delete(self, command: Release, again: bool) -> None:
+        def done(reply: Reply) -> None:
+            # Once more, for an answer that was lost; after that the box's own idle limit must do.
+            if again and reply.outcome is not Outcome.ANSWERED and not self.closed:
+                self.core.loop.call_later(self.times.call_s, self._delete, command, False)
+
+        origin = self.boxes.address(command.server)
+        if origin is not None:
+            self._call(origin, "DELETE", _session(command.jti, command.attempt), done)
+
+    def _call(
+        self, origin: Origin, method: str, target: str, done: Callable[[Reply], None], body: bytes = b""
+    ) -> None:
+        headers = [("authorization", f"Bearer {self._token()}")]
+        if body:
+            headers.append(("content-type", MERGE_PATCH))
+        self.pool.request(
+            origin, method, target, done, headers=headers, body=body, timeout_s=self.times.call_s
+        )
+
+    def _listen(self, server: int) -> None:
+        if server not in self._streams and not self.closed:
+            self._streams[server] = _NotesStream(self, server)
+
+
+def _session(jti: str, attempt: int) -> str:
+    return f"/sessions/{quote(jti, safe='')}?attempt={attempt}"
+
+
+class _NotesStream:
+    """One box's stream of notes, opened anew for as long as sessions are held there."""
+
+    def __init__(self, client: BoxClient, server: int) -> None:
+        self.client, self.server = client, server
+        self.core, self.host = client.core, client.core.host
+        self.state = NotesState()
+        self._reader = EventReader()
+        self._call: Call | None = None
+        self._tries = 0
+        self._heard_at = self._used_at = self.core.loop.time()
+        self._stopped = self._doubtful = False
+        self._open()
+        self._watch()
+
+    def stop(self) -> None:
+        self._stopped = True
+        self.client._streams.pop(self.server, None)
+        self.host.box_doubtful(self.server, False)
+        if self._call is not None:
+            self._call.cancel()
+
+    def _open(self) -> None:
+        origin = self.client.boxes.address(self.server)
+        if self._stopped:
+            return
+        if origin is None:
+            self._lost("not listed")
+            return
+        self.state.asked(self.host.playing_at(self.server))
+        self._reader = EventReader()
+        headers = [("authorization", f"Bearer {self.client._token()}"), ("accept", "text/event-stream")]
+        self._call = self.client.pool.request(
+            origin, "GET", "/notes", self._ended, headers=headers, on_head=self._head, on_data=self._data
+        )
+
+    def _head(self, head: ResponseHead) -> None:
+        self._hear()
+        if head.status != 200 and self._call is not None:
+            self.core.log.warning("notes refused", box=self.server, status=head.status)
+
+    def _hear(self) -> None:
+        self._heard_at = self.core.loop.time()
+        if self._doubtful:
+            self._doubtful = False
+            self.host.box_doubtful(self.server, False)
+
+    def _data(self, data: bytes) -> None:
+        self._hear()
+        try:
+            events = self._reader.feed(data)
+        except ValueError:
+            events = []
+            if self._call is not None:
+                self._call.cancel()
+        now = self.core.now()
+        for event in events:
+            try:
+                news = self.state.take(event)
+            except NotesError as error:
+                self.core.log.warning("note passed over", box=self.server, why=str(error))
+                continue
+            if self.state.greeted:
+                self._tries = 0
+            for one in news:
+                if isinstance(one, Told):
+                    self.host.note(now, one.jti, one.attempt, one.kind, one.level)
+                else:
+                    self.client._rungs.forget(one.jti, one.attempt)
+                    self.host.session_over(now, one.jti, one.attempt, one.result)
+        if events:
+            self.core.kick()
+
+    def _ended(self, reply: Reply) -> None:
+        self._call = None
+        if self._stopped:
+            return
+        if reply.outcome is Outcome.REFUSED and "timed out" not in reply.detail:
+            self._lost(reply.detail)
+            return
+        times = self.client.times
+        pause = min(times.retry_s * 2.0**self._tries, times.retry_most_s)
+        self._tries += 1
+        # A box that says nothing on a new stream either holds its viewers up.
+        if self._tries > 2:
+            self._doubt()
+        self.core.loop.call_later(pause * (0.5 + self.client._dice.random()), self._open)
+
+    def _lost(self, why: str) -> None:
+        """Nobody listens there any more: the process is gone, and its sessions with it."""
+        count = self.host.box_lost(self.core.now(), self.server)
+        self.core.log.info("box lost", box=self.server, sessions=count, why=why)
+        self.stop()
+        self.core.kick()
+
+    def _doubt(self) -> None:
+        if not self._doubtful:
+            self._doubtful = True
+            self.host.box_doubtful(self.server, True)
+
+    def _watch(self) -> None:
+        if self._stopped:
+            return
+        now, times = self.core.loop.time(), self.client.times
+        if self.host.playing_at(self.server):
+            self._used_at = now
+        elif now - self._used_at > times.unused_s:
+            self.stop()
+            return
+        if now - self._heard_at > times.silence_s:
+            self._doubt()
+            self._heard_at = now
+            if self._call is not None:
+                self._call.cancel()
+        self.core.loop.call_later(times.silence_s / 4.0, self._watch)
--- /dev/null
+++ b/fernweir/front/commands.py
@@ -0,0 +1,126 @@
+"""What passes between the host and the shells around it: types only."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from fernweir.interface import Result
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request that was taken. `wait_ms` is how long its viewer waits from now on.
+
+    `via` names the protocol, whose carrier knows what a set-up looks like on the way to a box.
+    """
+
+    ticket: int
+    via: str
+    jti: str
+    who: str
+    title_name: str
+    title: int
+    first_cell: int
+    copies: int
+    cls: int
+    top_rung: int
+    wait_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class SetUpResult:
+    """How an attempt ended. `payload` is what the protocol made of the box's answer; None unless OK."""
+
+    result: Result
+    took_ms: float
+    report: dict[str, float]
+    payload: object = None
+    why: str = ""
+
+
+# --- commands: what the shells must do ---
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """Send the attempt; its end goes to `Host.set_up_done`, exactly once."""
+
+    session: Ask
+    attempt: int
+    server: int
+    rung: int
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRung:
+    jti: str
+    attempt: int
+    server: int
+    rung: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Tell a box that one attempt's session, playing or doubtful, is wanted no more."""
+
+    jti: str
+    attempt: int
+    server: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Arm:
+    """Call `Host.timer_fired` with the token after that time."""
+
+    token: int
+    after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    active: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line of the module's or the host's for the log."""
+
+    text: str
+    session: str | None = None
+    box: int | None = None
+
+
+class Kind(Enum):
+    """What an answer says."""
+
+    PLAYS = "plays"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CONFLICT = "conflict"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one answer of a ticket. `server`, `rung`, `attempt` and `payload` hold for PLAYS only."""
+
+    ticket: int
+    kind: Kind
+    why: str = ""
+    retry_after_ms: float = 0.0
+    timed_out: bool = False
+    session: Ask | None = None
+    server: int = -1
+    attempt: int = 0
+    rung: int = 0
+    payload: object = None
+
+
+Command = SetUp | ChangeRung | Release | SendProbe | Arm | Follow | Say | Answer
--- /dev/null
+++ b/fernweir/front/core.py
@@ -0,0 +1,172 @@
+"""The shell around the host that all protocols share: batches, timers, tickets, commands to their doers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import structlog
+
+from fernweir.front.commands import Answer, Arm, Ask, ChangeRung, Command, Release, Say, SendProbe, SetUp
+from fernweir.front.host import Host
+from fernweir.http.client import Reply
+
+Log = Any  # structlog's bound logger, whose methods depend on its configuration
+
+
+class BadAnswerError(ValueError):
+    """A box's answer to a set-up has the right status, but is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class BoxRequest:
+    """What a set-up looks like to a box."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class Carrier(Protocol):
+    """What a protocol adds to the way to a box."""
+
+    def request(self, command: SetUp) -> BoxRequest:
+        """The set-up request for a box, its token included."""
+
+    def accept(self, command: SetUp, reply: Reply) -> object:
+        """What viewers will be answered from. BadAnswerError if the reply is no good."""
+
+
+class Doer(Protocol):
+    """Who carries out commands towards boxes."""
+
+    def set_up(self, command: SetUp) -> None: ...
+    def change_rung(self, command: ChangeRung) -> None: ...
+    def release(self, command: Release) -> None: ...
+    def probe(self, command: SendProbe) -> None: ...
+
+
+class Core:
+    """Owns the host's clock: `loop.time()` in milliseconds. Events of one loop turn go in one batch."""
+
+    def __init__(self, host: Host, *, batch_ms: float = 0.0, log: Log | None = None) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.host = host
+        self.log = log or structlog.get_logger()
+        self.carriers: dict[str, Carrier] = {}
+        self.doer: Doer | None = None
+        self._batch_s = batch_ms / 1000.0
+        self._numbers = itertools.count(1)
+        self._answers: dict[int, Callable[[Answer], None]] = {}
+        self._kicked = self._stopped = False
+        self._wake: asyncio.TimerHandle | None = None
+        self._wake_at = 0.0
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._idle: asyncio.Event = asyncio.Event()
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def ticket(self) -> int:
+        return next(self._numbers)
+
+    def ask(self, ask: Ask, on_answer: Callable[[Answer], None]) -> None:
+        """Takes a request; `on_answer` is called exactly once unless `withdraw` comes first."""
+        self._answers[ask.ticket] = on_answer
+        self.host.ask(self.now(), ask)
+        self.kick()
+
+    def withdraw(self, ticket: int) -> None:
+        if self._answers.pop(ticket, None) is not None:
+            self.host.withdraw(self.now(), ticket)
+            self.kick()
+
+    def kick(self) -> None:
+        """Something happened: a batch is due, once."""
+        if self._kicked or self._stopped:
+            return
+        self._kicked = True
+        if self._batch_s > 0.0:
+            self.loop.call_later(self._batch_s, self._step)
+        else:
+            self.loop.call_soon(self._step)
+
+    async def drained(self, within_s: float) -> bool:
+        """Takes nothing new, and waits until all that was taken is answered; False if time ran out."""
+        self.host.close()
+        self.kick()
+        try:
+            async with asyncio.timeout(within_s):
+                while self._answers:
+                    self._idle.clear()
+                    await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def stop(self) -> None:
+        self._stopped = True
+        for timer in [*self._timers, *([self._wake] if self._wake else [])]:
+            timer.cancel()
+        self._timers.clear()
+
+    def _step(self) -> None:
+        self._kicked = False
+        if self._stopped:
+            return
+        for command in self.host.step(self.now()):
+            self._do(command)
+        self._set_wake()
+
+    def _set_wake(self) -> None:
+        due = self.host.next_due()
+        if self._wake is not None and (due is None or due != self._wake_at):
+            self._wake.cancel()
+            self._wake = None
+        if due is not None and self._wake is None:
+            self._wake_at = due
+            self._wake = self.loop.call_at(due / 1000.0, self._woken)
+
+    def _woken(self) -> None:
+        self._wake = None
+        self.kick()
+
+    def _do(self, command: Command) -> None:
+        doer = self.doer
+        if isinstance(command, Answer):
+            on_answer = self._answers.pop(command.ticket, None)
+            if on_answer is not None:
+                on_answer(command)
+            if not self._answers:
+                self._idle.set()
+        elif isinstance(command, Arm):
+            self._arm(command)
+        elif isinstance(command, Say):
+            self.log.info(command.text, **_named(session=command.session, box=command.box))
+        elif doer is None:
+            self.log.error("no way to boxes", command=type(command).__name__)
+        elif isinstance(command, SetUp):
+            doer.set_up(command)
+        elif isinstance(command, ChangeRung):
+            doer.change_rung(command)
+        elif isinstance(command, Release):
+            doer.release(command)
+        elif isinstance(command, SendProbe):
+            doer.probe(command)
+
+    def _arm(self, command: Arm) -> None:
+        def fire() -> None:
+            self._timers.discard(handle)
+            self.host.timer_fired(self.now(), command.token)
+            self.kick()
+
+        handle = self.loop.call_later(command.after_ms / 1000.0, fire)
+        self._timers.add(handle)
+
+
+def _named(**fields: object) -> dict[str, object]:
+    return {name: value for name, value in fields.items() if value is not None}
--- /dev/null
+++ b/fernweir/front/dash.py
@@ -0,0 +1,269 @@
+"""The DASH service: viewers ask for a lesson's manifest with a session token and get one answer.
+
+Plays is 200 with an MPD, refused 503 with `Retry-After`, failed 502 or 504; the last three carry problem
+details (RFC 9457). A request that isn't one (no good token, no such lesson) gets a 4xx and is not taken.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import ceil
+from urllib.parse import quote
+
+from fernweir.front.boxlist import BoxList
+from fernweir.front.commands import Answer, Ask, Kind, SetUp
+from fernweir.front.core import BadAnswerError, BoxRequest, Core
+from fernweir.front.manifest import Manifest, ManifestCache, ManifestError
+from fernweir.http.client import Reply
+from fernweir.http.problem import MEDIA_TYPE, problem
+from fernweir.http.server import Exchange
+from fernweir.http.target import TargetError, split_target
+from fernweir.interface import SessionClass, Settings
+from fernweir.tokens import BoxClaims, Keyring, SessionClaims, TokenError, TokenFault
+
+MPD_TYPE = "application/dash+xml"
+_PROBLEM = "urn:fernweir:problem:"
+_CORS = [("access-control-allow-origin", "*"), ("access-control-expose-headers", "retry-after, location")]
+_PREFLIGHT = [
+    ("access-control-allow-origin", "*"),
+    ("access-control-allow-methods", "GET, HEAD, DELETE, OPTIONS"),
+    ("access-control-allow-headers", "authorization, prefer"),
+    ("access-control-max-age", "86400"),
+]
+_WAIT = re.compile(r"wait\s*=\s*(\d{1,6})\s*(?:;|$)")
+_BEARER = re.compile(r"[Bb][Ee][Aa][Rr][Ee][Rr] +([A-Za-z0-9._~+/-]+=*)")
+_VIA = "dash"
+
+
+@dataclass(frozen=True, slots=True)
+class TokenRules:
+    """Who issues tokens to viewers, for whom, and how long a box's token holds (seconds)."""
+
+    issuer: str | None
+    audience: str
+    box_audience: str
+    box_life_s: float
+
+
+class _RefusedError(Exception):
+    """The request is answered with this status and not taken."""
+
+    def __init__(self, status: int, kind: str, title: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        super().__init__(title)
+        self.status, self.kind, self.title, self.headers = status, kind, title, headers
+
+
+class DashService:
+    """Takes viewers' requests, and is the carrier of their set-ups."""
+
+    def __init__(
+        self,
+        core: Core,
+        boxes: BoxList,
+        settings: Settings,
+        classes: dict[str, int],
+        keyring: Keyring,
+        rules: TokenRules,
+        *,
+        front: str,
+        public_url: str,
+        wall_s: Callable[[], float],
+        most_waiting: int = 10_000,
+    ) -> None:
+        self.core, self.boxes, self.settings, self.classes = core, boxes, settings, classes
+        self.keyring, self.rules, self.front = keyring, rules, front
+        self.public_url = public_url.rstrip("/")
+        self._wall_s, self._most_waiting = wall_s, most_waiting
+        self._manifests = ManifestCache(len(settings.rates_kb))
+        core.carriers[_VIA] = self
+
+    # --- viewers ---
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answers a request now, or takes it."""
+        try:
+            self._route(exchange)
+        except _RefusedError as refused:
+            if refused.status == 401:
+                self.core.log.info("token refused", why=refused.title, peer=exchange.connection_id)
+            body = problem(refused.status, refused.title, kind=_PROBLEM + refused.kind)
+            exchange.respond(refused.status, [*_CORS, *refused.headers, ("content-type", MEDIA_TYPE)], body)
+
+    def _route(self, exchange: Exchange) -> None:
+        try:
+            path, query = split_target(exchange.head.target)
+        except TargetError as error:
+            raise _RefusedError(400, "bad-target", str(error)) from None
+        if len(path) != 3 or path[0] != "lessons" or path[2] not in ("manifest.mpd", "session"):
+            raise _RefusedError(404, "not-found", "no such resource")
+        allowed = ("GET", "HEAD") if path[2] == "manifest.mpd" else ("DELETE",)
+        if exchange.method == "OPTIONS":
+            exchange.respond(204, _PREFLIGHT)
+            return
+        if exchange.method not in allowed:
+            raise _RefusedError(
+                405, "method", "method not allowed", (("allow", ", ".join((*allowed, "OPTIONS"))),)
+            )
+        claims, in_query = self._claims(exchange, query)
+        if claims.title != path[1]:
+            raise _challenge(TokenError(TokenFault.TITLE, "the token is for another lesson"))
+        if exchange.method == "DELETE":
+            if not self.core.host.release(self.core.now(), claims.jti):
+                raise _RefusedError(404, "no-session", "no such session plays here")
+            self.core.kick()
+            exchange.respond(204, _CORS)
+        elif exchange.method == "HEAD":
+            held = self.core.host.session(claims.jti)
+            if held is None or not held.plays_told:
+                raise _RefusedError(404, "no-session", "no such session plays here")
+            exchange.respond(200, [*_CORS, ("content-type", MPD_TYPE), ("cache-control", "no-store")])
+        else:
+            self._take(exchange, claims, in_query)
+
+    def _claims(self, exchange: Exchange, query: dict[str, str]) -> tuple[SessionClaims, bool]:
+        """The token's claims, and whether it came as a query parameter (RFC 6750, 2.1 and 2.3)."""
+        fields = exchange.headers.all("authorization")
+        in_query = "access_token" in query
+        if len(fields) + in_query > 1:
+            raise _RefusedError(400, "bad-request", "more than one token in a request")
+        token = query.get("access_token", "")
+        if fields:
+            match = _BEARER.fullmatch(fields[0].strip())
+            if match is None:
+                raise _challenge(TokenError(TokenFault.MALFORMED, "not a Bearer token"))
+            token = match[1]
+        try:
+            claims = self.keyring.verify(
+                token,
+                SessionClaims,
+                audience=self.rules.audience,
+                now_s=self._wall_s(),
+                issuer=self.rules.issuer,
+            )
+        except TokenError as error:
+            raise _challenge(error) from None
+        if claims.cls not in self.classes:
+            raise _challenge(TokenError(TokenFault.CLAIMS, "cls"))
+        return claims, in_query
+
+    def _take(self, exchange: Exchange, claims: SessionClaims, in_query: bool) -> None:
+        lesson = self.boxes.lessons.get(claims.title)
+        if lesson is None:
+            raise _RefusedError(404, "no-lesson", "no such lesson")
+        if self.core.host.closing or len(self.core.host.ledger) >= self._most_waiting:
+            why = "front is stopping" if self.core.host.closing else "too many requests wait"
+            raise _RefusedError(503, "busy", why, (("retry-after", "1"), ("connection", "close")))
+        cls = self.classes[claims.cls]
+        kind = self.settings.classes[cls]
+        if min(claims.top, kind.top_rung) < kind.lowest_rung:
+            raise _RefusedError(403, "no-rung", "this viewer can use no rung that its class may play")
+        ask = Ask(
+            ticket=self.core.ticket(),
+            via=_VIA,
+            jti=claims.jti,
+            who=claims.sub,
+            title_name=claims.title,
+            title=lesson.number,
+            first_cell=lesson.first_cell,
+            copies=lesson.copies,
+            cls=cls,
+            top_rung=claims.top,
+            wait_ms=wait_ms(exchange, kind),
+        )
+        exchange.on_gone = lambda: self.core.withdraw(ask.ticket)
+        location = f"{self.public_url}/lessons/{quote(claims.title, safe='')}/manifest.mpd"
+        if in_query:
+            location += exchange.head.target[exchange.head.target.index("?") :]
+        self.core.ask(ask, lambda answer: self._answer(exchange, answer, location))
+
+    def _answer(self, exchange: Exchange, answer: Answer, location: str) -> None:
+        if exchange.gone:
+            return
+        if answer.kind is Kind.PLAYS and answer.session is not None:
+            body = self._document(answer, location)
+            if body is not None:
+                fields = [("content-type", MPD_TYPE), ("cache-control", "no-store")]
+                exchange.respond(200, [*_CORS, *fields], body)
+                return
+            answer = Answer(answer.ticket, Kind.FAILED, "its box is no longer listed")
+        status, kind, fields = 503, "refused", []
+        if answer.kind is Kind.REFUSED:
+            fields = [("retry-after", str(max(ceil(answer.retry_after_ms / 1000.0), 0)))]
+        elif answer.kind is Kind.CONFLICT:
+            status, kind = 409, "conflict"
+        else:
+            status, kind = (504, "timed-out") if answer.timed_out else (502, "failed")
+        wait = answer.retry_after_ms if answer.kind is Kind.REFUSED else None
+        body = problem(status, answer.why, kind=_PROBLEM + kind, retry_after_ms=wait)
+        exchange.respond(status, [*_CORS, *fields, ("content-type", MEDIA_TYPE)], body)
+
+    def _document(self, answer: Answer, location: str) -> bytes | None:
+        ask, manifest = answer.session, answer.payload
+        address = self.boxes.address(answer.server)
+        if ask is None or address is None or not isinstance(manifest, Manifest):
+            return None
+        base = f"http://{address[0]}:{address[1]}/lessons/{quote(ask.title_name, safe='')}/"
+        lowest = self.settings.classes[ask.cls].lowest_rung
+        token = self._box_token(ask, answer.server, answer.attempt, answer.rung)
+        return self._manifests.render(
+            manifest, lowest, answer.rung, base, f"box-{answer.server}", location, f"token={token}"
+        )
+
+    # --- boxes ---
+
+    def request(self, command: SetUp) -> BoxRequest:
+        ask = command.session
+        token = self._box_token(ask, command.server, command.attempt, command.rung)
+        target = f"/lessons/{quote(ask.title_name, safe='')}/manifest.mpd"
+        return BoxRequest("GET", target, (("authorization", f"Bearer {token}"), ("accept", MPD_TYPE)))
+
+    def accept(self, command: SetUp, reply: Reply) -> object:
+        kind = self.settings.classes[command.session.cls]
+        if reply.status != 200 or not reply.headers.get("content-type").startswith(MPD_TYPE):
+            raise BadAnswerError(
+                f"status {reply.status} with {reply.headers.get('content-type')[:40]}, no MPD"
+            )
+        top = min(command.session.top_rung, kind.top_rung)
+        try:
+            return self._manifests.judge(reply.body, kind.lowest_rung, max(top, kind.lowest_rung))
+        except ManifestError as error:
+            raise BadAnswerError(f"manifest: {error}") from None
+
+    def _box_token(self, ask: Ask, server: int, attempt: int, rung: int) -> str:
+        now = self._wall_s()
+        return self.keyring.sign(
+            BoxClaims(
+                iss=self.front,
+                aud=f"{self.rules.box_audience}:{server}",
+                iat=int(now),
+                exp=int(now + self.rules.box_life_s),
+                sub=ask.who,
+                jti=ask.jti,
+                title=ask.title_name,
+                cls=self.settings.classes[ask.cls].name,
+                top=min(ask.top_rung, self.settings.classes[ask.cls].top_rung),
+                front=self.front,
+                attempt=attempt,
+                rung=rung,
+            )
+        )
+
+
+def wait_ms(exchange: Exchange, kind: SessionClass) -> float:
+    """How long the viewer waits: its class's deadline, or less by `Prefer: wait` (RFC 7240, 4.3)."""
+    for value in exchange.headers.all("prefer"):
+        for part in value.split(","):
+            match = _WAIT.match(part.strip())
+            if match is not None:
+                return min(float(match[1]) * 1000.0, kind.deadline_ms)
+    return kind.deadline_ms
+
+
+def _challenge(error: TokenError) -> _RefusedError:
+    """401 as in RFC 6750, section 3; a request with no token at all is told no error code."""
+    challenge = 'Bearer realm="lessons"'
+    if error.fault is not TokenFault.MISSING:
+        challenge += f', error="invalid_token", error_description="{error.fault.value}"'
+    return _RefusedError(401, f"token:{error.fault.value}", str(error), (("www-authenticate", challenge),))
--- /dev/null
+++ b/fernweir/front/host.py
@@ -0,0 +1,461 @@
+"""The host owns one `Controller`, the sessions and the ledger of answers; it has no I/O and no clock.
+
+Shells tell it what happened (methods that take `now`, milliseconds of a clock that only moves forward) and
+call `step`, which hands all that has happened since to the module in one batch and returns commands. The
+host adds no placement of its own. What it settles is what the module doesn't see: that requests with the
+same token share one session, that an answer is given once and in time, and that what may run at a box
+without being wanted is released there.
+
+A session, by its token's id, is in one of three phases: ASKED (the module holds it, nothing is out),
+OUT (one attempt is out) and PLAYING. It leaves the table when the module is told that it ended.
+"""
+
+from __future__ import annotations
+
+import heapq
+import re
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from fernweir.brain import Controller
+from fernweir.front.commands import (
+    Answer,
+    Arm,
+    Ask,
+    ChangeRung,
+    Command,
+    Follow,
+    Kind,
+    Release,
+    Say,
+    SendProbe,
+    SetUp,
+    SetUpResult,
+)
+from fernweir.front.ledger import Ledger
+from fernweir.interface import (
+    Abandoned,
+    Action,
+    Arrival,
+    Ended,
+    Event,
+    Fail,
+    ListUpdate,
+    Log,
+    Move,
+    Note,
+    NoteKind,
+    Place,
+    Probe,
+    Probed,
+    Refuse,
+    Result,
+    ServerState,
+    SetRung,
+    Settings,
+    Started,
+    Subscribe,
+    Timer,
+    TimerFired,
+    Viewer,
+)
+
+_NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+_NAMED_BOX = re.compile(r"server (\d+)")
+_NOTES = {"x0": NoteKind.LINK, "x1": NoteKind.UPLINK}
+
+
+class Phase(Enum):
+    ASKED = "asked"
+    OUT = "out"
+    PLAYING = "playing"
+
+
+@dataclass(frozen=True, slots=True)
+class HostLimits:
+    """Times in milliseconds. `margin` is kept of each viewer's wait for the answer's way back."""
+
+    margin_ms: float = 40.0
+    linger_ms: float = 2_000.0
+    remembered: int = 65_536
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """One session, from the first request with its token until the module is told of its end."""
+
+    ask: Ask
+    number: int
+    key: int
+    phase: Phase = Phase.ASKED
+    tickets: list[int] = field(default_factory=list)
+    attempts: int = 0
+    server: int = -1
+    rung: int = 0
+    sent_rung: int = 0
+    payload: object = None
+    last: Result | None = None
+    plays_told: bool = False
+
+    @property
+    def attempt(self) -> int:
+        return self.attempts - 1
+
+
+@dataclass(slots=True)
+class HostCounts:
+    plays: int = 0
+    refused: int = 0
+    failed: int = 0
+    joined: int = 0
+    conflicts: int = 0
+    set_ups: int = 0
+    released: int = 0
+    batches: int = 0
+
+
+Watcher = Callable[[float, list[Event], list[Action]], None]
+
+
+class Host:
+    """See the module's page. `watch` is shown every batch, for recording."""
+
+    def __init__(
+        self, settings: Settings, seed: int, limits: HostLimits | None = None, watch: Watcher | None = None
+    ) -> None:
+        self.settings = settings
+        self.limits = limits or HostLimits()
+        self.controller = Controller(settings, seed)
+        self.ledger = Ledger()
+        self.counts = HostCounts()
+        self.closing = False
+        self._watch = watch
+        self._held: dict[str, Held] = {}
+        self._by_number: dict[int, Held] = {}
+        self._at_server: dict[int, dict[str, Held]] = {}
+        self._by_ticket: dict[int, Held] = {}
+        self._states: dict[int, ServerState] = {}
+        self._doubtful: set[int] = set()
+        self._events: list[Event] = []
+        self._out: list[Command] = []
+        self._next_number = 1
+        self._lingering: list[tuple[float, str, int]] = []
+        self._past: OrderedDict[str, tuple[int, bool]] = OrderedDict()
+
+    # --- what the shells tell ---
+
+    def ask(self, now: float, ask: Ask) -> None:
+        """A request was taken. A token that is known joins its session: there is no second set-up."""
+        self.ledger.open(ask.ticket, now + max(ask.wait_ms - self.limits.margin_ms, 0.0))
+        held = self._held.get(ask.jti)
+        if held is None:
+            if self.closing:
+                self._answer(Answer(ask.ticket, Kind.REFUSED, "front is stopping", 0.0))
+                return
+            self._begin(ask)
+            return
+        if (held.ask.title, held.ask.cls, held.ask.via) != (ask.title, ask.cls, ask.via):
+            self.counts.conflicts += 1
+            self._answer(Answer(ask.ticket, Kind.CONFLICT, "session id is in use for another title or class"))
+            return
+        if held.phase is Phase.PLAYING and held.server in self._doubtful:
+            # It comes again while its box says nothing: it does not play there, whatever the account says.
+            self._release(held, "its box fell silent")
+            self._end(held, Result.RESET)
+            self._begin(ask)
+            return
+        self.counts.joined += 1
+        if held.phase is Phase.PLAYING:
+            self._plays(held, ask.ticket)
+        else:
+            held.tickets.append(ask.ticket)
+            self._by_ticket[ask.ticket] = held
+
+    def withdraw(self, now: float, ticket: int) -> None:
+        """The viewer of a request is gone. The attempt that is out may still be wanted when it returns."""
+        held = self._by_ticket.pop(ticket, None)
+        if self.ledger.leave(ticket) and held is not None:
+            held.tickets.remove(ticket)
+            self._unwanted(held)
+
+    def set_up_done(self, now: float, jti: str, attempt: int, end: SetUpResult) -> None:
+        """The one end of an attempt. One that comes for a session no longer held is released."""
+        held = self._held.get(jti)
+        if held is None or held.phase is not Phase.OUT or held.attempt != attempt:
+            return
+        if end.result is Result.OK:
+            self._start(now, held, end)
+            return
+        if end.result not in _NEVER_RAN:
+            self._release(held, f"set-up ended as {end.result.name.lower()}")
+        held.last = end.result
+        held.phase = Phase.ASKED
+        self._leave_server(held)
+        report = tuple(end.report[name] for name in self.settings.report_fields if name in end.report)
+        if len(report) < len(self.settings.report_fields):
+            report = ()
+        if not held.tickets:  # nobody waits: the module must not place it again
+            self._events.append(Abandoned(held.number))
+            self._forget(held)
+        self._events.append(
+            Ended(held.number, held.server, attempt, end.result, not held.tickets, end.took_ms, report)
+        )
+
+    def still_wanted(self, jti: str, attempt: int) -> bool:
+        """Asked at the last moment before an attempt's first byte leaves: drains and ends stop it there."""
+        held = self._held.get(jti)
+        if held is None or held.phase is not Phase.OUT or held.attempt != attempt:
+            return False
+        return self._states.get(held.server) is ServerState.READY
+
+    def session_over(self, now: float, jti: str, attempt: int, result: Result) -> None:
+        """A session that played has ended at its box, or with it."""
+        held = self._held.get(jti)
+        if held is None or held.phase is not Phase.PLAYING or held.attempt != attempt:
+            return
+        self._end(held, result)
+
+    def release(self, now: float, jti: str) -> bool:
+        """The viewer ends its session here. False if there is none that plays."""
+        held = self._held.get(jti)
+        if held is None or held.phase is not Phase.PLAYING:
+            return False
+        self._release(held, "ended by its viewer")
+        self._end(held, Result.OK)
+        return True
+
+    def box_lost(self, now: float, server: int) -> int:
+        """A box took its sessions with it; tells how many."""
+        lost = [held for held in self._at_server.get(server, {}).values() if held.phase is Phase.PLAYING]
+        for held in lost:
+            self._end(held, Result.RESET)
+        return len(lost)
+
+    def box_doubtful(self, server: int, doubtful: bool) -> None:
+        """Whether a box that holds sessions has stopped saying anything, though its process may run."""
+        if doubtful:
+            self._doubtful.add(server)
+        else:
+            self._doubtful.discard(server)
+
+    def note(self, now: float, jti: str, attempt: int, kind: NoteKind, level: float) -> None:
+        """News from a box on a session; of others it says nothing that the module could place."""
+        held = self._held.get(jti)
+        if held is not None and held.phase is Phase.PLAYING and held.attempt == attempt:
+            self._events.append(Note(held.number, held.server, attempt, kind, level))
+            if kind is NoteKind.RUNG and 0 <= level < len(self.settings.rates_kb):
+                held.rung = held.sent_rung = int(level)
+
+    def probe_done(
+        self, now: float, server: int, result: Result, took_ms: float, report: dict[str, float]
+    ) -> None:
+        values = tuple(report[name] for name in self.settings.report_fields if name in report)
+        self._events.append(
+            Probed(server, result, took_ms, values if len(values) == len(self.settings.report_fields) else ())
+        )
+
+    def box_list(self, now: float, update: ListUpdate) -> None:
+        self._events.append(update)
+        if update.kind.name in ("CACHED", "FULL"):
+            self._states = {}
+        for entry in update.entries:
+            self._states[entry.server] = entry.state
+
+    def timer_fired(self, now: float, token: int) -> None:
+        self._events.append(TimerFired(token))
+
+    def close(self) -> None:
+        """Nothing new is taken from now on; what was taken is still answered."""
+        self.closing = True
+
+    # --- what the shells ask ---
+
+    @property
+    def sessions(self) -> int:
+        return len(self._held)
+
+    def playing_at(self, server: int) -> dict[str, int]:
+        """Sessions that play at a box, with the attempt that set each up."""
+        there = self._at_server.get(server, {})
+        return {jti: held.attempt for jti, held in there.items() if held.phase is Phase.PLAYING}
+
+    def session(self, jti: str) -> Held | None:
+        return self._held.get(jti)
+
+    def next_due(self) -> float | None:
+        """When `step` must be called at the latest, though nothing happens before."""
+        due = self.ledger.next_due()
+        if self._lingering and (due is None or self._lingering[0][0] < due):
+            return self._lingering[0][0]
+        return due
+
+    # --- one batch ---
+
+    def step(self, now: float) -> list[Command]:
+        """Hands what happened to the module, and returns what is to be done, in order."""
+        self._expire(now)
+        events, self._events = self._events, []
+        if events:
+            self.counts.batches += 1
+            actions = self.controller.handle(now, events)
+            if self._watch is not None:
+                self._watch(now, events, actions)
+            for action in actions:
+                self._carry_out(action)
+        out, self._out = self._out, []
+        return out
+
+    def _expire(self, now: float) -> None:
+        for ticket in self.ledger.overdue(now):
+            held = self._by_ticket.pop(ticket, None)
+            self.counts.failed += 1
+            self._answer(Answer(ticket, Kind.FAILED, "no answer in time", timed_out=True))
+            if held is not None:
+                held.tickets.remove(ticket)
+                self._unwanted(held)
+        while self._lingering and self._lingering[0][0] <= now:
+            _, jti, number = heapq.heappop(self._lingering)
+            held = self._held.get(jti)
+            if held is not None and held.number == number and not held.plays_told:
+                self._release(held, "its viewer did not come back")
+                self._end(held, Result.CANCELLED)
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Timer):
+            self._out.append(Arm(action.token, action.after_ms))
+        elif isinstance(action, Probe):
+            self._out.append(SendProbe(action.server))
+        elif isinstance(action, Subscribe):
+            self._out.append(Follow(action.active))
+        elif isinstance(action, Log):
+            named = _NAMED_BOX.search(action.text)
+            self._out.append(Say(action.text, box=int(named[1]) if named else None))
+        else:
+            held = self._by_number.get(action.session)
+            if held is not None:
+                self._on_session(held, action)
+
+    def _on_session(self, held: Held, action: Place | SetRung | Move | Refuse | Fail) -> None:
+        if isinstance(action, SetRung):
+            held.rung = action.rung
+            if held.phase is Phase.PLAYING:
+                self._send_rung(held)
+        elif isinstance(action, Place):
+            held.attempts += 1
+            held.phase, held.server, held.sent_rung = Phase.OUT, action.server, held.rung
+            self._at_server.setdefault(action.server, {})[held.ask.jti] = held
+            self.counts.set_ups += 1
+            self._out.append(SetUp(held.ask, held.attempt, action.server, held.rung, action.timeout_ms))
+        elif isinstance(action, Move):
+            self._release(held, "moved")
+            self._end(held, Result.CANCELLED, moved=True)
+        else:
+            self._give_up(held, action)
+
+    def _give_up(self, held: Held, action: Refuse | Fail) -> None:
+        tickets, held.tickets = held.tickets, []
+        for ticket in tickets:
+            del self._by_ticket[ticket]
+            if isinstance(action, Refuse):
+                self.counts.refused += 1
+                why = "no box has room" if held.last is None else "set-up failed and may not be tried again"
+                answer = Answer(ticket, Kind.REFUSED, why, action.retry_after_ms, session=held.ask)
+            else:
+                self.counts.failed += 1
+                late = held.last is Result.TIMEOUT
+                answer = Answer(ticket, Kind.FAILED, "set-up failed", timed_out=late, session=held.ask)
+            self._answer(answer)
+        self._forget(held)
+
+    # --- pieces ---
+
+    def _begin(self, ask: Ask) -> None:
+        key, moved = self._past.pop(ask.jti, (0, False))
+        held = Held(ask, self._next_number, key or self._next_number)
+        self._next_number = self._next_number % 0xFFFFFFFF + 1
+        held.tickets.append(ask.ticket)
+        self._held[ask.jti] = self._by_number[held.number] = self._by_ticket[ask.ticket] = held
+        viewer = Viewer(
+            session=held.number,
+            cls=ask.cls,
+            key=held.key,
+            title=ask.title,
+            first_cell=ask.first_cell,
+            copies=ask.copies,
+            top_rung=ask.top_rung,
+            length_ms=None,
+            left_ms=max(ask.wait_ms - 2.0 * self.limits.margin_ms, 0.0),
+            moved=moved,
+            returning=key != 0,
+        )
+        self._events.append(Arrival(viewer))
+
+    def _start(self, now: float, held: Held, end: SetUpResult) -> None:
+        held.phase, held.payload, held.last = Phase.PLAYING, end.payload, None
+        self._events.append(Started(held.number, held.server, held.attempt, end.took_ms))
+        for name, kind in _NOTES.items():
+            if name in end.report and (name == "x0" or name in self.settings.report_fields):
+                self._events.append(Note(held.number, held.server, held.attempt, kind, end.report[name]))
+        if held.rung != held.sent_rung:
+            self._send_rung(held)
+        tickets, held.tickets = held.tickets, []
+        for ticket in tickets:
+            del self._by_ticket[ticket]
+            self._plays(held, ticket)
+        if not tickets:
+            heapq.heappush(self._lingering, (now + self.limits.linger_ms, held.ask.jti, held.number))
+
+    def _plays(self, held: Held, ticket: int) -> None:
+        held.plays_told = True
+        self.counts.plays += 1
+        self._answer(
+            Answer(
+                ticket,
+                Kind.PLAYS,
+                session=held.ask,
+                server=held.server,
+                attempt=held.attempt,
+                rung=held.rung,
+                payload=held.payload,
+            )
+        )
+
+    def _answer(self, answer: Answer) -> None:
+        self.ledger.answer(answer.ticket)
+        self._out.append(answer)
+
+    def _unwanted(self, held: Held) -> None:
+        """After its last waiter left: what the module only holds is dropped, what is out is seen through."""
+        if held.phase is Phase.ASKED and not held.tickets:
+            self._events.append(Abandoned(held.number))
+            self._forget(held)
+
+    def _send_rung(self, held: Held) -> None:
+        held.sent_rung = held.rung
+        self._out.append(ChangeRung(held.ask.jti, held.attempt, held.server, held.rung))
+
+    def _release(self, held: Held, why: str) -> None:
+        self.counts.released += 1
+        self._out.append(Release(held.ask.jti, held.attempt, held.server, why))
+
+    def _end(self, held: Held, result: Result, moved: bool = False) -> None:
+        self._events.append(Ended(held.number, held.server, held.attempt, result, True, 0.0, ()))
+        self._leave_server(held)
+        self._forget(held, moved)
+
+    def _leave_server(self, held: Held) -> None:
+        there = self._at_server.get(held.server)
+        if there is not None:
+            there.pop(held.ask.jti, None)
+            if not there:
+                del self._at_server[held.server]
+
+    def _forget(self, held: Held, moved: bool = False) -> None:
+        self._held.pop(held.ask.jti, None)
+        self._by_number.pop(held.number, None)
+        # A viewer who comes again is known to the module by its key.
+        self._past[held.ask.jti] = (held.key, moved)
+        if len(self._past) > self.limits.remembered:
+            self._past.popitem(last=False)
--- /dev/null
+++ b/fernweir/front/ledger.py
@@ -0,0 +1,79 @@
+"""The ledger of answers: every request that was taken gets exactly one, and none after its time.
+
+It has no clock and no I/O. A ticket is opened when a request is taken and closed by its answer, by its
+viewer leaving, or not at all, which `overdue` finds. Closing a ticket twice is a bug in the caller and
+raises, so that a second answer can't leave.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+
+
+class LedgerError(RuntimeError):
+    """A ticket was opened twice, or answered when it was not open."""
+
+
+@dataclass(slots=True)
+class LedgerCounts:
+    taken: int = 0
+    answered: int = 0
+    left: int = 0
+
+
+class Ledger:
+    """Open tickets with the time, in milliseconds, by which each must be answered."""
+
+    def __init__(self) -> None:
+        self.counts = LedgerCounts()
+        self._open: dict[int, float] = {}
+        self._due: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def __contains__(self, ticket: object) -> bool:
+        return ticket in self._open
+
+    def open(self, ticket: int, answer_by: float) -> None:
+        if ticket in self._open:
+            raise LedgerError(f"ticket {ticket} is open already")
+        self.counts.taken += 1
+        self._open[ticket] = answer_by
+        heapq.heappush(self._due, (answer_by, ticket))
+
+    def answer(self, ticket: int) -> None:
+        if self._open.pop(ticket, None) is None:
+            raise LedgerError(f"ticket {ticket} is not open: answered before, or never taken")
+        self.counts.answered += 1
+        self._tidy()
+
+    def leave(self, ticket: int) -> bool:
+        """The viewer is gone; False if the ticket was closed already."""
+        if self._open.pop(ticket, None) is None:
+            return False
+        self.counts.left += 1
+        self._tidy()
+        return True
+
+    def overdue(self, now: float) -> list[int]:
+        """Open tickets whose time has come, earliest first. They stay open until answered."""
+        found = []
+        while self._due and self._due[0][0] <= now:
+            _, ticket = heapq.heappop(self._due)
+            if ticket in self._open:
+                found.append(ticket)
+        return found
+
+    def next_due(self) -> float | None:
+        """When the next open ticket falls due."""
+        while self._due and self._due[0][1] not in self._open:
+            heapq.heappop(self._due)
+        return self._due[0][0] if self._due else None
+
+    def _tidy(self) -> None:
+        # Answered tickets stay in the heap until they fall due; under load that would be seconds' worth.
+        if len(self._due) > 64 and len(self._due) > 2 * len(self._open):
+            self._due = [item for item in self._due if item[1] in self._open]
+            heapq.heapify(self._due)
--- /dev/null
+++ b/fernweir/front/program.py
@@ -0,0 +1,192 @@
+"""The front as a program: puts the pieces together, runs until told to stop, stops in order."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import IO
+
+import structlog
+
+from fernweir.config.front import FrontConfig, HttpSection
+from fernweir.config.ini import ConfigError, Problem
+from fernweir.front.boxes import BoxClient, BoxTimes
+from fernweir.front.boxlist import BoxList
+from fernweir.front.core import Core
+from fernweir.front.dash import DashService, TokenRules
+from fernweir.front.follower import ListFollower
+from fernweir.front.host import Host, HostLimits
+from fernweir.front.record import Recorder
+from fernweir.http.client import Pool
+from fernweir.http.parse import Limits
+from fernweir.http.server import Server, ServerLimits
+from fernweir.tokens import Keyring, KeyringError
+
+
+@dataclass(frozen=True, slots=True)
+class Front:
+    """A running front."""
+
+    core: Core
+    server: Server
+    boxes: BoxClient
+    list: ListFollower
+    pool: Pool
+    record: IO[str] | None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.server.address
+
+    async def stop(self, within_s: float) -> bool:
+        """Takes nothing new, answers all it took, ends; False if some had no answer in time."""
+        self.server.stop_listening()
+        whole = await self.core.drained(within_s)
+        self.server.close_when_done()
+        await asyncio.sleep(0)
+        self.kill()
+        return whole
+
+    def kill(self) -> None:
+        """Ends at once: connections break, nothing more is said."""
+        self.list.stop()
+        self.boxes.close()
+        self.core.stop()
+        self.server.abort()
+        self.pool.close()
+        if self.record is not None:
+            self.record.close()
+
+
+def read_keyring(config: FrontConfig) -> Keyring:
+    """The keys named by the settings. ConfigError when they can't be had."""
+    path = config.path(config.tokens.keys)
+    try:
+        text = path.read_text(encoding="utf-8")
+        return Keyring.read(text, sign_with=config.tokens.sign_with, skew_s=config.tokens.skew / 1000.0)
+    except (OSError, UnicodeDecodeError, KeyringError) as error:
+        raise ConfigError(str(path), [Problem("tokens", "keys", 0, str(error))]) from None
+
+
+async def start_front(config: FrontConfig, *, wall_offset_s: float | None = None) -> Front:
+    """Listens and follows the list. ConfigError or OSError when it can't."""
+    loop = asyncio.get_running_loop()
+    # Wall time crosses the wire only; between its readings the loop's clock carries it on.
+    offset = time.time() - loop.time() if wall_offset_s is None else wall_offset_s
+
+    def wall_s() -> float:
+        return loop.time() + offset
+
+    settings, section = config.settings, config.front
+    keyring = read_keyring(config)
+    record = None
+    watch = None
+    if section.record is not None:
+        record = open(config.path(section.record), "w", encoding="utf-8")  # noqa: SIM115 - closed by stop
+        watch = Recorder(record, settings, section.seed).watch
+    limits = HostLimits(margin_ms=section.margin, linger_ms=section.linger)
+    host = Host(settings, section.seed, limits, watch)
+    log = structlog.get_logger().bind(front=section.name)
+    core = Core(host, batch_ms=section.batch, log=log)
+    pool = Pool(
+        per_origin=config.boxes.connections,
+        connect_s=config.boxes.connect_time / 1000.0,
+        idle_s=config.boxes.idle_time / 1000.0,
+        limits=Limits(body=int(config.boxes.manifest)),
+    )
+    boxes = BoxList(settings)
+    token = _ControlToken(keyring, section.name, config.tokens.box_audience, wall_s)
+    times = BoxTimes(probe_s=config.boxes.probe_time / 1000.0, call_s=config.boxes.call_time / 1000.0)
+    client = BoxClient(core, pool, boxes, token, times, section.seed)
+    core.doer = client
+    follower = ListFollower(
+        core,
+        pool,
+        boxes,
+        config.list.url,
+        token,
+        silence_s=config.list.silence / 1000.0,
+        cache=config.path(config.list.cache) if config.list.cache is not None else None,
+        seed=section.seed,
+    )
+    rules = TokenRules(
+        config.tokens.issuer,
+        config.tokens.audience,
+        config.tokens.box_audience,
+        config.tokens.box_life / 1000.0,
+    )
+    service = DashService(
+        core,
+        boxes,
+        settings,
+        config.class_names,
+        keyring,
+        rules,
+        front=section.name,
+        public_url=section.public_url or "http://placeholder",
+        wall_s=wall_s,
+        most_waiting=config.http.waiting,
+    )
+    server = Server(service.handle, _server_limits(config.http))
+    await server.listen(*section.listen)
+    if section.public_url is None:
+        service.public_url = f"http://{server.address[0]}:{server.address[1]}"
+    follower.start()
+    log.info("front listens", host=server.address[0], port=server.address[1])
+    return Front(core, server, client, follower, pool, record)
+
+
+class _ControlToken:
+    """The token by which a front steers its sessions at boxes, signed anew before it lapses."""
+
+    _LIFE_S, _RENEW_S = 600.0, 300.0
+
+    def __init__(self, keyring: Keyring, front: str, audience: str, wall_s: Callable[[], float]) -> None:
+        self._keyring, self._front, self._audience = keyring, front, audience
+        self._wall_s = wall_s
+        self._token, self._good_until = "", 0.0
+
+    def __call__(self) -> str:
+        now = self._wall_s()
+        if now > self._good_until:
+            claims = {
+                "iss": self._front,
+                "aud": self._audience,
+                "front": self._front,
+                "use": "control",
+                "iat": int(now),
+                "exp": int(now + self._LIFE_S),
+            }
+            self._token, self._good_until = self._keyring.sign(claims), now + self._RENEW_S
+        return self._token
+
+
+def _server_limits(http: HttpSection) -> ServerLimits:
+    return ServerLimits(
+        parse=Limits(line=int(http.line), head=int(http.head), fields=http.fields, body=int(http.body)),
+        connections=http.connections,
+        pipeline=http.pipeline,
+        head_s=http.head_time / 1000.0,
+        body_s=http.body_time / 1000.0,
+        idle_s=http.idle_time / 1000.0,
+        stalled_s=http.stalled_time / 1000.0,
+    )
+
+
+async def serve(config: FrontConfig) -> int:
+    """Runs until SIGTERM or SIGINT; the exit code is 0 if all that was taken was answered."""
+    front = await start_front(config)
+    log = structlog.get_logger().bind(front=config.front.name)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await stopping.wait()
+    log.info("front stops", waiting=len(front.core.host.ledger), sessions=front.core.host.sessions)
+    whole = await front.stop(config.front.stop_within / 1000.0)
+    counts = front.core.host.counts
+    log.info("front stopped", whole=whole, plays=counts.plays, refused=counts.refused, failed=counts.failed)
+    return 0 if whole else 1
