--- /dev/null
+++ b/fernweir/cli/main.py
@@ -0,0 +1,146 @@
+"""Commands of the program itself: serve, check-config, audit, replay, keys, rehearse."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from fernweir.audit import TraceError, audit_lines, render_table
+from fernweir.cli.standin import standin
+from fernweir.config import ConfigError, load_front
+from fernweir.front.logs import set_up_logs
+from fernweir.front.program import read_keyring, serve
+from fernweir.front.record import RecordError, replay
+from fernweir.rehearsal.badday import BadDay, DayPlan, DayResult, render_day
+from fernweir.rehearsal.site import make_keys
+
+_FILE = click.Path(path_type=Path, dir_okay=False)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name="fernweir", prog_name="fernweir", message="%(prog)s %(version)s")
+def main() -> None:
+    """A session front: places video sessions on streaming servers and shapes them.
+
+    Start with `fernweir rehearse bad-day`, which plays a day of trouble on simulated servers and judges it.
+    """
+
+
+@main.command("serve")
+@click.argument("settings", type=_FILE)
+def serve_command(settings: Path) -> None:
+    """Run a front by its SETTINGS until SIGTERM.
+
+    Exit code 0: all that was taken was answered. 1: some was not. 2: the settings are wrong.
+    """
+    try:
+        config = load_front(settings)
+        set_up_logs(config.log.format, config.log.level)
+        code = asyncio.run(serve(config))
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    except OSError as error:
+        click.echo(f"fernweir: {error}", err=True)
+        sys.exit(2)
+    sys.exit(code)
+
+
+@main.command("check-config")
+@click.argument("settings", type=_FILE)
+def check_config(settings: Path) -> None:
+    """Check SETTINGS and the keys that they name; every mistake is listed."""
+    try:
+        config = load_front(settings)
+        keyring = read_keyring(config)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    classes = ", ".join(config.class_names)
+    click.echo(
+        f"{settings}: good; front {config.front.name}, classes {classes}, keys {', '.join(keyring.ids)}"
+    )
+
+
+@main.command("audit")
+@click.argument("trace", type=_FILE)
+def audit_command(trace: Path) -> None:
+    """Judge the six rules from a TRACE. Exit code 1 if one is broken, 2 if it can't be read."""
+    try:
+        with open(trace, encoding="utf-8") as file:
+            auditor = audit_lines(file)
+    except (OSError, TraceError) as error:
+        click.echo(f"{trace}: {error}", err=True)
+        sys.exit(2)
+    click.echo(render_table(auditor))
+    sys.exit(1 if auditor.findings else 0)
+
+
+@main.command("replay")
+@click.argument("record", type=_FILE)
+def replay_command(record: Path) -> None:
+    """Feed a front's RECORD to a fresh module. Exit code 1 if it decides otherwise."""
+    try:
+        with open(record, encoding="utf-8") as file:
+            count, difference = replay(file)
+    except (OSError, RecordError) as error:
+        click.echo(f"{record}: {error}", err=True)
+        sys.exit(2)
+    click.echo(difference or f"{count} batches, all decided alike")
+    sys.exit(1 if difference else 0)
+
+
+@main.command("new-keys")
+@click.argument("file", type=_FILE)
+@click.option("--kid", "kids", multiple=True, default=("k1",), show_default=True, help="A key's id; repeat.")
+def new_keys(file: Path, kids: tuple[str, ...]) -> None:
+    """Write FILE, a JWK Set of fresh secrets, readable by its owner only."""
+    try:
+        handle = os.open(file, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    except FileExistsError:
+        click.echo(f"{file}: is there already", err=True)
+        sys.exit(2)
+    with open(handle, "w", encoding="utf-8") as out:
+        out.write(make_keys(*kids) + "\n")
+
+
+@main.group()
+def rehearse() -> None:
+    """Play a day of trouble on simulated servers, and judge it."""
+
+
+@rehearse.command("bad-day")
+@click.option("--seed", default=1, show_default=True, help="What faults and viewers are drawn from.")
+@click.option("--seconds", default=40.0, show_default=True, help="Length of the day, real time.")
+@click.option("--boxes", default=16, show_default=True, type=click.IntRange(12), help="Simulated boxes.")
+@click.option("--rate", default=6.0, show_default=True, help="Viewers a second, besides the shift changes.")
+@click.option(
+    "--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep trace, logs and records here."
+)
+@click.option("--quiet", is_flag=True, help="Print the verdict only.")
+def bad_day(seed: int, seconds: float, boxes: int, rate: float, keep: Path | None, quiet: bool) -> None:
+    """Two fronts, boxes in two racks, a few hundred viewers, and everything that goes wrong.
+
+    Exit code 1 if a rule broke.
+    """
+    set_up_logs("json", "error")
+    say = (lambda text: None) if quiet else click.echo
+
+    async def play(folder: Path) -> DayResult:
+        return await BadDay(DayPlan(seed=seed, seconds=seconds, boxes=boxes, rate=rate), folder, say).run()
+
+    if keep is not None:
+        result = asyncio.run(play(keep))
+    else:
+        with tempfile.TemporaryDirectory(prefix="fernweir-") as folder:
+            result = asyncio.run(play(Path(folder)))
+    click.echo(render_day(result))
+    sys.exit(0 if result.good else 1)
+
+
+main.add_command(standin)
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -149,6 +149,8 @@
         return claims, in_query
 
     def _take(self, exchange: Exchange, claims: SessionClaims, in_query: bool) -> None:
+        if not self.boxes.epoch:
+            raise _RefusedError(503, "no-list", "the list of boxes is not here yet", (("retry-after", "1"),))
         lesson = self.boxes.lessons.get(claims.title)
         if lesson is None:
             raise _RefusedError(404, "no-lesson", "no such lesson")
--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -15,6 +15,7 @@
 
 from fernweir.http.headers import Headers
 from fernweir.http.parse import Data, End, Fault, Limits, ResponseHead, ResponseParser
+from fernweir.http.reset import reset
 
 Origin = tuple[str, int]
 
@@ -218,7 +219,7 @@
     def abort(self) -> None:
         self.closed = True
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
         self.pool._lost(self)
 
 
--- a/fernweir/http/server.py
+++ b/fernweir/http/server.py
@@ -16,6 +16,7 @@
 
 from fernweir.http.headers import Headers
 from fernweir.http.parse import Data, End, Fault, HttpEvent, Limits, RequestHead, RequestParser
+from fernweir.http.reset import reset
 
 _PHRASES = {status.value: status.phrase for status in HTTPStatus}
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -328,7 +329,7 @@
 
     def abort(self) -> None:
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def close_when_done(self) -> None:
         """No further request is taken; what was taken is answered."""
--- a/fernweir/standin/trace.py
+++ b/fernweir/standin/trace.py
@@ -31,3 +31,7 @@
             self.records.append(record)
         if self._file is not None:
             self._file.write(json.dumps(record, separators=(",", ":")) + "\n")
+
+    def close(self) -> None:
+        """What comes after the end of the day is not written."""
+        self._file = None
