--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -41,12 +41,14 @@
         self,
         core: Core,
         pool: Pool,
+        streams: Pool,
         boxes: BoxList,
         control_token: Callable[[], str],
         times: BoxTimes | None = None,
         seed: int = 0,
     ) -> None:
         self.core, self.pool, self.boxes = core, pool, boxes
+        self.streams = streams  # notes have connections of their own: set-ups can't be kept waiting by them
         self.times = times or BoxTimes()
         self._token = control_token
         self._dice = Random(seed)
@@ -228,7 +230,7 @@
         self.state.asked(self.host.playing_at(self.server))
         self._reader = EventReader()
         headers = [("authorization", f"Bearer {self.client._token()}"), ("accept", "text/event-stream")]
-        self._call = self.client.pool.request(
+        self._call = self.client.streams.request(
             origin, "GET", "/notes", self._ended, headers=headers, on_head=self._head, on_data=self._data
         )
 
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -34,7 +34,7 @@
     server: Server
     boxes: BoxClient
     list: ListFollower
-    pool: Pool
+    pools: tuple[Pool, ...]
     record: IO[str] | None
 
     @property
@@ -56,7 +56,8 @@
         self.boxes.close()
         self.core.stop()
         self.server.abort()
-        self.pool.close()
+        for pool in self.pools:
+            pool.close()
         if self.record is not None:
             self.record.close()
 
@@ -100,11 +101,12 @@
     boxes = BoxList(settings)
     token = _ControlToken(keyring, section.name, config.tokens.box_audience, wall_s)
     times = BoxTimes(probe_s=config.boxes.probe_time / 1000.0, call_s=config.boxes.call_time / 1000.0)
-    client = BoxClient(core, pool, boxes, token, times, section.seed)
+    streams = Pool(per_origin=2, connect_s=config.boxes.connect_time / 1000.0)
+    client = BoxClient(core, pool, streams, boxes, token, times, section.seed)
     core.doer = client
     follower = ListFollower(
         core,
-        pool,
+        streams,
         boxes,
         config.list.url,
         token,
@@ -136,7 +138,7 @@
         service.public_url = f"http://{server.address[0]}:{server.address[1]}"
     follower.start()
     log.info("front listens", host=server.address[0], port=server.address[1])
-    return Front(core, server, client, follower, pool, record)
+    return Front(core, server, client, follower, (pool, streams), record)
 
 
 class _ControlToken:
--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -189,11 +189,11 @@
         self.call = None
         if call is None or head is None:
             return
+        call._finish(Reply(Outcome.ANSWERED, head.status, head.headers, b"".join(self._body)))
         if head.keep_alive and self._parser.idle and self.usable:
             self.pool._give_back(self)
         else:
             self.abort()
-        call._finish(Reply(Outcome.ANSWERED, head.status, head.headers, b"".join(self._body)))
 
     def eof_received(self) -> bool:
         for event in self._parser.eof():
--- a/fernweir/http/server.py
+++ b/fernweir/http/server.py
@@ -174,7 +174,9 @@
         self._queue: deque[Exchange] = deque()
         self._reading: Exchange | None = None
         self._fault: Fault | None = None
-        self._closing = self._read_paused = self._flushing = False
+        self._events: deque[HttpEvent] = deque()
+        self._closing = self._half_closed = self._working = False
+        self._read_paused = self._flushing = False
         self._since = server.loop.time()
         self._stalled_since: float | None = None
 
@@ -197,22 +199,19 @@
         events = self._parser.feed(self.server.buffer[:nbytes])
         if was_idle:
             self._since = self.server.loop.time()
-        for event in events:
-            if self._closing:
-                break
-            self._take(event)
-        self._pace()
+        self._events.extend(events)
+        self._work()
 
     def eof_received(self) -> bool:
         """A half-close: what was asked is still answered (RFC 9112, 9.6), and nothing more is read."""
-        for event in self._parser.eof():
-            self._take(event)
-        self._closing = True
-        self.flush()
+        self._events.extend(self._parser.eof())
+        self._half_closed = True
+        self._work()
         return bool(self._queue)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = self._closing = True
+        self._events.clear()
         self.server.connections.discard(self)
         waiting, self._queue = list(self._queue), deque()
         for exchange in waiting:
@@ -230,6 +229,19 @@
 
     # --- reading ---
 
+    def _work(self) -> None:
+        """Takes what was parsed, no further than the pipeline's limit: the rest waits its turn."""
+        if self._working:
+            return
+        self._working = True
+        while self._events and not self._closing and len(self._queue) < self.server.limits.pipeline:
+            self._take(self._events.popleft())
+        self._working = False
+        if self._half_closed and not self._events and not self._closing:
+            self._closing = True
+            self.flush()
+        self._pace()
+
     def _take(self, event: HttpEvent) -> None:
         if isinstance(event, RequestHead):
             self._reading = Exchange(self, event)
@@ -249,10 +261,19 @@
             if not exchange.head.keep_alive:
                 self._closing = True
             self.server.requests += 1
-            self.server.handler(exchange)
+            self._hand_over(exchange)
         elif isinstance(event, Fault):
             self._refuse(event)
 
+    def _hand_over(self, exchange: Exchange) -> None:
+        try:
+            self.server.handler(exchange)
+        except Exception as error:
+            # A bug met by one request must not leave it, or its connection, without an end.
+            self.server.loop.call_exception_handler({"message": "handler failed", "exception": error})
+            if not exchange.answered:
+                exchange.respond(500, [("connection", "close")])
+
     def _refuse(self, fault: Fault) -> None:
         """Answers what can't be read once all before it is answered, and closes."""
         self.server.faults += 1
@@ -263,7 +284,7 @@
         """Back-pressure: no more is read while answers pile up or the peer doesn't take them."""
         if self._transport is None or self.lost or self._transport.is_closing():
             return
-        full = len(self._queue) >= self.server.limits.pipeline or self._stalled_since is not None
+        full = bool(self._events) or self._stalled_since is not None
         if full != self._read_paused:
             self._read_paused = full
             if full:
@@ -300,10 +321,10 @@
         if ready:
             transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self._flushing = False
-        if self._closing and not self._queue and self._reading is None:
+        if self._closing and not self._queue:
             transport.close()
-        elif self._read_paused:
-            self._pace()
+        elif self._events or self._read_paused:
+            self._work()
 
     def _give_up_rest(self) -> None:
         """What was pipelined behind an announced close is not answered (RFC 9112, 9.6)."""
@@ -341,7 +362,7 @@
         limits = self.server.limits
         if self._stalled_since is not None and now - self._stalled_since > limits.stalled_s:
             self.abort()
-        elif self._closing or self._queue:
+        elif self._closing or self._queue or self._events:
             return
         elif self._reading is not None:
             if now - self._since > limits.body_s:
--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -17,6 +17,7 @@
 from fernweir.standin.trace import Trace
 from fernweir.tokens import BoxClaims, ControlClaims, TokenError
 
+_RELEASED_KEPT_S = 60.0
 _CORS = ("access-control-allow-origin", "*")
 
 
@@ -94,6 +95,7 @@
         self._watchers: dict[str, _Watcher] = {}
         self._unwatched: dict[str, float] = {}
         self._held_back: list[Exchange] = []
+        self._released: dict[tuple[str, int], float] = {}
         self._history: deque[tuple[float, float]] = deque(maxlen=256)
         self._asked_kb = 0.0
         self._lives = 0
@@ -208,6 +210,9 @@
         """The work is done: the session runs from here on, whether or not anybody hears of it."""
         if boot != self.boot or self._server is None:
             return
+        if (claims.jti, claims.attempt) in self._released:
+            self._answer_problem(exchange, number, 410, "released before it ran", "about:blank")
+            return
         how = self.behaviour
         session = BoxSession(
             claims.jti, claims.attempt, claims.front, claims.title, claims.cls, claims.top, claims.rung,
@@ -282,6 +287,10 @@
             return
         if not allowed:
             self._problem(exchange, 403, "another's session")
+        elif session is None and exchange.method == "DELETE":
+            # It may overtake the set-up that it takes back: that one must not start after it.
+            self._released[jti, attempt] = self._loop.time()
+            self._problem(exchange, 404, "no such session; it will not start")
         elif session is None:
             self._problem(exchange, 404, "no such session")
         elif exchange.method == "DELETE":
@@ -420,6 +429,8 @@
 
     def _keep_house(self, now: float) -> None:
         times = self.site.times
+        for key in [key for key, at in self._released.items() if now - at > _RELEASED_KEPT_S]:
+            del self._released[key]
         for session in list(self.sessions.values()):
             unwatched = self._unwatched.get(session.front)
             if now - session.seen_at > times.idle / 1000.0:
--- /dev/null
+++ b/tests/scene.py
@@ -0,0 +1,126 @@
+"""A site and fronts in one process, played by a test's story and judged by the auditor at its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from fernweir.audit import Auditor, audit_lines
+from fernweir.front.program import Front, start_front
+from fernweir.http.client import Pool, Reply
+from fernweir.rehearsal.site import RehearsalSite, SitePlan
+from fernweir.standin.box import Behaviour
+from fernweir.standin.trace import Trace
+from fernweir.standin.viewer import Viewers, Wish, fetch
+from tests.sockets import until
+
+Record = dict[str, Any]
+
+
+class Scene:
+    """What a story gets: the site, its fronts, viewers, and the trace so far."""
+
+    def __init__(self, plan: SitePlan, folder: Path, extra: str) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.trace = Trace(None, self.loop.time)
+        self.records: list[Record] = self.trace.keep()
+        self.site = RehearsalSite(plan, folder, self.trace, 1)
+        self.extra = extra
+        self.fronts: list[Front] = []
+        self.pool = Pool()
+        self.viewers = Viewers({}, self.trace, 1)
+        self._wishes = 0
+
+    async def start(self, fronts: int) -> None:
+        await self.site.start()
+        for ordinal in range(fronts):
+            await self.start_front(ordinal)
+
+    async def start_front(self, ordinal: int) -> Front:
+        front = await start_front(self.site.config(ordinal, extra=self.extra))
+        name = f"front-{ordinal}"
+        self.trace.write("front.up", front=name)
+        self.viewers.fronts[name] = front.address
+        self.fronts.append(front)
+        await front.list.listed.wait()
+        await until(lambda: len(front.core.host._states) >= len(self.site.boxes))
+        return front
+
+    def close(self) -> None:
+        for ordinal, front in enumerate(self.fronts):
+            self.trace.write("front.down", front=f"front-{ordinal}")
+            front.kill()
+        self.viewers.close()
+        self.pool.close()
+        self.site.close()
+
+    def wish(self, title: str = "lesson-0", cls: str = "training", **more: Any) -> Wish:
+        self._wishes += 1
+        return self.site.wish(f"w{self._wishes}", title, cls, **more)
+
+    async def ask(self, wish: Wish, front: int = 0) -> Reply:
+        return await self.viewers.ask(f"front-{front}", wish)
+
+    async def http(
+        self, method: str, target: str, wish: Wish | None = None, front: int = 0, **fields: str
+    ) -> Reply:
+        headers = [("authorization", f"Bearer {wish.token}")] if wish is not None else []
+        headers += [(name.replace("_", "-"), value) for name, value in fields.items()]
+        return await fetch(self.pool, self.fronts[front].address, method, target, 10.0, headers)
+
+    def of(self, kind: str, **fields: object) -> list[Record]:
+        """Records of a kind, so far."""
+        return [
+            one
+            for one in self.records
+            if one["kind"] == kind and all(one.get(name) == value for name, value in fields.items())
+        ]
+
+    def holders(self, title: str = "lesson-0") -> list[int]:
+        """The boxes that hold a lesson."""
+        boxes = len(self.site.boxes)
+        lesson = next(one for one in self.site.lessons if one["title"] == title)
+        first, copies = int(str(lesson["cell"])), int(str(lesson["copies"]))
+        return [(first + step) % boxes + 1 for step in range(copies)]
+
+    async def first_choice(self, title: str = "lesson-0") -> int:
+        """The box that the fronts try first for a lesson, found by trying."""
+        wish = self.wish(title)
+        assert (await self.ask(wish)).status == 200
+        box = int(self.of("box.setup", session=wish.session)[0]["box"])
+        await self.http("DELETE", f"/lessons/{title}/session", wish)
+        await until(lambda: self.of("box.end", session=wish.session))
+        return box
+
+    def behave(self, number: int, **how: Any) -> None:
+        self.site.boxes[number].behaviour = Behaviour(**how)
+
+
+def play(
+    story: Callable[[Scene], Awaitable[None]],
+    plan: SitePlan | None = None,
+    *,
+    fronts: int = 1,
+    extra: str = "",
+    broken: tuple[str, ...] = (),
+) -> Auditor:
+    """Plays a story; all six rules must have held on the wire, or just those named must be broken."""
+
+    async def run(folder: Path) -> list[Record]:
+        scene = Scene(plan or SitePlan(), folder, extra)
+        try:
+            await scene.start(fronts)
+            await story(scene)
+        finally:
+            scene.close()
+        return scene.records
+
+    with tempfile.TemporaryDirectory() as folder:
+        records = asyncio.run(run(Path(folder)))
+    auditor = audit_lines(json.dumps(record) for record in records)
+    assert {finding.rule for finding in auditor.findings} == set(broken), auditor.findings[:5]
+    return auditor
--- /dev/null
+++ b/tests/test_boxlist.py
@@ -0,0 +1,213 @@
+"""The list as it is told, and the small state machines beside it: notes, rungs, verdicts."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fernweir.front.boxlist import BoxList, ListError, ListGapError, read_document
+from fernweir.front.notes import NotesError, NotesState, Over, Told
+from fernweir.front.rungsync import RungSync, Send
+from fernweir.front.verdict import judge, load_report
+from fernweir.http.client import Outcome, Reply
+from fernweir.http.headers import Headers
+from fernweir.http.problem import problem
+from fernweir.http.sse import ServerEvent
+from fernweir.interface import ListKind, NoteKind, Result, ServerState
+from tests.helpers import SETTINGS
+
+
+def line(box: int, **more: Any) -> dict[str, Any]:
+    return {"box": box, "host": "127.0.0.1", "port": 1, "state": "ready", "boot": "a", "cell": 0, **more}
+
+
+def document(version: int, *boxes: dict[str, Any], epoch: str = "e", **more: Any) -> Any:
+    return read_document(json.dumps({"epoch": epoch, "version": version, "boxes": boxes, **more}))
+
+
+def test_whole_lists_and_changes() -> None:
+    held = BoxList(SETTINGS)
+    lesson = {"title": "t", "cell": 1, "copies": 2}
+    first = held.take_whole(10_000.0, document(3, line(1), line(2, age_s=2.0), lessons=[lesson]))
+    assert first is not None and first.kind is ListKind.FULL and held.last_id == "e:3"
+    assert [entry.started_at for entry in first.entries] == [0.0, 8_000.0]
+    assert held.lessons["t"].first_cell == 1 and held.address(2) == ("127.0.0.1", 1)
+    delta = held.take_changes(12_000.0, document(4, line(2, state="draining", age_s=4.1), base=3))
+    assert delta is not None and delta.kind is ListKind.DELTA
+    assert delta.entries[0].state is ServerState.DRAINING
+    assert delta.entries[0].started_at == 8_000.0  # the same life, whatever its age now comes to
+    back = held.take_changes(20_000.0, document(5, line(2, boot="b", age_s=0.5), base=4))
+    assert back is not None and back.entries[0].started_at == 19_500.0
+    assert held.take_changes(0.0, document(5, line(2), base=4)) is None  # told twice
+    for wrong in (document(9, base=8), document(6, base=5, epoch="f"), document(6), document(7, base=4)):
+        with pytest.raises(ListGapError):
+            held.take_changes(0.0, wrong)
+    assert held.take_whole(0.0, document(4, line(1))) is None  # goes back
+    assert held.take_whole(0.0, document(5, line(1))) is None
+    empty = held.take_whole(0.0, document(1, epoch="f"))  # a new life of the server may say anything
+    assert empty is not None and held.boxes == {} and held.address(1) is None
+
+
+def test_a_kept_list_is_taken_and_then_replaced() -> None:
+    held, again = BoxList(SETTINGS), BoxList(SETTINGS)
+    held.take_whole(
+        9_000.0, document(3, line(1, age_s=1.0), lessons=[{"title": "t", "cell": 0, "copies": 1}])
+    )
+    cached = again.take_whole(5.0, read_document(held.to_cache()), cached=True)
+    assert cached is not None and cached.kind is ListKind.CACHED and again.lessons == held.lessons
+    assert cached.entries[0].started_at == 0.0
+    assert again.take_whole(6.0, document(4, line(1))) is not None
+
+
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("no", "JSON"),
+        ('{"version": 1}', "epoch"),
+        ('{"epoch": "e", "version": -1}', "version"),
+        (json.dumps({"epoch": "e", "version": 1, "boxes": [line(1, port=0)]}), "port"),
+        (json.dumps({"epoch": "e", "version": 1, "boxes": [line(1, state="odd")]}), "state"),
+        (
+            json.dumps({"epoch": "e", "version": 1, "lessons": [{"title": "../x", "cell": 0, "copies": 1}]}),
+            "title",
+        ),
+    ],
+)
+def test_documents_that_are_refused(text: str, word: str) -> None:
+    with pytest.raises(ListError, match=word):
+        read_document(text)
+
+
+def test_lists_that_do_not_fit_leave_what_was_held() -> None:
+    held = BoxList(SETTINGS)
+    held.take_whole(0.0, document(1, line(1)))
+    for bad in (document(2, line(1), line(1)), document(2, line(1, cell=99))):
+        with pytest.raises(ListError):
+            held.take_whole(0.0, bad)
+    assert list(held.boxes) == [1] and held.version == 1
+
+
+def test_notes_and_what_a_new_stream_tells() -> None:
+    state = NotesState()
+    state.asked({"a": 0, "b": 1, "c": 0})
+    hello = {"boot": "x", "sessions": [["a", 0], ["b", 0]]}
+    lost = state.take(ServerEvent(json.dumps(hello), "hello"))
+    assert lost == [
+        Over("b", 1, Result.RESET, "unknown to its box"),
+        Over("c", 0, Result.RESET, "unknown to its box"),
+    ]
+    note = {"session": "a", "attempt": 0, "level": 0.5}
+    assert state.take(ServerEvent(json.dumps(note), "uplink")) == [Told("a", 0, NoteKind.UPLINK, 0.5)]
+    ended = {"session": "a", "attempt": 0, "reason": "finished"}
+    assert state.take(ServerEvent(json.dumps(ended), "ended")) == [Over("a", 0, Result.OK, "finished")]
+    assert state.take(ServerEvent("{}", "something-newer")) == []
+    who = '{"session": "a", "attempt": 0'
+    for bad in (
+        "no",
+        "[]",
+        "{}",
+        who + "}",
+        *(f'{who}, "level": {level}}}' for level in ("true", "-1", "NaN")),
+    ):
+        with pytest.raises(NotesError):
+            state.take(ServerEvent(bad, "link"))
+
+
+@given(st.lists(st.tuples(st.sampled_from(["want", "done", "lost", "time"]), st.integers(0, 3)), max_size=40))
+def test_the_last_rung_wanted_is_the_last_that_arrives(steps: list[tuple[str, int]]) -> None:
+    sync, now, out, arrived, wanted = RungSync(tries=100), 0.0, [], None, None
+
+    def send(one: Send | None) -> None:
+        if one is not None:
+            assert not out, "two messages out for one session"
+            out.append(one)
+
+    for step, rung in [*steps, *[("time", 0), ("done", 0)] * 60]:
+        if step == "want":
+            wanted = rung
+            send(sync.want("a", 0, 1, rung))
+        elif step == "time":
+            now += 1e6
+            for one in sync.due(now):
+                send(one)
+        elif out:
+            sent = out.pop()
+            if step == "done":
+                arrived = sent.rung
+            send(sync.done(now, sent, step == "done"))
+    assert arrived == wanted and len(sync) == 0
+
+
+def test_a_rung_that_never_arrives_is_given_up() -> None:
+    sync, now, sends = RungSync(tries=3, pause_ms=10.0), 0.0, 1
+    sent = sync.want("a", 0, 1, 2)
+    assert sent is not None
+    while sync.done(now, sent, False) is None and sync.next_due() is not None:
+        now = sync.next_due() or 0.0
+        assert sync.due(now - 1.0) == []
+        again = sync.due(now)
+        if not again:
+            break
+        sent, sends = again[0], sends + 1
+    assert sends == 3 and len(sync) == 0
+
+
+PROBLEM = Headers([("content-type", "application/problem+json")])
+
+
+@pytest.mark.parametrize(
+    ("reply", "result"),
+    [
+        (Reply(Outcome.ANSWERED, 200), Result.OK),
+        (Reply(Outcome.ANSWERED, 204), Result.OK),
+        (
+            Reply(Outcome.ANSWERED, 503, PROBLEM, problem(503, "x", kind="urn:fernweir:problem:full")),
+            Result.FULL,
+        ),
+        (
+            Reply(Outcome.ANSWERED, 503, PROBLEM, problem(503, "x", kind="urn:fernweir:problem:draining")),
+            Result.FULL,
+        ),
+        # Any other 503 may have run: only the box's own word proves that nothing did.
+        (Reply(Outcome.ANSWERED, 503, PROBLEM, problem(503, "x")), Result.ERROR),
+        (Reply(Outcome.ANSWERED, 503, PROBLEM, b"["), Result.ERROR),
+        (Reply(Outcome.ANSWERED, 503), Result.ERROR),
+        (
+            Reply(Outcome.ANSWERED, 500, PROBLEM, problem(500, "x", kind="urn:fernweir:problem:full")),
+            Result.ERROR,
+        ),
+        (Reply(Outcome.REFUSED), Result.CONNECT_FAILED),
+        (Reply(Outcome.UNSENT), Result.CONNECT_FAILED),
+        (Reply(Outcome.UNWANTED), Result.MOOT),
+        (Reply(Outcome.RESET), Result.RESET),
+        (Reply(Outcome.CUT, 200), Result.RESET),
+        (Reply(Outcome.SILENT), Result.TIMEOUT),
+        (Reply(Outcome.STALLED, 200), Result.TIMEOUT),
+        (Reply(Outcome.GARBLED), Result.ERROR),
+        (Reply(Outcome.CANCELLED), Result.CANCELLED),
+    ],
+)
+def test_what_a_reply_proves(reply: Reply, result: Result) -> None:
+    assert judge(reply)[0] is result
+    assert reply.outcome.never_ran == (result in (Result.CONNECT_FAILED, Result.MOOT))
+
+
+@pytest.mark.parametrize(
+    ("header", "report"),
+    [
+        ("TEXT named_metrics.x0=0.5,named_metrics.x1=1.25", {"x0": 0.5, "x1": 1.25}),
+        ("TEXT cpu_utilization=0.3, x0=1e-1", {"cpu_utilization": 0.3, "x0": 0.1}),
+        ('JSON {"named_metrics": {"x0": 0.5, "x1": "no"}}', {"x0": 0.5}),
+        ("TEXT x0=nan,x1=-1,x2=inf,=3,x4", {}),
+        ("JSON [", {}),
+        ("JSON []", {}),
+        ("BIN abc", {}),
+        ("", {}),
+    ],
+)
+def test_load_reports(header: str, report: dict[str, float]) -> None:
+    assert load_report(Reply(Outcome.ANSWERED, 200, Headers([("endpoint-load-metrics", header)]))) == report
--- /dev/null
+++ b/tests/test_front_sockets.py
@@ -0,0 +1,328 @@
+"""The whole path over sockets, and each hard case with what causes it. The auditor judges every story."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+
+from fernweir.dash.mpd import read_mpd
+from fernweir.front.record import replay
+from fernweir.rehearsal.hostile import PAYLOADS, HostileCounts, attack, raw
+from fernweir.rehearsal.site import SitePlan
+from fernweir.standin.site import Cold, SiteClass, SiteTimes
+from fernweir.standin.viewer import Player, fetch
+from tests.scene import Scene, play
+from tests.sockets import until
+
+QUICK = SiteTimes(tell=200.0, seen_after=50.0, set_up=(2.0, 6.0), idle=10_000.0, orphan=500.0)
+PLAN = SitePlan(times=QUICK)
+
+
+def test_a_session_from_the_manifest_to_its_end() -> None:
+    async def story(scene: Scene) -> None:
+        wish = scene.wish(cls="briefing", play_s=0.5)
+        shown = await scene.viewers.watch(wish)
+        assert shown.breaks == 0 and shown.played_s >= 0.5
+        (setup,) = scene.of("box.setup")
+        (answer,) = scene.of("viewer.answer")
+        assert answer["rungs"] == list(range(1, setup["rung"] + 1))
+        host = scene.fronts[0].core.host
+        await until(lambda: host.sessions == 0)  # the box told the front that it ended
+        assert host.controller.sessions == {}
+        assert {record["status"] for record in scene.of("box.segment")} == {200}
+
+    play(story, PLAN)
+
+
+def test_the_answer_is_as_the_protocols_say() -> None:
+    async def story(scene: Scene) -> None:
+        wish = scene.wish()
+        path = "/lessons/lesson-0/manifest.mpd"
+        assert (await scene.http("HEAD", path, wish)).status == 404  # asks for no set-up
+        reply = await scene.http("GET", f"{path}?access_token={wish.token}")
+        assert reply.status == 200 and reply.headers.get("content-type") == "application/dash+xml"
+        assert reply.headers.get("access-control-allow-origin") == "*"
+        mpd = read_mpd(reply.body)
+        assert mpd.locations[0].endswith(f"{path}?access_token={wish.token}")
+        assert mpd.base_urls()[0].service_location.startswith("box-")
+        player = Player(mpd)
+        assert (await scene.http("HEAD", path, wish)).body == b""
+        preflight = await scene.http("OPTIONS", path)
+        assert preflight.status == 204 and "authorization" in preflight.headers.get(
+            "access-control-allow-headers"
+        )
+        assert (await scene.http("POST", path, wish)).headers.get("allow") == "GET, HEAD, OPTIONS"
+        # The box's token opens this session's segments there, up to the rung, and nothing else.
+        box = scene.site.boxes[int(scene.of("box.setup")[0]["box"])]
+        assert player.origin == box.address
+        assert (await fetch(scene.pool, box.address, "GET", player.segment(0), 5)).status == 200
+        above = player.segment(0).replace(f"/r{player.rung}/", f"/r{player.rung + 1}/")
+        refused = await fetch(scene.pool, box.address, "GET", above, 5)
+        assert refused.status == 403 and "mb=" in refused.headers.get("cmsd-dynamic")
+        assert (await scene.http("DELETE", "/lessons/lesson-0/session", wish)).status == 204
+        assert (await scene.http("DELETE", "/lessons/lesson-0/session", wish)).status == 404
+        await until(lambda: scene.of("box.end"))
+
+    play(story, PLAN)
+
+
+def test_requests_that_are_none_are_told_why_and_not_taken() -> None:
+    async def story(scene: Scene) -> None:
+        wish, path = scene.wish(), "/lessons/lesson-0/manifest.mpd"
+        for target, status, kind in [
+            (path, 401, "token:no-token"),
+            (f"{path}?access_token=a.b.c", 401, "token:malformed"),
+            (f"/lessons/lesson-1/manifest.mpd?access_token={wish.token}", 401, "token:other-title"),
+            (f"/lessons/none/manifest.mpd?access_token={scene.wish('none').token}", 404, "no-lesson"),
+            ("/other", 404, "not-found"),
+            ("/lessons/%2e%2e/manifest.mpd", 400, "bad-target"),
+        ]:
+            reply = await scene.http("GET", target)
+            assert (reply.status, json.loads(reply.body)["type"]) == (status, f"urn:fernweir:problem:{kind}")
+            assert ("www-authenticate" in reply.headers) == (status == 401)
+        assert scene.fronts[0].core.host.ledger.counts.taken == 0
+
+    play(story, PLAN)
+
+
+def test_one_token_twice_in_an_instant_while_it_plays_and_after() -> None:
+    async def story(scene: Scene) -> None:
+        wish = scene.wish()
+        replies = await asyncio.gather(*(scene.ask(wish) for _ in range(4)))
+        assert [reply.status for reply in replies] == [200] * 4
+        assert (await scene.ask(wish)).status == 200
+        assert len(scene.of("box.setup")) == 1
+        await scene.http("DELETE", "/lessons/lesson-0/session", wish)
+        assert (await scene.ask(wish)).status == 200
+        assert len(scene.of("box.setup")) == 2
+        await until(lambda: len(scene.of("box.end")) == 1)  # the first was given back
+
+    play(story, PLAN)
+
+
+def test_a_viewer_that_drops_and_comes_back_gets_the_set_up_that_was_out() -> None:
+    async def story(scene: Scene) -> None:
+        for box in scene.site.boxes:
+            scene.behave(box, late_ms=100.0)
+        wish = scene.wish()
+        first = asyncio.ensure_future(scene.ask(wish))
+        await until(lambda: scene.of("box.setup"))
+        first.cancel()
+        assert (await scene.ask(wish)).status == 200
+        assert len(scene.of("box.setup")) == 1
+
+    play(story, PLAN)
+
+
+@pytest.mark.parametrize(
+    "how", ["silent_mid", "cut_mid", "not_xml", "other_rungs", "short_length", "hang", "full", "fail", "lost"]
+)
+def test_a_box_that_fails_so_is_followed_by_another_in_time(how: str) -> None:
+    async def story(scene: Scene) -> None:
+        bad = await scene.first_choice()
+        shares = {"fail": {"fail_share": 1.0}, "lost": {"lost_share": 1.0}}
+        scene.behave(bad, **shares.get(how, {how: True}))
+        wish = scene.wish()
+        reply = await scene.ask(wish)
+        assert reply.status == 200
+        boxes = [record["box"] for record in scene.of("box.setup", session=wish.session)]
+        if how != "hang":  # which does not even read
+            assert boxes[0] == bad and len(boxes) == 2
+        assert boxes[-1] != bad
+        if how not in ("hang", "full", "fail"):  # the work was done there: it is taken back
+            await until(lambda: scene.of("box.end", session=wish.session, box=bad, why="released"))
+
+    play(story, PLAN)
+
+
+def test_an_answer_after_the_time_out_leaves_nothing_behind() -> None:
+    async def story(scene: Scene) -> None:
+        bad = await scene.first_choice()
+        scene.behave(bad, late_ms=600.0)  # an attempt's time is half an aim, 400 ms
+        wish = scene.wish()
+        assert (await scene.ask(wish)).status == 200
+        await until(lambda: scene.loop.time() * 1000 > scene.of("box.setup", box=bad)[-1]["t"] + 700)
+        assert not scene.of("box.runs", session=wish.session, box=bad)
+        assert (wish.session, 0) not in scene.site.boxes[bad].sessions
+
+    play(story, PLAN)
+
+
+def test_a_drain_stops_set_ups_that_wait_for_a_connection() -> None:
+    async def story(scene: Scene) -> None:
+        box = await scene.first_choice()
+        scene.behave(box, late_ms=250.0)
+        wishes = [scene.wish(top=1) for _ in range(4)]
+        answers = [asyncio.ensure_future(scene.ask(wish)) for wish in wishes]
+        await until(lambda: len(scene.of("box.setup", box=box)) == 2)  # one before, and one of these
+        scene.site.tell(box, "draining")
+        replies = await asyncio.gather(*answers)
+        assert [reply.status for reply in replies] == [200] * 4
+        assert len(scene.of("box.setup", box=box)) == 2
+
+    play(story, replace(PLAN, drain_grace_ms=20.0), extra="[boxes]\nconnections = 1\nconnect-time = 2 s")
+
+
+def test_a_box_that_dies_takes_its_sessions_and_comes_back_cold() -> None:
+    async def story(scene: Scene) -> None:
+        box = await scene.first_choice()
+        watching = asyncio.ensure_future(scene.viewers.watch(scene.wish(play_s=1.5)))
+        await until(lambda: len(scene.of("box.segment")) > 0)
+        scene.site.boxes[box].die()
+        host = scene.fronts[0].core.host
+        await until(lambda: not host.playing_at(box))
+        scene.site.tell(box, "gone")
+        await scene.site.restart(box)
+        scene.site.tell(box)
+        shown = await watching
+        assert shown.breaks == 1 and shown.played_s > 0
+        started = [server.cold_since for server in host.controller.servers.values() if server.id == box]
+        assert started[0] > 0
+
+    play(story, PLAN)
+
+
+def test_a_cold_box_stands_when_two_fronts_send_at_once() -> None:
+    cold = Cold(warm_up_ms=6000.0, cold_from=0.5, multiple=2.5, window_ms=3000.0)
+    plan = replace(PLAN, boxes=3, racks=1, copies=3, cold=cold, streams=30, lessons=1, link_kb=60_000.0)
+
+    async def story(scene: Scene) -> None:
+        for number in scene.site.boxes:  # all at once: there is nowhere else to go
+            scene.site.boxes[number].die()
+            scene.site.tell(number, "gone")
+        for number in scene.site.boxes:
+            await scene.site.restart(number)
+            scene.site.tell(number)
+        burst = [scene.ask(scene.wish(play_s=1.0, top=1), front=n % 2) for n in range(80)]
+        replies = await asyncio.gather(*burst)
+        assert {reply.status for reply in replies} <= {200, 503}
+        assert not any(box.toppled for box in scene.site.boxes.values())
+
+    auditor = play(story, plan, fronts=2)
+    assert auditor.rules[3].checked > 0
+
+
+def test_the_last_seats_of_a_lesson_asked_for_at_once() -> None:
+    classes = (SiteClass("briefing", 1.4, 1, seats=2, deadline_ms=3000.0), SiteClass("training"))
+
+    async def story(scene: Scene) -> None:
+        wishes = [scene.wish(cls="briefing") for _ in range(3)]
+        statuses = sorted([reply.status for reply in await asyncio.gather(*map(scene.ask, wishes))])
+        assert statuses == [200, 200, 503]
+        refused = [one for one in scene.of("viewer.answer") if one["status"] == 503]
+        assert refused[0]["t"] - scene.of("viewer.ask")[0]["t"] < 1000  # at once, not at a time-out
+        await scene.http("DELETE", "/lessons/lesson-0/session", wishes[0])
+        again = [*wishes[1:], scene.wish(cls="briefing")]
+        assert sorted([reply.status for reply in await asyncio.gather(*map(scene.ask, again))])[:2] == [
+            200,
+            200,
+        ]
+
+    play(story, replace(PLAN, classes=classes))
+
+
+def test_two_hundred_boxes_then_none_then_an_older_list() -> None:
+    async def story(scene: Scene) -> None:
+        front = scene.fronts[0]
+        assert len(front.core.host._states) == 200
+        playing = scene.wish()
+        assert (await scene.ask(playing)).status == 200
+        lines = list(scene.site.list.lines.values())
+        version = scene.site.list.version
+        scene.site.list.replace([])
+        await until(lambda: not front.core.host._states)
+        late = scene.wish()
+        assert (await scene.ask(late)).status == 503
+        assert front.core.host.sessions == 1  # what plays goes on
+        scene.site.list.lines = {line.box: line for line in lines}
+        scene.site.list.rewind(version)  # goes back to the full list, by an older version
+        assert (await scene.ask(scene.wish())).status == 503
+        scene.site.list.version += 5
+        scene.site.list.tell_whole()
+        await until(lambda: len(front.core.host._states) == 200)
+        assert (await scene.ask(scene.wish())).status == 200
+
+    play(story, replace(PLAN, boxes=200, racks=10, lessons=20))
+
+
+def test_a_front_starts_with_the_kept_list_while_the_server_is_away() -> None:
+    async def story(scene: Scene) -> None:
+        front = scene.fronts.pop()
+        scene.trace.write("front.down", front="front-0")
+        await front.stop(5.0)
+        scene.site.list.stop()
+        again = await scene.start_front(0)
+        assert (await scene.ask(scene.wish())).status == 200
+        await scene.site.list.start()
+        box = next(iter(scene.site.boxes))
+        await until(lambda: len(scene.site.list._streams) == 1)
+        scene.site.tell(box, "draining")
+        await until(lambda: again.core.host._states[box].name == "DRAINING")
+
+    play(story, PLAN)
+
+
+def test_hostile_input_is_refused_and_harms_nobody() -> None:
+    async def story(scene: Scene) -> None:
+        counts = HostileCounts()
+        origin = scene.fronts[0].address
+        asks = [scene.ask(scene.wish()) for _ in range(10)]
+        replies, *_ = await asyncio.gather(
+            asyncio.gather(*asks), *(attack(origin, name, counts, 5.0) for name in PAYLOADS)
+        )
+        assert counts.wrong == [] and counts.sent == len(PAYLOADS)
+        assert {reply.status for reply in replies} == {200}
+        seen, closed = await raw(origin, b"GET / HTTP/1.1\r\nHost: a", 10.0)  # never ends its head
+        assert closed and seen.startswith(b"HTTP/1.1 408")
+
+    play(story, PLAN, extra="[http]\nhead-time = 100 ms")
+
+
+def test_a_front_told_to_stop_answers_all_it_took() -> None:
+    async def story(scene: Scene) -> None:
+        for box in scene.site.boxes:
+            scene.behave(box, late_ms=150.0)
+        front = scene.fronts[0]
+        answers = [asyncio.ensure_future(scene.ask(scene.wish())) for _ in range(5)]
+        await until(lambda: len(scene.of("box.setup")) == 5)
+        assert await front.stop(10.0)
+        assert [reply.status for reply in await asyncio.gather(*answers)] == [200] * 5
+        assert (await scene.ask(scene.wish())).outcome.never_ran
+
+    play(story, PLAN)
+
+
+def test_a_short_link_steps_sessions_down_at_the_box() -> None:
+    async def story(scene: Scene) -> None:
+        box = await scene.first_choice()
+        wishes = [scene.wish(cls="briefing", play_s=4.0) for _ in range(3)]
+        watching = [asyncio.ensure_future(scene.viewers.watch(wish)) for wish in wishes]
+        await until(lambda: len(scene.of("box.runs", box=box)) >= 3)
+        scene.site.boxes[box].link_kb = 2_500.0
+        await until(lambda: scene.of("box.rung", box=box))
+        lowered = scene.of("box.rung", box=box)[0]
+        assert lowered["rung"] < scene.of("box.setup", session=lowered["session"])[0]["rung"]
+        await asyncio.gather(*watching)
+
+    play(story, PLAN)
+
+
+def test_a_recorded_front_is_replayed_by_a_fresh_module() -> None:
+    async def story(scene: Scene) -> None:
+        bad = await scene.first_choice()
+        scene.behave(bad, fail_share=0.5)
+        await asyncio.gather(*(scene.viewers.watch(scene.wish(play_s=0.3)) for _ in range(12)))
+        front = scene.fronts[0]
+        assert front.record is not None
+        front.record.flush()
+        path = scene.site.folder / "front.record"
+        lines = path.read_text().splitlines(keepends=True)
+        count, difference = replay(lines)
+        assert difference is None and count > 20
+        doctored = [line.replace('"is":"Place","session":2,', '"is":"Place","session":3,') for line in lines]
+        assert replay(doctored)[1] is not None
+
+    play(story, PLAN, extra="record = front.record")
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,382 @@
+"""The host without a loop: one answer a request, one attempt out a session, whatever comes in what order."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from fernweir.front.commands import (
+    Answer,
+    Ask,
+    ChangeRung,
+    Command,
+    Kind,
+    Release,
+    SendProbe,
+    SetUp,
+    SetUpResult,
+)
+from fernweir.front.host import Host, HostLimits, Phase
+from fernweir.front.ledger import Ledger, LedgerError
+from fernweir.interface import ListKind, ListUpdate, NoteKind, Result, ServerState
+from tests.helpers import BUDGET, COLD, SETTINGS, entry
+
+ALONE = replace(SETTINGS, may_probe=False)
+SEATS = replace(ALONE, classes=(replace(SETTINGS.classes[0], seats=2), SETTINGS.classes[1]))
+
+
+class Desk:
+    """A host with a clock that the test moves, and what it said."""
+
+    def __init__(self, settings: object = ALONE, boxes: int = 2) -> None:
+        self.host = Host(settings, 7, HostLimits(margin_ms=40.0, linger_ms=500.0))  # type: ignore[arg-type]
+        self.now, self.tickets, self.said = 1000.0, 0, []  # type: ignore[var-annotated]
+        entries = tuple(entry(number, cell=number % 4) for number in range(1, boxes + 1))
+        self.host.box_list(self.now, ListUpdate(ListKind.FULL, 1, entries))
+        self.step(0)
+
+    def step(self, after: float = 1.0) -> list[Command]:
+        self.now += after
+        said = self.host.step(self.now)
+        self.said += said
+        return said
+
+    def ask(self, jti: str, **more: object) -> int:
+        self.tickets += 1
+        ask = Ask(self.tickets, "dash", jti, "who", "lesson", 5, 0, 4, 0, 3, 4000.0)
+        self.host.ask(self.now, replace(ask, **more))  # type: ignore[arg-type]
+        return self.tickets
+
+    def done(self, setup: SetUp, result: Result = Result.OK) -> None:
+        end = SetUpResult(result, 5.0, {"x0": 0.1, "x1": 0.1}, "manifest" if result is Result.OK else None)
+        self.host.set_up_done(self.now, setup.session.jti, setup.attempt, end)
+
+    def of(self, kind: type) -> list:  # type: ignore[type-arg]
+        return [one for one in self.said if isinstance(one, kind)]
+
+    def answers(self) -> dict[int, Kind]:
+        found: dict[int, Kind] = {}
+        for answer in self.of(Answer):
+            assert answer.ticket not in found, "answered twice"
+            found[answer.ticket] = answer.kind
+        return found
+
+
+def test_a_token_that_comes_twice_has_one_set_up_and_two_answers() -> None:
+    desk = Desk()
+    first, second = desk.ask("a"), desk.ask("a")  # in one batch
+    desk.step()
+    third = desk.ask("a")  # while it is out
+    desk.step()
+    (setup,) = desk.of(SetUp)
+    desk.done(setup)
+    desk.step()
+    fourth = desk.ask("a")  # while it plays
+    desk.step()
+    assert desk.answers() == dict.fromkeys((first, second, third, fourth), Kind.PLAYS)
+    assert len(desk.of(SetUp)) == 1
+    assert {answer.rung for answer in desk.of(Answer)} == {setup.rung}
+    desk.host.session_over(desk.now, "a", 0, Result.OK)
+    desk.ask("a")  # after it ended: a new session of the same viewer
+    desk.step()
+    assert len(desk.of(SetUp)) == 2
+
+
+def test_a_token_for_another_title_is_a_conflict() -> None:
+    desk = Desk()
+    desk.ask("a")
+    other = desk.ask("a", title=6)
+    desk.step()
+    assert desk.answers() == {other: Kind.CONFLICT} and len(desk.of(SetUp)) == 1
+
+
+def test_a_viewer_who_drops_and_asks_again_finds_its_set_up() -> None:
+    desk = Desk()
+    gone = desk.ask("a")
+    desk.step()
+    desk.host.withdraw(desk.now, gone)
+    desk.step()
+    desk.done(desk.of(SetUp)[0])
+    desk.step()
+    assert desk.answers() == {}
+    again = desk.ask("a")
+    desk.step(100)
+    assert desk.answers() == {again: Kind.PLAYS} and len(desk.of(SetUp)) == 1
+
+
+def test_what_nobody_comes_back_for_is_released() -> None:
+    desk = Desk()
+    desk.host.withdraw(desk.now, desk.ask("a"))
+    desk.ask("b")
+    desk.step()
+    setups = {setup.session.jti: setup for setup in desk.of(SetUp)}
+    assert set(setups) == {"b"}  # one who left before the batch is never set up
+    desk.host.withdraw(desk.now, 2)
+    desk.done(setups["b"])
+    desk.step()
+    assert desk.host.next_due() is not None  # the shell must wake it
+    desk.step(600)
+    assert [release.jti for release in desk.of(Release)] == ["b"] and desk.host.sessions == 0
+
+
+def test_after_its_last_waiter_left_a_failed_attempt_is_not_followed_by_another() -> None:
+    desk = Desk()
+    ticket = desk.ask("a")
+    desk.step()
+    desk.host.withdraw(desk.now, ticket)
+    desk.done(desk.of(SetUp)[0], Result.ERROR)
+    desk.step()
+    assert len(desk.of(SetUp)) == 1 and desk.host.sessions == 0
+    assert desk.host.controller.sessions == {}
+
+
+@pytest.mark.parametrize("answer_first", [True, False])
+def test_deadline_and_answer_in_one_instant_give_one_answer(answer_first: bool) -> None:
+    desk = Desk()
+    ticket = desk.ask("a", wait_ms=300.0)
+    desk.step()
+    desk.now = 1000.0 + 300.0 - 40.0  # the very instant at which the ledger gives up
+    if answer_first:
+        desk.done(desk.of(SetUp)[0])
+        desk.step(0)
+    else:
+        desk.step(0)
+        desk.done(desk.of(SetUp)[0])
+        desk.step(0)
+    assert list(desk.answers()) == [ticket]
+    desk.step(1000)
+    assert list(desk.answers()) == [ticket]
+
+
+def test_the_last_seats_asked_for_in_one_batch() -> None:
+    desk = Desk(SEATS)
+    for name in "abc":
+        desk.ask(name)
+    desk.step()
+    assert len(desk.of(SetUp)) == 2
+    assert list(desk.answers().values()) == [Kind.REFUSED]
+
+
+def test_a_drain_stops_a_set_up_that_has_not_left() -> None:
+    desk = Desk(boxes=1)
+    ticket = desk.ask("a")
+    desk.step()
+    (setup,) = desk.of(SetUp)
+    assert desk.host.still_wanted("a", 0)
+    drained = entry(setup.server, cell=1, state=ServerState.DRAINING)
+    desk.host.box_list(desk.now, ListUpdate(ListKind.DELTA, 2, (drained,)))
+    assert not desk.host.still_wanted("a", 0)
+    desk.done(setup, Result.MOOT)
+    desk.step()
+    assert desk.answers() == {ticket: Kind.REFUSED} and len(desk.of(SetUp)) == 1
+    assert desk.of(Release) == []  # nothing can run there
+
+
+def test_doubtful_ends_are_released_and_proven_ones_not() -> None:
+    for result, releases in [
+        (Result.TIMEOUT, 1),
+        (Result.RESET, 1),
+        (Result.ERROR, 1),
+        (Result.FULL, 0),
+        (Result.CONNECT_FAILED, 0),
+    ]:
+        desk = Desk()
+        desk.ask("a")
+        desk.step()
+        desk.done(desk.of(SetUp)[0], result)
+        desk.step()
+        assert len(desk.of(Release)) == releases and len(desk.of(SetUp)) == 2
+
+
+def test_a_viewer_of_a_silent_box_is_placed_anew() -> None:
+    desk = Desk()
+    desk.ask("a")
+    desk.step()
+    desk.done(desk.of(SetUp)[0])
+    desk.step()
+    desk.host.box_doubtful(desk.of(SetUp)[0].server, True)
+    desk.ask("a")
+    desk.step()
+    assert len(desk.of(SetUp)) == 2 and [one.attempt for one in desk.of(Release)] == [0]
+
+
+def test_a_lost_box_ends_its_sessions_only() -> None:
+    desk = Desk(boxes=2)
+    for title in range(6):
+        desk.ask(f"s{title}", title=title)
+    desk.step()
+    for setup in desk.of(SetUp):
+        desk.done(setup)
+    desk.step()
+    at = {setup.session.jti: setup.server for setup in desk.of(SetUp)}
+    assert set(at.values()) == {1, 2}
+    assert desk.host.box_lost(desk.now, 1) == sum(server == 1 for server in at.values())
+    assert set(desk.host.playing_at(2)) == {jti for jti, server in at.items() if server == 2}
+    assert desk.host.playing_at(1) == {}
+
+
+def test_a_rung_set_while_the_set_up_is_out_follows_it() -> None:
+    desk = Desk()
+    desk.ask("a")
+    desk.step()
+    (setup,) = desk.of(SetUp)
+    held = desk.host.session("a")
+    assert held is not None and held.phase is Phase.OUT
+    held.rung -= 1
+    desk.done(setup)
+    desk.step()
+    assert [(one.rung, one.attempt) for one in desk.of(ChangeRung)] == [(setup.rung - 1, 0)]
+    desk.host.note(desk.now, "a", 0, NoteKind.RUNG, 0.0)
+    assert held.rung == 0
+
+
+def test_a_front_that_stops_takes_nothing_and_answers_the_rest() -> None:
+    desk = Desk()
+    first = desk.ask("a")
+    desk.step()
+    desk.host.close()
+    late = desk.ask("b")
+    desk.step()
+    assert desk.answers() == {late: Kind.REFUSED}
+    desk.done(desk.of(SetUp)[0])
+    desk.step()
+    assert desk.answers()[first] is Kind.PLAYS and len(desk.host.ledger) == 0
+
+
+def test_the_ledger_refuses_a_second_answer() -> None:
+    ledger = Ledger()
+    ledger.open(1, 100.0)
+    with pytest.raises(LedgerError):
+        ledger.open(1, 100.0)
+    ledger.answer(1)
+    with pytest.raises(LedgerError):
+        ledger.answer(1)
+    assert not ledger.leave(1) and ledger.overdue(200.0) == [] and ledger.next_due() is None
+    for ticket in range(1000):
+        ledger.open(ticket + 2, float(ticket))
+        ledger.answer(ticket + 2)
+    assert len(ledger._due) <= 65, "answered tickets pile up"
+
+
+class HostStory(RuleBasedStateMachine):
+    """Anything in any order: each ticket has one answer in time, each session one attempt out."""
+
+    @initialize(seats=st.sampled_from([0, 1, 2]), probes=st.booleans(), strict=st.booleans())
+    def begin(self, seats: int, probes: bool, strict: bool) -> None:
+        kinds = tuple(replace(kind, seats=seats) for kind in SETTINGS.classes)
+        base = replace(SETTINGS, classes=kinds, may_probe=probes, fronts=2, drain_grace_ms=0.0)
+        self.desk = Desk(replace(base, budget=BUDGET, cold=COLD) if strict else base, boxes=4)
+        self.out: dict[str, SetUp] = {}
+        self.playing: dict[str, SetUp] = {}
+        self.due: dict[int, float] = {}
+        self.left: set[int] = set()
+        self.probes: list[int] = []
+        self.draining: set[int] = set()
+
+    def run(self, after: float = 0.0) -> None:
+        self.batch(0.0)  # what happened in this instant
+        end = self.desk.now + after
+        while (due := self.desk.host.next_due()) is not None and due < end:  # as the shell's timer does
+            self.batch(max(due - self.desk.now, 0.0))
+        self.batch(end - self.desk.now)
+
+    def batch(self, after: float) -> None:
+        for command in self.desk.step(after):
+            if isinstance(command, SetUp):
+                jti = command.session.jti
+                assert jti not in self.out, "two attempts out"
+                if not self.desk.host.still_wanted(jti, command.attempt):
+                    assert command.server in self.draining
+                    self.desk.done(command, Result.MOOT)
+                    continue
+                assert command.server not in self.draining
+                assert command.rung >= self.desk.host.settings.classes[command.session.cls].lowest_rung
+                self.out[jti] = command
+            elif isinstance(command, Answer):
+                assert command.ticket not in self.left
+                assert self.desk.now <= self.due.pop(command.ticket), "late"
+            elif isinstance(command, SendProbe):
+                self.probes.append(command.server)
+            elif isinstance(command, Release):
+                self.playing.pop(command.jti, None)
+
+    @rule(name=st.sampled_from("abcd"), cls=st.integers(0, 1), wait=st.sampled_from([50.0, 400.0, 4000.0]))
+    def ask(self, name: str, cls: int, wait: float) -> None:
+        ticket = self.desk.ask(name, cls=cls, wait_ms=wait)
+        self.due[ticket] = self.desk.now + wait
+
+    @rule(number=st.integers(0, 30))
+    def leave(self, number: int) -> None:
+        if self.due:
+            ticket = sorted(self.due)[number % len(self.due)]
+            del self.due[ticket]
+            self.left.add(ticket)
+            self.desk.host.withdraw(self.desk.now, ticket)
+
+    @rule(number=st.integers(0, 30), result=st.sampled_from([Result.OK, *Result]))
+    def attempt_ends(self, number: int, result: Result) -> None:
+        if self.out:
+            jti = sorted(self.out)[number % len(self.out)]
+            setup = self.out.pop(jti)
+            self.desk.done(setup, result)
+            if result is Result.OK:
+                self.playing[jti] = setup
+
+    @rule(number=st.integers(0, 30), result=st.sampled_from([Result.OK, Result.RESET]))
+    def session_ends(self, number: int, result: Result) -> None:
+        if self.playing:
+            jti = sorted(self.playing)[number % len(self.playing)]
+            self.desk.host.session_over(self.desk.now, jti, self.playing.pop(jti).attempt, result)
+
+    @rule(ok=st.booleans())
+    def probe_ends(self, ok: bool) -> None:
+        if self.probes:
+            result = Result.OK if ok else Result.TIMEOUT
+            self.desk.host.probe_done(self.desk.now, self.probes.pop(), result, 1.0, {"x0": 0.2, "x1": 0.2})
+
+    @rule(server=st.integers(1, 4), state=st.sampled_from([ServerState.READY, ServerState.DRAINING]))
+    def told(self, server: int, state: ServerState) -> None:
+        (self.draining.add if state is ServerState.DRAINING else self.draining.discard)(server)
+        update = ListUpdate(ListKind.DELTA, 2, (entry(server, cell=server % 4, state=state),))
+        self.desk.host.box_list(self.desk.now, update)
+
+    @rule(server=st.integers(1, 4))
+    def box_lost(self, server: int) -> None:
+        self.desk.host.box_lost(self.desk.now, server)
+        self.playing = {jti: one for jti, one in self.playing.items() if one.server != server}
+
+    @rule(after=st.sampled_from([0.0, 1.0, 250.0]))
+    def time_goes_on(self, after: float) -> None:
+        self.run(after)
+        self.desk.host.timer_fired(self.desk.now, 1)
+        self.run()
+        due = self.desk.host.next_due()
+        if due is not None and due <= self.desk.now:
+            self.run()
+
+    @invariant()
+    def accounts_agree(self) -> None:
+        if hasattr(self, "desk"):
+            host = self.desk.host
+            assert {ticket for ticket in self.left if ticket in host.ledger} == set()
+            for jti, setup in self.out.items():
+                held = host.session(jti)
+                assert held is None or held.attempt >= setup.attempt
+
+    def teardown(self) -> None:
+        if not hasattr(self, "desk"):
+            return
+        for _ in range(60):  # everything ends: what is out ends, and time passes
+            for jti in sorted(self.out):
+                self.desk.done(self.out.pop(jti), Result.TIMEOUT)
+            self.run(100.0)
+        assert self.due == {}, "a request without an answer"
+        assert len(self.desk.host.ledger) == 0
+
+
+HostStory.TestCase.settings = hypothesis_settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestHostStory = HostStory.TestCase
--- /dev/null
+++ b/tests/test_http_sockets.py
@@ -0,0 +1,309 @@
+"""Server and client over loopback: order, back-pressure, and what is known of a request's bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import pytest
+
+from fernweir.http.client import Outcome, Pool, Reply
+from fernweir.http.parse import Limits
+from fernweir.http.server import Exchange, Server, ServerLimits
+from fernweir.http.sse import EventReader, encode_event
+from fernweir.rehearsal.hostile import raw
+from fernweir.standin.viewer import fetch
+from tests.sockets import until
+
+GET = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def play(
+    story: Callable[[Server, list[Exchange]], Awaitable[None]], limits: ServerLimits | None = None
+) -> None:
+    """Runs a story against a server that leaves the answering to it."""
+
+    async def run() -> None:
+        asked: list[Exchange] = []
+        server = Server(asked.append, limits)
+        await server.listen("127.0.0.1", 0)
+        try:
+            await story(server, asked)
+        finally:
+            server.abort()
+
+    asyncio.run(run())
+
+
+def test_pipelined_requests_are_answered_in_the_order_asked() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        answer = asyncio.ensure_future(
+            raw(server.address, GET % b"1" + GET % b"2" + GET % b"3", 5, half_close=True)
+        )
+        await until(lambda: len(asked) == 3)
+        for exchange in reversed(asked):
+            exchange.respond(200, [], exchange.head.target.encode())
+        seen, closed = await answer
+        assert closed and [seen.index(b"/1") < seen.index(b"/2") < seen.index(b"/3")] == [True]
+        with pytest.raises(RuntimeError, match="once"):
+            asked[0].respond(200)
+
+    play(story)
+
+
+def test_a_fault_is_answered_after_what_came_before_it() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        answer = asyncio.ensure_future(raw(server.address, GET % b"1" + b"BAD\r\n\r\n", 5))
+        await until(lambda: len(asked) == 1)
+        asked[0].respond(200, [], b"first")
+        seen, closed = await answer
+        assert closed and seen.count(b"HTTP/1.1") == 2 and seen.index(b"first") < seen.index(b" 400 ")
+
+    play(story)
+
+
+def test_nothing_is_answered_behind_an_announced_close() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        gone: list[int] = []
+        answer = asyncio.ensure_future(raw(server.address, GET % b"1" + GET % b"2", 5))
+        await until(lambda: len(asked) == 2)
+        asked[1].on_gone = lambda: gone.append(2)
+        asked[0].respond(503, [("connection", "close")], b"")
+        seen, closed = await answer
+        assert closed and seen.count(b"HTTP/1.1") == 1 and gone == [2]
+
+    play(story)
+
+
+def test_head_and_continue() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        head = b"HEAD / HTTP/1.1\r\nHost: a\r\n\r\n"
+        put = b"PUT / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab"
+        answer = asyncio.ensure_future(raw(server.address, head + put, 5, half_close=True))
+        await until(lambda: len(asked) == 2)
+        asked[0].respond(200, [], b"body")
+        asked[1].respond(204)
+        seen, _ = await answer
+        assert b"content-length: 4\r\n\r\nHTTP/1.1 204" in seen and asked[1].body == b"ab"
+        alone, _ = await asyncio.gather(raw(server.address, put[:-2], 0.2), asyncio.sleep(0))
+        assert alone[0].startswith(b"HTTP/1.1 100 Continue")
+
+    play(story)
+
+
+def test_slow_senders_idle_ones_and_slow_readers_are_ended() -> None:
+    limits = ServerLimits(head_s=0.05, body_s=0.05, idle_s=0.1, stalled_s=0.1)
+
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        partial, slow_body = (
+            b"GET / HTTP/1.1\r\nHo",
+            b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n",
+        )
+        for data in (partial, slow_body):
+            seen, closed = await raw(server.address, data, 5)
+            assert closed and seen.startswith(b"HTTP/1.1 408")
+        assert await raw(server.address, b"", 5) == (b"", True)
+        reader = socket.create_connection(server.address)  # never reads
+        reader.sendall(GET % b"big")
+        await until(lambda: len(asked) == 1)
+        asked[0].respond(200, [], b"x" * 20_000_000)
+        await until(lambda: asked[0].gone)
+        reader.close()
+
+    play(story, limits)
+
+
+def test_a_reader_that_stalls_stops_being_read() -> None:
+    """Answers pile up for one who doesn't read, so its further requests wait in its own kernel."""
+
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        client = socket.create_connection(server.address)
+        client.setblocking(False)
+        client.send((GET % b"1") * 100)
+        await until(lambda: len(asked) >= 32)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        taken = len(asked)
+        assert taken < 100
+        for exchange in list(asked):
+            exchange.respond(200)
+        await until(lambda: len(asked) > taken)
+        client.close()
+
+    play(story, replace(ServerLimits(), pipeline=32, parse=Limits()))
+
+
+IDLERS = """
+import socket, sys
+socks = []
+for _ in range(10_000):
+    sock = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+    socks.append(sock)
+sys.stdin.read()
+"""
+
+
+def test_ten_thousand_idle_connections_cost_nobody_an_answer() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        # The other ends live in a process of their own, as one may not hold so many descriptors.
+        command = [sys.executable, "-c", IDLERS, str(server.address[1])]
+        with subprocess.Popen(command, stdin=subprocess.PIPE) as idlers:
+            await until(lambda: len(server.connections) >= 10_000, 60.0)
+            answer = asyncio.ensure_future(raw(server.address, GET % b"1", 5, half_close=True))
+            await until(lambda: len(asked) == 1)
+            asked[0].respond(200, [], b"here")
+            assert b"here" in (await answer)[0] and len(server.connections) >= 10_000
+            idlers.kill()
+
+    play(story)
+
+
+# --- the client ---
+
+
+async def call(origin: tuple[str, int], pool: Pool | None = None, timeout_s: float = 5.0) -> Reply:
+    mine = pool or Pool(connect_s=2.0)
+    try:
+        return await fetch(mine, origin, "GET", "/", timeout_s)
+    finally:
+        if pool is None:
+            mine.close()
+
+
+class Rude(asyncio.Protocol):
+    """Answers a request with given bytes and then closes, resets, or keeps still."""
+
+    def __init__(self, answer: bytes, then: str) -> None:
+        self.answer, self.then = answer, then
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(self.answer)
+        if self.then == "close":
+            self.transport.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "then", "outcome"),
+    [
+        (b"", "close", Outcome.RESET),
+        (b"", "still", Outcome.SILENT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", "close", Outcome.CUT),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", "close", Outcome.CUT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", "still", Outcome.STALLED),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "close", Outcome.CUT),
+        (b"\x15\x03\x01 not http\r\n\r\n", "close", Outcome.GARBLED),
+        (b"HTTP/1.1 200 OK\r\n\r\nto the end", "close", Outcome.ANSWERED),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nab", "still", Outcome.ANSWERED),
+    ],
+)
+def test_ends_of_calls_are_told_apart(answer: bytes, then: str, outcome: Outcome) -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Rude(answer, then), "127.0.0.1", 0)
+        reply = await call(server.sockets[0].getsockname()[:2], timeout_s=0.2 if then == "still" else 5.0)
+        assert reply.outcome is outcome and not reply.outcome.never_ran
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_a_call_that_never_left_is_known_as_such() -> None:
+    async def run() -> None:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        assert (await call(("127.0.0.1", port))).outcome is Outcome.REFUSED
+        # A listener whose queue is full takes no connection: time runs out before a byte is written.
+        with socket.socket() as deaf:
+            deaf.bind(("127.0.0.1", 0))
+            deaf.listen(0)
+            fillers = [socket.socket() for _ in range(4)]
+            for one in fillers:
+                one.setblocking(False)
+                one.connect_ex(deaf.getsockname())
+            reply = await call(deaf.getsockname(), timeout_s=0.2)
+            assert reply.outcome is Outcome.UNSENT and reply.outcome.never_ran
+            for one in fillers:
+                one.close()
+
+    asyncio.run(run())
+
+
+def test_a_call_no_longer_wanted_when_its_turn_comes_is_not_sent() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        pool, done, wanted = Pool(per_origin=1), [], [True]
+        for _ in range(2):
+            pool.request(server.address, "GET", "/", done.append, wanted=lambda: wanted[0])
+        await until(lambda: len(asked) == 1)
+        wanted[0] = False
+        asked[0].respond(200)
+        await until(lambda: len(done) == 2)
+        assert [reply.outcome for reply in done] == [Outcome.ANSWERED, Outcome.UNWANTED]
+        assert len(asked) == 1
+        pool.close()
+
+    play(story)
+
+
+def test_connections_are_kept_and_cancelled_calls_break_theirs() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        server.handler = lambda exchange: asked.append(exchange) or exchange.respond(200, [], b"ok")
+        pool = Pool()
+        for _ in range(3):
+            assert (await call(server.address, pool)).body == b"ok"
+        assert len({exchange.connection_id for exchange in asked}) == 1
+        server.handler = asked.append
+        ends: list[Reply] = []
+        waiting = pool.request(server.address, "GET", "/", ends.append)
+        await until(lambda: len(asked) == 4)
+        waiting.cancel()
+        waiting.cancel()
+        await until(lambda: asked[3].gone)
+        assert [reply.outcome for reply in ends] == [Outcome.CANCELLED]
+        pool.close()
+
+    play(story)
+
+
+def test_a_stream_of_events_outlasts_the_limit_of_a_body() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        pool, reader, got, ends = Pool(limits=Limits(body=1000)), EventReader(), [], []
+        pool.request(
+            server.address, "GET", "/", ends.append, on_data=lambda data: got.extend(reader.feed(data))
+        )
+        await until(lambda: len(asked) == 1)
+        asked[0].stream(200, [("content-type", "text/event-stream")])
+        for number in range(100):
+            asked[0].write(encode_event("x" * 50, "e", str(number)))
+        await until(lambda: len(got) == 100)
+        asked[0].finish_stream()
+        await until(lambda: len(ends) == 1)
+        assert ends[0].outcome is Outcome.ANSWERED and reader.last_id == "99"
+        pool.close()
+
+    play(story)
+
+
+def test_a_watcher_that_does_not_read_is_dropped() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        client = socket.create_connection(server.address)
+        client.sendall(GET % b"1")
+        await until(lambda: len(asked) == 1)
+        asked[0].stream(200)
+        sent = 0
+        while asked[0].write(b"x" * 65_536) and sent < 2000:
+            sent += 1
+            await asyncio.sleep(0)
+        assert sent < 2000
+        await until(lambda: asked[0].gone)
+        client.close()
+
+    play(story)
