--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,17 @@
+"""The same verdict every time: Hypothesis draws the same examples in every run. `--fuzz` draws new ones."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+
+settings.register_profile("same", derandomize=True, deadline=None, database=None)
+settings.register_profile("fuzz", deadline=None, database=None, max_examples=2000)
+
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption("--fuzz", action="store_true", help="draw new examples, and more of them")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    settings.load_profile("fuzz" if config.getoption("--fuzz") else "same")
