--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -282,6 +282,7 @@
         self.dice = Random(seed)
         self.servers: dict[int, Server] = {}
         self.sessions: dict[int, Session] = {}
+        self.prices: Counter[float] = Counter()  # of the next step up, of sessions that play
         self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
         self.waiting: dict[int, list[Session]] = {}
         self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
@@ -437,9 +438,19 @@
 
     def _going_price(self) -> float:
         """What the next step up is worth to the middle one of the own sessions that play."""
-        playing = [one for one in self.sessions.values() if one.playing]
-        prices = sorted(self._price(one, one.rung + 1) if one.rung < one.top else 0.0 for one in playing)
-        return prices[len(prices) // 2] if prices else 0.0
+        prices = sorted((price, count) for price, count in self.prices.items() if count > 0)
+        middle = sum(count for _, count in prices) // 2
+        for price, count in prices:
+            middle -= count
+            if middle < 0:
+                return price
+        return 0.0
+
+    def _tally(self, session: Session, step: int) -> None:
+        """Keeps count of going prices: looking at all sessions at each arrival grows with what is held."""
+        if session.playing:
+            at_top = session.rung >= session.top
+            self.prices[0.0 if at_top else self._price(session, session.rung + 1)] += step
 
     def _make_room(self, server: Server, session: Session) -> bool:
         """Rather than refuse, fills the first step above the mark, stepping own sessions down for it.
@@ -508,6 +519,7 @@
 
     def _count(self, session: Session, server: Server, step: int) -> None:
         kb = step * self._rate_kb(session, session.rung)
+        self._tally(session, step)
         server.link.add(self.now, kb)
         server.uplink.add(self.now, kb)
 
@@ -546,6 +558,7 @@
         if session is None or session.server is None:
             return
         session.playing, session.out, session.changed_at = True, False, self.now
+        self._tally(session, 1)
         server = session.server
         server.setting_up -= 1
         if server.lost:
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import ceil
@@ -35,6 +36,7 @@
 _WAIT = re.compile(r"wait\s*=\s*(\d{1,6})\s*(?:;|$)")
 _BEARER = re.compile(r"[Bb][Ee][Aa][Rr][Ee][Rr] +([A-Za-z0-9._~+/-]+=*)")
 _VIA = "dash"
+_SIGNED_KEPT = 1_024
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +79,7 @@
         self.public_url = public_url.rstrip("/")
         self._wall_s, self._most_waiting = wall_s, most_waiting
         self._manifests = ManifestCache(len(settings.rates_kb))
+        self._signed: OrderedDict[tuple[str, int, int, int], tuple[str, float]] = OrderedDict()
         core.carriers[_VIA] = self
 
     # --- viewers ---
@@ -234,7 +237,18 @@
             raise BadAnswerError(f"manifest: {error}") from None
 
     def _box_token(self, ask: Ask, server: int, attempt: int, rung: int) -> str:
-        now = self._wall_s()
+        """The token of one attempt; the viewer's document mostly carries the one of its set-up."""
+        key, now = (ask.jti, server, attempt, rung), self._wall_s()
+        signed = self._signed.get(key)
+        if signed is not None and now < signed[1]:
+            return signed[0]
+        token = self._sign_box_token(ask, server, attempt, rung, now)
+        self._signed[key] = (token, now + self.rules.box_life_s / 2.0)
+        if len(self._signed) > _SIGNED_KEPT:
+            self._signed.popitem(last=False)
+        return token
+
+    def _sign_box_token(self, ask: Ask, server: int, attempt: int, rung: int, now: float) -> str:
         return self.keyring.sign(
             BoxClaims(
                 iss=self.front,
