Auditor: a session set up anew has one seat, though a silent box still counts the old one

Cause, reproduced by a test on sockets that failed before: a viewer of a box that hangs comes again and is placed anew; the front gave the old session up, the hung box can't hear of it, and the auditor counted both as two of the front's seats. Change: the auditor counts a session once, where it was set up last.

--- a/fernweir/audit/rules.py
+++ b/fernweir/audit/rules.py
@@ -342,6 +342,10 @@
             return
         key, one = (record.front, record.title, record.cls), (record.session, record.attempt, record.box)
         held = self._held[key]
+        # One session has one seat: set up anew, it was given up where it was, though a box that says
+        # nothing can't have heard of it.
+        for old in [old for old in held if old[0] == record.session]:
+            del held[old]
         held[one] = record.id
         self._keys[record.id] = (key, one)
         self.most_held[record.cls] = max(self.most_held[record.cls], len(held))
--- /dev/null
+++ b/fernweir/entitlement/policy.py
@@ -0,0 +1,186 @@
+"""When a request is made again, and when none is made at all; free of I/O and clock, drawn from a seed.
+
+Budgets keep repeats a share of first tries, so that a server in trouble is not buried by its clients;
+jitter keeps them apart; a breaker stops asking a server that fails, and lets single trials find out when
+it is back. Nothing that takes a seat is ever hedged: there is no second copy of a request that is out.
+Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+
+class TokenBucket:
+    """Holds at most `burst` tokens and gains `rate` a second."""
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate, self.burst = rate, burst
+        self._tokens, self._at = burst, now
+
+    def level(self, now: float) -> float:
+        # A clock that seems to go back gives nothing and takes nothing.
+        if now > self._at:
+            self._tokens = min(self.burst, self._tokens + (now - self._at) * self.rate / 1000.0)
+            self._at = now
+        return self._tokens
+
+    def take(self, now: float, count: float = 1.0) -> bool:
+        if self.level(now) < count:
+            return False
+        self._tokens -= count
+        return True
+
+    def wait_ms(self, now: float, count: float = 1.0) -> float:
+        """How long until that many tokens are there; infinite if they never will be."""
+        missing = count - self.level(now)
+        if missing <= 0.0:
+            return 0.0
+        return missing / self.rate * 1000.0 if self.rate > 0 and count <= self.burst else float("inf")
+
+
+class DecorrelatedJitter:
+    """Pauses between `base` and three times the last one, `most` at most (Brooker, AWS, 2015)."""
+
+    def __init__(self, dice: Random, base_ms: float, most_ms: float) -> None:
+        self._dice, self._base, self._most = dice, base_ms, most_ms
+        self._last = base_ms
+
+    def next_ms(self) -> float:
+        self._last = min(self._most, self._dice.uniform(self._base, self._last * 3.0))
+        return self._last
+
+
+class BreakerState(Enum):
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class Breaker:
+    """Opens when most of the last calls failed; then lets one trial through at a time.
+
+    `window` calls are looked at, at least half of them; `share` of them failed opens it for `open_ms`,
+    twice as long after each trial that fails, up to `open_most_ms`.
+    """
+
+    def __init__(
+        self,
+        *,
+        window: int = 20,
+        share: float = 0.6,
+        open_ms: float = 1_000.0,
+        open_most_ms: float = 15_000.0,
+    ) -> None:
+        self.state = BreakerState.CLOSED
+        self._share, self._first_ms, self._most_ms = share, open_ms, open_most_ms
+        self._ends: deque[bool] = deque(maxlen=window)
+        self._open_ms, self._until = open_ms, 0.0
+        self._trial: int | None = None
+        self._trials = 0
+
+    def may_call(self, now: float) -> bool:
+        if self.state is BreakerState.OPEN and now >= self._until:
+            self.state, self._trial = BreakerState.HALF_OPEN, None
+        return self.state is BreakerState.CLOSED or (
+            self.state is BreakerState.HALF_OPEN and self._trial is None
+        )
+
+    def begin(self, now: float) -> int:
+        """A call goes out; the number is for `end`. Only after `may_call` said yes."""
+        self._trials += 1
+        if self.state is BreakerState.HALF_OPEN:
+            self._trial = self._trials
+        return self._trials
+
+    def end(self, now: float, call: int, good: bool) -> None:
+        if self.state is BreakerState.HALF_OPEN:
+            if call != self._trial:
+                return  # an answer to a call from before it opened says nothing of now
+            self._trial = None
+            if good:
+                self.state, self._open_ms = BreakerState.CLOSED, self._first_ms
+                self._ends.clear()
+            else:
+                self._open(now, min(self._open_ms * 2.0, self._most_ms))
+        elif self.state is BreakerState.CLOSED:
+            self._ends.append(good)
+            size, bad = len(self._ends), sum(not one for one in self._ends)
+            if size * 2 >= (self._ends.maxlen or 1) and bad >= self._share * size:
+                self._open(now, self._first_ms)
+
+    def wait_ms(self, now: float) -> float:
+        return max(self._until - now, 0.0) if self.state is BreakerState.OPEN else 0.0
+
+    def _open(self, now: float, pause: float) -> None:
+        self.state, self._open_ms, self._until = BreakerState.OPEN, pause, now + pause
+        self._ends.clear()
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRules:
+    """Repeats: at most `share` of first tries, by tenant and by server, with some free; pauses in ms."""
+
+    share: float = 0.2
+    free: float = 10.0
+    base_ms: float = 50.0
+    most_ms: float = 2_000.0
+    tenants: int = 10_000
+
+
+@dataclass(slots=True)
+class _Budget:
+    """Repeats that may still be made: each first try earns a share of one."""
+
+    left: float
+    most: float
+
+    def earn(self, share: float) -> None:
+        self.left = min(self.left + share, self.most)
+
+
+@dataclass(slots=True)
+class RetryPolicy:
+    """Decides on each failure whether, and when, the same request is made again."""
+
+    rules: RetryRules
+    dice: Random
+    breaker: Breaker = field(default_factory=Breaker)
+    denied: int = 0
+    _server: _Budget = field(init=False)
+    _tenants: OrderedDict[str, _Budget] = field(default_factory=OrderedDict)
+
+    def __post_init__(self) -> None:
+        self._server = _Budget(self.rules.free, self.rules.free * 4.0)
+
+    def first(self, tenant: str) -> None:
+        """A request is made for the first time."""
+        for budget in (self._server, self._tenant(tenant)):
+            budget.earn(self.rules.share)
+
+    def again(self, now: float, tenant: str, jitter: DecorrelatedJitter, until: float) -> float | None:
+        """When to repeat, or None: out of budget, or nothing could come of it before `until`."""
+        at = now + max(jitter.next_ms(), self.breaker.wait_ms(now))
+        budgets = (self._server, self._tenant(tenant))
+        if at >= until or any(budget.left < 1.0 for budget in budgets):
+            self.denied += 1
+            return None
+        for budget in budgets:
+            budget.left -= 1.0
+        return at
+
+    def jitter(self) -> DecorrelatedJitter:
+        return DecorrelatedJitter(self.dice, self.rules.base_ms, self.rules.most_ms)
+
+    def _tenant(self, tenant: str) -> _Budget:
+        budget = self._tenants.get(tenant)
+        if budget is None:
+            budget = self._tenants[tenant] = _Budget(self.rules.free, self.rules.free * 4.0)
+            if len(self._tenants) > self.rules.tenants:
+                self._tenants.popitem(last=False)
+        else:
+            self._tenants.move_to_end(tenant)
+        return budget
--- /dev/null
+++ b/fernweir/seats/log.py
@@ -0,0 +1,279 @@
+"""An append-only log of records that survives crashes: segments, snapshots, compaction, recovery.
+
+A segment is a header and frames. A frame is its length and CRC32C (u32, little-endian each), the record's
+number and its base (u64 each), and its bytes; the checksum covers all but itself and the length. Numbers
+grow by one without a gap; the base is the newest number that was durable when the frame was written.
+Writes gather until `commit`, which writes them at once and syncs: what it returns for is durable.
+
+A crash can leave any part of what was not synced, in any order of pages. So a broken frame in the last
+segment is a torn tail, and cut off with all behind it, unless a whole frame behind it has a base that says
+it had been durable. Then, or with a gap in the numbers or a snapshot that doesn't match its checksum, it
+is damage, not a crash: it is refused with the place named, and nothing is changed.
+"""
+
+from __future__ import annotations
+
+import re
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import google_crc32c
+
+from fernweir.seats.files import Files
+
+FORMAT = 1
+_MAGIC = b"FWSEAT"
+_HEADER = struct.Struct("<6sHQ")  # magic, format, number of the first record
+_FRAME = struct.Struct("<IIQQ")  # length, checksum, number, base
+_NUMBERS = struct.Struct("<QQ")
+_SNAPSHOT = struct.Struct("<6sHQII")  # magic, format, number of the last record in it, length, checksum
+_SEGMENT_NAME = re.compile(r"seats-(\d{20})\.log")
+_SNAPSHOT_NAME = re.compile(r"seats-(\d{20})\.snap")
+_MOST = 1 << 20
+
+
+class LogError(Exception):
+    """The log can't be read or written."""
+
+
+class DamageError(LogError):
+    """Something other than a torn tail is wrong: recovery would lose what was promised."""
+
+
+def _crc(number: int, base: int, body: bytes) -> int:
+    return int(google_crc32c.extend(google_crc32c.value(_NUMBERS.pack(number, base)), body))
+
+
+def encode_frame(number: int, base: int, body: bytes) -> bytes:
+    return _FRAME.pack(len(body), _crc(number, base, body), number, base) + body
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What was there: a snapshot's bytes or None, the records after it, and what was cut off."""
+
+    snapshot: bytes | None
+    records: list[tuple[int, bytes]]
+    last: int
+    torn_bytes: int
+    torn_in: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LogRules:
+    segment_bytes: int = 4_194_304
+    snapshot_records: int = 100_000
+
+
+class SeatLog:
+    """Appends records and recovers them. One writer a folder."""
+
+    def __init__(self, files: Files, rules: LogRules | None = None) -> None:
+        self._files = files
+        self._rules = rules or LogRules()
+        self._pending: list[bytes] = []
+        self._segment = ""
+        self._segment_size = 0
+        self.last = 0  # number of the newest record, durable or not
+        self.durable = 0
+        self.since_snapshot = 0
+        self.broken: LogError | None = None
+
+    def open(self) -> Recovered:
+        """Recovers what is there, cuts a torn tail off, and readies for appending."""
+        found = recover(self._files)
+        if found.torn_in:
+            self._files.truncate(found.torn_in, _whole_size(self._files.read(found.torn_in)))
+        self.last = self.durable = found.last
+        self.since_snapshot = len(found.records)
+        segments = _segments(self._files)
+        if segments and _whole_size(self._files.read(segments[-1][1])) == 0:
+            self._files.remove(segments.pop()[1])  # a crash between making a segment and its header
+        if segments:
+            self._segment = segments[-1][1]
+            self._segment_size = len(self._files.read(self._segment))
+        return found
+
+    def append(self, body: bytes) -> int:
+        """Gathers a record; its number. Durable once `durable` has reached it."""
+        if len(body) > _MOST:
+            raise LogError(f"record of {len(body)} bytes")
+        self.last += 1
+        self._pending.append(encode_frame(self.last, self.durable, body))
+        return self.last
+
+    @property
+    def pending(self) -> int:
+        return len(self._pending)
+
+    def commit(self) -> int:
+        """Writes and syncs all that was gathered, and gives the newest durable number.
+
+        LogError when the disk refuses. The log is `broken` then: what a failed write left is unknown, so
+        nothing more is appended until it is opened anew.
+        """
+        if self.broken is not None:
+            raise self.broken
+        if not self._pending:
+            return self.durable
+        try:
+            if not self._segment or self._segment_size >= self._rules.segment_bytes:
+                self._begin_segment(self.last - len(self._pending) + 1)
+            data = b"".join(self._pending)
+            self._files.append(self._segment, data)
+            self._files.sync(self._segment)
+        except OSError as error:
+            self.broken = LogError(f"{self._segment}: {error.strerror or error}")
+            raise self.broken from error
+        self._segment_size += len(data)
+        self.since_snapshot += len(self._pending)
+        self._pending = []
+        self.durable = self.last
+        return self.durable
+
+    @property
+    def wants_snapshot(self) -> bool:
+        return self.since_snapshot >= self._rules.snapshot_records
+
+    def snapshot(self, state: bytes) -> None:
+        """Keeps the state as of the newest record, which must be durable, and drops what it covers."""
+        if self._pending:
+            raise LogError("records wait to be committed")
+        head = _SNAPSHOT.pack(_MAGIC, FORMAT, self.last, len(state), _crc(self.last, 0, state))
+        try:
+            self._files.replace(f"seats-{self.last:020d}.snap", head + state)
+            self._segment = ""  # the next record begins a segment of its own
+            self.since_snapshot = 0
+            _drop_covered(self._files, self.last)
+        except OSError as error:
+            self.broken = LogError(f"snapshot: {error.strerror or error}")
+            raise self.broken from error
+
+    def _begin_segment(self, first: int) -> None:
+        name = f"seats-{first:020d}.log"
+        self._files.append(name, _HEADER.pack(_MAGIC, FORMAT, first))
+        self._segment, self._segment_size = name, _HEADER.size
+
+
+def recover(files: Files) -> Recovered:
+    """Reads everything without changing anything. DamageError names what is wrong and where."""
+    snapshot, covered = _newest_snapshot(files)
+    records: list[tuple[int, bytes]] = []
+    last, torn, torn_in = covered, 0, ""
+    segments = _segments(files)
+    for index, (first, name) in enumerate(segments):
+        data = files.read(name)
+        if first > last + 1:
+            raise DamageError(f"{name}: records {last + 1} to {first - 1} are missing before it")
+        final = index == len(segments) - 1
+        if len(data) < _HEADER.size:
+            if not final:
+                raise DamageError(f"{name}: no header, though segments follow")
+            torn, torn_in = len(data), name
+            break
+        magic, version, begins = _HEADER.unpack_from(data)
+        if magic != _MAGIC or begins != first:
+            raise DamageError(f"{name}: not a seat log")
+        if version != FORMAT:
+            raise DamageError(f"{name}: format {version}, this program reads {FORMAT}")
+        expected, whole = first, _HEADER.size
+        for number, body, end in _frames(data):
+            if number != expected:
+                raise DamageError(f"{name}: record {expected} expected at byte {whole}, found {number}")
+            if number > last:
+                records.append((number, body))
+                last = number
+            expected, whole = number + 1, end
+        if whole < len(data):
+            if not final or _was_durable(data, whole + 1, expected):
+                raise DamageError(
+                    f"{name}: record {expected} damaged at byte {whole}, with good ones behind it"
+                )
+            torn, torn_in = len(data) - whole, name
+    return Recovered(snapshot, records, last, torn, torn_in)
+
+
+def compact(files: Files, state: bytes, last: int) -> None:
+    """Replaces everything up to record `last` by one snapshot of the state; offline."""
+    head = _SNAPSHOT.pack(_MAGIC, FORMAT, last, len(state), _crc(last, 0, state))
+    files.replace(f"seats-{last:020d}.snap", head + state)
+    _drop_covered(files, last)
+
+
+def _frames(data: bytes) -> Iterator[tuple[int, bytes, int]]:
+    """Whole frames from the start of a segment: number, body, end."""
+    at = _HEADER.size
+    while (frame := _frame_at(data, at)) is not None:
+        yield frame
+        at = frame[2]
+
+
+def _frame_at(data: bytes, at: int) -> tuple[int, bytes, int] | None:
+    if at + _FRAME.size > len(data):
+        return None
+    length, crc, number, base = _FRAME.unpack_from(data, at)
+    end = at + _FRAME.size + length
+    if length > _MOST or end > len(data):
+        return None
+    body = data[at + _FRAME.size : end]
+    return (number, body, end) if _crc(number, base, body) == crc else None
+
+
+def _was_durable(data: bytes, at: int, number: int) -> bool:
+    """Whether a whole frame further on says that record `number` had been synced before it was written."""
+    for start in range(at, len(data) - _FRAME.size + 1):
+        # The base is looked at first: checksums at every byte of a long tail would take minutes.
+        if _FRAME.unpack_from(data, start)[3] >= number and _frame_at(data, start) is not None:
+            return True
+    return False
+
+
+def _whole_size(data: bytes) -> int:
+    if len(data) < _HEADER.size:
+        return 0
+    size = _HEADER.size
+    for _, _, end in _frames(data):
+        size = end
+    return size
+
+
+def _segments(files: Files) -> list[tuple[int, str]]:
+    return sorted((int(match[1]), name) for name in files.names() if (match := _SEGMENT_NAME.fullmatch(name)))
+
+
+def _snapshots(files: Files) -> list[tuple[int, str]]:
+    return sorted(
+        (int(match[1]), name) for name in files.names() if (match := _SNAPSHOT_NAME.fullmatch(name))
+    )
+
+
+def _newest_snapshot(files: Files) -> tuple[bytes | None, int]:
+    found = _snapshots(files)
+    if not found:
+        return None, 0
+    last, name = found[-1]
+    data = files.read(name)
+    if len(data) < _SNAPSHOT.size:
+        raise DamageError(f"{name}: cut off, though snapshots are written whole")
+    magic, version, number, length, crc = _SNAPSHOT.unpack_from(data)
+    state = data[_SNAPSHOT.size :]
+    if magic != _MAGIC or number != last:
+        raise DamageError(f"{name}: not a snapshot of record {last}")
+    if version != FORMAT:
+        raise DamageError(f"{name}: format {version}, this program reads {FORMAT}")
+    if length != len(state) or _crc(number, 0, state) != crc:
+        raise DamageError(f"{name}: checksum does not match")
+    return state, last
+
+
+def _drop_covered(files: Files, last: int) -> None:
+    """Removes older snapshots and every segment whose records a snapshot of `last` holds."""
+    for number, name in _snapshots(files):
+        if number < last:
+            files.remove(name)
+    segments = _segments(files)
+    for index, (_, name) in enumerate(segments):
+        ends = segments[index + 1][0] - 1 if index + 1 < len(segments) else last
+        if ends <= last:
+            files.remove(name)
--- a/tests/test_front_sockets.py
+++ b/tests/test_front_sockets.py
@@ -326,3 +326,23 @@
         assert replay(doctored)[1] is not None
 
     play(story, PLAN, extra="record = front.record")
+
+
+def test_a_viewer_of_a_silent_box_is_placed_anew_on_its_one_seat() -> None:
+    """The silent box can't hear that its session was given up; the session still has one seat."""
+    classes = (SiteClass("briefing", 1.4, 1, seats=1, deadline_ms=3000.0), SiteClass("training"))
+
+    async def story(scene: Scene) -> None:
+        wish = scene.wish(cls="briefing")
+        assert (await scene.ask(wish)).status == 200
+        silent = int(scene.of("box.setup")[0]["box"])
+        scene.behave(silent, hang=True)
+        host = scene.fronts[0].core.host
+        await until(lambda: silent in host._doubtful)
+        assert (await scene.ask(wish)).status == 200
+        assert int(scene.of("box.setup")[-1]["box"]) != silent
+        assert (await scene.ask(scene.wish(cls="briefing"))).status == 503
+        at = scene.loop.time()
+        await until(lambda: scene.loop.time() > at + 0.2)  # past the auditor's allowance
+
+    play(story, replace(PLAN, classes=classes))
