--- a/fernweir/audit/records.py
+++ b/fernweir/audit/records.py
@@ -197,6 +197,28 @@
     version: int
 
 
+class SeatTaken(Record):
+    """The entitlement server's own report: a lease began, and how many seats of its place are used now."""
+
+    kind: Literal["seat.taken"]
+    lease: str
+    front: str
+    session: str
+    place: str
+    used: int
+    limit: int
+
+
+class SeatFreed(Record):
+    kind: Literal["seat.freed"]
+    lease: str
+    front: str
+    session: str
+    place: str
+    used: int
+    limit: int
+
+
 class Remark(Record):
     """A note of whoever ran the day: which fault began or ended. Not judged."""
 
@@ -222,6 +244,8 @@
     | BoxRung
     | BoxSegment
     | ListTold
+    | SeatTaken
+    | SeatFreed
     | Remark,
     Field(discriminator="kind"),
 ]
--- a/fernweir/audit/rules.py
+++ b/fernweir/audit/rules.py
@@ -24,6 +24,8 @@
     FrontDown,
     FrontUp,
     ListTold,
+    SeatFreed,
+    SeatTaken,
     Terms,
     TermsClass,
     ViewerAnswer,
@@ -297,6 +299,7 @@
         self._keys: dict[int, tuple[tuple[str, str, str], tuple[str, int, int]]] = {}
         self._asked: dict[int, str] = {}
         self._pending: deque[tuple[float, int, float, tuple[str, str, str], str]] = deque()
+        self._leases: dict[str, set[str]] = defaultdict(set)
         self.most_held: dict[str, int] = defaultdict(int)
 
     def take(self, line: int, record: AnyRecord) -> None:
@@ -326,10 +329,24 @@
             self._drop(lambda key: key == (record.session, record.attempt, record.box))
         elif isinstance(record, BoxStop):
             self._drop(lambda key: key[2] == record.box)
+        elif isinstance(record, SeatTaken):
+            self._leased(line, record)
+        elif isinstance(record, SeatFreed):
+            self._leases[record.session].discard(record.lease)
         elif isinstance(record, FrontUp | FrontDown):
             for key in [key for key in self._held if key[0] == record.front]:
                 del self._held[key]
 
+    def _leased(self, line: int, record: SeatTaken) -> None:
+        """By the entitlement server's own report: within the seats, and one seat a session."""
+        self.checked += 1
+        held = self._leases[record.session]
+        held.add(record.lease)
+        if record.used > record.limit:
+            self.broken(line, record.t, f"{record.used} of {record.limit} seats of {record.place} are leased")
+        if len(held) > 1:
+            self.broken(line, record.t, f"session {record.session} holds leases {sorted(held)}")
+
     def _floor(self, line: int, t: float, cls: str, rung: int, what: str) -> None:
         self.checked += 1
         kind = self.classes.get(cls)
--- a/fernweir/cli/ledger.py
+++ b/fernweir/cli/ledger.py
@@ -48,9 +48,8 @@
     """Check every record. Exit code 2 if something is damaged; a torn tail is normal after a crash."""
     _, found, table = _read(folder)
     held = sum(bool(seat.lease) for seat in table.values())
-    click.echo(
-        f"{len(found.records)} records after the snapshot, newest {found.last}; {len(table)} seats, {held} held"
-    )
+    click.echo(f"{len(found.records)} records after the snapshot, newest {found.last}")
+    click.echo(f"{len(table)} seats, {held} held")
     if found.torn_in:
         click.echo(f"{found.torn_in}: a torn tail of {found.torn_bytes} bytes, cut off at the next start")
 
--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -126,7 +126,10 @@
     "--without", type=click.Choice(["", "ledger", "key"]), default="", help="Break this, to see it caught."
 )
 def storm(seed: int, sessions: int, seats: int, slow: float, away: float, without: str) -> None:
-    """A storm of leases on a virtual clock: losses, repeats, kills. Exit code 1 if a seat was doubled or leaked."""
+    """A storm of leases on a virtual clock: losses, repeats, kills.
+
+    Exit code 1 if a seat was doubled or leaked.
+    """
     gap = (10_000.0, 10_000.0 + away * 1000.0) if away else None
     plan = StormPlan(seed=seed, sessions=sessions, seats=seats, slow=slow, away=gap, broken=without)
     result = Storm(plan).run()
@@ -141,8 +144,9 @@
     cells = ", ".join(f"{name} {leads[int(len(leads) * share)]:.0f}" for name, share in named)
     click.echo(f"left of a lease of {plan.ttl_ms:.0f} ms when renewed, ms: {cells}")
     click.echo(
-        f"over the seats: {result.most_over} held, {result.most_playing_over} playing; most by one session "
-        f"{result.most_by_session}; left held {result.left_held}; wants without verdict {result.unanswered_wants}"
+        f"over the seats: {result.most_over} held, {result.most_playing_over} playing; "
+        f"most by one session {result.most_by_session}; left held {result.left_held}; "
+        f"wants without verdict {result.unanswered_wants}"
     )
     click.echo("seats kept" if result.good else "BROKEN")
     sys.exit(0 if result.good else 1)
--- a/fernweir/config/front.py
+++ b/fernweir/config/front.py
@@ -120,6 +120,7 @@
     lowest_rung: Count = 0
     top_rung: Count | None = None
     seats: Count = 0
+    when_silent: Literal["play", "refuse"] = "refuse"
 
 
 class HttpSection(Section):
@@ -145,6 +146,18 @@
     manifest: Size = 1_048_576
 
 
+class EntitlementSection(Section):
+    """Where seats are leased; left out, every good token may play."""
+
+    url: HttpUrl
+    ledger: str
+    call_time: PositiveMillis = 1_000.0
+    longest_lease: PositiveMillis = 600_000.0
+    reclaim: PositiveMillis = 10_000.0
+    sync: Millis = 4.0
+    at_once: Positive = 64
+
+
 class LogSection(Section):
     format: Literal["json", "text"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -161,6 +174,8 @@
     http: HttpSection
     boxes: BoxesSection
     log: LogSection
+    entitlement: EntitlementSection | None
+    plays_unanswered: frozenset[str]
     class_names: dict[str, int]
     settings: Settings
 
@@ -185,6 +200,9 @@
     http = reader.take("http", HttpSection, required=False)
     boxes = reader.take("boxes", BoxesSection, required=False)
     log = reader.take("log", LogSection, required=False)
+    entitlement = None
+    if "entitlement" in file.sections:
+        entitlement = reader.take("entitlement", EntitlementSection)
     classes = reader.take_all("class", ClassSection)
     if not any(name.startswith("class.") for name in file.sections):
         reader.wrong("class.NAME", "", "at least one class is needed")
@@ -202,7 +220,10 @@
     assert front and box_list and tokens and fleet and ladder and reports and rules and http and boxes and log
     settings = _settings(front, fleet, ladder, reports, rules, classes)
     numbers = {name: index for index, name in enumerate(classes)}
-    return FrontConfig(folder, front, box_list, tokens, http, boxes, log, numbers, settings)
+    plays = frozenset(name for name, one in classes.items() if one.when_silent == "play")
+    return FrontConfig(
+        folder, front, box_list, tokens, http, boxes, log, entitlement, plays, numbers, settings
+    )
 
 
 def _check_ladder(reader: Reader, ladder: LadderSection, classes: dict[str, ClassSection]) -> None:
--- /dev/null
+++ b/fernweir/entitlement/client.py
@@ -0,0 +1,93 @@
+"""Says the book's requests to an entitlement server over HTTP; a thin shell.
+
+`POST /leases`, `POST /leases/ID/renew`, `DELETE /keys/KEY`, each with an `Idempotency-Key` (IETF
+draft-ietf-httpapi-idempotency-key-header) that is the same in every repeat. See docs/protocols.md.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Annotated
+from urllib.parse import quote, urlsplit
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from fernweir.http.client import Outcome, Pool, Reply
+from fernweir.seats.book import Op, Said, Send
+from fernweir.seats.book import Reply as Told
+
+_SAID = {403: Said.DENIED, 404: Said.GONE, 409: Said.FULL, 410: Said.GONE, 412: Said.FENCED}
+
+
+class LeaseAnswer(BaseModel):
+    """A lease as the server words it."""
+
+    model_config = ConfigDict(strict=True, frozen=True, extra="ignore")
+
+    lease: Annotated[str, Field(min_length=1, max_length=200)]
+    fence: Annotated[int, Field(ge=0)]
+    expires_in_ms: Annotated[float, Field(gt=0)]
+
+
+def read_reply(op: Op, reply: Reply) -> Told:
+    """What an HTTP reply says. Whatever does not prove an end is doubtful."""
+    if reply.outcome.never_ran:
+        return Told(Said.NEVER)
+    if reply.outcome is not Outcome.ANSWERED:
+        return Told(Said.DOUBTFUL)
+    if reply.status in _SAID:
+        wait = reply.headers.get("retry-after")
+        return Told(_SAID[reply.status], retry_after_ms=float(wait) * 1000.0 if wait.isdigit() else 0.0)
+    if not 200 <= reply.status < 300:
+        return Told(Said.DOUBTFUL)
+    if op is Op.RELEASE:
+        return Told(Said.DONE)
+    try:
+        lease = LeaseAnswer.model_validate_json(reply.body)
+    except ValidationError:
+        return Told(Said.DOUBTFUL)
+    return Told(Said.DONE, lease.lease, lease.fence, lease.expires_in_ms)
+
+
+class EntitlementClient:
+    """`name` sets this front's keys apart from those of others."""
+
+    def __init__(self, pool: Pool, url: str, name: str, token: Callable[[], str]) -> None:
+        parts = urlsplit(url)
+        self._origin = (parts.hostname or "", parts.port or 80)
+        self._base = parts.path.rstrip("/")
+        self._pool, self._name, self._token = pool, name, token
+
+    def send(self, command: Send, done: Callable[[Told], None]) -> None:
+        seat = command.seat
+        key = f"{self._name}.{command.key}"
+        headers = [
+            ("authorization", f"Bearer {self._token()}"),
+            ("idempotency-key", f'"{key}"'),
+            ("content-type", "application/json"),
+        ]
+        body: dict[str, object] = {}
+        method, target = "POST", f"{self._base}/leases"
+        if command.op is Op.ASK:
+            body = {
+                "session": seat.session,
+                "tenant": seat.tenant,
+                "lesson": seat.lesson,
+                "class": seat.cls,
+                "person": seat.person,
+            }
+        elif command.op is Op.RENEW:
+            target += f"/{quote(seat.lease, safe='')}/renew"
+            body = {"fence": seat.fence, "session": seat.session}
+        else:
+            method, target = "DELETE", f"{self._base}/keys/{quote(key, safe='')}"
+        self._pool.request(
+            self._origin,
+            method,
+            target,
+            lambda reply: done(read_reply(command.op, reply)),
+            headers=headers,
+            body=json.dumps(body).encode() if body else b"",
+            timeout_s=command.timeout_ms / 1000.0,
+        )
--- a/fernweir/front/commands.py
+++ b/fernweir/front/commands.py
@@ -26,6 +26,7 @@
     cls: int
     top_rung: int
     wait_ms: float
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,4 +124,19 @@
     payload: object = None
 
 
-Command = SetUp | ChangeRung | Release | SendProbe | Arm | Follow | Say | Answer
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """Ask whether the session may play at all; the verdict goes to `Host.admitted` by `answer_by`."""
+
+    session: Ask
+    answer_by: float
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """A session that was asked to be admitted is over, however it ended."""
+
+    jti: str
+
+
+Command = SetUp | ChangeRung | Release | SendProbe | Arm | Follow | Say | Answer | Admit | Left
--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -10,7 +10,19 @@
 
 import structlog
 
-from fernweir.front.commands import Answer, Arm, Ask, ChangeRung, Command, Release, Say, SendProbe, SetUp
+from fernweir.front.commands import (
+    Admit,
+    Answer,
+    Arm,
+    Ask,
+    ChangeRung,
+    Command,
+    Left,
+    Release,
+    Say,
+    SendProbe,
+    SetUp,
+)
 from fernweir.front.host import Host
 from fernweir.http.client import Reply
 
@@ -50,6 +62,13 @@
     def probe(self, command: SendProbe) -> None: ...
 
 
+class Keeper(Protocol):
+    """Who decides whether a session may play at all."""
+
+    def admit(self, command: Admit) -> None: ...
+    def left(self, command: Left) -> None: ...
+
+
 class Core:
     """Owns the host's clock: `loop.time()` in milliseconds. Events of one loop turn go in one batch."""
 
@@ -59,6 +78,7 @@
         self.log = log or structlog.get_logger()
         self.carriers: dict[str, Carrier] = {}
         self.doer: Doer | None = None
+        self.keeper: Keeper | None = None
         self._batch_s = batch_ms / 1000.0
         self._numbers = itertools.count(1)
         self._answers: dict[int, Callable[[Answer], None]] = {}
@@ -145,6 +165,13 @@
                 self._idle.set()
         elif isinstance(command, Arm):
             self._arm(command)
+        elif isinstance(command, Admit | Left):
+            if self.keeper is None:
+                self.log.error("nobody admits", command=type(command).__name__)
+            elif isinstance(command, Admit):
+                self.keeper.admit(command)
+            else:
+                self.keeper.left(command)
         elif isinstance(command, Say):
             self.log.info(command.text, **_named(session=command.session, box=command.box))
         elif doer is None:
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -176,6 +176,7 @@
             cls=cls,
             top_rung=claims.top,
             wait_ms=wait_ms(exchange, kind),
+            tenant=claims.tenant or "",
         )
         exchange.on_gone = lambda: self.core.withdraw(ask.ticket)
         location = f"{self.public_url}/lessons/{quote(claims.title, safe='')}/manifest.mpd"
--- /dev/null
+++ b/fernweir/front/gate.py
@@ -0,0 +1,111 @@
+"""The gate: sessions pass when the book of seats says so. A thin shell around book, log and client."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fernweir.entitlement.client import EntitlementClient
+from fernweir.front.commands import Admit, Left
+from fernweir.front.core import Core
+from fernweir.seats.book import Book, Renewed, Reply, Revoke, Send, Verdict, Want
+from fernweir.seats.log import LogError, SeatLog
+from fernweir.seats.records import encode_table
+
+
+class Gate:
+    """`plays_unanswered` names the classes whose sessions play when the server says nothing."""
+
+    def __init__(
+        self, core: Core, book: Book, log: SeatLog, client: EntitlementClient, sync_s: float
+    ) -> None:
+        self.core, self.book, self.log, self.client = core, book, log, client
+        self._sync_s = sync_s
+        self._syncing = self._kicked = self._stopped = False
+        self._wake: asyncio.TimerHandle | None = None
+
+    def append(self, body: bytes) -> int:
+        """Gathers a record; all that gather within `sync_s` share one sync."""
+        if not self._syncing and not self._stopped:
+            self._syncing = True
+            self.core.loop.call_later(self._sync_s, self._commit)
+        return self.log.append(body)
+
+    def admit(self, command: Admit) -> None:
+        ask, settings = command.session, self.core.host.settings
+        kind = settings.classes[ask.cls]
+        want = Want(ask.jti, ask.tenant, ask.title_name, kind.name, ask.who, kind.gain)
+        self.book.want(self.core.now(), want, command.answer_by)
+        self.kick()
+
+    def left(self, command: Left) -> None:
+        self.book.unwant(self.core.now(), command.jti)
+        self.kick()
+
+    def kick(self) -> None:
+        if not self._kicked and not self._stopped:
+            self._kicked = True
+            self.core.loop.call_soon(self._run)
+
+    async def give_back(self, within_s: float) -> int:
+        """Releases every seat and waits for it; tells how many are left to lapse."""
+        for session in list(self.book.seats):
+            self.book.unwant(self.core.now(), session)
+        self.kick()
+        end = self.core.loop.time() + within_s
+        while self.book.seats and self.core.loop.time() < end:
+            await asyncio.sleep(0.01)
+        return len(self.book.seats)
+
+    def stop(self) -> None:
+        """What is written down is released by the next life, or lapses."""
+        self._stopped = True
+        if self._wake is not None:
+            self._wake.cancel()
+
+    def _run(self) -> None:
+        self._kicked = False
+        if self._stopped:
+            return
+        now, host = self.core.now(), self.core.host
+        for command in self.book.take(now):
+            if isinstance(command, Send):
+                self._send(command)
+            elif isinstance(command, Verdict):
+                cls = self.book.seats.get(command.session)
+                plays = command.granted or (command.granted is None and cls is not None and cls.wanted)
+                host.admitted(now, command.session, bool(plays), command.why, command.retry_after_ms)
+            elif isinstance(command, Revoke):
+                self.core.log.info("session revoked", session=command.session, why=command.why)
+                host.revoke(now, command.session, command.why)
+            elif isinstance(command, Renewed):
+                pass  # the box's token outlives the lease; see docs/seats.md
+            self.core.kick()
+        due = self.book.next_due(now)
+        if self._wake is not None:
+            self._wake.cancel()
+        if due is not None:
+            self._wake = self.core.loop.call_at(max(due, now + 1.0) / 1000.0, self.kick)
+
+    def _send(self, command: Send) -> None:
+        def done(reply: Reply) -> None:
+            self.book.replied(self.core.now(), command.number, reply)
+            self.kick()
+
+        self.client.send(command, done)
+
+    def _commit(self) -> None:
+        self._syncing = False
+        if self._stopped:
+            return
+        try:
+            number = self.log.commit()
+            if self.log.wants_snapshot:
+                table = {session: seat.kept for session, seat in self.book.seats.items()}
+                self.log.snapshot(encode_table(table))
+        except LogError as error:
+            if self.book.writable:
+                self.core.log.error("seats can't be written down", why=str(error))
+            self.book.unwritable(self.core.now())
+        else:
+            self.book.durable(self.core.now(), number)
+        self.kick()
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -6,8 +6,9 @@
 same token share one session, that an answer is given once and in time, and that what may run at a box
 without being wanted is released there.
 
-A session, by its token's id, is in one of three phases: ASKED (the module holds it, nothing is out),
-OUT (one attempt is out) and PLAYING. It leaves the table when the module is told that it ended.
+A session, by its token's id, is in one of four phases: GATED (where entitlement is asked first; the module
+has not heard of it), ASKED (the module holds it, nothing is out), OUT (one attempt is out) and PLAYING. It
+leaves the table when the module is told that it ended.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 
 from fernweir.brain import Controller
 from fernweir.front.commands import (
+    Admit,
     Answer,
     Arm,
     Ask,
@@ -28,6 +30,7 @@
     Command,
     Follow,
     Kind,
+    Left,
     Release,
     Say,
     SendProbe,
@@ -68,6 +71,7 @@
 
 
 class Phase(Enum):
+    GATED = "gated"
     ASKED = "asked"
     OUT = "out"
     PLAYING = "playing"
@@ -80,6 +84,7 @@
     margin_ms: float = 40.0
     linger_ms: float = 2_000.0
     remembered: int = 65_536
+    admit_share: float = 0.5  # of a viewer's wait, for the verdict: a set-up must fit into the rest
 
 
 @dataclass(slots=True, eq=False)
@@ -97,6 +102,8 @@
     sent_rung: int = 0
     payload: object = None
     last: Result | None = None
+    answer_by: float = 0.0
+    moved: bool = False
     plays_told: bool = False
 
     @property
@@ -123,7 +130,13 @@
     """See the module's page. `watch` is shown every batch, for recording."""
 
     def __init__(
-        self, settings: Settings, seed: int, limits: HostLimits | None = None, watch: Watcher | None = None
+        self,
+        settings: Settings,
+        seed: int,
+        limits: HostLimits | None = None,
+        watch: Watcher | None = None,
+        *,
+        gated: bool = False,
     ) -> None:
         self.settings = settings
         self.limits = limits or HostLimits()
@@ -132,6 +145,7 @@
         self.counts = HostCounts()
         self.closing = False
         self._watch = watch
+        self._gated = gated
         self._held: dict[str, Held] = {}
         self._by_number: dict[int, Held] = {}
         self._at_server: dict[int, dict[str, Held]] = {}
@@ -154,7 +168,7 @@
             if self.closing:
                 self._answer(Answer(ask.ticket, Kind.REFUSED, "front is stopping", 0.0))
                 return
-            self._begin(ask)
+            self._begin(now, ask)
             return
         if (held.ask.title, held.ask.cls, held.ask.via) != (ask.title, ask.cls, ask.via):
             self.counts.conflicts += 1
@@ -164,7 +178,7 @@
             # It comes again while its box says nothing: it does not play there, whatever the account says.
             self._release(held, "its box fell silent")
             self._end(held, Result.RESET)
-            self._begin(ask)
+            self._begin(now, ask)
             return
         self.counts.joined += 1
         if held.phase is Phase.PLAYING:
@@ -203,6 +217,31 @@
             Ended(held.number, held.server, attempt, end.result, not held.tickets, end.took_ms, report)
         )
 
+    def admitted(self, now: float, jti: str, plays: bool, why: str = "", retry_after_ms: float = 0.0) -> None:
+        """The verdict on a session that was to be admitted."""
+        held = self._held.get(jti)
+        if held is None or held.phase is not Phase.GATED:
+            return
+        if plays:
+            self._arrive(now, held)
+            return
+        self._turn_away(held, why, retry_after_ms)
+        self._forget(held)
+
+    def revoke(self, now: float, jti: str, why: str) -> None:
+        """A session may no longer play: it ends at its box, for this reason."""
+        held = self._held.get(jti)
+        if held is None:
+            return
+        if held.phase is Phase.PLAYING:
+            self._release(held, why)
+            self._end(held, Result.CANCELLED)
+        elif held.phase is not Phase.OUT:  # what is out is seen through; nobody waits for it any more
+            self._turn_away(held, why, 0.0)
+            self._unwanted(held)
+        else:
+            self._turn_away(held, why, 0.0)
+
     def still_wanted(self, jti: str, attempt: int) -> bool:
         """Asked at the last moment before an attempt's first byte leaves: drains and ends stop it there."""
         held = self._held.get(jti)
@@ -371,12 +410,22 @@
 
     # --- pieces ---
 
-    def _begin(self, ask: Ask) -> None:
+    def _begin(self, now: float, ask: Ask) -> None:
         key, moved = self._past.pop(ask.jti, (0, False))
         held = Held(ask, self._next_number, key or self._next_number)
         self._next_number = self._next_number % 0xFFFFFFFF + 1
         held.tickets.append(ask.ticket)
         self._held[ask.jti] = self._by_number[held.number] = self._by_ticket[ask.ticket] = held
+        held.answer_by, held.moved = now + ask.wait_ms, moved
+        if self._gated:
+            held.phase = Phase.GATED
+            self._out.append(Admit(ask, now + ask.wait_ms * self.limits.admit_share))
+        else:
+            self._arrive(now, held)
+
+    def _arrive(self, now: float, held: Held) -> None:
+        ask = held.ask
+        held.phase = Phase.ASKED
         viewer = Viewer(
             session=held.number,
             cls=ask.cls,
@@ -386,9 +435,9 @@
             copies=ask.copies,
             top_rung=ask.top_rung,
             length_ms=None,
-            left_ms=max(ask.wait_ms - 2.0 * self.limits.margin_ms, 0.0),
-            moved=moved,
-            returning=key != 0,
+            left_ms=max(held.answer_by - now - 2.0 * self.limits.margin_ms, 0.0),
+            moved=held.moved,
+            returning=held.key != held.number,
         )
         self._events.append(Arrival(viewer))
 
@@ -422,13 +471,22 @@
             )
         )
 
+    def _turn_away(self, held: Held, why: str, retry_after_ms: float) -> None:
+        tickets, held.tickets = held.tickets, []
+        for ticket in tickets:
+            del self._by_ticket[ticket]
+            self.counts.refused += 1
+            self._answer(Answer(ticket, Kind.REFUSED, why, retry_after_ms, session=held.ask))
+
     def _answer(self, answer: Answer) -> None:
         self.ledger.answer(answer.ticket)
         self._out.append(answer)
 
     def _unwanted(self, held: Held) -> None:
         """After its last waiter left: what the module only holds is dropped, what is out is seen through."""
-        if held.phase is Phase.ASKED and not held.tickets:
+        if held.phase is Phase.GATED and not held.tickets:
+            self._forget(held)
+        elif held.phase is Phase.ASKED and not held.tickets:
             self._events.append(Abandoned(held.number))
             self._forget(held)
 
@@ -455,6 +513,8 @@
     def _forget(self, held: Held, moved: bool = False) -> None:
         self._held.pop(held.ask.jti, None)
         self._by_number.pop(held.number, None)
+        if self._gated:
+            self._out.append(Left(held.ask.jti))
         # A viewer who comes again is known to the module by its key.
         self._past[held.ask.jti] = (held.key, moved)
         if len(self._past) > self.limits.remembered:
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -13,18 +13,27 @@
 
 from fernweir.config.front import FrontConfig, HttpSection
 from fernweir.config.ini import ConfigError, Problem
+from fernweir.entitlement.client import EntitlementClient
+from fernweir.entitlement.queue import QueueRules
 from fernweir.front.boxes import BoxClient, BoxTimes
 from fernweir.front.boxlist import BoxList
 from fernweir.front.core import Core
 from fernweir.front.dash import DashService, TokenRules
 from fernweir.front.follower import ListFollower
+from fernweir.front.gate import Gate
 from fernweir.front.host import Host, HostLimits
 from fernweir.front.record import Recorder
 from fernweir.http.client import Pool
 from fernweir.http.parse import Limits
 from fernweir.http.server import Server, ServerLimits
+from fernweir.seats.book import Book, BookRules
+from fernweir.seats.files import DiskFiles
+from fernweir.seats.log import LogError, SeatLog
+from fernweir.seats.records import RecordError, fold_all
 from fernweir.tokens import Keyring, KeyringError
 
+_GIVE_BACK_S = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class Front:
@@ -36,6 +45,7 @@
     list: ListFollower
     pools: tuple[Pool, ...]
     record: IO[str] | None
+    gate: Gate | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -46,6 +56,9 @@
         self.server.stop_listening()
         whole = await self.core.drained(within_s)
         self.server.close_when_done()
+        if self.gate is not None:
+            left = await self.gate.give_back(min(within_s, _GIVE_BACK_S))
+            self.core.log.info("seats given back", left=left)
         await asyncio.sleep(0)
         self.kill()
         return whole
@@ -53,6 +66,8 @@
     def kill(self) -> None:
         """Ends at once: connections break, nothing more is said."""
         self.list.stop()
+        if self.gate is not None:
+            self.gate.stop()
         self.boxes.close()
         self.core.stop()
         self.server.abort()
@@ -89,7 +104,7 @@
         record = open(config.path(section.record), "w", encoding="utf-8")  # noqa: SIM115 - closed by stop
         watch = Recorder(record, settings, section.seed).watch
     limits = HostLimits(margin_ms=section.margin, linger_ms=section.linger)
-    host = Host(settings, section.seed, limits, watch)
+    host = Host(settings, section.seed, limits, watch, gated=config.entitlement is not None)
     log = structlog.get_logger().bind(front=section.name)
     core = Core(host, batch_ms=section.batch, log=log)
     pool = Pool(
@@ -104,6 +119,7 @@
     streams = Pool(per_origin=2, connect_s=config.boxes.connect_time / 1000.0)
     client = BoxClient(core, pool, streams, boxes, token, times, section.seed)
     core.doer = client
+    gate = _make_gate(config, core, pool, token, offset) if config.entitlement is not None else None
     follower = ListFollower(
         core,
         streams,
@@ -138,7 +154,45 @@
         service.public_url = f"http://{server.address[0]}:{server.address[1]}"
     follower.start()
     log.info("front listens", host=server.address[0], port=server.address[1])
-    return Front(core, server, client, follower, (pool, streams), record)
+    return Front(core, server, client, follower, (pool, streams), record, gate)
+
+
+def _make_gate(
+    config: FrontConfig, core: Core, pool: Pool, token: Callable[[], str], offset_s: float
+) -> Gate:
+    """Opens the seat log and takes up what an earlier life left. ConfigError if the log is damaged."""
+    section = config.entitlement
+    assert section is not None
+    folder = config.path(section.ledger)
+    log = SeatLog(DiskFiles(folder))
+    try:
+        found = log.open()
+        table = fold_all(found.snapshot, found.records)
+    except (LogError, RecordError, OSError) as error:
+        raise ConfigError(str(folder), [Problem("entitlement", "ledger", 0, str(error))]) from None
+    now = core.now()
+    gates: list[Gate] = []
+    book = Book(
+        now,
+        config.front.seed,
+        lambda body: gates[0].append(body),
+        lambda cls: cls in config.plays_unanswered,
+        rules=BookRules(
+            call_ms=section.call_time, ttl_most_ms=section.longest_lease, reclaim_ms=section.reclaim
+        ),
+        queue=QueueRules(at_once=section.at_once),
+        generation=found.last,
+    )
+    book.wall_offset_s = offset_s
+    client = EntitlementClient(pool, section.url, config.front.name, token)
+    gate = Gate(core, book, log, client, section.sync / 1000.0)
+    gates.append(gate)
+    book.recover(now, now / 1000.0 + offset_s, table)
+    core.keeper = gate
+    if found.torn_bytes or table:
+        core.log.info("seat log recovered", seats=len(table), torn_bytes=found.torn_bytes)
+    gate.kick()
+    return gate
 
 
 class _ControlToken:
--- a/fernweir/rehearsal/badday.py
+++ b/fernweir/rehearsal/badday.py
@@ -23,9 +23,17 @@
 from fernweir.rehearsal.hostile import PAYLOADS, HostileCounts, attack
 from fernweir.rehearsal.site import RehearsalSite, SitePlan
 from fernweir.standin.box import Behaviour
+from fernweir.standin.entitlement import EntitlementServer
+from fernweir.standin.leases import LeaseDesk, UseReport
+from fernweir.standin.site import SiteClass
 from fernweir.standin.trace import Trace
 from fernweir.standin.viewer import Habits, Shown, Viewers
 
+_CLASSES = (
+    SiteClass("briefing", scale=1.4, floor=1, seats=12, deadline_ms=3000.0),
+    SiteClass("training", scale=1.0, deadline_ms=4000.0, when_silent="play"),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class DayPlan:
@@ -47,6 +55,7 @@
     replayed: dict[str, tuple[int, str | None]]
     exits: dict[str, int | None]
     problems: list[str] = field(default_factory=list)
+    leases: UseReport | None = None
 
     @property
     def good(self) -> bool:
@@ -116,9 +125,21 @@
         with open(self.folder / "trace.jsonl", "w", encoding="utf-8") as file:
             self.trace = Trace(file, self.loop.time)
             self.site = RehearsalSite(
-                SitePlan(boxes=plan.boxes, racks=2, fronts=2, lessons=12), self.folder, self.trace, plan.seed
+                SitePlan(boxes=plan.boxes, racks=2, fronts=2, lessons=12, classes=_CLASSES),
+                self.folder,
+                self.trace,
+                plan.seed,
             )
             await self.site.start()
+            self.desk = LeaseDesk(ttl_ms=6_000.0, default=26)
+            self.entitlement = EntitlementServer(
+                self.desk,
+                self.site.keyring,
+                self.trace,
+                wall_offset_s=self.site.wall_offset_s,
+                seed=plan.seed,
+            )
+            await self.entitlement.start()
             fronts = self._fronts()
             await asyncio.gather(*(front.start() for front in fronts))
             viewers = Viewers(
@@ -133,16 +154,27 @@
             shown = await asyncio.gather(*watched, return_exceptions=True)
             await asyncio.gather(*self._tasks, return_exceptions=True)
             exits = {front.name: await front.terminate() for front in fronts}
+            self.desk.expire(self.loop.time() * 1000.0)
+            left = len(self.desk.leases)
             viewers.close()
+            self.entitlement.stop()
             self.site.close()
             self.trace.close()
-        return self._judge(shown, exits)
+        result = self._judge(shown, exits)
+        result.leases = self.desk.report
+        if left:
+            result.problems.append(f"{left} seats are held after all fronts stopped")
+        return result
 
     def _fronts(self) -> list[FrontProcess]:
         found = []
         for ordinal in range(2):
             port = free_port()
-            path = self.site.settings(ordinal, port, f"record = front-{ordinal}.record")
+            extra = (
+                f"record = front-{ordinal}.record\n[entitlement]\nurl = {self.entitlement.url}\n"
+                f"ledger = seats-{ordinal}\ncall-time = 500 ms\nlongest-lease = 10 s\nreclaim = 2 s"
+            )
+            path = self.site.settings(ordinal, port, extra)
             log = open(self.folder / f"front-{ordinal}.log", "ab")  # noqa: SIM115 - held by the child
             found.append(FrontProcess(ordinal, path, ("127.0.0.1", port), self.trace, log))
         return found
@@ -209,6 +241,9 @@
         at(0.50, "reports come 2 s late", self._late_reports)
         at(0.60, "front-1 is killed and started again", lambda: self._kill_front(fronts[1]))
         at(0.70, f"box {dying} hangs, dies, comes back cold", lambda: self._hang_and_die(dying))
+        at(0.25, "entitlement answers 300 ms late", self._late_entitlement)
+        at(0.48, "three of ten answers of entitlement are lost", self._lossy_entitlement)
+        at(0.65, "entitlement says nothing", self._silent_entitlement)
         at(0.85, "the list server is away", self._list_away)
         for share in (0.1, 0.35, 0.55, 0.8):
             at(share, "hostile clients", lambda: self._attack(fronts))
@@ -273,6 +308,21 @@
         await asyncio.sleep(2.0)
         await self.site.list.start()
 
+    async def _late_entitlement(self) -> None:
+        self.entitlement.slow_ms = 300.0
+        await asyncio.sleep(0.1 * self.plan.seconds)
+        self.entitlement.slow_ms = 0.0
+
+    async def _lossy_entitlement(self) -> None:
+        self.entitlement.lost_share = 0.3
+        await asyncio.sleep(0.12 * self.plan.seconds)
+        self.entitlement.lost_share = 0.0
+
+    async def _silent_entitlement(self) -> None:
+        self.entitlement.silent = True
+        await asyncio.sleep(0.08 * self.plan.seconds)
+        self.entitlement.silent = False
+
     async def _attack(self, fronts: list[FrontProcess]) -> None:
         await asyncio.gather(
             *(attack(front.origin, name, self.hostile) for front in fronts for name in PAYLOADS)
@@ -310,6 +360,7 @@
         f"hostile requests {hostile.sent}: {hostile.refused} refused, {hostile.closed} closed, "
         f"{len(hostile.wrong)} wrong",
         *hostile.wrong[:5],
+        f"leases by the entitlement server's report: {result.leases}",
         "decisions replayed to fresh modules: "
         + ", ".join(
             f"{name} {count} batches {'equal' if diff is None else 'DIFFER'}"
--- a/fernweir/rehearsal/site.py
+++ b/fernweir/rehearsal/site.py
@@ -198,6 +198,7 @@
                 f"[class.{one.name}]", f"aim = {plan.aim_ms} ms", f"deadline = {one.deadline_ms} ms",
                 f"gain = {gain}", f"scale = {one.scale}", f"lowest-rung = {one.floor}",
                 f"top-rung = {top}", f"seats = {one.seats}", f"effect = {one.effect}",
+                f"when-silent = {one.when_silent}",
             ]  # fmt: skip
         path = self.folder / f"front-{ordinal}.ini"
         path.write_text("\n".join(lines) + "\n")
--- a/fernweir/seats/log.py
+++ b/fernweir/seats/log.py
@@ -214,12 +214,13 @@
 def _frame_at(data: bytes, at: int) -> tuple[int, bytes, int] | None:
     if at + _FRAME.size > len(data):
         return None
-    length, crc, number, base = _FRAME.unpack_from(data, at)
+    length, crc, number, _ = _FRAME.unpack_from(data, at)
     end = at + _FRAME.size + length
     if length > _MOST or end > len(data):
         return None
-    body = data[at + _FRAME.size : end]
-    return (number, body, end) if _crc(number, base, body) == crc else None
+    # The checksum covers what follows it but the length: number, base and body, as they lie there.
+    good = google_crc32c.value(data[at + 8 : end]) == crc
+    return (number, data[at + _FRAME.size : end], end) if good else None
 
 
 def _was_durable(data: bytes, at: int, number: int) -> bool:
--- a/fernweir/seats/records.py
+++ b/fernweir/seats/records.py
@@ -1,10 +1,10 @@
-"""What the seat log holds: one JSON object a record, and the state that they fold into."""
+"""What the seat log holds: one JSON array a record, and the state that they fold into."""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 
@@ -12,11 +12,12 @@
     """A record or snapshot has a good checksum and says nothing that is known."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Kept:
     """One seat as the log knows it: asked for under a key, perhaps held under a lease.
 
-    `until` is wall time in seconds, for after a restart; while the front runs, monotonic time decides.
+    Treated as a value, never changed; not frozen, as making frozen ones slows recovery. `until` is wall
+    time in seconds, for after a restart; while the front runs, monotonic time decides.
     """
 
     session: str
@@ -35,47 +36,50 @@
 
 
 def asked(seat: Kept) -> bytes:
-    return _encode({"k": "ask", **asdict(seat)})
+    return _encode(["ask", *_row(seat)])
 
 
 def held(session: str, lease: str, fence: int, until: float) -> bytes:
-    return _encode({"k": "held", "session": session, "lease": lease, "fence": fence, "until": until})
+    return _encode(["held", session, lease, fence, until])
 
 
 def gone(session: str) -> bytes:
-    return _encode({"k": "gone", "session": session})
+    return _encode(["gone", session])
 
 
 def fold(table: Table, body: bytes) -> None:
     """Applies one record to the table."""
-    record = _decode(body)
-    kind = record.pop("k", None)
     try:
+        record = json.loads(body)
+        kind = record[0]
         if kind == "ask":
-            seat = Kept(**record)
-            table[seat.session] = seat
+            table[record[1]] = Kept(*record[1:])
         elif kind == "held":
-            session = record.pop("session")
-            if session in table:
-                table[session] = replace(table[session], **record)
+            _, session, lease, fence, until = record
+            old = table.get(session)
+            if old is not None:
+                table[session] = Kept(
+                    session, old.generation, old.tenant, old.lesson, old.cls, old.person, old.worth,
+                    lease, fence, until,
+                )  # fmt: skip
         elif kind == "gone":
-            table.pop(record["session"], None)
+            table.pop(record[1], None)
         else:
             raise RecordError(f"unknown record {kind!r}")
-    except (TypeError, KeyError) as error:
-        raise RecordError(f"record {kind!r}: {error}") from None
+    except (ValueError, TypeError, LookupError) as error:
+        raise RecordError(f"record {body[:40]!r}: {error}") from None
 
 
 def encode_table(table: Table) -> bytes:
-    return _encode({"seats": [asdict(seat) for seat in table.values()]})
+    return _encode([_row(seat) for seat in table.values()])
 
 
 def decode_table(body: bytes | None) -> Table:
     if body is None:
         return {}
     try:
-        return {one["session"]: Kept(**one) for one in _decode(body)["seats"]}
-    except (TypeError, KeyError) as error:
+        return {row[0]: Kept(*row) for row in json.loads(body)}
+    except (ValueError, TypeError, LookupError) as error:
         raise RecordError(f"snapshot: {error}") from None
 
 
@@ -87,15 +91,12 @@
     return table
 
 
-def _encode(document: dict[str, object]) -> bytes:
-    return json.dumps(document, separators=(",", ":")).encode()
+def _row(seat: Kept) -> list[object]:
+    return [
+        seat.session, seat.generation, seat.tenant, seat.lesson, seat.cls, seat.person, seat.worth,
+        seat.lease, seat.fence, seat.until,
+    ]  # fmt: skip
 
 
-def _decode(body: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(body)
-    except ValueError:
-        raise RecordError("not JSON") from None
-    if not isinstance(document, dict):
-        raise RecordError("not an object")
-    return document
+def _encode(document: list[Any]) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
--- /dev/null
+++ b/fernweir/standin/entitlement.py
@@ -0,0 +1,104 @@
+"""A simulated entitlement server: the lease desk over HTTP, scriptable to fail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from random import Random
+from urllib.parse import unquote
+
+from fernweir.http.problem import MEDIA_TYPE, problem
+from fernweir.http.server import Exchange, Server
+from fernweir.standin.leases import DeskAnswer, DeskLease, LeaseDesk
+from fernweir.standin.trace import Trace
+from fernweir.tokens import ControlClaims, Keyring, TokenError
+
+
+class EntitlementServer:
+    """`silent` answers nothing; `lost_share` does the work and answers nothing; `slow_ms` is added."""
+
+    def __init__(
+        self, desk: LeaseDesk, keyring: Keyring, trace: Trace, *, wall_offset_s: float = 0.0, seed: int = 1
+    ) -> None:
+        self.desk, self.keyring, self.trace = desk, keyring, trace
+        self.silent = False
+        self.lost_share = 0.0
+        self.slow_ms = 0.0
+        self.address: tuple[str, int] = ("127.0.0.1", 0)
+        self._offset = wall_offset_s
+        self._dice = Random(f"entitlement {seed}")
+        self._loop = asyncio.get_running_loop()
+        desk.watch = self._tell
+        self._server: Server | None = None
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.address[0]}:{self.address[1]}"
+
+    async def start(self) -> None:
+        self._server = Server(self._handle)
+        await self._server.listen(*self.address)
+        self.address = self._server.address
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.abort()
+            self._server = None
+
+    def _tell(self, what: str, lease: DeskLease, used: int, limit: int) -> None:
+        self.trace.write(
+            f"seat.{what}", lease=lease.id, front=lease.front, session=lease.session,
+            place="/".join(lease.place), used=used, limit=limit,
+        )  # fmt: skip
+
+    def _handle(self, exchange: Exchange) -> None:
+        if self.silent:
+            return
+        self._loop.call_later(self.slow_ms / 1000.0, self._serve, exchange)
+
+    def _serve(self, exchange: Exchange) -> None:
+        if exchange.gone:
+            return
+        try:
+            token = exchange.headers.get("authorization").partition(" ")[2]
+            front = self.keyring.verify(
+                token, ControlClaims, audience="fernweir-box", now_s=self._loop.time() + self._offset
+            ).front
+        except TokenError as error:
+            exchange.respond(401, [("content-type", MEDIA_TYPE)], problem(401, str(error)))
+            return
+        now = self._loop.time() * 1000.0
+        path = [unquote(part) for part in exchange.head.target.strip("/").split("/")]
+        key = exchange.headers.get("idempotency-key").strip('"')
+        try:
+            answer = self._work(now, exchange, path, key, front)
+        except (ValueError, KeyError, TypeError):
+            exchange.respond(400, [("content-type", MEDIA_TYPE)], problem(400, "malformed request"))
+            return
+        if answer is None:
+            exchange.respond(404, [("content-type", MEDIA_TYPE)], problem(404, "no such resource"))
+        elif self._dice.random() >= self.lost_share:
+            self._answer(exchange, answer)
+
+    def _work(
+        self, now: float, exchange: Exchange, path: list[str], key: str, front: str
+    ) -> DeskAnswer | None:
+        if exchange.method == "DELETE" and path[0] == "keys" and len(path) == 2:
+            return self.desk.release(now, path[1])
+        if exchange.method != "POST" or path[0] != "leases" or not key:
+            return None
+        body = json.loads(exchange.body)
+        if len(path) == 3 and path[2] == "renew":
+            return self.desk.renew(now, path[1], int(body["fence"]), str(body["session"]))
+        place = (str(body["tenant"]), str(body["lesson"]), str(body["class"]))
+        return self.desk.ask(now, key, front, str(body["session"]), str(body["person"]), place)
+
+    def _answer(self, exchange: Exchange, answer: DeskAnswer) -> None:
+        if answer.status == 200:
+            body = {"lease": answer.lease, "fence": answer.fence, "expires_in_ms": answer.ttl_ms}
+            text = json.dumps(body).encode() if answer.lease else b""
+            exchange.respond(200, [("content-type", "application/json")], text)
+        else:
+            wait = [("retry-after", str(max(round(answer.retry_after_ms / 1000.0), 1)))]
+            fields = [("content-type", MEDIA_TYPE), *(wait if answer.status == 409 else [])]
+            exchange.respond(answer.status, fields, problem(answer.status, "see the status"))
--- a/fernweir/standin/leases.py
+++ b/fernweir/standin/leases.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 Place = tuple[str, str, str]  # tenant, lesson, class
@@ -61,6 +62,7 @@
     boot: int = 1
     fence: int = 0
     leases: dict[str, DeskLease] = field(default_factory=dict)
+    watch: Callable[[str, DeskLease, int, int], None] | None = None
     _by_key: dict[str, str] = field(default_factory=dict)
     _taken_back: dict[str, float] = field(default_factory=dict)
     _used: Counter[Place] = field(default_factory=Counter)
@@ -93,6 +95,7 @@
         self.report.most_over = max(self.report.most_over, self._used[place] - limit)
         self.report.most_by_session = max(self.report.most_by_session, len(held))
         self.report.most = max(self.report.most, len(self.leases))
+        self._tell("taken", lease)
         return self._granted(now, lease)
 
     def renew(self, now: float, id: str, fence: int, session: str) -> DeskAnswer:
@@ -150,3 +153,8 @@
         held.discard(id)
         if not held:
             del self._by_session[lease.session]
+        self._tell("freed", lease)
+
+    def _tell(self, what: str, lease: DeskLease) -> None:
+        if self.watch is not None:
+            self.watch(what, lease, self._used[lease.place], self.seats.get(lease.place, self.default))
--- a/fernweir/standin/site.py
+++ b/fernweir/standin/site.py
@@ -17,6 +17,7 @@
     seats: int = 0
     deadline_ms: float = 3000.0
     effect: str = "repeatable"
+    when_silent: str = "refuse"
 
 
 @dataclass(frozen=True, slots=True)
--- a/fernweir/tokens/claims.py
+++ b/fernweir/tokens/claims.py
@@ -58,6 +58,7 @@
     title: Slug
     cls: Slug
     top: Annotated[int, Field(ge=0, le=63)]
+    tenant: Name | None = None
 
 
 class BoxClaims(SessionClaims):
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -14,6 +14,8 @@
 from fernweir.http.client import Pool, Reply
 from fernweir.rehearsal.site import RehearsalSite, SitePlan
 from fernweir.standin.box import Behaviour
+from fernweir.standin.entitlement import EntitlementServer
+from fernweir.standin.leases import LeaseDesk
 from fernweir.standin.trace import Trace
 from fernweir.standin.viewer import Viewers, Wish, fetch
 from tests.sockets import until
@@ -30,6 +32,8 @@
         self.records: list[Record] = self.trace.keep()
         self.site = RehearsalSite(plan, folder, self.trace, 1)
         self.extra = extra
+        self.desk: LeaseDesk | None = None
+        self.entitlement: EntitlementServer | None = None
         self.fronts: list[Front] = []
         self.pool = Pool()
         self.viewers = Viewers({}, self.trace, 1)
@@ -37,11 +41,21 @@
 
     async def start(self, fronts: int) -> None:
         await self.site.start()
+        if self.desk is not None:
+            server = EntitlementServer(
+                self.desk, self.site.keyring, self.trace, wall_offset_s=self.site.wall_offset_s
+            )
+            await server.start()
+            self.entitlement = server
         for ordinal in range(fronts):
             await self.start_front(ordinal)
 
     async def start_front(self, ordinal: int) -> Front:
-        front = await start_front(self.site.config(ordinal, extra=self.extra))
+        extra = self.extra
+        if self.entitlement is not None:
+            extra += f"\n[entitlement]\nurl = {self.entitlement.url}\nledger = seats-{ordinal}\n"
+            extra += "call-time = 200 ms\nlongest-lease = 3 s\nreclaim = 400 ms"
+        front = await start_front(self.site.config(ordinal, extra=extra))
         name = f"front-{ordinal}"
         self.trace.write("front.up", front=name)
         self.viewers.fronts[name] = front.address
@@ -54,6 +68,8 @@
         for ordinal, front in enumerate(self.fronts):
             self.trace.write("front.down", front=f"front-{ordinal}")
             front.kill()
+        if self.entitlement is not None:
+            self.entitlement.stop()
         self.viewers.close()
         self.pool.close()
         self.site.close()
@@ -107,11 +123,13 @@
     fronts: int = 1,
     extra: str = "",
     broken: tuple[str, ...] = (),
+    desk: LeaseDesk | None = None,
 ) -> Auditor:
     """Plays a story; all six rules must have held on the wire, or just those named must be broken."""
 
     async def run(folder: Path) -> list[Record]:
         scene = Scene(plan or SitePlan(), folder, extra)
+        scene.desk = desk
         try:
             await scene.start(fronts)
             await story(scene)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -157,6 +157,19 @@
         trace += session(number, 20000.0 + number)
 
 
+def lease(number: int, **more: Any) -> dict[str, Any]:
+    return {"t": 3000.0 + number, "kind": "seat.taken", "lease": f"L{number}", "front": "f", "session": "s1",
+            "place": "t/l/c", "used": 1, "limit": 2, **more}  # fmt: skip
+
+
+def over_leased(trace: Trace) -> None:
+    trace.append(lease(1, used=3))
+
+
+def leased_twice(trace: Trace) -> None:
+    trace += [lease(1), lease(2)]
+
+
 def too_many_tries(trace: Trace) -> None:
     for number in range(1, 5):
         trace.append({**find(trace, "box.setup", number - 1), "t": 15100.0 + number, "id": 700 + number,
@@ -169,7 +182,8 @@
         ("1", answered_late), ("1", answered_twice), ("1", never_answered), ("1", cut_off), ("1", odd_status),
         ("2", two_out), ("2", still_out), ("2", paid_twice), ("3", sent_to_drained), ("3", sent_to_gone),
         ("4", pushed_over), ("4", herd), ("5", low_set_up), ("5", low_manifest), ("5", low_segment),
-        ("5", low_change), ("5", too_many_seats), ("6", too_many_tries),
+        ("5", low_change), ("5", too_many_seats), ("5", over_leased),
+        ("5", leased_twice), ("6", too_many_tries),
     ],
 )  # fmt: skip
 def test_a_doctored_trace_is_caught(rule: str, doctor: Callable[[Trace], None]) -> None:
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,184 @@
+"""Sessions admitted by an entitlement server, over sockets; its own report is what is judged."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from fernweir.config.ini import ConfigError
+from fernweir.entitlement.client import read_reply
+from fernweir.front.program import start_front
+from fernweir.http.client import Outcome, Reply
+from fernweir.http.headers import Headers
+from fernweir.rehearsal.site import SitePlan
+from fernweir.seats.book import Op, Said
+from fernweir.standin.leases import LeaseDesk
+from fernweir.standin.site import SiteClass, SiteTimes
+from tests.scene import Scene, play
+from tests.sockets import until
+
+QUICK = SiteTimes(tell=200.0, seen_after=50.0, set_up=(2.0, 6.0), idle=10_000.0, orphan=300.0)
+CLASSES = (
+    SiteClass("briefing", 1.4, 1, deadline_ms=2000.0),
+    SiteClass("training", deadline_ms=2000.0, when_silent="play"),
+)
+PLAN = SitePlan(times=QUICK, classes=CLASSES)
+
+
+def desk(seats: int = 10) -> LeaseDesk:
+    return LeaseDesk(ttl_ms=2_000.0, default=seats)
+
+
+def test_seats_are_taken_kept_and_given_back() -> None:
+    mine = desk(seats=2)
+
+    async def story(scene: Scene) -> None:
+        wishes = [scene.wish(cls="briefing") for _ in range(3)]
+        # Each token twice at once: a seat is one session's, however often it asks.
+        replies = await asyncio.gather(*(scene.ask(wish) for wish in [*wishes, *wishes]))
+        assert sorted(reply.status for reply in replies) == [200] * 4 + [503] * 2
+        refused = next(reply for reply in replies if reply.status == 503)
+        assert b"no seat is free" in refused.body and int(refused.headers.get("retry-after")) >= 1
+        fences = {lease.fence for lease in mine.leases.values()}
+        await until(lambda: mine.fence >= max(fences) + 2)  # renewed while they play
+        for wish in wishes:
+            await scene.http("DELETE", "/lessons/lesson-0/session", wish)
+        await until(lambda: not mine.leases)
+        assert (await scene.ask(wishes[2])).status == 200
+
+    play(story, PLAN, desk=mine)
+    assert (mine.report.most_over, mine.report.most_by_session, mine.report.most) == (0, 1, 2)
+
+
+def test_a_server_that_says_nothing_is_answered_for_by_the_class_in_time() -> None:
+    mine = desk()
+
+    async def story(scene: Scene) -> None:
+        assert scene.entitlement is not None
+        scene.entitlement.silent = True
+        strict, lenient = await asyncio.gather(
+            scene.ask(scene.wish(cls="briefing")), scene.ask(scene.wish(cls="training"))
+        )
+        assert (strict.status, lenient.status) == (503, 200) and b"did not answer" in strict.body
+        scene.entitlement.silent = False
+        await until(lambda: len(mine.leases) == 1)  # asked on, until the one that plays has its seat
+
+    auditor = play(story, PLAN, desk=mine)
+    assert not auditor.findings
+
+
+def test_lost_answers_never_take_two_seats() -> None:
+    mine = desk()
+
+    async def story(scene: Scene) -> None:
+        assert scene.entitlement is not None
+        scene.entitlement.lost_share = 0.4
+        wishes = [scene.wish(play_s=0.4) for _ in range(10)]
+        await asyncio.gather(*(scene.viewers.watch(wish) for wish in wishes))
+        scene.entitlement.lost_share = 0.0
+        await until(lambda: not mine.leases and not scene.fronts[0].gate.book.seats)  # type: ignore[union-attr]
+
+    play(story, PLAN, desk=mine)
+    assert mine.report.most_by_session == 1 and mine.report.repeated_keys > 0
+
+
+def test_a_killed_front_finds_its_seats_again_and_leaks_none() -> None:
+    mine = desk()
+
+    async def story(scene: Scene) -> None:
+        wishes = [scene.wish() for _ in range(4)]
+        await asyncio.gather(*map(scene.ask, wishes))
+        assert len(mine.leases) == 4
+        scene.trace.write("front.down", front="front-0")
+        scene.fronts.pop().kill()
+        await scene.start_front(0)
+        gate = scene.fronts[0].gate
+        assert gate is not None and len(gate.book.seats) == 4
+        assert (await scene.ask(wishes[0])).status == 200  # comes back to its seat
+        await until(lambda: len(mine.leases) == 1)  # those nobody came back for are given back
+        await scene.http("DELETE", "/lessons/lesson-0/session", wishes[0])
+        await until(lambda: not mine.leases)
+
+    play(story, PLAN, desk=mine)
+    assert mine.report.most_by_session == 1 and mine.report.granted == 4
+
+
+def test_an_entitlement_that_ends_mid_lesson_ends_the_session() -> None:
+    mine = desk()
+
+    async def story(scene: Scene) -> None:
+        wish = scene.wish()
+        assert (await scene.ask(wish)).status == 200
+        mine.denied.add(f"person-{wish.session}")
+        await until(lambda: scene.of("box.end", session=wish.session, why="released"))
+        refused = await scene.ask(wish)
+        assert refused.status == 503 and b"not entitled" in refused.body
+
+    play(story, PLAN, desk=mine)
+
+
+def test_a_server_that_restarts_with_nothing_is_asked_anew() -> None:
+    mine = desk()
+
+    async def story(scene: Scene) -> None:
+        wish = scene.wish()
+        assert (await scene.ask(wish)).status == 200
+        mine.forget()
+        await until(lambda: len(mine.leases) == 1)
+        assert scene.fronts[0].core.host.sessions == 1 and not scene.of("box.end")
+
+    play(story, PLAN, desk=mine)
+
+
+def test_a_damaged_seat_log_is_one_clear_error() -> None:
+    async def story(scene: Scene) -> None:
+        assert scene.entitlement is not None
+        extra = f"[entitlement]\nurl = {scene.entitlement.url}\nledger = bad"
+        folder = scene.site.folder / "bad"
+        folder.mkdir()
+        (folder / "seats-00000000000000000001.log").write_bytes(b"not a log at all, and long enough")
+        with pytest.raises(ConfigError, match=r"ledger: .*not a seat log"):
+            await start_front(scene.site.config(1, extra=extra))
+
+    play(story, PLAN, desk=desk())
+
+
+LEASE = b'{"lease": "a", "fence": 3, "expires_in_ms": 10.0}'
+
+
+@pytest.mark.parametrize(
+    ("op", "reply", "said"),
+    [
+        (Op.ASK, Reply(Outcome.ANSWERED, 200, body=LEASE), Said.DONE),
+        (Op.ASK, Reply(Outcome.ANSWERED, 201, body=LEASE), Said.DONE),
+        (Op.RELEASE, Reply(Outcome.ANSWERED, 204), Said.DONE),
+        (Op.ASK, Reply(Outcome.ANSWERED, 200, body=b"[]"), Said.DOUBTFUL),
+        (Op.ASK, Reply(Outcome.ANSWERED, 200, body=LEASE.replace(b"3", b"-3")), Said.DOUBTFUL),
+        (Op.ASK, Reply(Outcome.ANSWERED, 200, body=LEASE.replace(b"10.0", b"0")), Said.DOUBTFUL),
+        (Op.ASK, Reply(Outcome.ANSWERED, 409, Headers([("retry-after", "2")])), Said.FULL),
+        (Op.ASK, Reply(Outcome.ANSWERED, 409, Headers([("retry-after", "soon")])), Said.FULL),
+        (Op.RENEW, Reply(Outcome.ANSWERED, 412), Said.FENCED),
+        (Op.RENEW, Reply(Outcome.ANSWERED, 404), Said.GONE),
+        (Op.RENEW, Reply(Outcome.ANSWERED, 403), Said.DENIED),
+        (Op.RENEW, Reply(Outcome.ANSWERED, 500), Said.DOUBTFUL),
+        (Op.ASK, Reply(Outcome.REFUSED), Said.NEVER),
+        (Op.ASK, Reply(Outcome.UNSENT), Said.NEVER),
+        (Op.ASK, Reply(Outcome.RESET), Said.DOUBTFUL),
+        (Op.ASK, Reply(Outcome.SILENT), Said.DOUBTFUL),
+        (Op.ASK, Reply(Outcome.CUT, 200), Said.DOUBTFUL),
+    ],
+)
+def test_what_a_reply_of_the_server_says(op: Op, reply: Reply, said: Said) -> None:
+    assert read_reply(op, reply).said is said
+
+
+def test_no_gate_without_its_section() -> None:
+    async def story(scene: Scene) -> None:
+        assert scene.fronts[0].gate is None
+        assert (await scene.ask(scene.wish())).status == 200
+        assert not (Path(scene.site.folder) / "seats-0").exists()
+
+    play(story, replace(PLAN, boxes=3))
--- a/tests/test_seat_log.py
+++ b/tests/test_seat_log.py
@@ -176,7 +176,9 @@
     again.close()
 
 
-@pytest.mark.parametrize("body", [b"no", b"[]", b'{"k": "what"}', b'{"k": "ask"}', b'{"k": "gone"}'])
+@pytest.mark.parametrize(
+    "body", [b"no", b"[]", b"{}", b'["what"]', b'["ask"]', b'["gone"]', b'["held", "a"]']
+)
 def test_records_that_say_nothing_known(body: bytes) -> None:
     with pytest.raises(RecordError):
         fold({}, body)
