Revoked sessions end after their segment; the issuer's key set is followed, retired keys run out

Change: a release after the segment (merge patch with the reason, then 410 to the player); a follower of the JWK Set by ETag, whose retired keys verify for a stated time. Result: over sockets, no segment of a revoked session was cut and its player was told why; tokens of a retired key held for its time and then no more.

--- a/fernweir/config/front.py
+++ b/fernweir/config/front.py
@@ -74,6 +74,9 @@
     skew: Millis = 5_000.0
     box_life: PositiveMillis = 14_400_000.0
     longest: Positive = 4_096
+    key_set: HttpUrl | None = None
+    key_set_every: PositiveMillis = 60_000.0
+    retired_for: Millis = 3_600_000.0
 
 
 class FleetSection(Section):
--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -175,9 +175,13 @@
             if again and reply.outcome is not Outcome.ANSWERED and not self.closed:
                 self.core.loop.call_later(self.times.call_s, self._delete, command, False)
 
-        origin = self.boxes.address(command.server)
-        if origin is not None:
-            self._call(origin, "DELETE", _session(command.jti, command.attempt), done)
+        origin, target = self.boxes.address(command.server), _session(command.jti, command.attempt)
+        if origin is None:
+            return
+        if command.after_segment and again:
+            self._call(origin, "PATCH", target, done, json.dumps({"end": command.why}).encode())
+        else:
+            self._call(origin, "DELETE", target, done)
 
     def _call(
         self, origin: Origin, method: str, target: str, done: Callable[[Reply], None], body: bytes = b""
--- a/fernweir/front/commands.py
+++ b/fernweir/front/commands.py
@@ -64,12 +64,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Tell a box that one attempt's session, playing or doubtful, is wanted no more."""
+    """Tell a box that one attempt's session, playing or doubtful, is wanted no more.
+
+    `after_segment`: what plays may end its segment first, and its player is told why.
+    """
 
     jti: str
     attempt: int
     server: int
     why: str
+    after_segment: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -234,7 +234,7 @@
         if held is None:
             return
         if held.phase is Phase.PLAYING:
-            self._release(held, why)
+            self._release(held, why, after_segment=True)
             self._end(held, Result.CANCELLED)
         elif held.phase is not Phase.OUT:  # what is out is seen through; nobody waits for it any more
             self._turn_away(held, why, 0.0)
@@ -494,9 +494,9 @@
         held.sent_rung = held.rung
         self._out.append(ChangeRung(held.ask.jti, held.attempt, held.server, held.rung))
 
-    def _release(self, held: Held, why: str) -> None:
+    def _release(self, held: Held, why: str, after_segment: bool = False) -> None:
         self.counts.released += 1
-        self._out.append(Release(held.ask.jti, held.attempt, held.server, why))
+        self._out.append(Release(held.ask.jti, held.attempt, held.server, why, after_segment))
 
     def _end(self, held: Held, result: Result, moved: bool = False) -> None:
         self._events.append(Ended(held.number, held.server, held.attempt, result, True, 0.0, ()))
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -22,6 +22,7 @@
 from fernweir.front.follower import ListFollower
 from fernweir.front.gate import Gate
 from fernweir.front.host import Host, HostLimits
+from fernweir.front.keyset import KeySetFollower
 from fernweir.front.record import Recorder
 from fernweir.http.client import Pool
 from fernweir.http.parse import Limits
@@ -46,6 +47,7 @@
     pools: tuple[Pool, ...]
     record: IO[str] | None
     gate: Gate | None = None
+    keyring: Keyring | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -148,13 +150,24 @@
         wall_s=wall_s,
         most_waiting=config.http.waiting,
     )
+    if config.tokens.key_set is not None:
+        keys = KeySetFollower(
+            core,
+            pool,
+            keyring,
+            config.tokens.key_set,
+            every_s=config.tokens.key_set_every / 1000.0,
+            retired_for_s=config.tokens.retired_for / 1000.0,
+            wall_s=wall_s,
+        )
+        keys.start()
     server = Server(service.handle, _server_limits(config.http))
     await server.listen(*section.listen)
     if section.public_url is None:
         service.public_url = f"http://{server.address[0]}:{server.address[1]}"
     follower.start()
     log.info("front listens", host=server.address[0], port=server.address[1])
-    return Front(core, server, client, follower, (pool, streams), record, gate)
+    return Front(core, server, client, follower, (pool, streams), record, gate, keyring)
 
 
 def _make_gate(
--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -48,6 +48,7 @@
     top: int
     rung: int
     seen_at: float
+    ending: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -303,6 +304,10 @@
     def _patch(self, exchange: Exchange, session: BoxSession) -> None:
         try:
             body = json.loads(exchange.body)
+            if isinstance(body.get("end"), str):
+                session.ending = body["end"]
+                exchange.respond(204)
+                return
             rung = body["rung"]
             if exchange.headers.get("content-type") != "application/merge-patch+json":
                 raise ValueError("not a merge patch")
@@ -335,6 +340,8 @@
             return
         session = self.sessions.get((claims.jti, claims.attempt))
         status = 404 if session is None or session.title != title else 200
+        if session is not None and session.ending:
+            status = 410
         if session is not None and status == 200:
             session.seen_at = now
             status = 200 if rung <= session.rung else 403
@@ -345,6 +352,11 @@
         if session is None or status == 404:
             self._problem(exchange, 404, "no such session")
             return
+        if status == 410:  # the segment before was its last
+            why, fields = session.ending, [_CORS, ("content-type", MEDIA_TYPE)]
+            self._end(session, "revoked", tell=False)
+            exchange.respond(410, fields, problem(410, why, kind="urn:fernweir:problem:ended"))
+            return
         most = self.site.rate_kb(session.cls, session.rung) * 8
         # CTA-5006: the maximum suggested bitrate, kbit/s rounded to the nearest hundred.
         fields = [_CORS, ("cmsd-dynamic", f'"box-{self.spec.number}";mb={round(most / 100) * 100}')]
--- a/fernweir/standin/entitlement.py
+++ b/fernweir/standin/entitlement.py
@@ -24,6 +24,8 @@
         self.silent = False
         self.lost_share = 0.0
         self.slow_ms = 0.0
+        self.key_set = '{"keys": []}'
+        self.key_set_asked = 0
         self.address: tuple[str, int] = ("127.0.0.1", 0)
         self._offset = wall_offset_s
         self._dice = Random(f"entitlement {seed}")
@@ -59,6 +61,13 @@
     def _serve(self, exchange: Exchange) -> None:
         if exchange.gone:
             return
+        if exchange.head.target == "/jwks" and exchange.method == "GET":
+            self.key_set_asked += 1
+            tag = f'"{hash(self.key_set)}"'
+            fresh = exchange.headers.get("if-none-match") != tag
+            fields = [("etag", tag), ("content-type", "application/jwk-set+json")]
+            exchange.respond(200 if fresh else 304, fields, self.key_set.encode() if fresh else b"")
+            return
         try:
             token = exchange.headers.get("authorization").partition(" ")[2]
             front = self.keyring.verify(
--- a/fernweir/standin/viewer.py
+++ b/fernweir/standin/viewer.py
@@ -52,6 +52,7 @@
     played_s: float = 0.0
     worth: float = 0.0
     breaks: int = 0
+    ended: str = ""
 
 
 async def fetch(pool: Pool, origin: Origin, method: str, target: str, timeout_s: float,
@@ -114,6 +115,8 @@
             shown.played_s += played
             if left_s <= 0.0:
                 break
+            if shown.ended:
+                break
             shown.breaks += 1
         return shown
 
@@ -176,6 +179,8 @@
         number = 0
         while self._loop.time() - begun < left_s:
             reply = await fetch(self.boxes, player.origin, "GET", player.segment(number), 2.0)
+            if reply.status == 410:
+                shown.ended = str(loads(reply.body).get("title"))
             if reply.outcome is not Outcome.ANSWERED or reply.status not in (200, 403):
                 return self._loop.time() - begun
             match = _MB.search(reply.headers.get("cmsd-dynamic"))
--- a/fernweir/tokens/keyring.py
+++ b/fernweir/tokens/keyring.py
@@ -59,6 +59,9 @@
             if kid in self._keys:
                 raise KeyringError(f"key {kid}: listed twice")
             self._keys[kid] = (key, algorithm)
+        self._own = set(self._keys)
+        self._issued: set[str] = set()
+        self._retired: dict[str, float] = {}
         self.sign_with = sign_with or next(iter(self._keys))
         if self.sign_with not in self._keys:
             raise KeyringError(f"no key {self.sign_with} to sign with")
@@ -74,6 +77,23 @@
             raise KeyringError("the key set is not a JSON object")
         return cls(keys, sign_with=sign_with, skew_s=skew_s)
 
+    def adopt(self, issued: Keyring, now_s: float, retired_for_s: float) -> list[str]:
+        """Takes the keys of a newer set beside the own ones; tells those that it no longer lists.
+
+        A key that left the set still verifies for `retired_for_s`: tokens signed with it are out, and their
+        viewers watch. After that, or if the set lists another key of the same id, it is gone.
+        """
+        for kid in self._issued - set(issued._keys):
+            self._retired.setdefault(kid, now_s + retired_for_s)
+        for kid in [kid for kid, until in self._retired.items() if until <= now_s or kid in issued._keys]:
+            del self._retired[kid]
+        own = {kid: key for kid, key in self._keys.items() if kid in self._own}
+        kept = {kid: self._keys[kid] for kid in self._retired if kid in self._keys}
+        self._keys = {**kept, **issued._keys, **own}
+        self._issued = set(issued._keys)
+        self._cache.clear()  # what a key vouched for is judged anew by the keys of now
+        return list(self._retired)
+
     @property
     def ids(self) -> list[str]:
         return list(self._keys)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -13,10 +13,12 @@
 from fernweir.front.program import start_front
 from fernweir.http.client import Outcome, Reply
 from fernweir.http.headers import Headers
-from fernweir.rehearsal.site import SitePlan
+from fernweir.rehearsal.site import SitePlan, make_keys
 from fernweir.seats.book import Op, Said
 from fernweir.standin.leases import LeaseDesk
 from fernweir.standin.site import SiteClass, SiteTimes
+from fernweir.standin.viewer import Wish
+from fernweir.tokens import Keyring
 from tests.scene import Scene, play
 from tests.sockets import until
 
@@ -110,10 +112,15 @@
     mine = desk()
 
     async def story(scene: Scene) -> None:
-        wish = scene.wish()
-        assert (await scene.ask(wish)).status == 200
+        wish = scene.wish(play_s=10.0)
+        watching = asyncio.ensure_future(scene.viewers.watch(wish))
+        await until(lambda: scene.of("box.segment"))
         mine.denied.add(f"person-{wish.session}")
-        await until(lambda: scene.of("box.end", session=wish.session, why="released"))
+        shown = await watching
+        assert shown.ended == "entitlement has ended" and 0.0 < shown.played_s < 10.0
+        statuses = [record["status"] for record in scene.of("box.segment")]
+        assert set(statuses[:-1]) == {200} and statuses[-1] == 410  # no segment was cut off
+        assert scene.of("box.end", session=wish.session, why="revoked")
         refused = await scene.ask(wish)
         assert refused.status == 503 and b"not entitled" in refused.body
 
@@ -167,6 +174,43 @@
     assert mine.report.granted == 1
 
 
+def test_keys_rotate_over_http_while_their_tokens_are_out() -> None:
+    async def story(scene: Scene) -> None:
+        server = scene.entitlement
+        assert server is not None
+        old, new = make_keys("issuer-1"), make_keys("issuer-2")
+        server.key_set = old
+        lines = f"key-set = {server.url}/jwks\nkey-set-every = 50 ms\nretired-for = 1 s"
+        scene.site.plan = replace(scene.site.plan, token_lines=lines)
+        scene.fronts.pop().kill()
+        front = await scene.start_front(0)
+
+        def wish_by(keys: str) -> Wish:
+            wish = scene.wish()
+            claims = scene.site.claims(wish.session, wish.title, wish.cls)
+            return replace(wish, token=Keyring.read(keys).sign(claims))
+
+        async def status(wish: Wish) -> int:
+            return (await scene.ask(wish)).status
+
+        early = wish_by(old)
+        keyring = front.keyring
+        await until(lambda: "issuer-1" in keyring.ids)
+        assert (await status(early), await status(wish_by(new))) == (200, 401)
+        server.key_set = new
+        await until(lambda: "issuer-2" in keyring.ids)
+        # The old key is retired, but its tokens are out: they hold for a while, and then no more.
+        assert (await status(early), await status(wish_by(new))) == (200, 200)
+        server.key_set = "no key set"  # a server that breaks takes nothing away
+        await until(lambda: server.key_set_asked > 4)
+        assert await status(wish_by(new)) == 200
+        server.key_set = new.replace("issuer-2", "issuer-2")
+        await until(lambda: "issuer-1" not in keyring.ids)
+        assert (await status(early), await status(wish_by(new))) == (401, 200)
+
+    play(story, PLAN, desk=desk(seats=50))
+
+
 LEASE = b'{"lease": "a", "fence": 3, "expires_in_ms": 10.0}'
 
 
