--- a/bench/renewals.py
+++ b/bench/renewals.py
@@ -51,9 +51,8 @@
         now += 20.0
         renewed += turn()
     cpu = time.process_time() - begun
-    print(
-        f"{seats} seats, {renewed} renewals, {cpu / max(renewed, 1) * 1e6:.1f} us of CPU each, {cpu:.2f} s in all"
-    )
+    each = cpu / max(renewed, 1) * 1e6
+    print(f"{seats} seats, {renewed} renewals, {each:.1f} us of CPU each, {cpu:.2f} s in all")
 
 
 if __name__ == "__main__":
