--- a/tests/test_seat_log.py
+++ b/tests/test_seat_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -152,6 +153,28 @@
     assert found.last >= promised and found.torn_bytes > 0
 
 
+@pytest.mark.parametrize("operation", ["append", "sync", "replace"])
+def test_a_disk_that_turned_read_only_is_said_and_nothing_promised_is_lost(operation: str) -> None:
+    """Each operation of the log is refused from some moment on."""
+    for refused_from in (1, 4, 9):
+        left = [refused_from]
+
+        def before(what: str, left: list[int] = left) -> None:
+            left[0] -= what.startswith(operation)
+            if left[0] < 0:
+                raise OSError(errno.EROFS, "Read-only file system")
+
+        files, durable = MemoryFiles(before), [0]
+        try:
+            write_all(files, durable, 2)
+        except LogError as error:
+            assert "Read-only file system" in str(error)
+        files.before = None
+        found = SeatLog(files.crash(Random(refused_from)), SMALL).open()
+        assert found.last >= durable[-1]
+        assert fold_all(found.snapshot, found.records) == model(found.last)
+
+
 def test_on_a_disk(tmp_path: Path) -> None:
     files = DiskFiles(tmp_path / "seats")
     log = SeatLog(files, SMALL)
