--- a/fernweir/entitlement/policy.py
+++ b/fernweir/entitlement/policy.py
@@ -14,34 +14,6 @@
 from random import Random
 
 
-class TokenBucket:
-    """Holds at most `burst` tokens and gains `rate` a second."""
-
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate, self.burst = rate, burst
-        self._tokens, self._at = burst, now
-
-    def level(self, now: float) -> float:
-        # A clock that seems to go back gives nothing and takes nothing.
-        if now > self._at:
-            self._tokens = min(self.burst, self._tokens + (now - self._at) * self.rate / 1000.0)
-            self._at = now
-        return self._tokens
-
-    def take(self, now: float, count: float = 1.0) -> bool:
-        if self.level(now) < count:
-            return False
-        self._tokens -= count
-        return True
-
-    def wait_ms(self, now: float, count: float = 1.0) -> float:
-        """How long until that many tokens are there; infinite if they never will be."""
-        missing = count - self.level(now)
-        if missing <= 0.0:
-            return 0.0
-        return missing / self.rate * 1000.0 if self.rate > 0 and count <= self.burst else float("inf")
-
-
 class DecorrelatedJitter:
     """Pauses between `base` and three times the last one, `most` at most (Brooker, AWS, 2015)."""
 
--- a/fernweir/front/gate.py
+++ b/fernweir/front/gate.py
@@ -74,8 +74,8 @@
             if isinstance(command, Send):
                 self._send(command)
             elif isinstance(command, Verdict):
-                cls = self.book.seats.get(command.session)
-                plays = command.granted or (command.granted is None and cls is not None and cls.wanted)
+                seat = self.book.seats.get(command.session)
+                plays = command.granted or (command.granted is None and seat is not None and seat.wanted)
                 host.admitted(now, command.session, bool(plays), command.why, command.retry_after_ms)
             elif isinstance(command, Revoke):
                 self.core.log.info("session revoked", session=command.session, why=command.why)
--- a/fernweir/http/server.py
+++ b/fernweir/http/server.py
@@ -60,14 +60,12 @@
         "body",
         "head",
         "on_gone",
-        "tag",
     )
 
     def __init__(self, connection: ServerConnection, head: RequestHead) -> None:
         self.head = head
         self.body = b""
         self.on_gone: Callable[[], None] | None = None
-        self.tag: object = None
         self._connection = connection
         self._body: list[bytes] = []
         self._chunks: list[bytes] = []
--- a/fernweir/rehearsal/badday.py
+++ b/fernweir/rehearsal/badday.py
@@ -44,7 +44,6 @@
     seconds: float = 40.0
     rate: float = 6.0
     crew: int = 60
-    broken_front: str = ""  # a deliberate break, to see the auditor catch it
 
 
 @dataclass(slots=True)
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -18,7 +18,6 @@
     DecorrelatedJitter,
     RetryPolicy,
     RetryRules,
-    TokenBucket,
 )
 from fernweir.entitlement.queue import QueueRules, SendQueue, Turn
 from fernweir.rehearsal.storm import Storm, StormPlan
@@ -97,13 +96,6 @@
 # --- retries ---
 
 
-def test_a_bucket_and_a_clock_that_goes_back() -> None:
-    bucket = TokenBucket(rate=2.0, burst=3.0, now=1000.0)
-    assert [bucket.take(1000.0) for _ in range(4)] == [True, True, True, False]
-    assert bucket.wait_ms(1000.0) == 500.0 and not bucket.take(0.0) and bucket.take(1500.0)
-    assert bucket.wait_ms(1500.0, 9.0) == float("inf")
-
-
 def test_jitter_stays_between_its_bounds_and_apart() -> None:
     jitters = [DecorrelatedJitter(Random(seed), 50.0, 2000.0) for seed in range(50)]
     pauses = [[jitter.next_ms() for _ in range(10)] for jitter in jitters]
