--- a/fernweir/config/front.py
+++ b/fernweir/config/front.py
@@ -16,6 +16,7 @@
     Count,
     Counts,
     Millis,
+    Mode,
     Names,
     Number,
     Positive,
@@ -177,6 +178,25 @@
     at_once: Positive = 64
 
 
+class ControlSection(Section):
+    """The operators' socket, their orders, and the journal; left out, there is none of it.
+
+    `operators` may act, all if none is named; who may look at all is up to `mode`. A `led` front takes its
+    orders from a unit, and `orders` is the unit's file then.
+    """
+
+    socket: str
+    mode: Mode = 0o600
+    operators: Names = Field(default_factory=list)
+    orders: str = "orders.json"
+    led: YesNo = False
+    journal: str | None = None
+    journal_memory: Size = 67_108_864
+    journal_disk: Size = 268_435_456
+    drain_pace: Millis = 2_000.0
+    drains_at_once: Positive = 2
+
+
 class LogSection(Section):
     format: Literal["json", "text"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -195,6 +215,7 @@
     log: LogSection
     entitlement: EntitlementSection | None
     introspection: IntrospectionSection | None
+    control: ControlSection | None
     plays_unanswered: frozenset[str]
     class_names: dict[str, int]
     settings: Settings
@@ -226,6 +247,9 @@
     introspection = None
     if "introspection" in file.sections:
         introspection = reader.take("introspection", IntrospectionSection)
+    control = None
+    if "control" in file.sections:
+        control = reader.take("control", ControlSection)
     classes = reader.take_all("class", ClassSection)
     if not any(name.startswith("class.") for name in file.sections):
         reader.wrong("class.NAME", "", "at least one class is needed")
@@ -245,18 +269,19 @@
     numbers = {name: index for index, name in enumerate(classes)}
     plays = frozenset(name for name, one in classes.items() if one.when_silent == "play")
     return FrontConfig(
-        folder,
-        front,
-        box_list,
-        tokens,
-        http,
-        boxes,
-        log,
-        entitlement,
-        introspection,
-        plays,
-        numbers,
-        settings,
+        folder=folder,
+        front=front,
+        list=box_list,
+        tokens=tokens,
+        http=http,
+        boxes=boxes,
+        log=log,
+        entitlement=entitlement,
+        introspection=introspection,
+        control=control,
+        plays_unanswered=plays,
+        class_names=numbers,
+        settings=settings,
     )
 
 
--- a/fernweir/config/units.py
+++ b/fernweir/config/units.py
@@ -65,6 +65,14 @@
     return value
 
 
+def _mode(value: Any) -> Any:
+    if isinstance(value, str):
+        if not re.fullmatch(r"0?6[0-7][0-7]", value.strip()):
+            raise ValueError("not a socket's permissions: write 0600, 0660 or 0666")
+        return int(value, 8)
+    return value
+
+
 def _float(value: Any) -> Any:
     if isinstance(value, str):
         match = _NUMBER.fullmatch(value.strip())
@@ -82,6 +90,7 @@
 Number = Annotated[float, BeforeValidator(_float)]
 Count = Annotated[int, BeforeValidator(_int), Field(ge=0)]
 Positive = Annotated[int, BeforeValidator(_int), Field(gt=0)]
+Mode = Annotated[int, BeforeValidator(_mode), Field(ge=0o600, le=0o666)]
 YesNo = Annotated[bool, BeforeValidator(_yes)]
 Address = Annotated[tuple[str, int], BeforeValidator(_address)]
 Names = Annotated[list[str], BeforeValidator(_parts)]
--- /dev/null
+++ b/fernweir/control/answers.py
@@ -0,0 +1,95 @@
+"""Questions of operators answered from picture and journal; free of I/O."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from dataclasses import asdict
+from itertools import islice
+from typing import Any
+
+from fernweir.control.messages import Boxes, Events, Sessions, Why
+from fernweir.journal.events import to_row
+from fernweir.journal.picture import Picture, SessionRow
+from fernweir.journal.segment import Question
+from fernweir.journal.store import Journal
+
+_FIELDS = ("what", "box", "lesson", "tenant", "cls", "why", "front")
+
+
+def sessions(picture: Picture, ask: Sessions) -> dict[str, Any]:
+    """One page; `next` is there if more follow."""
+    keys = sorted(picture.sessions)
+    rows: list[dict[str, Any]] = []
+    at = bisect_right(keys, ask.after) if ask.after else 0
+    for index in range(at, len(keys)):
+        row = picture.sessions[keys[index]]
+        if _wanted(row, ask):
+            if len(rows) == ask.limit:
+                return {"rows": rows, "next": f"{rows[-1]['front']}/{rows[-1]['session']}"}
+            rows.append(asdict(row))
+    return {"rows": rows}
+
+
+def _wanted(row: SessionRow, ask: Sessions) -> bool:
+    return (
+        (ask.box is None or row.box == ask.box)
+        and (ask.lesson is None or row.lesson == ask.lesson)
+        and (ask.tenant is None or row.tenant == ask.tenant)
+        and (ask.phase is None or row.phase == ask.phase)
+    )
+
+
+def boxes(picture: Picture, ask: Boxes, gauges: dict[str, Any]) -> dict[str, Any]:
+    numbers = sorted(number for number in picture.boxes if number > ask.after)
+    rows = []
+    for number in numbers[: ask.limit]:
+        row = picture.boxes[number]
+        load = gauges.get("boxes", {}).get(str(number), [])
+        rows.append({**asdict(row), "state": row.state, "load": load})
+    more = {"next": numbers[ask.limit - 1]} if len(numbers) > ask.limit else {}
+    return {"rows": rows, **more}
+
+
+def why(journal: Journal, ask: Why) -> dict[str, Any]:
+    """A session's entries, oldest first; of a very long life the newest."""
+    found = journal.find(Question(session=ask.session), ask.limit)
+    return {"rows": [to_row(one) for one in reversed(found)]}
+
+
+def events(journal: Journal, ask: Events) -> dict[str, Any]:
+    equal = {name: getattr(ask, name) for name in _FIELDS if getattr(ask, name) is not None}
+    found = journal.find(Question(ask.session, equal, ask.since, ask.until), ask.limit + 1, ask.before)
+    rows = [to_row(one) for one in found[: ask.limit]]
+    return {"rows": rows, **({"next": rows[-1][0]} if len(found) > ask.limit else {})}
+
+
+def overview(picture: Picture, journal: Journal) -> dict[str, Any]:
+    phases = {"asked": 0, "out": 0, "playing": 0}
+    for row in picture.sessions.values():
+        phases[row.phase] += 1
+    return {
+        "number": picture.number,
+        "at": picture.at,
+        "fronts": dict(picture.fronts),
+        "sessions": phases,
+        "answers": dict(picture.answers),
+        "by_class": dict(picture.by_class),
+        "refusals": dict(islice(sorted(picture.refusals.items(), key=lambda one: (-one[1], one[0])), 50)),
+        "boxes": _states(picture),
+        "holds": dict(picture.holds),
+        "caps": dict(picture.caps),
+        "orders": picture.orders[-10:],
+        "journal": {
+            "first": journal.first,
+            "last": journal.last,
+            "bytes": journal.bytes,
+            "trouble": journal.trouble,
+        },
+    }
+
+
+def _states(picture: Picture) -> dict[str, int]:
+    states: dict[str, int] = {}
+    for row in picture.boxes.values():
+        states[row.state] = states.get(row.state, 0) + 1
+    return states
--- /dev/null
+++ b/fernweir/control/desk.py
@@ -0,0 +1,199 @@
+"""Commands carried out at a front: decided by `Orders`, written down, told to the module, then answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+from fernweir.control import answers
+from fernweir.control.channel import Reply
+from fernweir.control.messages import Ask, Boxes, Change, Events, Led, Plain, Sessions, Why
+from fernweir.control.orders import Command, Do, Orders, OrdersError, Outcome, Result, SiteNow
+from fernweir.control.statefile import StateFileError, read_state, write_state
+from fernweir.journal.events import What
+from fernweir.journal.picture import Picture
+from fernweir.journal.store import Journal
+
+KIND = "fernweir orders"
+
+
+class Hands(Protocol):
+    """What a desk can do at its front, and what it can see there."""
+
+    def now(self) -> float:
+        """Milliseconds of the loop's clock."""
+
+    def wall(self) -> int:
+        """Wall time in ms."""
+
+    def site(self) -> SiteNow: ...
+
+    def orders_changed(self, then: Callable[[], None]) -> None:
+        """Tells the module what changed, and calls `then` once it has been told."""
+
+    def end(self, session: str, why: str) -> None: ...
+
+    def limits(self) -> Mapping[str, Any]: ...
+
+    def gauges(self) -> dict[str, Any]: ...
+
+    def call_at(self, due: float, do: Callable[[], None]) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class DeskRules:
+    """`operators` may act; none named: all who can open the socket. `led`: a unit gives the orders."""
+
+    operators: Sequence[str] = ()
+    led: bool = False
+
+
+def load_orders(path: Path) -> Orders:
+    """The orders that a file holds, or none. StateFileError or OSError if it can't be believed."""
+    state = read_state(path, KIND)
+    if state is None:
+        return Orders()
+    try:
+        return Orders.from_plain(state)
+    except OrdersError as error:
+        raise StateFileError(f"{path}: {error}") from None
+
+
+class FrontDesk:
+    """See `channel.Desk`. `file` keeps the orders; a led front keeps none, the unit does."""
+
+    def __init__(
+        self, name: str, journal: Journal, orders: Orders, hands: Hands, rules: DeskRules, file: Path | None
+    ) -> None:
+        self.name, self.journal, self.orders, self.rules = name, journal, orders, rules
+        self.picture = Picture()
+        journal.watchers.append(self.picture.fold)
+        self._hands, self._file = hands, file
+        self._applied_version = orders.version
+
+    def may_act(self, operator: str, uid: int) -> bool:
+        return not self.rules.operators or operator in self.rules.operators
+
+    def gauges(self) -> dict[str, Any]:
+        return self._hands.gauges()
+
+    def handle(self, operator: str, may_act: bool, ask: Ask, reply: Reply) -> None:
+        if isinstance(ask, Change):
+            self._change(operator, may_act, ask, reply)
+        elif isinstance(ask, Led):
+            self._be_led(may_act, ask, reply)
+        else:
+            reply(self._question(ask))
+
+    def _question(self, ask: Sessions | Boxes | Why | Events | Plain) -> dict[str, Any]:
+        if isinstance(ask, Sessions):
+            return answers.sessions(self.picture, ask)
+        if isinstance(ask, Boxes):
+            return answers.boxes(self.picture, ask, self.gauges())
+        if isinstance(ask, Why):
+            return answers.why(self.journal, ask)
+        if isinstance(ask, Events):
+            return answers.events(self.journal, ask)
+        if ask.do == "limits":
+            return {"limits": dict(self._hands.limits())}
+        if ask.do == "gauges":
+            return {"gauges": self.gauges()}
+        return answers.overview(self.picture, self.journal)
+
+    # --- commands ---
+
+    def _change(self, operator: str, may_act: bool, ask: Change, reply: Reply) -> None:
+        if not may_act:
+            reply({"ok": False, "error": f"operator {operator} may look, not act"})
+            return
+        if self.rules.led and ask.do != "end":
+            reply({"ok": False, "error": "this front takes its orders from its unit: ask there"})
+            return
+        now = self._hands.now()
+        before = self.orders.to_plain()
+        command = Command(ask.id, operator, Do(ask.do), ask.target, ask.reason, ask.most, ask.mark)
+        again = ask.id in self.orders.answered
+        result = self.orders.take(now, self._hands.wall(), command, self._hands.site())
+        if again or result.outcome is Outcome.CONFIRM:
+            reply(result.to_plain())
+            return
+        if not self._keep(before, reply):
+            return
+        if command.do is Do.END and result.outcome is Outcome.DONE:
+            self._hands.end(command.target, command.reason or "ended by the operator")
+        self._carry_out(command, result, lambda: reply(result.to_plain()))
+
+    def _keep(self, before: dict[str, Any], reply: Reply) -> bool:
+        """An order counts when it is on disk: else it is as if it had not been given."""
+        if self._file is None:
+            return True
+        try:
+            write_state(self._file, KIND, self.orders.to_plain())
+        except OSError as error:
+            self.orders.restore(before)
+            reply({"ok": False, "error": f"not done, as it can't be written down: {error.strerror or error}"})
+            return False
+        return True
+
+    def _carry_out(self, command: Command, result: Result, then: Callable[[], None]) -> None:
+        more = {"by": command.by, "id": command.id, "outcome": str(result.outcome), **self.orders.tables()}
+        text = f"{command.do} {command.target}: {result.says}"
+        self.journal.add(self._hands.now(), What.ORDER, why=text, session=_session(command), more=more)
+        self._apply(then)
+
+    def _apply(self, then: Callable[[], None]) -> None:
+        self._applied_version = self.orders.version
+        self._hands.orders_changed(then)
+        self._plan()
+
+    def _plan(self) -> None:
+        due = self.orders.next_due(self._hands.now())
+        if due is not None:
+            self._hands.call_at(due, self._begin_waiting)
+
+    def _begin_waiting(self) -> None:
+        """Drains whose turn has come take effect."""
+        now = self._hands.now()
+        before = self.orders.to_plain()
+        begun = self.orders.due(now)
+        if begun and self._keep(before, lambda said: None):
+            boxes = ", ".join(str(box) for box in begun)
+            self.journal.add(now, What.ORDER, why=f"drain begins: box {boxes}", more=self.orders.tables())
+            self._apply(lambda: None)
+        elif self.orders.waiting:
+            self._hands.call_at(now + self.orders.rules.pace_ms, self._begin_waiting)
+
+    def start(self) -> None:
+        """Orders of an earlier life stand: the journal says so, and what waits is planned."""
+        self.journal.add(self._hands.now(), What.FRONT, why="up")
+        if self.orders.version:
+            more = self.orders.tables()
+            self.journal.add(self._hands.now(), What.ORDER, why="orders stand from before", more=more)
+        self._plan()
+
+    # --- led by a unit ---
+
+    def _be_led(self, may_act: bool, ask: Led, reply: Reply) -> None:
+        if not (self.rules.led and may_act):
+            reply({"ok": False, "error": "this front is not led by a unit"})
+            return
+        try:
+            orders = Orders.from_plain(ask.orders)
+        except OrdersError as error:
+            reply({"ok": False, "error": str(error)})
+            return
+        version = orders.version
+        if version >= self.orders.version:
+            changed = version > self.orders.version
+            self.orders.restore(ask.orders)
+            if changed:
+                more = {"by": "unit", **self.orders.tables()}
+                self.journal.add(self._hands.now(), What.ORDER, why=f"orders {version}", more=more)
+        self._applied_version = self.orders.version
+        self._hands.orders_changed(lambda: reply({"version": self.orders.version}))
+
+
+def _session(command: Command) -> str:
+    return command.target if command.do is Do.END else ""
--- /dev/null
+++ b/fernweir/control/follow.py
@@ -0,0 +1,80 @@
+"""A watcher's side of the control channel, without I/O: a picture that is true as of a stated entry, or none.
+
+Entries must follow the snapshot one by one. Whatever doesn't fit is never folded: `broken` asks the shell
+for a new snapshot.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from fernweir.journal.events import EntryError, from_row
+from fernweir.journal.picture import Picture, SessionRow
+
+
+class Follower:
+    """Feed it each line that has `watch`. `picture` is None until a snapshot is whole."""
+
+    def __init__(self) -> None:
+        self.picture: Picture | None = None
+        self.gauges: dict[str, Any] = {}
+        self.missed = 0  # times that entries were lost and a snapshot stood in
+        self.broken = ""
+        self._parts: list[Mapping[str, Any]] = []
+        self._of = 0
+
+    def lost(self) -> None:
+        """The connection is gone: what is shown stays, what comes next begins with a snapshot."""
+        self._parts = []
+
+    def feed(self, message: Mapping[str, Any]) -> bool:
+        """True if the picture changed."""
+        kind = message.get("watch")
+        if kind == "gauges":
+            self.gauges = dict(message["gauges"])
+            return True
+        if kind == "missed":
+            self.missed += 1
+            return False
+        try:
+            return self._snapshot(message) if kind == "snapshot" else self._entries(message)
+        except (KeyError, TypeError, ValueError) as error:
+            self.broken = f"a line that can't be read: {error!r}"
+            return False
+
+    def _snapshot(self, message: Mapping[str, Any]) -> bool:
+        part = int(message["part"])
+        if part == 0:
+            self._parts, self._of = [], int(message["of"])
+        elif part != len(self._parts):
+            self.broken = f"part {part} of a snapshot, {len(self._parts)} expected"
+            return False
+        self._parts.append(message)
+        if len(self._parts) <= self._of:
+            return False
+        picture = Picture.from_plain(self._parts[0]["picture"])
+        for later in self._parts[1:]:
+            for plain in later["sessions"]:
+                row = SessionRow(**plain)
+                picture.sessions[f"{row.front}/{row.session}"] = row
+        self._parts = []
+        self.picture, self.broken = picture, ""
+        return True
+
+    def _entries(self, message: Mapping[str, Any]) -> bool:
+        if self.picture is None or self._parts:
+            return False  # before the first snapshot is whole
+        for row in message["rows"]:
+            try:
+                entry = from_row(row)
+            except EntryError as error:
+                self.broken = str(error)
+                return False
+            if entry.number <= self.picture.number:
+                continue
+            if entry.number != self.picture.number + 1:
+                self.broken = f"entry {entry.number} after {self.picture.number}"
+                return False
+            self.picture.fold(entry)
+        return True
--- /dev/null
+++ b/fernweir/control/messages.py
@@ -0,0 +1,109 @@
+"""What crosses the control socket: one JSON object a line. Version 1.
+
+The first line of a client is its `Hello`, all others are `Ask`s, each with an id of the client's choosing.
+Every ask gets one `{"id", "ok", ...}`; a command's id is remembered, so that it may be sent again after a
+dropped connection. What a watcher gets besides has `watch` instead of `id`.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+VERSION = 1
+LINE_BYTES = 65_536
+Word = Annotated[str, Field(max_length=200)]
+Id = Annotated[str, Field(min_length=1, max_length=100, pattern=r"^[\x21-\x7e]+$")]
+
+
+class _Message(BaseModel):
+    model_config = ConfigDict(strict=True, frozen=True, extra="forbid")
+
+
+class Hello(_Message):
+    hello: Literal[1]
+    operator: Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._@-]*$")]
+
+
+class Sessions(_Message):
+    """Sessions that are not over, in the order of `front/session`, from behind `after` on."""
+
+    id: Id
+    do: Literal["sessions"]
+    box: int | None = None
+    lesson: Word | None = None
+    tenant: Word | None = None
+    phase: Literal["asked", "out", "playing"] | None = None
+    after: Word = ""
+    limit: Annotated[int, Field(ge=1, le=500)] = 100
+
+
+class Boxes(_Message):
+    id: Id
+    do: Literal["boxes"]
+    after: int = -1
+    limit: Annotated[int, Field(ge=1, le=500)] = 200
+
+
+class Why(_Message):
+    """All that the journal has on one session, oldest first."""
+
+    id: Id
+    do: Literal["why"]
+    session: Word
+    limit: Annotated[int, Field(ge=1, le=500)] = 200
+
+
+class Events(_Message):
+    """The newest entries for which all that is given holds; `before` is a number, for the next page."""
+
+    id: Id
+    do: Literal["events"]
+    what: Word | None = None
+    session: Word | None = None
+    box: int | None = None
+    lesson: Word | None = None
+    tenant: Word | None = None
+    cls: Word | None = None
+    why: Word | None = None
+    front: Word | None = None
+    since: int = 0
+    until: int = 1 << 62
+    before: int | None = None
+    limit: Annotated[int, Field(ge=1, le=500)] = 100
+
+
+class Plain(_Message):
+    """`overview`: counts by kind, refusals by reason, fronts, orders. `limits`: what is in force."""
+
+    id: Id
+    do: Literal["overview", "limits", "watch", "unwatch", "snapshot", "gauges"]
+
+
+class Change(_Message):
+    """A command of an operator, see `orders`."""
+
+    id: Id
+    do: Literal["drain", "undrain", "hold", "unhold", "cap", "uncap", "end", "undo"]
+    target: Annotated[str, Field(min_length=1, max_length=200)]
+    reason: Annotated[str, Field(max_length=200, pattern=r"^[^\x00-\x1f\x7f]*$")] = ""
+    most: Annotated[int, Field(ge=0)] = 0
+    mark: Word = ""
+
+
+class Led(_Message):
+    """From the unit to a front of its own: the orders that stand, as a whole."""
+
+    id: Id
+    do: Literal["orders"]
+    orders: dict[str, Any]
+
+
+Ask = Sessions | Boxes | Why | Events | Plain | Change | Led
+
+
+class AnyAsk(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+    ask: Annotated[Ask, Field(discriminator="do")]
--- a/fernweir/entitlement/client.py
+++ b/fernweir/entitlement/client.py
@@ -76,6 +76,7 @@
                 "lesson": seat.lesson,
                 "class": seat.cls,
                 "person": seat.person,
+                "asked_at_ms": round(seat.asked_at * 1000.0),
             }
         elif command.op is Op.RENEW:
             target += f"/{quote(seat.lease, safe='')}/renew"
--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -89,6 +89,7 @@
         self._wake_at = 0.0
         self._timers: set[asyncio.TimerHandle] = set()
         self._idle: asyncio.Event = asyncio.Event()
+        self._after: list[Callable[[], None]] = []
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
@@ -143,6 +144,14 @@
         for command in self.host.step(self.now()):
             self._do(command)
         self._set_wake()
+        after, self._after = self._after, []
+        for do in after:
+            do()
+
+    def after_step(self, do: Callable[[], None]) -> None:
+        """Calls `do` once the module has been told of all that has happened so far."""
+        self._after.append(do)
+        self.kick()
 
     def _set_wake(self) -> None:
         due = self.host.next_due()
--- /dev/null
+++ b/fernweir/front/explain.py
@@ -0,0 +1,108 @@
+"""The module, saying why: its choices are its own, the words are found beside them, before they change it.
+
+Nothing here decides. For each set-up the holders that stand before the chosen one in the shared order are
+named with what kept them out, by the same questions that the module asked.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from fernweir.brain import Controller, Server, Session
+from fernweir.interface import ServerState
+
+_KEPT = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Reason:
+    """`why` in words; `passed` are the boxes before it in order, each with what kept it out."""
+
+    why: str
+    passed: tuple[tuple[int, str], ...] = ()
+    link: float = 0.0
+    uplink: float = 0.0
+
+
+class ExplainingController(Controller):
+    """A controller that remembers the reason of its last decision on each session until it is taken."""
+
+    def __init__(self, settings: object, seed: int) -> None:
+        super().__init__(settings, seed)  # type: ignore[arg-type]
+        self.reasons: dict[int, Reason] = {}
+
+    def take_reason(self, session: int) -> Reason:
+        return self.reasons.pop(session, _NONE)
+
+    def _send(self, session: Session, server: Server, rung: int) -> None:
+        self._remember(session, self._why_here(session, server, rung))
+        super()._send(session, server, rung)
+
+    def _give_up(self, session: Session) -> None:
+        self._remember(session, self._why_nowhere(session))
+        super()._give_up(session)
+
+    def _remember(self, session: Session, reason: Reason) -> None:
+        self.reasons[session.viewer.session] = reason
+        if len(self.reasons) > _KEPT:
+            del self.reasons[next(iter(self.reasons))]
+
+    def _why_here(self, session: Session, server: Server, rung: int) -> Reason:
+        holders = self._order(session)
+        passed = []
+        for holder in holders:
+            if holder is server:
+                break
+            passed.append((holder.id, self._kept_out(session, holder)))
+        first = self._fits(server, session, session.top)
+        place = "first" if not passed else f"{len(passed) + 1}th in order, first"
+        why = f"{place} under the mark" if first else "roomiest, none under the mark"
+        if session.attempts:
+            why += f", attempt {session.attempts + 1}"
+        if rung < session.top:
+            why += f", at rung {rung} of {session.top}"
+        return Reason(why, tuple(passed), *_loads(server, self.now))
+
+    def _why_nowhere(self, session: Session) -> Reason:
+        kind, holders = session.kind, self._order(session)
+        if session.may_have_run and kind.effect.value != "repeatable":
+            return Reason("its set-up may have run, and must not run twice")
+        if kind.seats and self.guards.seats[session.viewer.title, session.viewer.cls] >= kind.seats:
+            return Reason(f"all {kind.seats} seats of class {kind.name} are taken here")
+        if session.answer_by <= self.now:
+            return Reason("its time is over")
+        cap = self.settings.attempts_cap
+        if cap is not None and session.attempts >= cap:
+            return Reason(f"{session.attempts} attempts were made, no more are allowed")
+        if session.attempts and not self.guards.within_budget(self.now):
+            return Reason("the budget of further attempts is used up")
+        if not holders:
+            return Reason("no listed box holds the lesson")
+        passed = tuple((one.id, self._kept_out(session, one)) for one in holders)
+        counts = Counter(why for _, why in passed)
+        words = ", ".join(f"{count} {why}" for why, count in sorted(counts.items()))
+        return Reason(f"none of {len(holders)} holders: {words}", passed)
+
+    def _kept_out(self, session: Session, server: Server) -> str:
+        now = self.now
+        if server.state is not ServerState.READY:
+            return server.state.name.lower()
+        if server.suspect_until > now or (server.strikes and (server.probing or server.setting_up)):
+            return "suspect"
+        if len(server.sessions) >= server.streams:
+            return "out of streams"
+        if server.id in session.tried:
+            return "tried before"
+        if self._marked_full(server):
+            return "full"
+        if self.guards.warmth(server, now) < 1.0 or server.lost:
+            return "cold"
+        return "over the mark"
+
+
+def _loads(server: Server, now: float) -> tuple[float, float]:
+    return round(server.link.load(now), 3), round(server.uplink.load(now), 3)
+
+
+_NONE = Reason("")
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -21,6 +21,7 @@
 from enum import Enum
 
 from fernweir.brain import Controller
+from fernweir.control.overlay import Overlay
 from fernweir.front.commands import (
     Admit,
     Answer,
@@ -37,6 +38,7 @@
     SetUp,
     SetUpResult,
 )
+from fernweir.front.explain import ExplainingController
 from fernweir.front.ledger import Ledger
 from fernweir.interface import (
     Abandoned,
@@ -45,6 +47,7 @@
     Ended,
     Event,
     Fail,
+    ListKind,
     ListUpdate,
     Log,
     Move,
@@ -64,8 +67,16 @@
     TimerFired,
     Viewer,
 )
+from fernweir.journal.events import What
+from fernweir.journal.store import Journal
 
 _NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+_ANSWERED = {
+    Kind.PLAYS: What.PLAYS,
+    Kind.REFUSED: What.REFUSED,
+    Kind.FAILED: What.FAILED,
+    Kind.CONFLICT: What.CONFLICT,
+}
 _NAMED_BOX = re.compile(r"server (\d+)")
 _NOTES = {"x0": NoteKind.LINK, "x1": NoteKind.UPLINK}
 
@@ -84,6 +95,7 @@
     margin_ms: float = 40.0
     linger_ms: float = 2_000.0
     remembered: int = 65_536
+    held_retry_ms: float = 5_000.0  # when to come again for what an operator holds back
     admit_share: float = 0.5  # of a viewer's wait, for the verdict: a set-up must fit into the rest
 
 
@@ -137,10 +149,19 @@
         watch: Watcher | None = None,
         *,
         gated: bool = False,
+        journal: Journal | None = None,
+        turned_away: Callable[[Ask], str] | None = None,
+        overlay: Overlay | None = None,
     ) -> None:
         self.settings = settings
         self.limits = limits or HostLimits()
-        self.controller = Controller(settings, seed)
+        self.journal = journal
+        self._overlay = overlay
+        self._turned_away = turned_away  # says why a new session may not begin, or nothing
+        # Only who keeps a journal pays for the reasons in it.
+        self.controller = (
+            Controller(settings, seed) if journal is None else ExplainingController(settings, seed)
+        )
         self.ledger = Ledger()
         self.counts = HostCounts()
         self.closing = False
@@ -152,6 +173,8 @@
         self._by_ticket: dict[int, Held] = {}
         self._states: dict[int, ServerState] = {}
         self._doubtful: set[int] = set()
+        self._listed: dict[int, tuple[ServerState, float]] = {}
+        self._now = 0.0
         self._events: list[Event] = []
         self._out: list[Command] = []
         self._next_number = 1
@@ -162,22 +185,29 @@
 
     def ask(self, now: float, ask: Ask) -> None:
         """A request was taken. A token that is known joins its session: there is no second set-up."""
+        self._now = now
         self.ledger.open(ask.ticket, now + max(ask.wait_ms - self.limits.margin_ms, 0.0))
         held = self._held.get(ask.jti)
         if held is None:
             if self.closing:
-                self._answer(Answer(ask.ticket, Kind.REFUSED, "front is stopping", 0.0))
+                self._answer(Answer(ask.ticket, Kind.REFUSED, "front is stopping", 0.0), ask)
+                return
+            why = self._turned_away(ask) if self._turned_away is not None else ""
+            if why:
+                self.counts.refused += 1
+                self._answer(Answer(ask.ticket, Kind.REFUSED, why, self.limits.held_retry_ms), ask)
                 return
             self._begin(now, ask)
             return
         if (held.ask.title, held.ask.cls, held.ask.via) != (ask.title, ask.cls, ask.via):
             self.counts.conflicts += 1
-            self._answer(Answer(ask.ticket, Kind.CONFLICT, "session id is in use for another title or class"))
+            why = "session id is in use for another title or class"
+            self._answer(Answer(ask.ticket, Kind.CONFLICT, why), ask)
             return
         if held.phase is Phase.PLAYING and held.server in self._doubtful:
             # It comes again while its box says nothing: it does not play there, whatever the account says.
             self._release(held, "its box fell silent")
-            self._end(held, Result.RESET)
+            self._end(held, Result.RESET, "its box fell silent")
             self._begin(now, ask)
             return
         self.counts.joined += 1
@@ -189,16 +219,18 @@
 
     def withdraw(self, now: float, ticket: int) -> None:
         """The viewer of a request is gone. The attempt that is out may still be wanted when it returns."""
+        self._now = now
         held = self._by_ticket.pop(ticket, None)
         if self.ledger.leave(ticket) and held is not None:
             held.tickets.remove(ticket)
-            self._unwanted(held)
+            self._unwanted(held, "its viewer left")
 
     def set_up_done(self, now: float, jti: str, attempt: int, end: SetUpResult) -> None:
         """The one end of an attempt. One that comes for a session no longer held is released."""
         held = self._held.get(jti)
         if held is None or held.phase is not Phase.OUT or held.attempt != attempt:
             return
+        self._now = now
         if end.result is Result.OK:
             self._start(now, held, end)
             return
@@ -206,13 +238,15 @@
             self._release(held, f"set-up ended as {end.result.name.lower()}")
         held.last = end.result
         held.phase = Phase.ASKED
+        why = end.result.name.lower() + (f": {end.why}" if end.why else "")
+        self._write_down(What.FAILED_TRY, held, why=why, more={"took_ms": round(end.took_ms, 1)})
         self._leave_server(held)
         report = tuple(end.report[name] for name in self.settings.report_fields if name in end.report)
         if len(report) < len(self.settings.report_fields):
             report = ()
         if not held.tickets:  # nobody waits: the module must not place it again
             self._events.append(Abandoned(held.number))
-            self._forget(held)
+            self._forget(held, "nobody waited any more")
         self._events.append(
             Ended(held.number, held.server, attempt, end.result, not held.tickets, end.took_ms, report)
         )
@@ -222,23 +256,25 @@
         held = self._held.get(jti)
         if held is None or held.phase is not Phase.GATED:
             return
+        self._now = now
         if plays:
             self._arrive(now, held)
             return
         self._turn_away(held, why, retry_after_ms)
-        self._forget(held)
+        self._forget(held, why)
 
     def revoke(self, now: float, jti: str, why: str) -> None:
         """A session may no longer play: it ends at its box, for this reason."""
         held = self._held.get(jti)
         if held is None:
             return
+        self._now = now
         if held.phase is Phase.PLAYING:
             self._release(held, why, after_segment=True)
-            self._end(held, Result.CANCELLED)
+            self._end(held, Result.CANCELLED, why)
         elif held.phase is not Phase.OUT:  # what is out is seen through; nobody waits for it any more
             self._turn_away(held, why, 0.0)
-            self._unwanted(held)
+            self._unwanted(held, why)
         else:
             self._turn_away(held, why, 0.0)
 
@@ -254,30 +290,37 @@
         held = self._held.get(jti)
         if held is None or held.phase is not Phase.PLAYING or held.attempt != attempt:
             return
-        self._end(held, result)
+        self._now = now
+        self._end(held, result, "over" if result is Result.OK else f"over: {result.name.lower()}")
 
     def release(self, now: float, jti: str) -> bool:
         """The viewer ends its session here. False if there is none that plays."""
         held = self._held.get(jti)
         if held is None or held.phase is not Phase.PLAYING:
             return False
+        self._now = now
         self._release(held, "ended by its viewer")
-        self._end(held, Result.OK)
+        self._end(held, Result.OK, "ended by its viewer")
         return True
 
     def box_lost(self, now: float, server: int) -> int:
         """A box took its sessions with it; tells how many."""
+        self._now = now
         lost = [held for held in self._at_server.get(server, {}).values() if held.phase is Phase.PLAYING]
+        self._write_down(What.LOST, box=server, more={"sessions": len(lost)})
         for held in lost:
-            self._end(held, Result.RESET)
+            self._end(held, Result.RESET, "its box was lost")
         return len(lost)
 
     def box_doubtful(self, server: int, doubtful: bool) -> None:
         """Whether a box that holds sessions has stopped saying anything, though its process may run."""
+        if doubtful == (server in self._doubtful):
+            return
         if doubtful:
             self._doubtful.add(server)
         else:
             self._doubtful.discard(server)
+        self._write_down(What.SILENT if doubtful else What.HEARD, box=server)
 
     def note(self, now: float, jti: str, attempt: int, kind: NoteKind, level: float) -> None:
         """News from a box on a session; of others it says nothing that the module could place."""
@@ -285,6 +328,9 @@
         if held is not None and held.phase is Phase.PLAYING and held.attempt == attempt:
             self._events.append(Note(held.number, held.server, attempt, kind, level))
             if kind is NoteKind.RUNG and 0 <= level < len(self.settings.rates_kb):
+                if held.rung != int(level):
+                    self._now = now
+                    self._write_down(What.RUNG, held, rung=int(level), why="its box")
                 held.rung = held.sent_rung = int(level)
 
     def probe_done(
@@ -296,8 +342,21 @@
         )
 
     def box_list(self, now: float, update: ListUpdate) -> None:
+        self._now = now
+        if self.journal is not None:
+            self._write_down_list(update)
+        self._hear_list(update if self._overlay is None else self._overlay.list_says(update))
+
+    def orders_changed(self, now: float) -> None:
+        """An operator's orders changed what the module is told of the list."""
+        self._now = now
+        update = self._overlay.orders_changed() if self._overlay is not None else None
+        if update is not None:
+            self._hear_list(update)
+
+    def _hear_list(self, update: ListUpdate) -> None:
         self._events.append(update)
-        if update.kind.name in ("CACHED", "FULL"):
+        if update.kind in (ListKind.CACHED, ListKind.FULL):
             self._states = {}
         for entry in update.entries:
             self._states[entry.server] = entry.state
@@ -323,6 +382,23 @@
     def session(self, jti: str) -> Held | None:
         return self._held.get(jti)
 
+    def held(self) -> dict[str, Held]:
+        """All sessions by their token's id; not to be changed."""
+        return self._held
+
+    @property
+    def listed(self) -> dict[int, ServerState]:
+        """What the list says of each box, whatever operators have ordered."""
+        return self._states if self._overlay is None else self._overlay.listed
+
+    def count_by(self, lesson: str, tenant: str) -> dict[str, int]:
+        """Sessions held now of a lesson and of a tenant, as limits name them."""
+        asks = [held.ask for held in self._held.values()]
+        return {
+            f"lesson:{lesson}": sum(ask.title_name == lesson for ask in asks),
+            f"tenant:{tenant}": sum(ask.tenant == tenant for ask in asks),
+        }
+
     def next_due(self) -> float | None:
         """When `step` must be called at the latest, though nothing happens before."""
         due = self.ledger.next_due()
@@ -334,6 +410,7 @@
 
     def step(self, now: float) -> list[Command]:
         """Hands what happened to the module, and returns what is to be done, in order."""
+        self._now = now
         self._expire(now)
         events, self._events = self._events, []
         if events:
@@ -350,16 +427,17 @@
         for ticket in self.ledger.overdue(now):
             held = self._by_ticket.pop(ticket, None)
             self.counts.failed += 1
-            self._answer(Answer(ticket, Kind.FAILED, "no answer in time", timed_out=True))
+            ask = held.ask if held is not None else None
+            self._answer(Answer(ticket, Kind.FAILED, "no answer in time", timed_out=True), ask)
             if held is not None:
                 held.tickets.remove(ticket)
-                self._unwanted(held)
+                self._unwanted(held, "no answer in time")
         while self._lingering and self._lingering[0][0] <= now:
             _, jti, number = heapq.heappop(self._lingering)
             held = self._held.get(jti)
             if held is not None and held.number == number and not held.plays_told:
                 self._release(held, "its viewer did not come back")
-                self._end(held, Result.CANCELLED)
+                self._end(held, Result.CANCELLED, "its viewer did not come back")
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Timer):
@@ -386,15 +464,22 @@
             held.phase, held.server, held.sent_rung = Phase.OUT, action.server, held.rung
             self._at_server.setdefault(action.server, {})[held.ask.jti] = held
             self.counts.set_ups += 1
+            if self.journal is not None:
+                self._write_down_choice(held)
             self._out.append(SetUp(held.ask, held.attempt, action.server, held.rung, action.timeout_ms))
         elif isinstance(action, Move):
+            self._write_down(What.MOVED, held)
             self._release(held, "moved")
-            self._end(held, Result.CANCELLED, moved=True)
+            self._end(held, Result.CANCELLED, "moved", moved=True)
         else:
             self._give_up(held, action)
 
     def _give_up(self, held: Held, action: Refuse | Fail) -> None:
         tickets, held.tickets = held.tickets, []
+        detail: dict[str, object] = {}
+        if isinstance(self.controller, ExplainingController):
+            reason = self.controller.take_reason(held.number)
+            detail = {"detail": reason.why, "passed": [list(one) for one in reason.passed]}
         for ticket in tickets:
             del self._by_ticket[ticket]
             if isinstance(action, Refuse):
@@ -405,8 +490,8 @@
                 self.counts.failed += 1
                 late = held.last is Result.TIMEOUT
                 answer = Answer(ticket, Kind.FAILED, "set-up failed", timed_out=late, session=held.ask)
-            self._answer(answer)
-        self._forget(held)
+            self._answer(answer, held.ask, detail)
+        self._forget(held, "refused" if isinstance(action, Refuse) else "failed")
 
     # --- pieces ---
 
@@ -417,6 +502,7 @@
         held.tickets.append(ask.ticket)
         self._held[ask.jti] = self._by_number[held.number] = self._by_ticket[ask.ticket] = held
         held.answer_by, held.moved = now + ask.wait_ms, moved
+        self._write_down(What.ASKED, held)
         if self._gated:
             held.phase = Phase.GATED
             self._out.append(Admit(ask, now + ask.wait_ms * self.limits.admit_share))
@@ -443,6 +529,7 @@
 
     def _start(self, now: float, held: Held, end: SetUpResult) -> None:
         held.phase, held.payload, held.last = Phase.PLAYING, end.payload, None
+        self._write_down(What.STARTED, held, rung=held.sent_rung, more={"took_ms": round(end.took_ms, 1)})
         self._events.append(Started(held.number, held.server, held.attempt, end.took_ms))
         for name, kind in _NOTES.items():
             if name in end.report and (name == "x0" or name in self.settings.report_fields):
@@ -468,7 +555,8 @@
                 attempt=held.attempt,
                 rung=held.rung,
                 payload=held.payload,
-            )
+            ),
+            held.ask,
         )
 
     def _turn_away(self, held: Held, why: str, retry_after_ms: float) -> None:
@@ -476,32 +564,39 @@
         for ticket in tickets:
             del self._by_ticket[ticket]
             self.counts.refused += 1
-            self._answer(Answer(ticket, Kind.REFUSED, why, retry_after_ms, session=held.ask))
+            self._answer(Answer(ticket, Kind.REFUSED, why, retry_after_ms, session=held.ask), held.ask)
 
-    def _answer(self, answer: Answer) -> None:
+    def _answer(self, answer: Answer, ask: Ask | None, detail: dict[str, object] | None = None) -> None:
         self.ledger.answer(answer.ticket)
         self._out.append(answer)
-
-    def _unwanted(self, held: Held) -> None:
+        if self.journal is not None and ask is not None:
+            self.journal.add(
+                self._now, _ANSWERED[answer.kind], session=ask.jti, lesson=ask.title_name,
+                cls=self.settings.classes[ask.cls].name, tenant=ask.tenant, box=answer.server,
+                why=answer.why, more=detail,
+            )  # fmt: skip
+
+    def _unwanted(self, held: Held, why: str) -> None:
         """After its last waiter left: what the module only holds is dropped, what is out is seen through."""
         if held.phase is Phase.GATED and not held.tickets:
-            self._forget(held)
+            self._forget(held, why)
         elif held.phase is Phase.ASKED and not held.tickets:
             self._events.append(Abandoned(held.number))
-            self._forget(held)
+            self._forget(held, why)
 
     def _send_rung(self, held: Held) -> None:
         held.sent_rung = held.rung
+        self._write_down(What.RUNG, held, rung=held.rung, why="this front")
         self._out.append(ChangeRung(held.ask.jti, held.attempt, held.server, held.rung))
 
     def _release(self, held: Held, why: str, after_segment: bool = False) -> None:
         self.counts.released += 1
         self._out.append(Release(held.ask.jti, held.attempt, held.server, why, after_segment))
 
-    def _end(self, held: Held, result: Result, moved: bool = False) -> None:
+    def _end(self, held: Held, result: Result, why: str, moved: bool = False) -> None:
         self._events.append(Ended(held.number, held.server, held.attempt, result, True, 0.0, ()))
         self._leave_server(held)
-        self._forget(held, moved)
+        self._forget(held, why, moved)
 
     def _leave_server(self, held: Held) -> None:
         there = self._at_server.get(held.server)
@@ -510,7 +605,8 @@
             if not there:
                 del self._at_server[held.server]
 
-    def _forget(self, held: Held, moved: bool = False) -> None:
+    def _forget(self, held: Held, why: str, moved: bool = False) -> None:
+        self._write_down(What.ENDED, held, why=why)
         self._held.pop(held.ask.jti, None)
         self._by_number.pop(held.number, None)
         if self._gated:
@@ -519,3 +615,46 @@
         self._past[held.ask.jti] = (held.key, moved)
         if len(self._past) > self.limits.remembered:
             self._past.popitem(last=False)
+
+    # --- the journal ---
+
+    def _write_down(
+        self, what: What, held: Held | None = None, *, box: int | None = None, rung: int = -1, why: str = "",
+        more: dict[str, object] | None = None,
+    ) -> None:  # fmt: skip
+        if self.journal is None:
+            return
+        if held is None:
+            self.journal.add(self._now, what, box=-1 if box is None else box, why=why, more=more)
+            return
+        ask, there = held.ask, held.phase in (Phase.OUT, Phase.PLAYING) or what is What.FAILED_TRY
+        self.journal.add(
+            self._now, what, session=ask.jti, lesson=ask.title_name, cls=self.settings.classes[ask.cls].name,
+            tenant=ask.tenant, box=held.server if there else -1, attempt=held.attempt if there else -1,
+            rung=rung, why=why, more=more,
+        )  # fmt: skip
+
+    def _write_down_choice(self, held: Held) -> None:
+        assert isinstance(self.controller, ExplainingController)
+        reason = self.controller.take_reason(held.number)
+        more = {
+            "passed": [list(one) for one in reason.passed],
+            "link": reason.link,
+            "uplink": reason.uplink,
+        }
+        self._write_down(What.SETUP, held, rung=held.rung, why=reason.why, more=more)
+
+    def _write_down_list(self, update: ListUpdate) -> None:
+        """Boxes whose state or life changed, and those that a whole list no longer names."""
+        if update.kind in (ListKind.CACHED, ListKind.FULL):
+            named = {entry.server for entry in update.entries}
+            for server in [server for server in self._listed if server not in named]:
+                del self._listed[server]
+                self._write_down(What.BOX, box=server, why="unlisted")
+        for entry in update.entries:
+            now = (entry.state, entry.started_at)
+            if self._listed.get(entry.server) != now:
+                self._listed[entry.server] = now
+                start = f"{entry.started_at:.0f}" if entry.started_at else ""
+                why = entry.state.name.lower()
+                self._write_down(What.BOX, box=entry.server, why=why, more={"start": start})
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -11,14 +11,20 @@
 
 import structlog
 
-from fernweir.config.front import FrontConfig, HttpSection, IntrospectionSection
+from fernweir.config.front import ControlSection, FrontConfig, HttpSection, IntrospectionSection
 from fernweir.config.ini import ConfigError, Problem
+from fernweir.control.channel import Channel
+from fernweir.control.desk import DeskRules, FrontDesk, load_orders
+from fernweir.control.orders import OrderRules
+from fernweir.control.overlay import Overlay
+from fernweir.control.statefile import StateFileError
 from fernweir.entitlement.client import EntitlementClient
 from fernweir.entitlement.introspect import Introspector, IntrospectRules
 from fernweir.entitlement.queue import QueueRules
 from fernweir.front.boxes import BoxClient, BoxTimes
 from fernweir.front.boxlist import BoxList
-from fernweir.front.core import Core
+from fernweir.front.commands import Ask
+from fernweir.front.core import Core, Log
 from fernweir.front.dash import DashService, TokenRules
 from fernweir.front.follower import ListFollower
 from fernweir.front.gate import Gate
@@ -26,10 +32,13 @@
 from fernweir.front.introspection import TokenDesk
 from fernweir.front.keyset import KeySetFollower
 from fernweir.front.record import Recorder
+from fernweir.front.steering import Steering
 from fernweir.front.usecheck import UseCheck
 from fernweir.http.client import Pool
 from fernweir.http.parse import Limits
 from fernweir.http.server import Server, ServerLimits
+from fernweir.journal.disk import JournalFolder
+from fernweir.journal.store import Journal, JournalRules
 from fernweir.seats.book import Book, BookRules
 from fernweir.seats.files import DiskFiles
 from fernweir.seats.log import LogError, SeatLog
@@ -53,6 +62,7 @@
     keyring: Keyring | None = None
     desk: TokenDesk | None = None
     use: UseCheck | None = None
+    control: _Control | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -75,6 +85,8 @@
     def kill(self) -> None:
         """Ends at once: connections break, nothing more is said."""
         self.list.stop()
+        if self.control is not None:
+            self.control.stop()
         if self.desk is not None:
             self.desk.stop()
         if self.use is not None:
@@ -117,8 +129,18 @@
         record = open(config.path(section.record), "w", encoding="utf-8")  # noqa: SIM115 - closed by stop
         watch = Recorder(record, settings, section.seed).watch
     limits = HostLimits(margin_ms=section.margin, linger_ms=section.linger)
-    host = Host(settings, section.seed, limits, watch, gated=config.entitlement is not None)
     log = structlog.get_logger().bind(front=section.name)
+    control = None if config.control is None else _Control(config, config.control, offset, log)
+    host = Host(
+        settings,
+        section.seed,
+        limits,
+        watch,
+        gated=config.entitlement is not None,
+        journal=None if control is None else control.journal,
+        turned_away=None if control is None else control.turned_away,
+        overlay=None if control is None else control.overlay,
+    )
     core = Core(host, batch_ms=section.batch, log=log)
     pool = Pool(
         per_origin=config.boxes.connections,
@@ -127,6 +149,8 @@
         limits=Limits(body=int(config.boxes.manifest)),
     )
     boxes = BoxList(settings)
+    if control is not None:
+        await control.start(core, boxes)
     token = _ControlToken(keyring, section.name, config.tokens.box_audience, wall_s)
     times = BoxTimes(probe_s=config.boxes.probe_time / 1000.0, call_s=config.boxes.call_time / 1000.0)
     streams = Pool(per_origin=2, connect_s=config.boxes.connect_time / 1000.0)
@@ -195,7 +219,76 @@
         service.public_url = f"http://{server.address[0]}:{server.address[1]}"
     follower.start()
     log.info("front listens", host=server.address[0], port=server.address[1])
-    return Front(core, server, client, follower, (pool, streams), record, gate, keyring, desk, use)
+    return Front(core, server, client, follower, (pool, streams), record, gate, keyring, desk, use, control)
+
+
+class _Control:
+    """Journal, orders and the operators' socket of a front."""
+
+    def __init__(
+        self,
+        config: FrontConfig,
+        section: ControlSection,
+        wall_offset_s: float,
+        log: Log,
+    ) -> None:
+        self._config, self._section, self._offset, self._log = config, section, wall_offset_s, log
+        self._file = config.path(section.orders)
+        try:
+            self.orders = load_orders(self._file)
+        except (StateFileError, OSError) as error:
+            raise ConfigError(str(self._file), [Problem("control", "orders", 0, str(error))]) from None
+        self.orders.rules = OrderRules(pace_ms=section.drain_pace, burst=section.drains_at_once)
+        self.overlay = Overlay(self.orders.drained)
+        self._folder: JournalFolder | None = None
+        rules = JournalRules(memory_bytes=int(section.journal_memory))
+        if section.journal is not None:
+            self._folder = JournalFolder(config.path(section.journal), most_bytes=int(section.journal_disk))
+        self.journal = Journal(config.front.name, rules, self._folder, wall_offset_ms=wall_offset_s * 1000.0)
+        self.journal.on_trouble = self._trouble
+        self._host: Host | None = None
+        self._steering: Steering | None = None
+        self._channel: Channel | None = None
+
+    def turned_away(self, ask: Ask) -> str:
+        if not (self.orders.holds or self.orders.caps) or self._host is None:
+            return ""
+        playing = self._host.count_by(ask.title_name, ask.tenant) if self.orders.caps else {}
+        return self.orders.turned_away(ask.title_name, ask.tenant, playing)
+
+    async def start(self, core: Core, boxes: BoxList) -> None:
+        section, self._host = self._section, core.host
+        self._steering = Steering(core, boxes, self._offset)
+        rules = DeskRules(tuple(section.operators), section.led)
+        file = None if section.led else self._file
+        desk = FrontDesk(self._config.front.name, self.journal, self.orders, self._steering, rules, file)
+        self._channel = Channel(desk, self._config.path(section.socket), mode=section.mode)
+        self.journal.watchers.append(self._channel.entry)
+        if self._folder is not None:
+            try:
+                self.journal.restore(*self._folder.open())
+            except OSError as error:
+                self._trouble(error.strerror or str(error))
+            for note in self._folder.notes:
+                self._log.warning("journal is not whole", why=note)
+            for entry in self.journal.entries(self.journal.first):
+                desk.picture.fold(entry)
+        desk.start()
+        await self._channel.listen()
+
+    def stop(self) -> None:
+        if self._steering is not None:
+            self._steering.stop()
+        if self._channel is not None:
+            self._channel.stop()
+        if self._folder is not None:
+            self._folder.close()
+
+    def _trouble(self, why: str) -> None:
+        if why:
+            self._log.error("journal is not kept", why=why)
+        else:
+            self._log.info("journal is kept again")
 
 
 def _make_desk(
--- /dev/null
+++ b/fernweir/front/steering.py
@@ -0,0 +1,118 @@
+"""What the operators' desk can see and do at a front. A thin shell between desk, host and list."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from fernweir.control.orders import SiteNow
+from fernweir.front.boxlist import BoxList
+from fernweir.front.core import Core
+from fernweir.front.host import Phase
+from fernweir.interface import ServerState
+
+
+class Steering:
+    """See `control.desk.Hands`."""
+
+    def __init__(self, core: Core, boxes: BoxList, wall_offset_s: float) -> None:
+        self._core, self._boxes = core, boxes
+        self._wall_offset_ms = wall_offset_s * 1000.0
+        self._timers: set[asyncio.TimerHandle] = set()
+
+    def stop(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
+
+    def now(self) -> float:
+        return self._core.now()
+
+    def wall(self) -> int:
+        return int(self._core.now() + self._wall_offset_ms)
+
+    def site(self) -> SiteNow:
+        """Of the list as it stands; loads are what the module takes them for."""
+        host, controller, now = self._core.host, self._core.host.controller, self.now()
+        listed = host.listed
+        lines, cells = self._boxes.boxes, host.settings.cells
+        servers = controller.servers
+        return SiteNow(
+            ready=frozenset(box for box, state in listed.items() if state is ServerState.READY),
+            known=frozenset(box for box, state in listed.items() if state is not ServerState.GONE),
+            holders={
+                title: [
+                    box
+                    for box, line in lines.items()
+                    if (line.cell - lesson.first_cell) % cells < lesson.copies
+                ]
+                for title, lesson in self._boxes.lessons.items()
+            },
+            playing={box: len(host.playing_at(box)) for box in listed},
+            carried_kb={
+                box: servers[box].link.load(now) * servers[box].link.capacity_kb
+                for box, state in listed.items()
+                if box in servers and state is not ServerState.GONE
+            },
+            capacity_kb={box: servers[box].link.capacity_kb for box in listed if box in servers},
+            sessions=frozenset(host.held()),
+        )
+
+    def orders_changed(self, then: Callable[[], None]) -> None:
+        self._core.host.orders_changed(self.now())
+        self._core.after_step(then)
+
+    def end(self, session: str, why: str) -> None:
+        self._core.host.revoke(self.now(), session, why)
+        self._core.kick()
+
+    def limits(self) -> Mapping[str, Any]:
+        settings = self._core.host.settings
+        return {
+            "classes": {
+                kind.name: {
+                    "seats": kind.seats,
+                    "deadline_ms": kind.deadline_ms,
+                    "lowest_rung": kind.lowest_rung,
+                    "top_rung": kind.top_rung,
+                }
+                for kind in settings.classes
+            },
+            "attempts": settings.attempts_cap,
+            "drain_grace_ms": settings.drain_grace_ms,
+            "retry_after_max_ms": settings.retry_after_max_ms,
+            "budget": None
+            if settings.budget is None
+            else [settings.budget.span_ms, settings.budget.free, settings.budget.share],
+            "fronts": settings.fronts,
+        }
+
+    def gauges(self) -> dict[str, Any]:
+        """Loads by box and what is served, as the module takes them now."""
+        host, now = self._core.host, self.now()
+        settings = host.settings
+        loads = {
+            str(box): [round(one.link.load(now), 3), round(one.uplink.load(now), 3), one.rack]
+            for box, one in sorted(host.controller.servers.items())
+            if one.state is not ServerState.GONE
+        }
+        worth = most = 0.0
+        for held in host.held().values():
+            if held.phase is Phase.PLAYING:
+                kind = settings.classes[held.ask.cls]
+                worth += kind.gain * settings.worths[held.rung]
+                most += kind.gain * settings.worths[min(held.ask.top_rung, kind.top_rung)]
+        return {
+            "boxes": loads,
+            "worth": round(worth, 2),
+            "worth_most": round(most, 2),
+            "waiting": len(host.ledger),
+        }
+
+    def call_at(self, due: float, do: Callable[[], None]) -> None:
+        def fire() -> None:
+            self._timers.discard(handle)
+            do()
+
+        handle = self._core.loop.call_at(max(due, self.now()) / 1000.0, fire)
+        self._timers.add(handle)
--- a/fernweir/rehearsal/storm.py
+++ b/fernweir/rehearsal/storm.py
@@ -284,7 +284,7 @@
             key = f"{key}.{self._keys}"
         place = (seat.tenant, seat.lesson, seat.cls)
         if send.op is Op.ASK:
-            answer = self.desk.ask(self.now, key, front.name, seat.session, seat.person, place)
+            answer = self.desk.ask(self.now, key, front.name, seat.session, seat.person, place, seat.asked_at)
         elif send.op is Op.RENEW:
             answer = self.desk.renew(self.now, seat.lease, seat.fence, seat.session)
         else:
--- a/fernweir/seats/book.py
+++ b/fernweir/seats/book.py
@@ -359,8 +359,9 @@
             return
         self._generation += 1
         kept = Kept(
-            want.session, self._generation, want.tenant, want.lesson, want.cls, want.person, want.worth
-        )
+            want.session, self._generation, want.tenant, want.lesson, want.cls, want.person, want.worth,
+            asked_at=self.wall_offset_s + now / 1000.0,
+        )  # fmt: skip
         seat = self.seats[want.session] = Seat(kept, State.ASKING, wanted=True, answer_by=answer_by)
         seat.after = self._append(records.asked(kept))
         self.policy.first(now, want.tenant)
@@ -378,6 +379,8 @@
             self.counts.full += full
             self.counts.denied += not full
             why = "no seat is free" if full else "not entitled to this lesson"
+            if reply.said is Said.FENCED:
+                why = "the session goes on elsewhere"
             if seat.answer_by is not None:
                 self._verdict(seat, False, why, reply.retry_after_ms)
             elif seat.wanted:
@@ -410,7 +413,7 @@
         kept = seat.kept
         seat.kept = Kept(
             kept.session, kept.generation, kept.tenant, kept.lesson, kept.cls, kept.person, kept.worth,
-            reply.lease or kept.lease, reply.fence, kept.until,
+            reply.lease or kept.lease, reply.fence, kept.until, kept.asked_at,
         )  # fmt: skip
         seat.ttl_ms = min(reply.ttl_ms, self.rules.ttl_most_ms)
         seat.use_until = seat.sent_at + seat.ttl_ms
@@ -464,8 +467,9 @@
         self._generation += 1
         kept = seat.kept
         seat.kept = Kept(
-            kept.session, self._generation, kept.tenant, kept.lesson, kept.cls, kept.person, kept.worth
-        )
+            kept.session, self._generation, kept.tenant, kept.lesson, kept.cls, kept.person, kept.worth,
+            asked_at=self.wall_offset_s + now / 1000.0,
+        )  # fmt: skip
         seat.after = self._append(records.asked(seat.kept))
         seat.state = State.ASKING
         self._request(now, seat, Op.ASK)
--- a/fernweir/seats/records.py
+++ b/fernweir/seats/records.py
@@ -21,7 +21,9 @@
     """One seat as the log knows it: asked for under a key, perhaps held under a lease.
 
     Treated as a value, never changed; not frozen, as making frozen ones slows recovery. `until` is wall
-    time in seconds, for after a restart; while the front runs, monotonic time decides.
+    time in seconds, for after a restart; while the front runs, monotonic time decides. `asked_at` is wall
+    time too, of the first ask under this generation: of two fronts that ask for one session, the later one
+    has it.
     """
 
     session: str
@@ -34,6 +36,7 @@
     lease: str = ""
     fence: int = 0
     until: float = 0.0
+    asked_at: float = 0.0
 
 
 Table = dict[str, Kept]
@@ -66,7 +69,7 @@
             if old is not None:
                 table[session] = Kept(
                     session, old.generation, old.tenant, old.lesson, old.cls, old.person, old.worth,
-                    lease, fence, until,
+                    lease, fence, until, old.asked_at,
                 )  # fmt: skip
         elif kind == "gone":
             table.pop(record[1], None)
@@ -151,7 +154,7 @@
 def _row(seat: Kept) -> list[Any]:
     return [
         seat.session, seat.generation, seat.tenant, seat.lesson, seat.cls, seat.person, seat.worth,
-        seat.lease, seat.fence, seat.until,
+        seat.lease, seat.fence, seat.until, seat.asked_at,
     ]  # fmt: skip
 
 
--- a/fernweir/standin/entitlement.py
+++ b/fernweir/standin/entitlement.py
@@ -156,7 +156,8 @@
         if len(path) == 3 and path[2] == "renew":
             return self.desk.renew(now, path[1], int(body["fence"]), str(body["session"]))
         place = (str(body["tenant"]), str(body["lesson"]), str(body["class"]))
-        return self.desk.ask(now, key, front, str(body["session"]), str(body["person"]), place)
+        asked_at = float(body["asked_at_ms"])
+        return self.desk.ask(now, key, front, str(body["session"]), str(body["person"]), place, asked_at)
 
     def _answer(self, exchange: Exchange, answer: DeskAnswer) -> None:
         if answer.status == 200:
--- a/fernweir/standin/leases.py
+++ b/fernweir/standin/leases.py
@@ -2,7 +2,8 @@
 
 It counts what it holds at every change, by lesson and by session, and that report is what tests judge. It
 is naive on purpose: two keys from one front are two seats, so that a front which forgets its keys shows.
-The same session at another front takes its seat along: the fence grows, and the old holder is fenced.
+The same session at another front takes its seat along, if it asked for it later than the holder did: the
+fence grows, and the old holder is fenced.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
     place: Place
     fence: int
     until: float
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,9 @@
     _by_session: dict[str, set[str]] = field(default_factory=dict)
     _number: int = 0
 
-    def ask(self, now: float, key: str, front: str, session: str, person: str, place: Place) -> DeskAnswer:
+    def ask(
+        self, now: float, key: str, front: str, session: str, person: str, place: Place, asked_at: float = 0.0
+    ) -> DeskAnswer:
         self.expire(now)
         if key in self._taken_back:
             return DeskAnswer(410)
@@ -80,13 +84,17 @@
             return self._granted(now, self.leases[self._by_key[key]])
         for id in list(self._by_session.get(session, ())):
             if self.leases[id].front != front:
+                if asked_at < self.leases[id].asked_at:
+                    return DeskAnswer(412)  # an ask from before that was long on its way
                 self.report.fenced += 1
                 self._drop(id)
         limit = self.seats.get(place, self.default)
         if self._used[place] >= limit:
             return DeskAnswer(409, retry_after_ms=min(self.ttl_ms / 10.0, 2_000.0))
         self._number += 1
-        lease = DeskLease(f"L{self.boot}-{self._number}", key, front, session, person, place, 0, 0.0)
+        lease = DeskLease(
+            f"L{self.boot}-{self._number}", key, front, session, person, place, 0, 0.0, asked_at
+        )
         self.leases[lease.id], self._by_key[key] = lease, lease.id
         self._used[place] += 1
         held = self._by_session.setdefault(session, set())
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,508 @@
+"""Orders as decisions, the list with drains laid over it, and the socket: once, in order, and true."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from fernweir.config.ini import ConfigError
+from fernweir.control.client import ControlClient, ControlError
+from fernweir.control.orders import Command, Do, OrderRules, Orders, OrdersError, Outcome, Result, SiteNow
+from fernweir.control.overlay import Overlay
+from fernweir.control.statefile import StateFileError, read_state, write_state
+from fernweir.front.program import start_front
+from fernweir.interface import ListKind, ListUpdate, ServerState
+from fernweir.journal.events import What
+from fernweir.journal.picture import Picture
+from fernweir.rehearsal.site import SitePlan
+from fernweir.standin.site import SiteTimes
+from tests.helpers import entry
+from tests.scene import Scene, play
+from tests.sockets import until
+
+BOXES = frozenset(range(1, 7))
+HOLDERS = {"a": [1, 2, 3], "b": [2, 3, 4], "c": [4, 5, 6]}
+SITE = SiteNow(
+    ready=BOXES,
+    known=BOXES,
+    holders=HOLDERS,
+    playing=dict.fromkeys(BOXES, 2),
+    carried_kb=dict.fromkeys(BOXES, 100.0),
+    capacity_kb=dict.fromkeys(BOXES, 1_000.0),
+    sessions=frozenset(["s1"]),
+)
+
+
+class Counter_:
+    """Ids and a clock for commands."""
+
+    def __init__(self, rules: OrderRules | None = None) -> None:
+        self.orders, self.now, self.number = Orders(rules), 0.0, 0
+
+    def do(self, do: Do, target: str, site: SiteNow = SITE, by: str = "ann", **more: Any) -> Result:
+        self.number += 1
+        command = Command(more.pop("id", f"c{self.number}"), by, do, target, **more)
+        return self.orders.take(self.now, 1000, command, site)
+
+
+def test_a_drain_that_leaves_a_lesson_without_holder_costs_a_word_first() -> None:
+    desk = Counter_(OrderRules(burst=10))
+    assert desk.do(Do.DRAIN, "4").outcome is Outcome.DONE
+    assert desk.do(Do.DRAIN, "5").outcome is Outcome.DONE
+    asked = desk.do(Do.DRAIN, "6")
+    assert asked.outcome is Outcome.CONFIRM and asked.cost["lessons"] == ["c"] and "c" in asked.says
+    assert desk.do(Do.DRAIN, "6", mark="guessed").outcome is Outcome.CONFIRM
+    assert desk.do(Do.DRAIN, "6", mark=asked.mark).outcome is Outcome.DONE
+    assert {int(box) for box in desk.orders.drains} == {4, 5, 6}
+
+
+def test_a_drain_under_what_the_site_carries_costs_a_word_and_more_than_agreed_another() -> None:
+    full = replace(SITE, carried_kb=dict.fromkeys(BOXES, 750.0), holders={})
+    desk = Counter_()
+    asked = desk.do(Do.DRAIN, "1", full)
+    assert asked.outcome is Outcome.CONFIRM and asked.cost["short_kb"] == 500.0
+    worse = replace(full, carried_kb=dict.fromkeys(BOXES, 800.0))
+    assert desk.do(Do.DRAIN, "1", worse, mark=asked.mark).outcome is Outcome.CONFIRM
+    better = replace(full, carried_kb=dict.fromkeys(BOXES, 740.0))
+    assert desk.do(Do.DRAIN, "1", better, mark=asked.mark).outcome is Outcome.DONE
+
+
+def test_several_drains_are_paced_and_take_effect_in_turn() -> None:
+    desk = Counter_(OrderRules(pace_ms=1_000.0, burst=2))
+    site = replace(SITE, holders={})
+    outcomes = [desk.do(Do.DRAIN, str(box), site).outcome for box in (1, 2, 3, 4)]
+    assert outcomes == [Outcome.DONE, Outcome.DONE, Outcome.QUEUED, Outcome.QUEUED]
+    assert desk.do(Do.DRAIN, "3", site, by="bob").outcome is Outcome.ALREADY
+    assert desk.orders.due(1_999.0) == []
+    due = desk.orders.next_due(0.0)
+    assert due is not None and desk.orders.due(due) == [3, 4] and desk.orders.next_due(due) is None
+
+
+def test_undo_takes_back_what_stands_since_and_nothing_else() -> None:
+    desk = Counter_()
+    desk.do(Do.DRAIN, "1", id="first")
+    assert desk.do(Do.UNDO, "first").outcome is Outcome.DONE and not desk.orders.drains
+    desk.do(Do.HOLD, "a", id="hold")
+    desk.do(Do.UNHOLD, "a", by="bob")
+    desk.do(Do.HOLD, "a", by="bob", reason="bob's own")
+    undone = desk.do(Do.UNDO, "hold")
+    assert undone.outcome is Outcome.REFUSED and desk.orders.holds["a"].by == "bob"
+    assert desk.do(Do.UNDO, "never given").outcome is Outcome.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("do", "target", "most"),
+    [
+        (Do.DRAIN, "77", 0), (Do.DRAIN, "one", 0), (Do.DRAIN, "-1", 0), (Do.HOLD, "no-lesson", 0),
+        (Do.END, "s2", 0), (Do.CAP, "everybody", 3),
+    ],
+)  # fmt: skip
+def test_what_is_refused(do: Do, target: str, most: int) -> None:
+    desk = Counter_()
+    assert desk.do(do, target, most=most).outcome is Outcome.REFUSED and desk.orders.version == 0
+
+
+class OrdersStory(RuleBasedStateMachine):
+    """Any commands, repeated, restarted, timed: an id is done once, and files say what stands."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.desk = Counter_(OrderRules(pace_ms=100.0, burst=2, remembered=50))
+        self.given: dict[str, tuple[Do, str, dict[str, Any]]] = {}
+        self.drains: set[int] = set()
+        self.began: list[float] = []
+
+    @rule(do=st.sampled_from([Do.DRAIN, Do.DRAIN, Do.UNDRAIN]), box=st.integers(1, 6))
+    def drain(self, do: Do, box: int) -> None:
+        result = self.desk.do(do, str(box))
+        if result.outcome is Outcome.CONFIRM:
+            result = self.desk.do(do, str(box), mark=result.mark)
+            assert result.outcome is not Outcome.CONFIRM
+        self.given[f"c{self.desk.number}"] = (do, str(box), result.to_plain())
+        if result.outcome is Outcome.DONE and do is Do.DRAIN:
+            self.drains.add(box)
+            self.began.append(self.desk.now)
+        elif do is Do.UNDRAIN:
+            self.drains.discard(box)
+        elif result.outcome is Outcome.QUEUED:
+            assert str(box) in self.desk.orders.waiting
+
+    @rule(number=st.integers(0, 20))
+    def repeated(self, number: int) -> None:
+        """Its connection had dropped: the same answer, and nothing done."""
+        if self.given:
+            id = sorted(self.given)[number % len(self.given)]
+            do, target, said = self.given[id]
+            version = self.desk.orders.version
+            again = self.desk.orders.take(self.desk.now, 0, Command(id, "ann", do, target), SITE)
+            assert again.to_plain()["outcome"] == said["outcome"] and self.desk.orders.version == version
+
+    @rule(after=st.sampled_from([0.0, 50.0, 300.0]))
+    def time(self, after: float) -> None:
+        self.desk.now += after
+        for box in self.desk.orders.due(self.desk.now):
+            self.drains.add(box)
+            self.began.append(self.desk.now)
+
+    @rule()
+    def restarted(self) -> None:
+        plain = json.loads(json.dumps(self.desk.orders.to_plain()))
+        again = Orders.from_plain(plain, self.desk.orders.rules)
+        assert again.to_plain() == plain
+        began = self.desk.orders._began
+        self.desk.orders = again
+        again._began = began
+
+    @invariant()
+    def as_given(self) -> None:
+        if hasattr(self, "desk"):
+            orders = self.desk.orders
+            assert {int(box) for box in orders.drains} == self.drains
+            assert not set(orders.drains) & set(orders.waiting)
+            assert all(sum(at - 200.0 < other <= at for other in self.began) <= 2 for at in self.began)
+
+
+OrdersStory.TestCase.settings = hypothesis_settings(max_examples=100, stateful_step_count=30)
+TestOrdersStory = OrdersStory.TestCase
+
+
+class OverlayStory(RuleBasedStateMachine):
+    """The module's view is the list with drains over it, whatever order both come in."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.drained: set[int] = set()
+        self.overlay = Overlay(self.drained.__contains__)
+        self.listed: dict[int, ServerState] = {}
+        self.told: dict[int, ServerState] = {}
+
+    def tell(self, update: ListUpdate | None) -> None:
+        if update is None:
+            return
+        if update.kind in (ListKind.FULL, ListKind.CACHED):
+            self.told = {}
+        self.told |= {one.server: one.state for one in update.entries}
+
+    @rule(
+        states=st.dictionaries(st.integers(1, 4), st.sampled_from(list(ServerState)), max_size=4),
+        kind=st.sampled_from([ListKind.FULL, ListKind.DELTA, ListKind.DELTA, ListKind.FAILED]),
+    )
+    def list_says(self, states: dict[int, ServerState], kind: ListKind) -> None:
+        if kind is ListKind.FAILED:
+            states = {}
+        elif kind is ListKind.FULL:
+            self.listed = {}
+        self.listed |= states
+        entries = tuple(entry(box, state=state) for box, state in states.items())
+        self.tell(self.overlay.list_says(ListUpdate(kind, 1, entries)))
+
+    @rule(box=st.integers(1, 5), drain=st.booleans())
+    def order(self, box: int, drain: bool) -> None:
+        (self.drained.add if drain else self.drained.discard)(box)
+        self.tell(self.overlay.orders_changed())
+        assert self.overlay.orders_changed() is None
+
+    @invariant()
+    def laid_over(self) -> None:
+        if hasattr(self, "overlay"):
+            for box, state in self.listed.items():
+                drained = state is ServerState.READY and box in self.drained
+                assert self.told[box] is (ServerState.DRAINING if drained else state)
+            assert set(self.told) == set(self.listed)
+
+
+TestOverlayStory = OverlayStory.TestCase
+
+
+# --- files ---
+
+
+def test_an_older_state_file_is_taken_up_and_a_damaged_one_is_not(tmp_path: Path) -> None:
+    path = tmp_path / "orders.json"
+    write_state(
+        path, "fernweir orders", {"format": 1, "version": 3, "drains": {"4": ["ann", 5]}, "holds": {}}
+    )
+    orders = Orders.from_plain(read_state(path, "fernweir orders"))
+    assert orders.version == 3 and orders.drained(4) and orders.drains["4"].by == "ann"
+    good = path.read_bytes()
+    for bad in (good.replace(b"ann", b"bob"), good[:-9], b"", b"{}\n", good.replace(b"orders", b"keyset", 1)):
+        path.write_bytes(bad)
+        with pytest.raises(StateFileError, match=r"orders\.json"):
+            read_state(path, "fernweir orders")
+    for wrong in ({"format": 9}, [], {"format": 2, "version": 1}, {"format": 1, "drains": [], "holds": {}}):
+        with pytest.raises(OrdersError):
+            Orders.from_plain(wrong)
+
+
+# --- sockets ---
+
+QUICK = SiteTimes(tell=200.0, seen_after=50.0, set_up=(2.0, 6.0), idle=20_000.0, orphan=300.0)
+CONTROL = "[control]\nsocket = run/{name}.sock\njournal = {name}-journal\norders = {name}.json"
+
+
+def control_scene(story: Any, plan: SitePlan | None = None, **more: str) -> None:
+    lines = CONTROL.format(name="front-0")
+    lines += "".join(f"\n{key.replace('_', '-')} = {value}" for key, value in more.items())
+
+    async def run(scene: Scene) -> None:
+        await story(scene, await client(scene))
+
+    play(run, plan or replace(SitePlan(), times=QUICK, fronts=1), extra=lines)
+
+
+async def client(scene: Scene, operator: str = "ann", watch: bool = True) -> ControlClient:
+    made = ControlClient(scene.site.folder / "run" / "front-0.sock", operator, watch=watch)
+    made.start()
+    await made.ready()
+    if watch:
+        await until(lambda: made.follower.picture is not None)
+    return made
+
+
+def the_same(scene: Scene, watcher: ControlClient) -> bool:
+    """Whether what is shown is what the host holds now."""
+    picture, host = watcher.follower.picture, scene.fronts[0].core.host
+    assert picture is not None
+    shown = {row.session: (row.phase, row.box, row.rung) for row in picture.sessions.values()}
+    held = {
+        jti: (one.phase.value, one.server, one.sent_rung)
+        if one.phase.value != "asked"
+        else ("asked", -1, shown.get(jti, (0, 0, -1))[2])
+        for jti, one in host.held().items()
+    }
+    return shown == held and all(
+        box.playing == len(host.playing_at(number)) for number, box in picture.boxes.items()
+    )
+
+
+def test_a_watcher_shows_what_the_front_holds_and_why() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        wishes = [scene.wish(title=f"lesson-{number % 3}") for number in range(12)]
+        await asyncio.gather(*map(scene.ask, wishes))
+        await until(lambda: the_same(scene, ann))
+        picture = ann.follower.picture
+        assert picture is not None and len(picture.sessions) == 12 and picture.answers["plays"] == 12
+        rows = (await ann.ask("why", session=wishes[0].session))["rows"]
+        assert [row[2] for row in rows[:4]] == ["asked", "setup", "started", "plays"]
+        assert "under the mark" in rows[1][11]
+        page = await ann.ask("sessions", limit=5)
+        rest = await ann.ask("sessions", after=page["next"], limit=500)
+        assert len(page["rows"]) == 5 and len(rest["rows"]) == 7 and "next" not in rest
+        boxes = (await ann.ask("boxes"))["rows"]
+        assert sum(row["playing"] for row in boxes) == 12 and all(len(row["load"]) == 3 for row in boxes)
+        await scene.http("DELETE", f"/lessons/{wishes[0].title}/session", wishes[0])
+        await until(lambda: len(picture.sessions) == 11 and the_same(scene, ann))
+        found = (await ann.ask("events", what="ended", lesson=wishes[0].title))["rows"]
+        assert found[0][11] == "ended by its viewer"
+        ann.close()
+
+    control_scene(story)
+
+
+def test_nothing_new_reaches_a_drained_box_though_the_list_says_ready() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        first = await scene.first_choice()
+        burst = [asyncio.ensure_future(scene.ask(scene.wish())) for _ in range(20)]
+        answer = await ann.ask("drain", target=str(first), reason="fan is loud")
+        assert answer["outcome"] == "done"
+        begun = len(scene.of("box.setup", box=first))
+        scene.site.tell(first, "ready")
+        await asyncio.gather(*burst)
+        replies = await asyncio.gather(*(scene.ask(scene.wish()) for _ in range(10)))
+        assert {reply.status for reply in replies} == {200}
+        # What was out when the drain came may arrive within the grace; after it nothing does.
+        assert len(scene.of("box.setup", box=first)) - begun <= 20
+        sent = len(scene.of("box.setup", box=first))
+        await asyncio.gather(*(scene.ask(scene.wish()) for _ in range(10)))
+        assert len(scene.of("box.setup", box=first)) == sent
+        bob = await client(scene, "bob")
+        assert (await bob.ask("drain", target=str(first)))["outcome"] == "already"
+        assert (await bob.ask("undrain", target=str(first)))["outcome"] == "done"
+        await asyncio.gather(*(scene.ask(scene.wish()) for _ in range(3)))
+        assert len(scene.of("box.setup", box=first)) > sent
+        await until(lambda: the_same(scene, bob) and the_same(scene, ann))
+        for one in (ann, bob):
+            one.close()
+
+    control_scene(story)
+
+
+def test_drain_undrain_drain_within_a_moment_and_gone_wins() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        first = await scene.first_choice()
+        for do in ("drain", "undrain", "drain"):
+            assert (await ann.ask(do, target=str(first)))["outcome"] == "done"
+        wish = scene.wish()
+        assert (await scene.ask(wish)).status == 200
+        assert scene.of("box.setup", session=wish.session)[0]["box"] != first
+        scene.site.tell(first, "gone")
+        picture = ann.follower.picture
+        assert picture is not None
+        await until(lambda: picture.boxes[first].state == "gone")
+        await ann.ask("undrain", target=str(first))
+        await until(lambda: picture.boxes[first].drained_by == "")
+        assert scene.fronts[0].core.host._states[first] is ServerState.GONE
+        ann.close()
+
+    control_scene(story, drains_at_once="5")
+
+
+def test_holds_limits_and_an_end_with_a_reason() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        plays = scene.wish(play_s=10.0)
+        watching = asyncio.ensure_future(scene.viewers.watch(plays))
+        await until(lambda: scene.of("box.segment"))
+        await ann.ask("hold", target="lesson-0", reason="wrong film")
+        held = await scene.ask(scene.wish())
+        assert held.status == 503 and b"wrong film" in held.body and held.headers.get("retry-after") == "5"
+        assert (await scene.ask(plays)).status == 200  # who plays, plays on
+        await ann.ask("end", target=plays.session, reason="asked to leave")
+        assert (await watching).ended == "asked to leave"
+        await ann.ask("unhold", target="lesson-0")
+        await ann.ask("cap", target="lesson:lesson-0", most=2)
+        replies = await asyncio.gather(*(scene.ask(scene.wish()) for _ in range(4)))
+        assert Counter(reply.status for reply in replies) == {200: 2, 503: 2}
+        overview = await ann.ask("overview")
+        assert overview["refusals"] == {
+            "lesson is held: wrong film": 1,
+            "limit of 2 sessions for lesson lesson-0": 2,
+        }
+        assert overview["caps"] == {"lesson:lesson-0": 2} and overview["holds"] == {}
+        await until(lambda: the_same(scene, ann))
+        ann.close()
+
+    control_scene(story)
+
+
+def test_a_front_killed_and_back_keeps_drains_and_commands_done_once() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        first = await scene.first_choice()
+        done = await ann.ask("drain", id="the-drain", target=str(first))
+        scene.trace.write("front.down", front="front-0")
+        scene.fronts.pop().kill()
+        await until(lambda: not ann.connected)
+        assert ann.follower.picture is not None  # what was shown stays, with its age
+        await scene.start_front(0)
+        await until(lambda: ann.connected and ann.connections == 2)
+        again = await ann.ask("drain", id="the-drain", target=str(first))
+        assert (again["outcome"], again["says"]) == (done["outcome"], done["says"])
+        orders = (await ann.ask("events", what="order", limit=500))["rows"]
+        assert sum(row[11].startswith("drain ") for row in orders) == 1
+        wish = scene.wish()
+        assert (await scene.ask(wish)).status == 200
+        assert scene.of("box.setup", session=wish.session)[0]["box"] != first
+        await until(lambda: the_same(scene, ann))
+        picture = ann.follower.picture
+        assert picture is not None and picture.boxes[first].drained_by == "ann"
+        ann.close()
+
+    control_scene(story)
+
+
+def test_a_watcher_that_stops_reading_misses_some_and_is_told() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        assert ann._transport is not None
+        ann._transport.pause_reading()
+        journal = scene.fronts[0].core.host.journal
+        assert journal is not None
+        control = scene.fronts[0].control
+        assert control is not None
+        channel = control._channel
+        assert channel is not None
+        for number in range(20_000):  # far more than the socket and its bound hold
+            journal.add(number, What.ASKED, session=f"x{number % 50}", why="w" * 400)
+            if number % 2_000 == 0:
+                await until(lambda: channel._timer is None)
+        assert (await scene.ask(scene.wish())).status == 200
+        pending = [len(one.pending) for one in channel.clients]
+        assert max(pending) <= 5_000
+        ann._transport.resume_reading()
+        await until(
+            lambda: (
+                ann.follower.missed > 0
+                and ann.follower.picture is not None
+                and ann.follower.picture.number == journal.last
+            )
+        )
+        picture = Picture()
+        for one in journal.entries(1):
+            picture.fold(one)
+        assert ann.follower.picture == picture
+        ann.close()
+
+    control_scene(story)
+
+
+@pytest.mark.parametrize(
+    ("line", "error"),
+    [
+        (b"not json", "not JSON"),
+        (b'{"id": "1"}', "do"),
+        (b'{"id": "1", "do": "fly"}', "do"),
+        (b'{"id": "1", "do": "drain"}', "target"),
+        (b'{"id": "1", "do": "drain", "target": 5}', "target"),
+        (b'{"id": "1", "do": "drain", "target": "5", "extra": 1}', "extra"),
+        (b'{"id": "1", "do": "end", "target": "5", "reason": "\\u001b[2J"}', "reason"),
+        (b'{"id": "", "do": "overview"}', "id"),
+        (b'{"id": "1", "do": "sessions", "limit": 100000}', "limit"),
+        (b"x" * 70_000, "a line of over"),
+    ],
+)
+def test_bad_lines_get_one_clear_error(line: bytes, error: str) -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        path = scene.site.folder / "run" / "front-0.sock"
+        reader, writer = await asyncio.open_unix_connection(str(path))
+        writer.write(b'{"hello": 1, "operator": "eve"}\n')
+        assert json.loads(await reader.readline())["may"] == "read"
+        writer.write(line + b"\n")
+        answer = json.loads(await reader.readline())
+        assert not answer["ok"] and error in answer["error"]
+        writer.close()
+        with pytest.raises(ControlError, match="may look, not act"):
+            eve = await client(scene, "eve", watch=False)
+            await eve.ask("drain", target="1")
+        eve.close()
+        ann.close()
+
+    control_scene(story, operators="ann, bob")
+
+
+def test_a_socket_in_use_and_damaged_orders_stop_a_front_with_one_clear_error() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        path = scene.site.folder / "run" / "front-0.sock"
+        assert oct(os.stat(path).st_mode & 0o777) == "0o600"
+        with pytest.raises(OSError, match="somebody listens there already"):
+            await start_front(scene.site.config(0, extra=scene.extra))
+        await ann.ask("hold", target="lesson-1")
+        file = scene.site.folder / "front-0.json"
+        file.write_bytes(file.read_bytes().replace(b"lesson-1", b"lesson-2"))
+        with pytest.raises(ConfigError, match="checksum does not match"):
+            await start_front(scene.site.config(0, extra=scene.extra))
+        ann.close()
+
+    control_scene(story)
+
+
+def test_an_order_that_cannot_be_written_down_is_not_given() -> None:
+    async def story(scene: Scene, ann: ControlClient) -> None:
+        file = scene.site.folder / "front-0.json"
+        file.mkdir()  # no file can take its place
+        with pytest.raises(ControlError, match="can't be written down"):
+            await ann.ask("hold", target="lesson-0")
+        assert (await scene.ask(scene.wish())).status == 200
+        file.rmdir()
+        assert (await ann.ask("hold", target="lesson-0"))["outcome"] == "done"
+        assert (await scene.ask(scene.wish())).status == 503
+        ann.close()
+
+    control_scene(story)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -9,6 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from fernweir.brain import Controller
 from fernweir.front.commands import (
     Answer,
     Ask,
@@ -22,7 +24,10 @@
 )
 from fernweir.front.host import Host, HostLimits, Phase
 from fernweir.front.ledger import Ledger, LedgerError
-from fernweir.interface import ListKind, ListUpdate, NoteKind, Result, ServerState
+from fernweir.interface import Action, Event, ListKind, ListUpdate, NoteKind, Result, ServerState
+from fernweir.journal.events import What
+from fernweir.journal.picture import Picture
+from fernweir.journal.store import Journal, JournalRules
 from tests.helpers import BUDGET, COLD, SETTINGS, entry
 
 ALONE = replace(SETTINGS, may_probe=False)
@@ -32,8 +37,9 @@
 class Desk:
     """A host with a clock that the test moves, and what it said."""
 
-    def __init__(self, settings: object = ALONE, boxes: int = 2) -> None:
-        self.host = Host(settings, 7, HostLimits(margin_ms=40.0, linger_ms=500.0))  # type: ignore[arg-type]
+    def __init__(self, settings: object = ALONE, boxes: int = 2, **more: object) -> None:
+        limits = HostLimits(margin_ms=40.0, linger_ms=500.0)
+        self.host = Host(settings, 7, limits, **more)  # type: ignore[arg-type]
         self.now, self.tickets, self.said = 1000.0, 0, []  # type: ignore[var-annotated]
         entries = tuple(entry(number, cell=number % 4) for number in range(1, boxes + 1))
         self.host.box_list(self.now, ListUpdate(ListKind.FULL, 1, entries))
@@ -267,9 +273,15 @@
 
     @initialize(seats=st.sampled_from([0, 1, 2]), probes=st.booleans(), strict=st.booleans())
     def begin(self, seats: int, probes: bool, strict: bool) -> None:
+        self.picture, self.answers = Picture(), Counter[str]()
+        self.journal = Journal("f", JournalRules(run=16))
+        self.journal.watchers.append(self.picture.fold)
         kinds = tuple(replace(kind, seats=seats) for kind in SETTINGS.classes)
         base = replace(SETTINGS, classes=kinds, may_probe=probes, fronts=2, drain_grace_ms=0.0)
-        self.desk = Desk(replace(base, budget=BUDGET, cold=COLD) if strict else base, boxes=4)
+        settings = replace(base, budget=BUDGET, cold=COLD) if strict else base
+        # The module decides the same whether or not it is asked for its reasons.
+        self.silent = Controller(settings, 7)
+        self.desk = Desk(settings, boxes=4, journal=self.journal, watch=self.decides_alike)
         self.out: dict[str, SetUp] = {}
         self.playing: dict[str, SetUp] = {}
         self.due: dict[int, float] = {}
@@ -277,6 +289,9 @@
         self.probes: list[int] = []
         self.draining: set[int] = set()
 
+    def decides_alike(self, now: float, events: list[Event], actions: list[Action]) -> None:
+        assert self.silent.handle(now, events) == actions
+
     def run(self, after: float = 0.0) -> None:
         self.batch(0.0)  # what happened in this instant
         end = self.desk.now + after
@@ -299,6 +314,7 @@
             elif isinstance(command, Answer):
                 assert command.ticket not in self.left
                 assert self.desk.now <= self.due.pop(command.ticket), "late"
+                self.answers[command.kind.value] += 1
             elif isinstance(command, SendProbe):
                 self.probes.append(command.server)
             elif isinstance(command, Release):
@@ -368,6 +384,26 @@
                 held = host.session(jti)
                 assert held is None or held.attempt >= setup.attempt
 
+    @invariant()
+    def the_journal_agrees(self) -> None:
+        """The picture folded from the journal shows what the host holds, and how it answered."""
+        if not hasattr(self, "desk"):
+            return
+        host, picture = self.desk.host, self.picture
+        rows = {row.session: row for row in picture.sessions.values()}
+        assert set(rows) == set(host._held)
+        for jti, held in host._held.items():
+            assert (rows[jti].phase, rows[jti].attempt) == (held.phase.value, held.attempt)
+            if held.phase in (Phase.OUT, Phase.PLAYING):
+                assert (rows[jti].box, rows[jti].rung) == (held.server, held.sent_rung)
+        for number, box in picture.boxes.items():
+            assert box.playing == len(host.playing_at(number))
+            assert ServerState[box.state.upper()] is host._states[number]
+            assert box.silent == (number in host._doubtful)
+        waiting = sum(isinstance(one, Answer) for one in host._out)
+        assert sum(picture.answers.values()) == sum(self.answers.values()) + waiting
+        assert Picture.from_plain(picture.to_plain()) == picture
+
     def teardown(self) -> None:
         if not hasattr(self, "desk"):
             return
@@ -377,6 +413,13 @@
             self.run(100.0)
         assert self.due == {}, "a request without an answer"
         assert len(self.desk.host.ledger) == 0
+        again = Picture()
+        for one in self.journal.entries(1):
+            again.fold(one)
+        assert again == self.picture and +self.picture.answers == self.answers
+        lives = Counter(one.session for one in self.journal.entries(1) if one.what is What.ASKED)
+        ends = Counter(one.session for one in self.journal.entries(1) if one.what is What.ENDED)
+        assert lives - ends == Counter(jti for jti in self.desk.host._held)
 
 
 HostStory.TestCase.settings = hypothesis_settings(max_examples=200, stateful_step_count=40)
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -342,6 +342,15 @@
     assert all(statuses[name] == 410 for name in after)  # what comes behind its release takes nothing
 
 
+def test_an_ask_that_was_long_on_its_way_takes_no_seat_from_who_asked_later() -> None:
+    place = ("t", "l", "c")
+    desk = LeaseDesk(default=1)
+    assert desk.ask(0.0, "f2.a.1", "f2", "a", "p", place, asked_at=8.0).status == 200
+    assert desk.ask(0.0, "f1.a.1", "f1", "a", "p", place, asked_at=7.0).status == 412
+    assert desk.ask(0.0, "f3.a.1", "f3", "a", "p", place, asked_at=9.0).status == 200
+    assert [one.front for one in desk.leases.values()] == ["f3"] and desk.report.most_by_session == 1
+
+
 @pytest.mark.parametrize("said", [Said.DONE, Said.FULL, Said.DENIED])
 @pytest.mark.parametrize("late_first", [True, False])
 def test_both_answers_of_a_repeated_ask_in_one_batch(said: Said, late_first: bool) -> None:
