--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -20,8 +20,8 @@
 from fernweir.http.parse import Data, HttpEvent, Limits, RequestParser, ResponseParser
 from fernweir.http.sse import EventReader
 from fernweir.rehearsal.hostile import PAYLOADS
-from fernweir.rehearsal.site import make_keys
 from fernweir.tokens import Keyring, SessionClaims, TokenError
+from fernweir.tokens.newkeys import make_keys
 
 SMALL = Limits(line=200, head=400, fields=8, body=300)
 
--- /dev/null
+++ b/fernweir/appliance/layout.py
@@ -0,0 +1,207 @@
+"""Where a unit keeps what, and its own settings. `FORMAT` names the layout; see `migrate`."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import Field
+
+from fernweir.config.ini import ConfigError, Reader, Section, read_file
+from fernweir.config.units import Address, Count, Mode, Names, Positive, PositiveMillis, Size
+from fernweir.control.desk import KIND
+from fernweir.control.orders import Orders, OrdersError
+from fernweir.control.statefile import StateFileError, read_state, write_state
+
+FORMAT = 2
+_FORMAT_KIND = "fernweir unit"
+SOCKET_PATH_BYTES = 107  # what the kernel takes for a Unix socket's name
+
+
+class UnitError(Exception):
+    """The unit can't do what it was asked; the text says why and what helps."""
+
+
+class UnitSection(Section):
+    name: str
+    fronts: Positive
+    operators: Names = Field(default_factory=list)
+    mode: Mode = 0o600
+    log_size: Size = 4_194_304
+    logs: Positive = 5
+    journal_disk: Size = 268_435_456
+    restarts: Positive = 10
+    restarts_within: PositiveMillis = 600_000.0
+    first_pause: PositiveMillis = 250.0
+    longest_pause: PositiveMillis = 30_000.0
+
+
+class TrialSection(Section):
+    """Simulated boxes and list, for a first look; left out, the list of `front-N.ini` is real."""
+
+    boxes: Count
+    list: Address
+    first_port: Positive
+    streams: Positive = 30
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Paths of a unit's folder."""
+
+    root: Path
+
+    @property
+    def unit_ini(self) -> Path:
+        return self.root / "unit.ini"
+
+    def front_ini(self, number: int) -> Path:
+        return self.root / f"front-{number}.ini"
+
+    @property
+    def keys(self) -> Path:
+        return self.root / "keys.json"
+
+    @property
+    def state(self) -> Path:
+        return self.root / "state"
+
+    @property
+    def orders(self) -> Path:
+        return self.state / "orders.json"
+
+    @property
+    def journal(self) -> Path:
+        return self.state / "journal"
+
+    @property
+    def format(self) -> Path:
+        return self.state / "format.json"
+
+    @property
+    def run(self) -> Path:
+        return self.root / "run"
+
+    @property
+    def socket(self) -> Path:
+        return self.run / "unit.sock"
+
+    def front_socket(self, number: int) -> Path:
+        return self.run / f"front-{number}.sock"
+
+    @property
+    def lock(self) -> Path:
+        return self.run / "lock"
+
+    @property
+    def log(self) -> Path:
+        return self.root / "log"
+
+    @property
+    def trial_list(self) -> Path:
+        return self.root / "trial-boxes.json"
+
+
+@dataclass(frozen=True, slots=True)
+class UnitConfig:
+    layout: Layout
+    unit: UnitSection
+    trial: TrialSection | None
+
+
+def load_unit(root: Path) -> UnitConfig:
+    """ConfigError names every mistake; UnitError if the folder is no unit."""
+    layout = Layout(root)
+    if not layout.unit_ini.exists():
+        raise UnitError(f"{root}: no unit.ini; make a unit with `fernweir appliance init {root}`")
+    reader = Reader(read_file(layout.unit_ini))
+    unit = reader.take("unit", UnitSection)
+    trial = reader.take("trial", TrialSection) if "trial" in reader.file.sections else None
+    reader.finish()
+    assert unit is not None
+    for number in range(1, unit.fronts + 1):
+        if not layout.front_ini(number).exists():
+            raise UnitError(
+                f"{layout.front_ini(number)}: missing, though unit.ini says fronts = {unit.fronts}"
+            )
+    return UnitConfig(layout, unit, trial)
+
+
+class Lock:
+    """Held while a unit runs; the kernel lets go of it whatever way the unit ends."""
+
+    def __init__(self, layout: Layout) -> None:
+        self._layout = layout
+        self._handle: int | None = None
+
+    def take(self) -> None:
+        """UnitError if a unit runs on this folder already."""
+        self._layout.run.mkdir(parents=True, exist_ok=True)
+        handle = os.open(self._layout.lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            pid = os.read(handle, 20).decode("ascii", "replace").strip()
+            os.close(handle)
+            raise UnitError(f"{self._layout.root}: a unit runs here already, process {pid}") from None
+        os.ftruncate(handle, 0)
+        os.write(handle, f"{os.getpid()}\n".encode())
+        self._handle = handle
+
+    def give_back(self) -> None:
+        if self._handle is not None:
+            os.close(self._handle)
+            self._handle = None
+
+
+def read_format(layout: Layout) -> int:
+    """The layout's format; a folder without a mark is of the first. UnitError for a newer one."""
+    try:
+        state = read_state(layout.format, _FORMAT_KIND)
+    except (StateFileError, OSError) as error:
+        raise UnitError(str(error)) from None
+    number = 1 if state is None else int(state["format"])
+    if number > FORMAT:
+        raise UnitError(f"{layout.root}: made by a newer fernweir, format {number}; this one knows {FORMAT}")
+    return number
+
+
+def write_format(layout: Layout) -> None:
+    write_state(layout.format, _FORMAT_KIND, {"format": FORMAT})
+
+
+def _orders_to_second(layout: Layout) -> None:
+    """Format 1 kept its orders at the root, without caps and answers."""
+    old = layout.root / "orders.json"
+    if old.exists() and not layout.orders.exists():
+        try:
+            orders = Orders.from_plain(read_state(old, KIND))
+        except (StateFileError, OrdersError) as error:
+            raise UnitError(f"{old}: {error}") from None
+        write_state(layout.orders, KIND, orders.to_plain())
+    old.unlink(missing_ok=True)
+
+
+_STEPS: dict[int, Callable[[Layout], None]] = {1: _orders_to_second}
+
+
+def migrate(layout: Layout) -> list[str]:
+    """Brings the state to this format, one format at a time; what was done. Safe to be killed in."""
+    done = []
+    number = read_format(layout)
+    while number < FORMAT:
+        _STEPS[number](layout)
+        number += 1
+        done.append(f"state brought to format {number}")
+    if done or not layout.format.exists():
+        write_format(layout)
+    return done
+
+
+__all__ = [
+    "FORMAT", "ConfigError", "Layout", "Lock", "TrialSection", "UnitConfig", "UnitError", "UnitSection",
+    "load_unit", "migrate", "read_format", "write_format",
+]  # fmt: skip
--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -11,6 +11,7 @@
 import click
 
 from fernweir.audit import TraceError, audit_lines, render_table
+from fernweir.cli.appliance import appliance
 from fernweir.cli.ledger import ledger
 from fernweir.cli.standin import standin
 from fernweir.config import ConfigError, load_front
@@ -18,8 +19,8 @@
 from fernweir.front.program import read_keyring, serve
 from fernweir.front.record import RecordError, replay
 from fernweir.rehearsal.badday import BadDay, DayPlan, DayResult, render_day
-from fernweir.rehearsal.site import make_keys
 from fernweir.rehearsal.storm import Storm, StormPlan
+from fernweir.tokens.newkeys import make_keys
 
 _FILE = click.Path(path_type=Path, dir_okay=False)
 
@@ -35,7 +36,8 @@
 
 @main.command("serve")
 @click.argument("settings", type=_FILE)
-def serve_command(settings: Path) -> None:
+@click.option("--until-eof", is_flag=True, hidden=True, help="Stop when standard input ends.")
+def serve_command(settings: Path, until_eof: bool) -> None:
     """Run a front by its SETTINGS until SIGTERM.
 
     Exit code 0: all that was taken was answered. 1: some was not. 2: the settings are wrong.
@@ -43,7 +45,7 @@
     try:
         config = load_front(settings)
         set_up_logs(config.log.format, config.log.level)
-        code = asyncio.run(serve(config))
+        code = asyncio.run(serve(config, until_eof=until_eof))
     except ConfigError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
@@ -181,5 +183,6 @@
     sys.exit(0 if result.good else 1)
 
 
+main.add_command(appliance)
 main.add_command(standin)
 main.add_command(ledger)
--- a/fernweir/cli/standin.py
+++ b/fernweir/cli/standin.py
@@ -13,6 +13,7 @@
 
 import click
 
+from fernweir.front.program import stop_at_eof
 from fernweir.standin.box import Behaviour, Box, BoxSpec
 from fernweir.standin.listserver import Line, ListServer
 from fernweir.standin.site import Rack, Site, SiteClass
@@ -42,8 +43,10 @@
         raise click.ClickException(f"{path}: {error}") from None
 
 
-async def _until_signal() -> None:
+async def _until_signal(until_eof: bool = False) -> None:
     over = asyncio.Event()
+    if until_eof:
+        stop_at_eof(over)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, over.set)
@@ -64,12 +67,14 @@
               show_default=True, help="NAME:SCALE of its rates; repeat.")  # fmt: skip
 @click.option("--link", default=12_000.0, show_default=True, help="Link, kB/s.")
 @click.option("--streams", default=30, show_default=True)
+@click.option("--until-eof", is_flag=True, hidden=True)
+@click.option("--trace", type=click.Path(path_type=Path, dir_okay=False), help="Append the trace here.")
 @click.option(
     "--script", type=_FILE, help='JSON lines: {"at": SECONDS, "behaviour": {...}} or "do": "die"/"restart".'
 )
 def box_command(
     number: int, listen: tuple[str, int], keys: Path, ladder: str, classes: tuple[str, ...], link: float,
-    streams: int, script: Path | None,
+    streams: int, until_eof: bool, trace: Path | None, script: Path | None,
 ) -> None:  # fmt: skip
     """A simulated lesson box."""
     try:
@@ -87,12 +92,13 @@
         loop = asyncio.get_running_loop()
         offset = time.time() - loop.time()
         site = Site(rates, kinds, _keyring(keys), [Rack(link)], wall_offset_s=offset)
-        box = Box(BoxSpec(number, 0, link, streams), site, Trace(sys.stdout, loop.time), number)
+        out = sys.stdout if trace is None else open(trace, "a", encoding="utf-8", buffering=1)  # noqa: SIM115
+        box = Box(BoxSpec(number, 0, link, streams), site, Trace(out, loop.time), number)
         box.address = listen
         await box.start()
         click.echo(f"box {number} listens on {box.address[0]}:{box.address[1]}", err=True)
         playing = asyncio.ensure_future(_play_script(box, steps))
-        await _until_signal()
+        await _until_signal(until_eof)
         playing.cancel()
         box.die("stopped")
 
@@ -115,7 +121,8 @@
 @click.argument("file", type=_FILE)
 @click.option("--listen", type=_Address(), default="127.0.0.1:0", show_default=True)
 @click.option("--keys", type=_FILE, required=True, help="JWK Set that the fronts sign with.")
-def list_command(file: Path, listen: tuple[str, int], keys: Path) -> None:
+@click.option("--until-eof", is_flag=True, hidden=True)
+def list_command(file: Path, listen: tuple[str, int], keys: Path, until_eof: bool) -> None:
     """The list server; FILE is a list document (see docs/protocols.md), read again on SIGHUP."""
 
     def load() -> tuple[list[Line], list[dict[str, object]]]:
@@ -150,7 +157,7 @@
         await server.start()
         click.echo(f"list of {len(server.lines)} boxes on {server.url}", err=True)
         loop.add_signal_handler(signal.SIGHUP, reload)
-        await _until_signal()
+        await _until_signal(until_eof)
         server.stop()
 
     asyncio.run(run())
--- a/fernweir/control/channel.py
+++ b/fernweir/control/channel.py
@@ -17,9 +17,10 @@
 import orjson
 from pydantic import ValidationError
 
-from fernweir.control.messages import LINE_BYTES, VERSION, AnyAsk, Ask, Hello, Plain
+from fernweir.control.messages import LINE_BYTES, VERSION, AnyAsk, Ask, Hello, Plain, Watch
 from fernweir.journal.events import Entry, to_row
 from fernweir.journal.picture import Picture
+from fernweir.journal.store import Journal
 
 Reply = Callable[[dict[str, Any]], None]
 _PART = 500  # sessions in one line of a snapshot
@@ -34,6 +35,7 @@
 
     name: str
     picture: Picture
+    journal: Journal
 
     def may_act(self, operator: str, uid: int) -> bool: ...
     def handle(self, operator: str, may_act: bool, ask: Ask, reply: Reply) -> None: ...
@@ -198,7 +200,7 @@
         except (ValidationError, ValueError) as error:
             self._bad(line, error)
             return
-        if isinstance(ask, Plain) and ask.do in ("watch", "unwatch", "snapshot"):
+        if isinstance(ask, Watch) or (isinstance(ask, Plain) and ask.do in ("unwatch", "snapshot")):
             self._watch(ask)
             return
         id = ask.id
@@ -215,7 +217,8 @@
         desk = self.channel.desk
         self._operator, self._may_act = hello.operator, desk.may_act(hello.operator, self._uid)
         may = "act" if self._may_act else "read"
-        self.write(_line({"hello": VERSION, "name": desk.name, "may": may, "number": desk.picture.number}))
+        hello_back = {"hello": VERSION, "name": desk.name, "may": may, "number": desk.picture.number}
+        self.write(_line({**hello_back, "journal": desk.journal.id, "pid": os.getpid()}))
 
     def _bad(self, line: bytes, error: ValueError) -> None:
         id = ""
@@ -235,13 +238,20 @@
         self.write(_line({"id": id, "ok": False, "error": text}))
         self.close()
 
-    def _watch(self, ask: Plain) -> None:
+    def _watch(self, ask: Plain | Watch) -> None:
         self.write(_line({"id": ask.id, "ok": True}))
         if ask.do == "unwatch":
             self.watching = False
             self.pending.clear()
             return
-        self.watching = self.watching or ask.do == "watch"
+        journal = self.channel.desk.journal
+        if isinstance(ask, Watch):
+            self.watching = True
+            known = ask.journal == journal.id and journal.first <= ask.since + 1 <= journal.last + 1
+            if known and journal.last - ask.since <= _MOST_PENDING:
+                self.pending = list(journal.entries(ask.since + 1))
+                self.flush()
+                return
         self._snapshot()
 
     # --- watching ---
--- a/fernweir/control/client.py
+++ b/fernweir/control/client.py
@@ -13,6 +13,7 @@
 
 from fernweir.control.follow import Follower
 from fernweir.control.messages import VERSION
+from fernweir.journal.picture import Picture
 
 _FIRST_PAUSE_S, _LONGEST_PAUSE_S = 0.1, 2.0
 _LINE = 64 << 20
@@ -29,7 +30,9 @@
     follower's picture stays while there is no connection; `heard_at` says how old it is.
     """
 
-    def __init__(self, path: Path, operator: str, *, watch: bool = False) -> None:
+    def __init__(
+        self, path: Path, operator: str, *, watch: bool = False, longest_pause_s: float = _LONGEST_PAUSE_S
+    ) -> None:
         self.path, self.operator = path, operator
         self.loop = asyncio.get_running_loop()
         self.follower = Follower()
@@ -39,7 +42,7 @@
         self.heard_at = 0.0
         self.connections = 0
         self.on_change: Callable[[], None] = lambda: None
-        self._watch = watch
+        self._watch, self._longest_pause_s = watch, longest_pause_s
         self._numbers = itertools.count(1)
         self._mark = secrets.token_hex(4)
         self._asked: dict[str, tuple[dict[str, Any], asyncio.Future[dict[str, Any]]]] = {}
@@ -47,6 +50,8 @@
         self._buffer = bytearray(1 << 16)
         self._line = bytearray()
         self._closed = False
+        self.journal = ""
+        self.on_greeting: Callable[[], None] = lambda: None
         self._tries = 0
         self._ready = asyncio.Event()
         self._connecting: asyncio.Task[None] | None = None
@@ -56,6 +61,11 @@
     def start(self) -> None:
         self._connecting = asyncio.ensure_future(self._connect())
 
+    def follow_from(self, journal: str, number: int) -> None:
+        """Goes on from an entry that an earlier life has seen; its picture is then not a whole one."""
+        if journal:
+            self.journal, self.follower.picture = journal, Picture(number=number)
+
     async def ready(self, within_s: float = 5.0) -> None:
         """Waits for the first greeting. ControlError with why if there is none."""
         try:
@@ -78,6 +88,12 @@
             raise ControlError(str(answer.get("error", "refused")))
         return answer
 
+    def drop(self) -> None:
+        """Breaks the connection, to try again after a pause."""
+        self._tries += 1
+        if self._transport is not None:
+            self._transport.abort()
+
     def close(self) -> None:
         self._closed = True
         if self._connecting is not None:
@@ -99,10 +115,15 @@
             except OSError as error:
                 self.why_not = error.strerror or str(error)
                 self.on_change()
-            pause = min(_FIRST_PAUSE_S * 2.0**self._tries, _LONGEST_PAUSE_S)
+            pause = min(_FIRST_PAUSE_S * 2.0**self._tries, self._longest_pause_s)
             self._tries += 1
             await asyncio.sleep(pause)
 
+    async def _connect_again(self) -> None:
+        if self._tries:
+            await asyncio.sleep(self._longest_pause_s)
+        await self._connect()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -116,7 +137,7 @@
         self.follower.lost()
         self.on_change()
         if not self._closed:
-            self._connecting = asyncio.ensure_future(self._connect())
+            self._connecting = asyncio.ensure_future(self._connect_again())
 
     def get_buffer(self, sizehint: int) -> bytearray:
         return self._buffer
@@ -158,9 +179,14 @@
         self.hello, self.connected, self._tries = dict(message), True, 0
         self._ready.set()
         if self._watch:
-            self._send({"id": self.new_id(), "do": "watch"})
+            since: dict[str, Any] = {}
+            if self.follower.picture is not None and self.journal == message.get("journal"):
+                since = {"since": self.follower.picture.number, "journal": self.journal}
+            self.journal = str(message.get("journal", ""))
+            self._send({"id": self.new_id(), "do": "watch", **since})
         for asked, _ in list(self._asked.values()):
             self._send(asked)
+        self.on_greeting()
 
     def _send(self, message: Mapping[str, Any]) -> None:
         if self._transport is not None and (self.connected or "hello" in message):
--- a/fernweir/control/desk.py
+++ b/fernweir/control/desk.py
@@ -9,7 +9,7 @@
 
 from fernweir.control import answers
 from fernweir.control.channel import Reply
-from fernweir.control.messages import Ask, Boxes, Change, Events, Led, Plain, Sessions, Why
+from fernweir.control.messages import Ask, Boxes, Change, Events, Led, Plain, Retry, Sessions, Why
 from fernweir.control.orders import Command, Do, Orders, OrdersError, Outcome, Result, SiteNow
 from fernweir.control.statefile import StateFileError, read_state, write_state
 from fernweir.journal.events import What
@@ -28,17 +28,22 @@
     def wall(self) -> int:
         """Wall time in ms."""
 
-    def site(self) -> SiteNow: ...
+    def site(self, then: Callable[[SiteNow], None]) -> None:
+        """Calls `then` with what can be seen, now or soon."""
 
-    def orders_changed(self, then: Callable[[], None]) -> None:
-        """Tells the module what changed, and calls `then` once it has been told."""
+    def orders_changed(self, orders: Orders, then: Callable[[list[str]], None]) -> None:
+        """Tells all modules what changed, and calls `then` once they know, with those that don't answer."""
 
-    def end(self, session: str, why: str) -> None: ...
+    def end(self, id: str, session: str, why: str) -> None: ...
 
     def limits(self) -> Mapping[str, Any]: ...
 
     def gauges(self) -> dict[str, Any]: ...
 
+    def unit(self) -> Mapping[str, Any]: ...
+
+    def retry(self, name: str) -> bool: ...
+
     def call_at(self, due: float, do: Callable[[], None]) -> None: ...
 
 
@@ -61,8 +66,8 @@
         raise StateFileError(f"{path}: {error}") from None
 
 
-class FrontDesk:
-    """See `channel.Desk`. `file` keeps the orders; a led front keeps none, the unit does."""
+class OrderDesk:
+    """See `channel.Desk`; of a front or of a unit. `file` keeps the orders; a led front keeps none."""
 
     def __init__(
         self, name: str, journal: Journal, orders: Orders, hands: Hands, rules: DeskRules, file: Path | None
@@ -71,7 +76,6 @@
         self.picture = Picture()
         journal.watchers.append(self.picture.fold)
         self._hands, self._file = hands, file
-        self._applied_version = orders.version
 
     def may_act(self, operator: str, uid: int) -> bool:
         return not self.rules.operators or operator in self.rules.operators
@@ -82,12 +86,20 @@
     def handle(self, operator: str, may_act: bool, ask: Ask, reply: Reply) -> None:
         if isinstance(ask, Change):
             self._change(operator, may_act, ask, reply)
+        elif isinstance(ask, Retry):
+            if not may_act:
+                reply({"ok": False, "error": f"operator {operator} may look, not act"})
+            else:
+                done = self._hands.retry(ask.target)
+                reply({"outcome": "done" if done else "refused"})
         elif isinstance(ask, Led):
             self._be_led(may_act, ask, reply)
+        elif isinstance(ask, Plain) and ask.do == "site":
+            self._hands.site(lambda site: reply({"site": site.to_plain()}))
         else:
             reply(self._question(ask))
 
-    def _question(self, ask: Sessions | Boxes | Why | Events | Plain) -> dict[str, Any]:
+    def _question(self, ask: Ask) -> dict[str, Any]:
         if isinstance(ask, Sessions):
             return answers.sessions(self.picture, ask)
         if isinstance(ask, Boxes):
@@ -100,6 +112,8 @@
             return {"limits": dict(self._hands.limits())}
         if ask.do == "gauges":
             return {"gauges": self.gauges()}
+        if ask.do == "unit":
+            return {"unit": dict(self._hands.unit())}
         return answers.overview(self.picture, self.journal)
 
     # --- commands ---
@@ -111,19 +125,28 @@
         if self.rules.led and ask.do != "end":
             reply({"ok": False, "error": "this front takes its orders from its unit: ask there"})
             return
-        now = self._hands.now()
-        before = self.orders.to_plain()
         command = Command(ask.id, operator, Do(ask.do), ask.target, ask.reason, ask.most, ask.mark)
-        again = ask.id in self.orders.answered
-        result = self.orders.take(now, self._hands.wall(), command, self._hands.site())
-        if again or result.outcome is Outcome.CONFIRM:
+        self._hands.site(lambda site: self._decide(command, site, reply))
+
+    def _decide(self, command: Command, site: SiteNow, reply: Reply) -> None:
+        before = self.orders.to_plain()
+        again = command.id in self.orders.answered
+        result = self.orders.take(self._hands.now(), self._hands.wall(), command, site)
+
+        def done(missing: list[str]) -> None:
+            late = {"missing": missing} if missing else {}
+            reply({**result.to_plain(), **late})
+
+        if again:
+            self._hands.orders_changed(self.orders, done)  # its first coming may not have got so far
+        elif result.outcome is Outcome.CONFIRM:
             reply(result.to_plain())
-            return
-        if not self._keep(before, reply):
-            return
-        if command.do is Do.END and result.outcome is Outcome.DONE:
-            self._hands.end(command.target, command.reason or "ended by the operator")
-        self._carry_out(command, result, lambda: reply(result.to_plain()))
+        else:
+            if command.do is Do.END and result.outcome is Outcome.DONE:
+                # Before it is written down: an end that is done again after a kill harms nothing.
+                self._hands.end(command.id, command.target, command.reason or "ended by the operator")
+            if self._keep(before, reply):
+                self._carry_out(command, result, done)
 
     def _keep(self, before: dict[str, Any], reply: Reply) -> bool:
         """An order counts when it is on disk: else it is as if it had not been given."""
@@ -137,15 +160,14 @@
             return False
         return True
 
-    def _carry_out(self, command: Command, result: Result, then: Callable[[], None]) -> None:
+    def _carry_out(self, command: Command, result: Result, then: Callable[[list[str]], None]) -> None:
         more = {"by": command.by, "id": command.id, "outcome": str(result.outcome), **self.orders.tables()}
         text = f"{command.do} {command.target}: {result.says}"
         self.journal.add(self._hands.now(), What.ORDER, why=text, session=_session(command), more=more)
         self._apply(then)
 
-    def _apply(self, then: Callable[[], None]) -> None:
-        self._applied_version = self.orders.version
-        self._hands.orders_changed(then)
+    def _apply(self, then: Callable[[list[str]], None]) -> None:
+        self._hands.orders_changed(self.orders, then)
         self._plan()
 
     def _plan(self) -> None:
@@ -161,13 +183,16 @@
         if begun and self._keep(before, lambda said: None):
             boxes = ", ".join(str(box) for box in begun)
             self.journal.add(now, What.ORDER, why=f"drain begins: box {boxes}", more=self.orders.tables())
-            self._apply(lambda: None)
+            self._apply(lambda missing: None)
         elif self.orders.waiting:
             self._hands.call_at(now + self.orders.rules.pace_ms, self._begin_waiting)
 
     def start(self) -> None:
-        """Orders of an earlier life stand: the journal says so, and what waits is planned."""
+        """A front begins. Orders of an earlier life stand: the journal says so, what waits is planned."""
         self.journal.add(self._hands.now(), What.FRONT, why="up")
+        self.start_orders()
+
+    def start_orders(self) -> None:
         if self.orders.version:
             more = self.orders.tables()
             self.journal.add(self._hands.now(), What.ORDER, why="orders stand from before", more=more)
@@ -191,8 +216,8 @@
             if changed:
                 more = {"by": "unit", **self.orders.tables()}
                 self.journal.add(self._hands.now(), What.ORDER, why=f"orders {version}", more=more)
-        self._applied_version = self.orders.version
-        self._hands.orders_changed(lambda: reply({"version": self.orders.version}))
+        version = self.orders.version
+        self._hands.orders_changed(self.orders, lambda missing: reply({"version": version}))
 
 
 def _session(command: Command) -> str:
--- a/fernweir/control/follow.py
+++ b/fernweir/control/follow.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
-from fernweir.journal.events import EntryError, from_row
+from fernweir.journal.events import Entry, EntryError, from_row
 from fernweir.journal.picture import Picture, SessionRow
 
 
@@ -21,6 +21,8 @@
         self.gauges: dict[str, Any] = {}
         self.missed = 0  # times that entries were lost and a snapshot stood in
         self.broken = ""
+        self.on_entry: Callable[[Entry], None] = lambda entry: None
+        self.on_snapshot: Callable[[Picture], None] = lambda picture: None
         self._parts: list[Mapping[str, Any]] = []
         self._of = 0
 
@@ -60,6 +62,7 @@
                 picture.sessions[f"{row.front}/{row.session}"] = row
         self._parts = []
         self.picture, self.broken = picture, ""
+        self.on_snapshot(picture)
         return True
 
     def _entries(self, message: Mapping[str, Any]) -> bool:
@@ -77,4 +80,5 @@
                 self.broken = f"entry {entry.number} after {self.picture.number}"
                 return False
             self.picture.fold(entry)
+            self.on_entry(entry)
         return True
--- a/fernweir/control/messages.py
+++ b/fernweir/control/messages.py
@@ -75,10 +75,21 @@
 
 
 class Plain(_Message):
-    """`overview`: counts by kind, refusals by reason, fronts, orders. `limits`: what is in force."""
+    """`overview`: counts by kind, refusals by reason, fronts, orders. `limits`: what is in force. `site`:
+    what the rules of orders look at. `unit`: the processes of a unit."""
 
     id: Id
-    do: Literal["overview", "limits", "watch", "unwatch", "snapshot", "gauges"]
+    do: Literal["overview", "limits", "unwatch", "snapshot", "gauges", "site", "unit"]
+
+
+class Watch(_Message):
+    """Entries from now on. With `since` and `journal`, those after it if they are still here, else a
+    snapshot first."""
+
+    id: Id
+    do: Literal["watch"]
+    since: Annotated[int, Field(ge=0)] = 0
+    journal: Word = ""
 
 
 class Change(_Message):
@@ -92,6 +103,14 @@
     mark: Word = ""
 
 
+class Retry(_Message):
+    """A process of the unit that was given up, or that pauses, is to be started now."""
+
+    id: Id
+    do: Literal["retry"]
+    target: Annotated[str, Field(min_length=1, max_length=100)]
+
+
 class Led(_Message):
     """From the unit to a front of its own: the orders that stand, as a whole."""
 
@@ -100,7 +119,7 @@
     orders: dict[str, Any]
 
 
-Ask = Sessions | Boxes | Why | Events | Plain | Change | Led
+Ask = Sessions | Boxes | Why | Events | Plain | Watch | Change | Retry | Led
 
 
 class AnyAsk(BaseModel):
--- a/fernweir/control/orders.py
+++ b/fernweir/control/orders.py
@@ -95,6 +95,45 @@
     carried_kb: Mapping[int, float]
     capacity_kb: Mapping[int, float]
     sessions: frozenset[str]
+    blind: bool = False  # nobody could tell
+
+    def to_plain(self) -> dict[str, Any]:
+        return {
+            "ready": sorted(self.ready),
+            "known": sorted(self.known),
+            "holders": {lesson: list(boxes) for lesson, boxes in self.holders.items()},
+            "playing": {str(box): count for box, count in self.playing.items()},
+            "carried_kb": {str(box): round(kb, 1) for box, kb in self.carried_kb.items()},
+            "capacity_kb": {str(box): round(kb, 1) for box, kb in self.capacity_kb.items()},
+            "sessions": sorted(self.sessions),
+        }
+
+    @classmethod
+    def together(cls, plains: Sequence[Mapping[str, Any]], known: frozenset[int]) -> SiteNow:
+        """What several fronts see, as one: each hears of all sessions' loads, but holds only its own."""
+        if not plains:
+            return cls(known, known, {}, {}, {}, {}, frozenset(), blind=True)
+
+        def most(name: str) -> dict[int, float]:
+            values: dict[int, float] = {}
+            for plain in plains:
+                for box, value in plain[name].items():
+                    values[int(box)] = max(values.get(int(box), 0.0), float(value))
+            return values
+
+        playing: dict[int, int] = {}
+        for plain in plains:
+            for box, count in plain["playing"].items():
+                playing[int(box)] = playing.get(int(box), 0) + int(count)
+        return cls(
+            ready=frozenset(box for plain in plains for box in plain["ready"]),
+            known=frozenset(box for plain in plains for box in plain["known"]),
+            holders={lesson: boxes for plain in plains for lesson, boxes in plain["holders"].items()},
+            playing=playing,
+            carried_kb=most("carried_kb"),
+            capacity_kb=most("capacity_kb"),
+            sessions=frozenset(one for plain in plains for one in plain["sessions"]),
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -314,6 +353,8 @@
         gone = {int(one) for one in (*self.drains, *self.waiting)} | {box}
         if box not in site.ready:
             return {}
+        if site.blind:
+            return {"blind": 1}
         left = site.ready - gone
         before = left | {box}
         bare = sorted(
@@ -336,6 +377,8 @@
         if agreed is None:
             return False
         more_lessons = set(cost.get("lessons", ())) - set(agreed.get("lessons", ()))
+        if cost.get("blind", 0) > agreed.get("blind", 0):
+            return False
         return not more_lessons and cost.get("short_kb", 0.0) <= agreed.get("short_kb", 0.0) * 1.1
 
     def _undrain(self, command: Command) -> Result:
@@ -411,6 +454,8 @@
 
 def _cost_in_words(box: int, cost: Mapping[str, Any]) -> str:
     parts = []
+    if "blind" in cost:
+        parts.append("no front answers, so what it costs is not known")
     lessons = cost.get("lessons", [])
     if lessons:
         named = ", ".join(lessons[:5]) + (", ..." if len(lessons) > 5 else "")
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 from collections.abc import Callable
@@ -14,7 +15,7 @@
 from fernweir.config.front import ControlSection, FrontConfig, HttpSection, IntrospectionSection
 from fernweir.config.ini import ConfigError, Problem
 from fernweir.control.channel import Channel
-from fernweir.control.desk import DeskRules, FrontDesk, load_orders
+from fernweir.control.desk import DeskRules, OrderDesk, load_orders
 from fernweir.control.orders import OrderRules
 from fernweir.control.overlay import Overlay
 from fernweir.control.statefile import StateFileError
@@ -261,7 +262,7 @@
         self._steering = Steering(core, boxes, self._offset)
         rules = DeskRules(tuple(section.operators), section.led)
         file = None if section.led else self._file
-        desk = FrontDesk(self._config.front.name, self.journal, self.orders, self._steering, rules, file)
+        desk = OrderDesk(self._config.front.name, self.journal, self.orders, self._steering, rules, file)
         self._channel = Channel(desk, self._config.path(section.socket), mode=section.mode)
         self.journal.watchers.append(self._channel.entry)
         if self._folder is not None:
@@ -385,17 +386,34 @@
     )
 
 
-async def serve(config: FrontConfig) -> int:
-    """Runs until SIGTERM or SIGINT; the exit code is 0 if all that was taken was answered."""
+async def serve(config: FrontConfig, *, until_eof: bool = False) -> int:
+    """Runs until SIGTERM or SIGINT; the exit code is 0 if all that was taken was answered.
+
+    `until_eof`: also until standard input ends, as it does when the unit that started it is killed.
+    """
     front = await start_front(config)
     log = structlog.get_logger().bind(front=config.front.name)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if until_eof:
+        stop_at_eof(stopping)
     await stopping.wait()
     log.info("front stops", waiting=len(front.core.host.ledger), sessions=front.core.host.sessions)
     whole = await front.stop(config.front.stop_within / 1000.0)
     counts = front.core.host.counts
     log.info("front stopped", whole=whole, plays=counts.plays, refused=counts.refused, failed=counts.failed)
     return 0 if whole else 1
+
+
+def stop_at_eof(stopping: asyncio.Event) -> None:
+    """Sets the event when standard input, the unit's end of a pipe, is closed."""
+    loop = asyncio.get_running_loop()
+
+    def readable() -> None:
+        if not os.read(0, 4_096):
+            loop.remove_reader(0)
+            stopping.set()
+
+    loop.add_reader(0, readable)
--- a/fernweir/front/steering.py
+++ b/fernweir/front/steering.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from fernweir.control.orders import SiteNow
+from fernweir.control.orders import Orders, SiteNow
 from fernweir.front.boxlist import BoxList
 from fernweir.front.core import Core
 from fernweir.front.host import Phase
@@ -31,7 +31,16 @@
     def wall(self) -> int:
         return int(self._core.now() + self._wall_offset_ms)
 
-    def site(self) -> SiteNow:
+    def site(self, then: Callable[[SiteNow], None]) -> None:
+        then(self._site())
+
+    def retry(self, name: str) -> bool:
+        return False
+
+    def unit(self) -> Mapping[str, Any]:
+        return {}
+
+    def _site(self) -> SiteNow:
         """Of the list as it stands; loads are what the module takes them for."""
         host, controller, now = self._core.host, self._core.host.controller, self.now()
         listed = host.listed
@@ -58,11 +67,11 @@
             sessions=frozenset(host.held()),
         )
 
-    def orders_changed(self, then: Callable[[], None]) -> None:
+    def orders_changed(self, orders: Orders, then: Callable[[list[str]], None]) -> None:
         self._core.host.orders_changed(self.now())
-        self._core.after_step(then)
+        self._core.after_step(lambda: then([]))
 
-    def end(self, session: str, why: str) -> None:
+    def end(self, id: str, session: str, why: str) -> None:
         self._core.host.revoke(self.now(), session, why)
         self._core.kick()
 
--- a/fernweir/journal/disk.py
+++ b/fernweir/journal/disk.py
@@ -8,6 +8,7 @@
 
 import os
 import re
+import secrets
 import struct
 from collections import deque
 from dataclasses import dataclass
@@ -16,10 +17,12 @@
 import google_crc32c
 import orjson
 
+from fernweir.front.safefile import write_file
 from fernweir.journal.events import Entry, EntryError, from_row, to_row
 
 _FRAME = struct.Struct("<IIQQ")
 _MAGIC = b"FWJRNL1\n"
+_ID = re.compile(r"[0-9a-f]{16}")
 _NAME = re.compile(r"journal-(\d{12})\.blocks")
 
 
@@ -53,9 +56,10 @@
     def kept_bytes(self) -> int:
         return sum(file.size for file in self._files)
 
-    def open(self) -> tuple[list[tuple[int, int, object]], list[Entry]]:
-        """What is there: sealed segments by first and last number, and the rows after them."""
+    def open(self) -> tuple[str, list[tuple[int, int, object]], list[Entry]]:
+        """What is there: the journal's id, sealed segments by first and last number, the rows after them."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        id = self._read_id()
         sealed: list[tuple[int, int, object]] = []
         names = sorted((int(match[1]), name) for name in os.listdir(self.folder)
                        if (match := _NAME.fullmatch(name)))  # fmt: skip
@@ -71,7 +75,7 @@
             self._next = number + 1
         tail = self._read_tail(sealed[-1][1] if sealed else 0)
         self._write_tail(tail)
-        return sealed, tail
+        return id, sealed, tail
 
     def keep(self, first: int, last: int, data: bytes) -> object:
         file = self._files[-1] if self._files else None
@@ -118,6 +122,17 @@
 
     # --- pieces ---
 
+    def _read_id(self) -> str:
+        path = self.folder / "id"
+        try:
+            id = path.read_text(encoding="ascii").strip()
+        except (FileNotFoundError, UnicodeDecodeError):
+            id = ""
+        if not _ID.fullmatch(id):
+            id = secrets.token_hex(8)
+            write_file(path, id.encode())
+        return id
+
     def _path(self, number: int) -> Path:
         return self.folder / f"journal-{number:012d}.blocks"
 
--- a/fernweir/journal/store.py
+++ b/fernweir/journal/store.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
@@ -71,6 +72,7 @@
     ) -> None:
         self.front, self.rules, self.blocks = front, rules or JournalRules(), blocks
         self.wall_offset_ms = wall_offset_ms
+        self.id = secrets.token_hex(8)  # numbers mean nothing but within one journal
         self.last = 0
         self.trouble = ""  # why the disk keeps nothing just now
         self.on_trouble: Callable[[str], None] = lambda why: None
@@ -108,8 +110,9 @@
         self._append(entry)
         return entry
 
-    def restore(self, sealed: list[tuple[int, int, object]], tail: list[Entry]) -> None:
+    def restore(self, id: str, sealed: list[tuple[int, int, object]], tail: list[Entry]) -> None:
         """Takes up what an earlier life kept; its segments are read when they are asked for."""
+        self.id = id
         for first, last, handle in sealed:
             self._sealed.append(_Sealed(first, last, 0, 1 << 62, None, None, handle))
             self._bytes += self._sealed[-1].bytes()
--- a/fernweir/rehearsal/site.py
+++ b/fernweir/rehearsal/site.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import secrets
 import time
-from base64 import urlsafe_b64encode
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -18,6 +15,7 @@
 from fernweir.standin.trace import Trace
 from fernweir.standin.viewer import Wish
 from fernweir.tokens import Keyring, SessionClaims
+from fernweir.tokens.newkeys import make_keys
 
 ISSUER = "rehearsal"
 
@@ -52,20 +50,6 @@
     token_lines: str = ""
 
 
-def make_keys(*kids: str) -> str:
-    """A JWK Set of fresh secrets, as text."""
-    keys = [
-        {
-            "kty": "oct",
-            "kid": kid,
-            "alg": "HS256",
-            "k": urlsafe_b64encode(secrets.token_bytes(32)).rstrip(b"=").decode(),
-        }
-        for kid in kids
-    ]
-    return json.dumps({"keys": keys}, indent=1)
-
-
 class RehearsalSite:
     """The stand-ins of a plan, in this process. Fronts are started by the caller from `settings`."""
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -13,12 +13,13 @@
 from fernweir.front.program import start_front
 from fernweir.http.client import Outcome, Reply
 from fernweir.http.headers import Headers
-from fernweir.rehearsal.site import SitePlan, make_keys
+from fernweir.rehearsal.site import SitePlan
 from fernweir.seats.book import Op, Said
 from fernweir.standin.leases import LeaseDesk
 from fernweir.standin.site import SiteClass, SiteTimes
 from fernweir.standin.viewer import Wish
 from fernweir.tokens import Keyring
+from fernweir.tokens.newkeys import make_keys
 from tests.scene import Scene, play
 from tests.sockets import until
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -72,8 +72,7 @@
 def test_what_leaves_memory_is_read_from_disk_until_the_disk_is_bounded_too(tmp_path: Path) -> None:
     folder = JournalFolder(tmp_path, most_bytes=60_000, file_bytes=10_000)
     journal = Journal("f", JournalRules(run=64, memory_bytes=30_000), folder)
-    sealed, tail = folder.open()
-    journal.restore(sealed, tail)
+    journal.restore(*folder.open())
     fill(journal, 20_000)
     assert journal.bytes <= 30_000 and folder.kept_bytes <= 70_000
     assert sum(path.stat().st_size for path in tmp_path.iterdir()) <= 80_000
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -10,8 +10,8 @@
 from joserfc import jwt
 from joserfc.jwk import ECKey, OctKey
 
-from fernweir.rehearsal.site import make_keys
 from fernweir.tokens import BoxClaims, Keyring, KeyringError, SessionClaims, TokenError, TokenFault
+from fernweir.tokens.newkeys import make_keys
 
 KEYS = json.loads(make_keys("old", "new"))
 EC = ECKey.generate_key("P-256", {"kid": "ec", "alg": "ES256"})
