--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -12,6 +12,7 @@
 
 from fernweir.audit import TraceError, audit_lines, render_table
 from fernweir.cli.appliance import appliance
+from fernweir.cli.console import ask, console
 from fernweir.cli.ledger import ledger
 from fernweir.cli.standin import standin
 from fernweir.config import ConfigError, load_front
@@ -184,5 +185,7 @@
 
 
 main.add_command(appliance)
+main.add_command(ask)
+main.add_command(console)
 main.add_command(standin)
 main.add_command(ledger)
--- /dev/null
+++ b/fernweir/console/views.py
@@ -0,0 +1,236 @@
+"""The views, as lines of text: the same on a screen, from a script and in a test."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from fernweir.console.live import Shown
+from fernweir.console.text import bar, clean, clock, fit, row, sparkline
+from fernweir.journal.events import ANSWERS, Entry, What
+from fernweir.journal.picture import BoxRow, SessionRow
+
+_SESSION_COLUMNS = (20, 8, 16, 10, 4, 4, 8)
+_BOX_COLUMNS = (-4, 9, -5, -4, 12, 12, 8, 12)
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What of a list is wanted: rows that have `search` in any cell, and those of given fields."""
+
+    search: str = ""
+    sort: str = ""
+    equal: Mapping[str, str] | None = None
+
+    def takes(self, cells: Mapping[str, object]) -> bool:
+        if self.equal and any(str(cells.get(name, "")) != value for name, value in self.equal.items()):
+            return False
+        return not self.search or any(self.search.lower() in str(cell).lower() for cell in cells.values())
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """A head of fixed lines, and rows that scroll; `keys` name the rows for commands."""
+
+    head: list[str]
+    rows: list[str]
+    keys: list[str]
+
+
+def overview(shown: Shown, columns: int = 80) -> View:
+    picture, gauges = shown.picture, shown.gauges
+    phases = Counter(one.phase for one in picture.sessions.values())
+    worth, most = gauges.get("worth", 0.0), gauges.get("worth_most", 0.0)
+    served = f"worth {100.0 * worth / most:.0f}% of {most:.1f}" if most else "worth -"
+    lines = [
+        f"sessions  {phases['playing']} playing, {phases['out']} out, {phases['asked']} asked    {served}"
+        f"    {gauges.get('waiting', 0)} waiting",
+        "answers   " + "  ".join(f"{kind} {picture.answers[kind]}" for kind in ANSWERS),
+    ]
+    spans = max(min(columns - 34, 40), 8)
+    for kind in (What.PLAYS, What.REFUSED, What.FAILED):
+        series = shown.history.series(kind, picture.at, spans)
+        lines.append(f"  {kind:<8} {sparkline(series, spans)}  {series[-1] if series else 0:.0f} in 5 s")
+    reasons = sorted(picture.refusals.items(), key=lambda one: (-one[1], one[0]))
+    lines.append("turned    " + (" | ".join(f"{why} {count}" for why, count in reasons[:3]) or "nobody away"))
+    states = Counter(one.state for one in picture.boxes.values())
+    silent = sum(one.silent for one in picture.boxes.values())
+    lines.append("boxes     " + (", ".join(f"{states[s]} {s}" for s in sorted(states)) or "none")
+                 + (f", {silent} silent" if silent else ""))  # fmt: skip
+    lines.append("fronts    " + (", ".join(f"{name} since {clock(at)}" for name, at
+                                           in sorted(picture.fronts.items())) or "none"))  # fmt: skip
+    lines += _orders(shown)
+    rows = _loads(shown, columns)
+    head = [fit(line, columns).rstrip() for line in [*lines, ""]]
+    return View(head, rows, [""] * len(rows))
+
+
+def _orders(shown: Shown) -> list[str]:
+    picture = shown.picture
+    said = [f"box {one.box} drained by {one.drained_by}" for one in sorted_boxes(shown) if one.drained_by]
+    said += [f"{lesson} held by {by}" for lesson, by in sorted(picture.holds.items())]
+    said += [f"limit {most} for {what}" for what, most in sorted(picture.caps.items())]
+    lines = ["orders    " + ("; ".join(said) or "none")]
+    if shown.journal_trouble:
+        lines.append(f"journal   NOT KEPT: {shown.journal_trouble}")
+    return lines
+
+
+def _loads(shown: Shown, columns: int) -> list[str]:
+    loads = shown.gauges.get("boxes", {})
+    size = max(min((columns - 26) // 2, 24), 6)
+    rows = []
+    for number, load in sorted(loads.items(), key=lambda one: int(one[0])):
+        link, uplink, rack = load
+        there = f"box {int(number):>3} link {bar(link, size)}{link:>5.0%}"
+        rows.append(f"{there}  rack {rack} {bar(uplink, size)}{uplink:>5.0%}")
+    return [fit(line, columns).rstrip() for line in rows]
+
+
+def sessions(shown: Shown, choice: Choice | None = None, columns: int = 80) -> View:
+    choice = choice or Choice()
+    found = [one for one in shown.picture.sessions.values() if choice.takes(_session_cells(one))]
+    orders: dict[str, Callable[[SessionRow], object]] = {
+        "box": lambda one: (one.box, one.session),
+        "lesson": lambda one: (one.lesson, one.session),
+        "rung": lambda one: (-one.rung, one.session),
+        "since": lambda one: (one.since, one.session),
+        "phase": lambda one: (one.phase, one.session),
+    }
+    found.sort(key=orders.get(choice.sort, lambda one: (one.session, one.front)))  # type: ignore[arg-type]
+    sizes = _spread(_SESSION_COLUMNS, columns, 0)
+    head = [row(("session", "phase", "lesson", "class", "box", "rung", "since"), sizes)]
+    rows = [row(_session_row(one), sizes) for one in found]
+    return View(head, rows or ["none"], [one.session for one in found] or [""])
+
+
+def _session_cells(one: SessionRow) -> dict[str, object]:
+    return {
+        "session": one.session, "phase": one.phase, "lesson": one.lesson, "cls": one.cls,
+        "tenant": one.tenant, "box": one.box, "rung": one.rung, "front": one.front,
+    }  # fmt: skip
+
+
+def _session_row(one: SessionRow) -> tuple[str, ...]:
+    box = str(one.box) if one.box >= 0 else "-"
+    rung = str(one.rung) if one.rung >= 0 else "-"
+    return one.session, one.phase, one.lesson, one.cls, box, rung, clock(one.since)
+
+
+def boxes(shown: Shown, choice: Choice | None = None, columns: int = 80) -> View:
+    choice = choice or Choice()
+    loads = shown.gauges.get("boxes", {})
+
+    def load(one: BoxRow) -> list[float]:
+        return list(loads.get(str(one.box), [0.0, 0.0, 0]))
+
+    found = [
+        one
+        for one in sorted_boxes(shown)
+        if choice.takes({"box": one.box, "state": one.state, "by": one.drained_by})
+    ]
+    if choice.sort == "link":
+        found.sort(key=lambda one: (-load(one)[0], one.box))
+    elif choice.sort in ("playing", "out"):
+        found.sort(key=lambda one: (-getattr(one, choice.sort), one.box))
+    elif choice.sort == "state":
+        found.sort(key=lambda one: (one.state, one.box))
+    sizes = _spread(_BOX_COLUMNS, columns, 7)
+    head = [row(("box", "state", "plays", "out", "link", "uplink", "list", "drained by"), sizes)]
+    rows = []
+    for one in found:
+        link, uplink, _ = load(one)
+        state = one.state + (" SILENT" if one.silent else "")
+        cells = (str(one.box), state, str(one.playing), str(one.out), bar(link, 6) + f"{link:>5.0%}",
+                 bar(uplink, 6) + f"{uplink:>5.0%}", one.listed, one.drained_by)  # fmt: skip
+        rows.append(row(cells, sizes))
+    return View(head, rows or ["none"], [str(one.box) for one in found] or [""])
+
+
+def refusals(shown: Shown, choice: Choice | None = None, columns: int = 80) -> View:
+    choice = choice or Choice()
+    found = sorted(shown.picture.refusals.items(), key=lambda one: (-one[1], one[0]))
+    found = [one for one in found if choice.takes({"why": one[0]})]
+    total = sum(shown.picture.refusals.values())
+    head = [row(("count", "share", "reason"), (-7, -6, columns - 15))]
+    rows = [
+        row((str(count), f"{count / max(total, 1):.0%}", why), (-7, -6, columns - 15)) for why, count in found
+    ]
+    return View(head, rows or ["none"], [why for why, _ in found] or [""])
+
+
+def log(shown: Shown, choice: Choice | None = None, columns: int = 80) -> View:
+    """The newest entries first."""
+    choice = choice or Choice()
+    rows, keys = [], []
+    for entry in reversed(shown.history.entries):
+        line = describe(entry)
+        if choice.takes({"line": line}):
+            rows.append(fit(line, columns).rstrip())
+            keys.append(entry.session)
+    return View([fit("time     what", columns).rstrip()], rows or ["none"], keys or [""])
+
+
+def describe(entry: Entry) -> str:
+    """One entry in a line."""
+    parts = [clock(entry.at), f"{entry.what:<10}"]
+    if entry.session:
+        parts.append(entry.session)
+    if entry.lesson:
+        parts.append(entry.lesson)
+    if entry.box >= 0:
+        parts.append(f"box {entry.box}")
+    if entry.rung >= 0:
+        parts.append(f"rung {entry.rung}")
+    text = " ".join(parts)
+    detail = entry.more.get("detail")
+    why = f"{entry.why} ({detail})" if detail else entry.why
+    return clean(f"{text}: {why}" if why else text)
+
+
+def why(entries: list[Entry], columns: int = 80) -> View:
+    """One session's life, with the boxes that were passed over."""
+    rows = []
+    for entry in entries:
+        rows.append(fit(describe(entry), columns).rstrip())
+        for box, kept_out in entry.more.get("passed", []):
+            rows.append(fit(f"           passed box {box}: {kept_out}", columns).rstrip())
+        if entry.what is What.SETUP and "link" in entry.more:
+            link, uplink = entry.more["link"], entry.more["uplink"]
+            rows.append(f"           link at {link:.0%}, uplink at {uplink:.0%}")
+    return View(["the life of one session"], rows or ["the journal has nothing on it"], [""] * len(rows))
+
+
+def title(shown: Shown, columns: int = 80) -> str:
+    """The first line of every screen: whose picture, and how true it is."""
+    left = f"{shown.name or '?'}  {shown.how_true()}" + ("" if shown.may_act else "  (may look only)")
+    if shown.missed:
+        left += f"  caught up {shown.missed}x"
+    right = f"{clock(shown.picture.at)} UTC  #{shown.picture.number}"
+    return fit(left, max(columns - len(right) - 1, 1)) + " " + right
+
+
+def sorted_boxes(shown: Shown) -> list[BoxRow]:
+    return [shown.picture.boxes[number] for number in sorted(shown.picture.boxes)]
+
+
+def _spread(sizes: tuple[int, ...], columns: int, grows: int) -> list[int]:
+    """Columns of a table, one of which takes what is over."""
+    spread = list(sizes)
+    over = columns - sum(abs(size) for size in sizes) - (len(sizes) - 1)
+    spread[grows] = max(spread[grows] + over, 4)
+    return spread
+
+
+VIEWS: dict[str, Callable[[Shown, Choice, int], View]] = {
+    "overview": lambda shown, choice, columns: overview(shown, columns),
+    "sessions": sessions,
+    "boxes": boxes,
+    "refusals": refusals,
+    "log": log,
+}
+SORTS = {
+    "sessions": ("session", "box", "lesson", "rung", "since", "phase"),
+    "boxes": ("box", "link", "playing", "out", "state"),
+}
--- a/fernweir/control/channel.py
+++ b/fernweir/control/channel.py
@@ -55,6 +55,7 @@
         self.clients: set[_Client] = set()
         self._gauges_s = gauges_s
         self._server: asyncio.Server | None = None
+        self._inode = 0
         self._timer: asyncio.TimerHandle | None = None
         self._gauge_timer: asyncio.TimerHandle | None = None
 
@@ -77,6 +78,7 @@
         finally:
             os.umask(before)
         os.chmod(self.path, self.mode)
+        self._inode = os.stat(self.path).st_ino
         self._gauge()
 
     def stop(self) -> None:
@@ -84,9 +86,14 @@
             if timer is not None:
                 timer.cancel()
         if self._server is not None:
+            # The name goes first, and only if it is still ours: a successor may have taken it already.
+            try:
+                if os.stat(self.path).st_ino == self._inode:
+                    self.path.unlink()
+            except FileNotFoundError:
+                pass
             self._server.close()
             self._server = None
-            self.path.unlink(missing_ok=True)
         for client in list(self.clients):
             client.close()
 
--- a/fernweir/journal/store.py
+++ b/fernweir/journal/store.py
@@ -103,6 +103,10 @@
     ) -> Entry:  # fmt: skip
         """Appends what happened at `now`, ms of the loop's clock."""
         self.last += 1
+        for name, value in fields.items():
+            # A lone surrogate can come in a token; it must not stop the journal when it is written out.
+            if type(value) is str and not value.isascii():
+                fields[name] = value.encode("utf-8", "backslashreplace").decode()
         entry = Entry(
             self.last, int(now + self.wall_offset_ms), what, self.front if front is None else front,
             more=more or {}, **fields,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -170,6 +170,16 @@
         from_row(row)
 
 
+def test_text_that_is_no_unicode_does_not_stop_the_journal(tmp_path: Path) -> None:
+    folder = JournalFolder(tmp_path)
+    journal = Journal("f", SMALL, folder)
+    journal.restore(*folder.open())
+    for _ in range(20):
+        journal.add(0.0, What.REFUSED, session="s", tenant="t\ud800", why="w\udfff\x00")
+    assert {one.tenant for one in journal.entries(1)} == {"t\\ud800"}
+    folder.close()
+
+
 def test_an_entry_survives_its_row() -> None:
     journal = Journal("f")
     entry = journal.add(1.5, What.SETUP, session="s", lesson="l", box=3, more={"passed": [[1, "full"]]})
