--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -20,6 +20,9 @@
 from fernweir.front.program import read_keyring, serve
 from fernweir.front.record import RecordError, replay
 from fernweir.rehearsal.badday import BadDay, DayPlan, DayResult, render_day
+from fernweir.rehearsal.consoleday import BROKEN, ConsoleDay, ConsoleDayResult
+from fernweir.rehearsal.hours import Hours, HoursPlan
+from fernweir.rehearsal.kills import Kills, KillsResult
 from fernweir.rehearsal.storm import Storm, StormPlan
 from fernweir.tokens.newkeys import make_keys
 
@@ -184,6 +187,92 @@
     sys.exit(0 if result.good else 1)
 
 
+@rehearse.command("kills")
+@click.option("--seed", default=1, show_default=True, help="What victims and moments are drawn from.")
+@click.option("--count", default=50, show_default=True, help="Processes to kill.")
+@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep the unit here.")
+def kills(seed: int, count: int, keep: Path | None) -> None:
+    """Kill -9 of a unit's processes at drawn moments, while viewers come and an operator commands.
+
+    Exit code 1 if it didn't come back, an order was lost, or a command was done twice.
+    """
+
+    async def play(folder: Path) -> KillsResult:
+        folder.mkdir(parents=True, exist_ok=True)
+        return await Kills(seed, count, folder, click.echo).run()
+
+    with tempfile.TemporaryDirectory(prefix="fw-") as folder:
+        result = asyncio.run(play(keep or Path(folder)))
+    back = sorted(result.back_s)
+    click.echo(f"kills {dict(result.kills)}; {result.commands} commands; "
+               f"{result.played} of {result.asked} viewers played")  # fmt: skip
+    click.echo(f"back after s: median {back[len(back) // 2]:.1f}, longest {back[-1]:.1f}")
+    for text in result.wrong[:10]:
+        click.echo(f"  {text}")
+    click.echo("BROKEN" if result.wrong else "it came back each time, orders stood, nothing was done twice")
+    sys.exit(1 if result.wrong else 0)
+
+
+@rehearse.command("hours")
+@click.argument("settings", type=_FILE)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--hours", "length", default=8.0, show_default=True, help="Simulated hours.")
+@click.option("--rate", default=2.0, show_default=True, help="New sessions a second.")
+def hours(settings: Path, seed: int, length: float, rate: float) -> None:
+    """Hours of churn on a virtual clock, of a front with SETTINGS, its journal and a console.
+
+    Exit code 1 if a bound was passed, or the picture at the end is not what the front holds.
+    """
+    try:
+        config = load_front(settings)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    with tempfile.TemporaryDirectory(prefix="fernweir-") as folder:
+        plan = HoursPlan(seed=seed, hours=length, rate=rate)
+        result = Hours(plan, config.settings, Path(folder), click.echo).run()
+    click.echo(
+        f"{result.sessions} sessions, {result.most_held} at once, {result.entries} entries, oldest kept "
+        f"{result.first_kept}, {result.reconnects} reconnects"
+    )
+    memory = f"{result.most_journal / 1e6:.1f} MB of memory (bound {plan.memory_bytes / 1e6:.1f})"
+    click.echo(
+        f"journal: at most {memory}, "
+        f"{result.most_disk / 1e6:.1f} MB of disk (bound {plan.disk_bytes / 1e6:.1f}); "
+        f"all of Python by hour, MB: {', '.join(f'{one:.0f}' for one in result.python_mb)}"
+    )
+    for text in result.wrong[:10]:
+        click.echo(f"  {text}")
+    click.echo("BROKEN" if result.wrong else "bounds held, and the picture is right")
+    sys.exit(1 if result.wrong else 0)
+
+
+@rehearse.command("console-day")
+@click.option("--seed", default=1, show_default=True, help="What faults and viewers are drawn from.")
+@click.option("--broken", type=click.Choice(BROKEN), default="", help="Print a wrong view, to see it caught.")
+@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep trace and logs here.")
+def console_day(seed: int, broken: str, keep: Path | None) -> None:
+    """A scripted operator on a bad day; the boxes' own word judges what the console prints.
+
+    Exit code 1 if a print was wrong, a rule broke, or a drain let something through.
+    """
+    set_up_logs("json", "error")
+
+    async def play(folder: Path) -> ConsoleDayResult:
+        return await ConsoleDay(seed, folder, click.echo, broken).run()
+
+    with tempfile.TemporaryDirectory(prefix="fernweir-") as folder:
+        result = asyncio.run(play(keep or Path(folder)))
+    click.echo(render_table(result.auditor))
+    click.echo(
+        f"{result.steps} prints, {result.rows} rows, {result.commands} commands, {len(result.wrong)} wrong"
+    )
+    for text in result.wrong[:10]:
+        click.echo(f"  {text}")
+    click.echo("the picture was true" if result.good else "BROKEN")
+    sys.exit(0 if result.good else 1)
+
+
 main.add_command(appliance)
 main.add_command(ask)
 main.add_command(console)
