--- a/fernweir/audit/printed.py
+++ b/fernweir/audit/printed.py
@@ -147,9 +147,9 @@
     for line in lines[1:]:
         if line == "none":
             continue
-        cells = [cell for cell in line.split() if cell not in ("SILENT", "SIL~", "SILEN~", "S~", "~")]
+        cells = [cell for cell in line.split() if cell != "SILENT"]
         try:
-            found[int(cells[0])] = (cells[1].rstrip("~"), int(cells[2]))
+            found[int(cells[0])] = (cells[1], int(cells[2]))
         except (ValueError, IndexError):
             wrong.append(f"a row of boxes can't be read: {line!r}")
     return found
--- a/fernweir/console/app.py
+++ b/fernweir/console/app.py
@@ -157,15 +157,18 @@
         title.update(Text(views.title(shown, columns)))
         title.set_class(shown.how_true() != "live", "stale")
         self.query_one("#tabs", Static).update(Text(fit(self._tabs(), columns)))
-        view = self._shown_view = VIEWS[self.view](shown, self.choices[self.view], columns)
+        lists = self.view != "overview"  # whose rows have a cursor, in a column of its own
+        view = VIEWS[self.view](shown, self.choices[self.view], columns - lists)
+        self._shown_view = view
         self._keep_cursor(view)
         room = max(lines - len(view.head), 1)
         self.cursor = min(max(self.cursor, 0), max(len(view.rows) - 1, 0))
         self.top = min(max(self.top, self.cursor - room + 1, 0), self.cursor)
-        body = Text("\n".join(view.head) + ("\n" if view.head else ""))
+        indent = " " if lists else ""
+        body = Text("".join(f"{indent}{line}\n" for line in view.head))
         for index, line in enumerate(view.rows[self.top : self.top + room], self.top):
-            here = index == self.cursor and self.view != "overview"
-            mark = ">" if here else " "
+            here = index == self.cursor and lists
+            mark = ">" if here else indent
             body.append(fit(f"{mark}{line}", columns) + "\n", "bold" if here else "")
         body.right_crop(1)
         self.query_one("#body", Static).update(body)
--- a/fernweir/console/views.py
+++ b/fernweir/console/views.py
@@ -12,7 +12,7 @@
 from fernweir.journal.picture import BoxRow, SessionRow
 
 _SESSION_COLUMNS = (20, 8, 16, 10, 4, 4, 8)
-_BOX_COLUMNS = (-4, 9, -5, -4, 12, 12, 8, 12)
+_BOX_COLUMNS = (-4, 15, -5, -4, 11, 11, 8, 8)
 
 
 @dataclass(frozen=True, slots=True)
