--- a/tests/test_rehearsals.py
+++ b/tests/test_rehearsals.py
@@ -99,9 +99,6 @@
 
 
 def test_a_quarter_of_an_hour_of_churn(tmp_path: Path) -> None:
-    settings = replace(
-        SETTINGS, kind_streams=(60,), cells=24, racks=4, weight_kb=40_000.0, uplink_kb=200_000.0
-    )
     plan = HoursPlan(hours=0.25, rate=0.6, memory_bytes=100_000, disk_bytes=400_000)
     result = Hours(plan, WIDE, tmp_path, lambda text: None).run()
     assert result.wrong == [] and result.sessions > 400 and result.entries > 2_000
@@ -115,8 +112,5 @@
             kept(self, entry)
 
     monkeypatch.setitem(picture._FOLDS, What.ENDED, forgets)
-    settings = replace(
-        SETTINGS, kind_streams=(60,), cells=24, racks=4, weight_kb=40_000.0, uplink_kb=200_000.0
-    )
     plan = HoursPlan(hours=0.25, rate=0.6, play_ms=(10_000.0, 60_000.0))
     assert Hours(plan, WIDE, tmp_path, lambda text: None).run().wrong
