--- a/bench/journal.py
+++ b/bench/journal.py
@@ -85,8 +85,8 @@
             return hits
 
         assert scan() == found
-        journal._decoded.clear()
-        ours = timed(lambda question=question: journal.find(question, 100))  # type: ignore[misc]
+        journal._rows.clear()
+        ours = timed(lambda question=question: journal._rows.clear() or journal.find(question, 100))  # type: ignore[misc]
         other = timed(scan, 2)
         print(f"{name:<24} {ours:>11.3f} {other:>14.3f} {other / ours:>7.1f} {len(found):>6}")
 
--- a/fernweir/control/answers.py
+++ b/fernweir/control/answers.py
@@ -52,15 +52,15 @@
 
 def why(journal: Journal, ask: Why) -> dict[str, Any]:
     """A session's entries, oldest first; of a very long life the newest."""
-    found = journal.find(Question(session=ask.session), ask.limit)
+    found, _ = journal.search(Question(session=ask.session), ask.limit)
     return {"rows": [to_row(one) for one in reversed(found)]}
 
 
 def events(journal: Journal, ask: Events) -> dict[str, Any]:
     equal = {name: getattr(ask, name) for name in _FIELDS if getattr(ask, name) is not None}
-    found = journal.find(Question(ask.session, equal, ask.since, ask.until), ask.limit + 1, ask.before)
-    rows = [to_row(one) for one in found[: ask.limit]]
-    return {"rows": rows, **({"next": rows[-1][0]} if len(found) > ask.limit else {})}
+    question = Question(ask.session, equal, ask.since, ask.until)
+    found, following = journal.search(question, ask.limit, ask.before)
+    return {"rows": [to_row(one) for one in found], **({"next": following} if following else {})}
 
 
 def overview(picture: Picture, journal: Journal) -> dict[str, Any]:
--- a/fernweir/control/messages.py
+++ b/fernweir/control/messages.py
@@ -56,7 +56,8 @@
 
 
 class Events(_Message):
-    """The newest entries for which all that is given holds; `before` is a number, for the next page."""
+    """The newest entries for which all that is given holds; `next` in the answer is `before` of the next
+    page, which may come before a page is full, or be empty."""
 
     id: Id
     do: Literal["events"]
--- a/fernweir/journal/events.py
+++ b/fernweir/journal/events.py
@@ -35,9 +35,12 @@
 ANSWERS = (What.PLAYS, What.REFUSED, What.FAILED, What.CONFLICT)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Entry:
-    """`number` grows by one within a journal; `at` is wall time in ms. Fields that don't apply are empty."""
+    """`number` grows by one within a journal; `at` is wall time in ms. Fields that don't apply are empty.
+
+    A value, never changed; not frozen, as making frozen ones would be a third of what an entry costs.
+    """
 
     number: int
     at: int
--- a/fernweir/journal/segment.py
+++ b/fernweir/journal/segment.py
@@ -13,10 +13,11 @@
 from bisect import bisect_left
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import orjson
 
-from fernweir.journal.events import Entry, EntryError, from_row, to_row
+from fernweir.journal.events import Entry, EntryError, to_row
 
 FIELDS = ("what", "box", "lesson", "tenant", "cls", "why", "front")
 _LEVEL = 1  # a segment is sealed on the loop that answers viewers: speed before size
@@ -98,12 +99,12 @@
     return zlib.compress(orjson.dumps([to_row(entry) for entry in entries]), _LEVEL)
 
 
-def unpack(data: bytes) -> list[Entry]:
-    """EntryError if the bytes are no segment."""
+def unpack(data: bytes) -> list[Any]:
+    """The rows of a segment, each still to be read. EntryError if the bytes are none."""
     try:
         rows = orjson.loads(zlib.decompress(data))
     except (zlib.error, ValueError) as error:
         raise EntryError(f"segment: {error}") from None
     if not isinstance(rows, list):
         raise EntryError("segment: no list")
-    return [from_row(row) for row in rows]
+    return rows
--- a/fernweir/journal/store.py
+++ b/fernweir/journal/store.py
@@ -14,7 +14,7 @@
 from itertools import islice
 from typing import Any, Protocol
 
-from fernweir.journal.events import Entry, EntryError, What
+from fernweir.journal.events import Entry, EntryError, What, from_row
 from fernweir.journal.segment import Index, Question, offsets, pack, unpack
 
 
@@ -56,6 +56,14 @@
         return (self.index.bytes() if self.index else 0) + len(self.data or b"") + 300
 
 
+@dataclass(slots=True)
+class _Effort:
+    """How many segments a question may still read, and where it stopped for want of them."""
+
+    left: int = -1
+    stopped_at: int | None = None
+
+
 Watcher = Callable[[Entry], None]
 
 
@@ -80,7 +88,7 @@
         self._newest: list[Entry] = []
         self._sealed: deque[_Sealed] = deque()
         self._bytes = 0
-        self._decoded: OrderedDict[int, list[Entry]] = OrderedDict()
+        self._rows: OrderedDict[int, list[Any]] = OrderedDict()
 
     @property
     def first(self) -> int:
@@ -130,7 +138,7 @@
         """Entries by number from `start` on, oldest first."""
         for sealed in list(self._sealed):
             if sealed.last >= start and (stop is None or sealed.first < stop):
-                yield from (one for one in self._decode(sealed) if one.number >= start and
+                yield from (one for one in self._entries(sealed) if one.number >= start and
                             (stop is None or one.number < stop))  # fmt: skip
         for one in list(self._newest):
             if one.number >= start and (stop is None or one.number < stop):
@@ -138,23 +146,42 @@
 
     def find(self, question: Question, limit: int = 100, before: int | None = None) -> list[Entry]:
         """The newest `limit` entries that hold, newest first, with numbers under `before`."""
-        return list(islice(self._newest_first(question, before), limit))
-
-    def _newest_first(self, question: Question, before: int | None) -> Iterator[Entry]:
+        return list(islice(self._newest_first(question, before, _Effort()), limit))
+
+    def search(
+        self, question: Question, limit: int = 100, before: int | None = None, runs: int = 16
+    ) -> tuple[list[Entry], int | None]:
+        """As `find`, but reads at most `runs` segments; and where to go on from, or None at the end.
+
+        Each segment read costs the caller's loop most of a millisecond: a question about what is spread
+        over a day must not keep a viewer waiting.
+        """
+        effort = _Effort(runs)
+        found = list(islice(self._newest_first(question, before, effort), limit))
+        if len(found) == limit:
+            return found, found[-1].number
+        return found, effort.stopped_at
+
+    def _newest_first(self, question: Question, before: int | None, effort: _Effort) -> Iterator[Entry]:
         top = self.last + 1 if before is None else before
-        for entry in reversed(self._newest):
-            if entry.number < top and question.holds(entry):
-                yield entry
+        for newest in reversed(self._newest):
+            if newest.number < top and question.holds(newest):
+                yield newest
         for sealed in reversed(self._sealed):
             if sealed.first >= top or sealed.until <= question.since or sealed.since >= question.until:
                 continue
             bitmap = self._index(sealed).find(question)
             if not bitmap:
                 continue
-            entries = self._decode(sealed)
+            if effort.left == 0:
+                effort.stopped_at = sealed.last + 1
+                return
+            effort.left -= 1
+            rows = self._decode(sealed)
             for offset in offsets(bitmap, newest_first=True):
-                entry = entries[offset]
-                if entry.number < top and question.holds(entry):
+                # Only what the bitmap points at is read: a segment has hundreds of others.
+                entry = self._read(rows[offset]) if offset < len(rows) else None
+                if entry is not None and entry.number < top and question.holds(entry):
                     yield entry
 
     # --- pieces ---
@@ -221,12 +248,12 @@
     def _drop(self) -> None:
         sealed = self._sealed.popleft()
         self._bytes -= sealed.bytes()
-        self._decoded.pop(sealed.first, None)
+        self._rows.pop(sealed.first, None)
 
     def _index(self, sealed: _Sealed) -> Index:
         if sealed.index is not None:
             return sealed.index
-        entries = self._decode(sealed)
+        entries = self._entries(sealed)
         index = Index(entries)
         if entries:
             sealed.since = min(one.at for one in entries)
@@ -236,21 +263,32 @@
             self._bytes += index.bytes()
         return index
 
-    def _decode(self, sealed: _Sealed) -> list[Entry]:
-        found = self._decoded.get(sealed.first)
+    def _entries(self, sealed: _Sealed) -> list[Entry]:
+        found = (self._read(row) for row in self._decode(sealed))
+        return [entry for entry in found if entry is not None]
+
+    def _read(self, row: Any) -> Entry | None:
+        try:
+            return from_row(row)
+        except EntryError as error:
+            self.on_trouble(f"an entry can't be read: {error}")
+            return None
+
+    def _decode(self, sealed: _Sealed) -> list[Any]:
+        found = self._rows.get(sealed.first)
         if found is not None:
-            self._decoded.move_to_end(sealed.first)
+            self._rows.move_to_end(sealed.first)
             return found
         try:
             data = sealed.data
             if data is None:
                 assert self.blocks is not None
                 data = self.blocks.read(sealed.handle)
-            entries = unpack(data)
+            rows = unpack(data)
         except (OSError, EntryError) as error:
             self.on_trouble(f"entries {sealed.first} to {sealed.last} can't be read: {error}")
-            entries = []
-        self._decoded[sealed.first] = entries
-        if len(self._decoded) > self.rules.decoded:
-            self._decoded.popitem(last=False)
-        return entries
+            rows = []
+        self._rows[sealed.first] = rows
+        if len(self._rows) > self.rules.decoded:
+            self._rows.popitem(last=False)
+        return rows
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -58,6 +58,11 @@
     expected = [one for one in reversed(plain) if question.holds(one) and one.number < before]
     assert journal.find(question, limit, before) == expected[:limit]
     assert list(journal.entries(3, 20)) == plain[2:19]
+    paged, following = [], before
+    while following is not None:  # the same, a few segments at a time
+        page, following = journal.search(question, limit, following, runs=1)
+        paged += page
+    assert paged == expected
 
 
 def test_memory_stays_under_its_bound_and_the_oldest_leave_first() -> None:
