Guessed loads are marked and cost no confirmation; single questions have loads and log

Tried as a new user: an empty box was shown at 90%, which is what the module guesses of a box nobody told of, and a drain was said to cost what was only guessed. Shares that are guesses carry a `?`, and costs are reckoned from what was told and from own sessions. `ask overview` and `ask log` had neither loads nor entries, as both came a moment later.

--- a/bench/journal.py
+++ b/bench/journal.py
@@ -17,13 +17,14 @@
 
 from fernweir.control.client import ControlClient
 from fernweir.front.program import start_front
+from fernweir.http.client import Pool
 from fernweir.journal.disk import JournalFolder
 from fernweir.journal.events import Entry, What
 from fernweir.journal.segment import Question
 from fernweir.journal.store import Journal, JournalRules
 from fernweir.rehearsal.site import RehearsalSite, SitePlan
 from fernweir.standin.trace import Trace
-from fernweir.standin.viewer import Viewers
+from fernweir.standin.viewer import Viewers, fetch
 
 _QUESTIONS = {
     "one session's life": Question(session="s4711"),
@@ -121,7 +122,7 @@
         client.start()
         await client.ready()
     viewers = Viewers({"front-0": front.address}, trace, 1, wall_offset_s=site.wall_offset_s)
-    dice, times = Random(1), []
+    dice, times, pool = Random(1), [], Pool()
     await asyncio.sleep(0.5)
     begun, cpu = loop.time(), time.process_time()
     tasks = []
@@ -132,6 +133,9 @@
         reply = await viewers.ask("front-0", wish)
         times.append(loop.time() - at)
         assert reply.status == 200, reply
+        await asyncio.sleep(2.0)
+        headers = [("authorization", f"Bearer {wish.token}")]
+        await fetch(pool, front.address, "DELETE", f"/lessons/{wish.title}/session", 5.0, headers)
 
     number = 0
     while loop.time() < begun + seconds:
@@ -144,6 +148,7 @@
         client.close()
     front.kill()
     viewers.close()
+    pool.close()
     site.close()
     times.sort()
     return spent / number * 1000.0, times[int(len(times) * 0.99)] * 1000.0
--- a/fernweir/appliance/unit.py
+++ b/fernweir/appliance/unit.py
@@ -303,8 +303,7 @@
         for client in self.clients.values():
             gauges = client.follower.gauges if client.connected else {}
             for box, loads in gauges.get("boxes", {}).items():
-                held = boxes.get(box, loads)
-                boxes[box] = [max(held[0], loads[0]), max(held[1], loads[1]), loads[2]]
+                boxes[box] = _surer(boxes[box], loads) if box in boxes else list(loads)
             worth += gauges.get("worth", 0.0)
             most += gauges.get("worth_most", 0.0)
             waiting += gauges.get("waiting", 0)
@@ -407,6 +406,13 @@
     return commands
 
 
+def _surer(one: list[float], other: list[float]) -> list[float]:
+    """Of two fronts' loads of a box, each the one that was told lately; of two such the higher."""
+    link = max((one[3], one[0]), (other[3], other[0]))
+    uplink = max((one[4], one[1]), (other[4], other[1]))
+    return [link[1], uplink[1], one[2], link[0], uplink[0]]
+
+
 async def run_unit(config: UnitConfig) -> int:
     """Runs until SIGTERM or SIGINT; UnitError if it can't start."""
     unit = Unit(config)
--- a/fernweir/cli/console.py
+++ b/fernweir/cli/console.py
@@ -167,7 +167,7 @@
     """Carry out a command, as a line of a console script: `do ROOT drain 3 "fan is loud"`."""
 
     async def run(link: Link) -> None:
-        runner = Runner(link, click.echo)
+        runner = Runner(link, click.echo, how_to_confirm="say --yes to do it all the same")
         line = " ".join(f'"{word}"' if " " in word else word for word in words)
         await runner.run(line)
         if yes and runner.results and runner.results[-1]["outcome"] == "confirm":
--- a/fernweir/console/link.py
+++ b/fernweir/console/link.py
@@ -54,7 +54,11 @@
 
     async def synced(self) -> Shown:
         """Waits until the picture has all that the other side had when this was called."""
+        if self._filling is not None:
+            await self._filling
         number = (await self.client.ask("overview"))["number"]
+        if not self.client.follower.gauges:  # they come by the second, and this may be the first
+            self.client.follower.gauges = (await self.client.ask("gauges"))["gauges"]
         while self.client.follower.picture is None or self.client.follower.picture.number < number:
             await asyncio.sleep(0.005)
         return self.refresh()
@@ -67,8 +71,7 @@
         """The log's first lines, from before the console came."""
         try:
             rows: list[Any] = (await self.client.ask("events", limit=_BACKFILL))["rows"]
-            for row in reversed(rows):
-                self.shown.history.add(from_row(row))
+            self.shown.history.backfill([from_row(row) for row in reversed(rows)])
             trouble = (await self.client.ask("overview"))["journal"]["trouble"]
             self.shown.journal_trouble = str(trouble)
         except (ControlError, EntryError):
--- a/fernweir/console/live.py
+++ b/fernweir/console/live.py
@@ -32,6 +32,14 @@
             self.buckets.append((bucket, Counter()))
         self.buckets[-1][1][entry.what] += 1
 
+    def backfill(self, entries: list[Entry]) -> None:
+        """Older entries, asked for: they stand before what has come since."""
+        first = self.entries[0].number if self.entries else 1 << 62
+        newer, self.entries = list(self.entries), deque(maxlen=_LOG)
+        self.buckets = deque(maxlen=_BUCKETS)
+        for entry in [*(one for one in entries if one.number < first), *newer]:
+            self.add(entry)
+
     def series(self, what: What, until: int, count: int) -> list[float]:
         """Counts of the last `count` spans up to the wall time `until`."""
         last = until // self.span_ms
--- a/fernweir/console/script.py
+++ b/fernweir/console/script.py
@@ -47,6 +47,7 @@
     say: Callable[[str], None]
     columns: int = 80
     wait_s: float = 30.0
+    how_to_confirm: str = "repeat with `confirm` to do it all the same"
     _asked: tuple[str, dict[str, Any]] | None = None
     _mark: str = ""
     results: list[dict[str, Any]] = field(default_factory=list)
@@ -103,7 +104,7 @@
         if answer.get("missing"):
             self.say(f"NOT YET AT {', '.join(answer['missing'])}")
         if self._mark:
-            self.say("repeat with `confirm` to do it all the same")
+            self.say(self.how_to_confirm)
 
     async def _wait(self, name: str, op: str, count: str) -> None:
         if name not in _MEASURES or op not in _OPS:
--- a/fernweir/console/views.py
+++ b/fernweir/console/views.py
@@ -12,7 +12,7 @@
 from fernweir.journal.picture import BoxRow, SessionRow
 
 _SESSION_COLUMNS = (20, 8, 16, 10, 4, 4, 8)
-_BOX_COLUMNS = (-4, 15, -5, -4, 11, 11, 8, 8)
+_BOX_COLUMNS = (-4, 15, -5, -4, 12, 12, 8, 8)
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,14 +80,19 @@
 def _loads(shown: Shown, columns: int) -> list[str]:
     loads = shown.gauges.get("boxes", {})
     size = max(min((columns - 26) // 2, 24), 6)
-    rows = []
+    rows: list[str] = []
     for number, load in sorted(loads.items(), key=lambda one: int(one[0])):
-        link, uplink, rack = load
-        there = f"box {int(number):>3} link {bar(link, size)}{link:>5.0%}"
-        rows.append(f"{there}  rack {rack} {bar(uplink, size)}{uplink:>5.0%}")
+        there = f"box {int(number):>3} link {_load(load, 0, size)}"
+        rows.append(f"{there}  rack {load[2]} {_load(load, 1, size)}")
     return [fit(line, columns).rstrip() for line in rows]
 
 
+def _load(load: list[float], which: int, size: int) -> str:
+    """A bar and its share; `?` behind what nobody told lately, so that the module guesses."""
+    sure = load[3 + which]
+    return f"{bar(load[which], size)}{load[which]:>5.0%}{' ' if sure else '?'}"
+
+
 def sessions(shown: Shown, choice: Choice | None = None, columns: int = 80) -> View:
     choice = choice or Choice()
     found = [one for one in shown.picture.sessions.values() if choice.takes(_session_cells(one))]
@@ -123,7 +128,7 @@
     loads = shown.gauges.get("boxes", {})
 
     def load(one: BoxRow) -> list[float]:
-        return list(loads.get(str(one.box), [0.0, 0.0, 0]))
+        return list(loads.get(str(one.box), [0.0, 0.0, 0, 0, 0]))
 
     found = [
         one
@@ -140,10 +145,9 @@
     head = [row(("box", "state", "plays", "out", "link", "uplink", "list", "drained by"), sizes)]
     rows = []
     for one in found:
-        link, uplink, _ = load(one)
         state = one.state + (" SILENT" if one.silent else "")
-        cells = (str(one.box), state, str(one.playing), str(one.out), bar(link, 6) + f"{link:>5.0%}",
-                 bar(uplink, 6) + f"{uplink:>5.0%}", one.listed, one.drained_by)  # fmt: skip
+        cells = (str(one.box), state, str(one.playing), str(one.out), _load(load(one), 0, 6),
+                 _load(load(one), 1, 6), one.listed, one.drained_by)  # fmt: skip
         rows.append(row(cells, sizes))
     return View(head, rows or ["none"], [str(one.box) for one in found] or [""])
 
--- a/fernweir/control/orders.py
+++ b/fernweir/control/orders.py
@@ -86,7 +86,8 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteNow:
-    """What the rules look at, as of now. Rates are kB/s; `carried` is what all boxes are asked for."""
+    """What the rules look at, as of now. Rates are kB/s; `carried_kb` is what a box was last told to be
+    asked for, by all fronts; `own_kb` what this front's sessions ask of it."""
 
     ready: frozenset[int]  # boxes that the list calls ready
     known: frozenset[int]
@@ -95,6 +96,7 @@
     carried_kb: Mapping[int, float]
     capacity_kb: Mapping[int, float]
     sessions: frozenset[str]
+    own_kb: Mapping[int, float] = field(default_factory=dict)
     blind: bool = False  # nobody could tell
 
     def to_plain(self) -> dict[str, Any]:
@@ -105,6 +107,7 @@
             "playing": {str(box): count for box, count in self.playing.items()},
             "carried_kb": {str(box): round(kb, 1) for box, kb in self.carried_kb.items()},
             "capacity_kb": {str(box): round(kb, 1) for box, kb in self.capacity_kb.items()},
+            "own_kb": {str(box): round(kb, 1) for box, kb in self.own_kb.items()},
             "sessions": sorted(self.sessions),
         }
 
@@ -121,15 +124,19 @@
                     values[int(box)] = max(values.get(int(box), 0.0), float(value))
             return values
 
-        playing: dict[int, int] = {}
-        for plain in plains:
-            for box, count in plain["playing"].items():
-                playing[int(box)] = playing.get(int(box), 0) + int(count)
+        def summed(name: str) -> dict[int, float]:
+            values: dict[int, float] = {}
+            for plain in plains:
+                for box, value in plain[name].items():
+                    values[int(box)] = values.get(int(box), 0.0) + float(value)
+            return values
+
         return cls(
             ready=frozenset(box for plain in plains for box in plain["ready"]),
             known=frozenset(box for plain in plains for box in plain["known"]),
             holders={lesson: boxes for plain in plains for lesson, boxes in plain["holders"].items()},
-            playing=playing,
+            playing={box: int(count) for box, count in summed("playing").items()},
+            own_kb=summed("own_kb"),
             carried_kb=most("carried_kb"),
             capacity_kb=most("capacity_kb"),
             sessions=frozenset(one for plain in plains for one in plain["sessions"]),
@@ -362,7 +369,8 @@
             for lesson, holders in site.holders.items()
             if not any(one in left for one in holders) and any(one in before for one in holders)
         )
-        carried = sum(site.carried_kb.values())
+        boxes = {*site.carried_kb, *site.own_kb}
+        carried = sum(max(site.carried_kb.get(one, 0.0), site.own_kb.get(one, 0.0)) for one in boxes)
         room = sum(site.capacity_kb.get(one, 0.0) for one in left) * self.rules.mark
         cost: dict[str, Any] = {}
         if bare:
--- a/fernweir/front/steering.py
+++ b/fernweir/front/steering.py
@@ -61,8 +61,10 @@
             carried_kb={
                 box: servers[box].link.load(now) * servers[box].link.capacity_kb
                 for box, state in listed.items()
-                if box in servers and state is not ServerState.GONE
+                # What is only guessed, as the module must, is not what an operator is to decide on.
+                if box in servers and state is not ServerState.GONE and servers[box].link.fresh(now)
             },
+            own_kb={box: servers[box].link.own_kb for box in listed if box in servers},
             capacity_kb={box: servers[box].link.capacity_kb for box in listed if box in servers},
             sessions=frozenset(host.held()),
         )
@@ -97,11 +99,20 @@
         }
 
     def gauges(self) -> dict[str, Any]:
-        """Loads by box and what is served, as the module takes them now."""
+        """Loads by box and what is served, as the module takes them now.
+
+        A box's are link, uplink, its rack, and whether each of the two was told lately or is a guess.
+        """
         host, now = self._core.host, self.now()
         settings = host.settings
         loads = {
-            str(box): [round(one.link.load(now), 3), round(one.uplink.load(now), 3), one.rack]
+            str(box): [
+                round(one.link.load(now), 3),
+                round(one.uplink.load(now), 3),
+                one.rack,
+                int(one.link.fresh(now)),
+                int(one.uplink.fresh(now)),
+            ]
             for box, one in sorted(host.controller.servers.items())
             if one.state is not ServerState.GONE
         }
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -64,7 +64,7 @@
         journal.add(4.0, What.PLAYS, **named)
     journal.add(5.0, What.ORDER, why="drain 3", more={"by": HOSTILE, "drains": {"3": HOSTILE}, "holds": {},
                                                       "caps": {}})  # fmt: skip
-    shown.gauges = {"boxes": {str(box): [0.5, 1.2, box % 2] for box in range(1, boxes + 1)},
+    shown.gauges = {"boxes": {str(box): [0.5, 1.2, box % 2, 1, 0] for box in range(1, boxes + 1)},
                     "worth": 3.0, "worth_most": 4.0, "waiting": 1}  # fmt: skip
     return shown
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -299,7 +299,7 @@
         rest = await ann.ask("sessions", after=page["next"], limit=500)
         assert len(page["rows"]) == 5 and len(rest["rows"]) == 7 and "next" not in rest
         boxes = (await ann.ask("boxes"))["rows"]
-        assert sum(row["playing"] for row in boxes) == 12 and all(len(row["load"]) == 3 for row in boxes)
+        assert sum(row["playing"] for row in boxes) == 12 and all(len(row["load"]) == 5 for row in boxes)
         await scene.http("DELETE", f"/lessons/{wishes[0].title}/session", wishes[0])
         await until(lambda: len(picture.sessions) == 11 and the_same(scene, ann))
         found = (await ann.ask("events", what="ended", lesson=wishes[0].title))["rows"]
