--- a/fernweir/control/channel.py
+++ b/fernweir/control/channel.py
@@ -99,12 +99,13 @@
 
     def entry(self, entry: Entry) -> None:
         """Fits `Journal.watchers`, behind the desk's picture."""
-        watching = False
-        for client in self.clients:
-            if client.watching:
-                client.pend(entry)
-                watching = True
-        if watching and self._timer is None:
+        watching = [client for client in self.clients if client.watching]
+        if not watching:
+            return
+        row = orjson.dumps(to_row(entry))  # once, however many watch
+        for client in watching:
+            client.pend(row)
+        if self._timer is None:
             self._timer = self.loop.call_later(_FLUSH_S, self._flush)
 
     def start_over(self) -> None:
@@ -154,7 +155,7 @@
     def __init__(self, channel: Channel) -> None:
         self.channel = channel
         self.watching = self.missed = False
-        self.pending: list[Entry] = []
+        self.pending: list[bytes] = []
         self._buffer = bytearray(LINE_BYTES)
         self._used = 0
         self._transport: asyncio.Transport | None = None
@@ -256,7 +257,7 @@
             self.watching = True
             known = ask.journal == journal.id and journal.first <= ask.since + 1 <= journal.last + 1
             if known and journal.last - ask.since <= _MOST_PENDING:
-                self.pending = list(journal.entries(ask.since + 1))
+                self.pending = [orjson.dumps(to_row(one)) for one in journal.entries(ask.since + 1)]
                 self.flush()
                 return
         self._snapshot()
@@ -267,10 +268,10 @@
     def has_room(self) -> bool:
         return self._transport is not None and self._transport.get_write_buffer_size() < _MOST_BUFFERED // 4
 
-    def pend(self, entry: Entry) -> None:
+    def pend(self, row: bytes) -> None:
         if self.missed:
             return
-        self.pending.append(entry)
+        self.pending.append(row)
         if len(self.pending) > _MOST_PENDING:
             self.missed = True
             self.pending.clear()
@@ -283,9 +284,9 @@
             self.write(_line({"watch": "missed"}))
             self._snapshot()
         elif self.pending:
-            rows = [to_row(entry) for entry in self.pending]
+            rows = b",".join(self.pending)
             self.pending.clear()
-            self.write(_line({"watch": "entries", "rows": rows}))
+            self.write(b'{"watch":"entries","rows":[' + rows + b"]}\n")
 
     def _snapshot(self) -> None:
         self.pending.clear()  # the picture has them
