--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -21,9 +21,15 @@
 from fernweir.front.record import RecordError, replay
 from fernweir.rehearsal.badday import BadDay, DayPlan, DayResult, render_day
 from fernweir.rehearsal.consoleday import BROKEN, ConsoleDay, ConsoleDayResult
+from fernweir.rehearsal.faults import ScheduleError, read_schedule
 from fernweir.rehearsal.hours import Hours, HoursPlan
 from fernweir.rehearsal.kills import Kills, KillsResult
 from fernweir.rehearsal.storm import Storm, StormPlan
+from fernweir.rehearsal.sweep import render as render_sweep
+from fernweir.rehearsal.sweep import sweep as sweep_seeds
+from fernweir.rehearsal.virtual import VirtualPlan
+from fernweir.rehearsal.virtual import play as play_virtual
+from fernweir.rehearsal.virtual import shrink as shrink_day
 from fernweir.tokens.newkeys import make_keys
 
 _FILE = click.Path(path_type=Path, dir_okay=False)
@@ -247,6 +253,62 @@
     sys.exit(1 if result.wrong else 0)
 
 
+@rehearse.command("seed")
+@click.argument("seed", type=int)
+@click.option("--seconds", default=30.0, show_default=True, help="Virtual seconds.")
+@click.option("--schedule", type=click.Path(path_type=Path, dir_okay=False, exists=True),
+              help="Play the faults of this file instead of drawn ones.")  # fmt: skip
+@click.option("--trace", "story", is_flag=True, help="Print what happened, event by event.")
+@click.option("--shrink", "smaller", is_flag=True, help="Cut a failing day down, print its schedule.")
+def seed_command(seed: int, seconds: float, schedule: Path | None, story: bool, smaller: bool) -> None:
+    """One day of faults on virtual time, from its SEED; the same each time.
+
+    Exit code 1 if a rule or an invariant broke.
+    """
+    faults = None
+    if schedule is not None:
+        try:
+            faults = tuple(read_schedule(schedule.read_text(encoding="utf-8").splitlines()))
+        except ScheduleError as error:
+            click.echo(f"{schedule}: {error}", err=True)
+            sys.exit(2)
+    plan = VirtualPlan(seed=seed, seconds=seconds, faults=faults)
+    result = play_virtual(plan)
+    for fault in result.faults:
+        click.echo(str(fault))
+    if story:
+        for record in result.records:
+            fields = " ".join(f"{k}={v}" for k, v in record.items() if k not in ("t", "kind"))
+            click.echo(
+                f"{(record['t'] - result.records[0]['t']) / 1000.0:9.4f} {record['kind']:<14} {fields}"
+            )
+    click.echo(f"{result.viewers} viewers, answers {result.answers}, trace {result.digest}")
+    for text in result.broken[:10]:
+        click.echo(f"  {text}")
+    if smaller and result.broken:
+        click.echo("shrinking")
+        best = shrink_day(plan, result, click.echo)
+        click.echo(f"# seed {seed}, {best.rate:g} viewers a second, {best.seconds:g} s")
+        for fault in best.faults or ():
+            click.echo(str(fault))
+    click.echo("BROKEN" if result.broken else "every rule held")
+    sys.exit(1 if result.broken else 0)
+
+
+@rehearse.command("sweep")
+@click.option("--seeds", default=200, show_default=True)
+@click.option("--first", default=1, show_default=True)
+@click.option("--jobs", default=os.cpu_count() or 1, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True, help="Virtual seconds of each.")
+@click.option("--nasty", default=1.0, show_default=True, help="How many faults, and how strong.")
+def sweep_command(seeds: int, first: int, jobs: int, seconds: float, nasty: float) -> None:
+    """Many seeds over processes. Exit code 1 if one broke a rule or an invariant."""
+    plan = VirtualPlan(seconds=seconds, nasty=nasty)
+    result = sweep_seeds(plan, first, seeds, jobs, click.echo)
+    click.echo(render_sweep(result))
+    sys.exit(1 if result.failed else 0)
+
+
 @rehearse.command("console-day")
 @click.option("--seed", default=1, show_default=True, help="What faults and viewers are drawn from.")
 @click.option("--broken", type=click.Choice(BROKEN), default="", help="Print a wrong view, to see it caught.")
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -41,7 +41,7 @@
 from fernweir.journal.disk import JournalFolder
 from fernweir.journal.store import Journal, JournalRules
 from fernweir.seats.book import Book, BookRules
-from fernweir.seats.files import DiskFiles
+from fernweir.seats.files import DiskFiles, Files
 from fernweir.seats.log import LogError, SeatLog
 from fernweir.seats.records import RecordError, fold_all
 from fernweir.tokens import Keyring, KeyringError
@@ -113,8 +113,13 @@
         raise ConfigError(str(path), [Problem("tokens", "keys", 0, str(error))]) from None
 
 
-async def start_front(config: FrontConfig, *, wall_offset_s: float | None = None) -> Front:
-    """Listens and follows the list. ConfigError or OSError when it can't."""
+async def start_front(
+    config: FrontConfig, *, wall_offset_s: float | None = None, files: Files | None = None
+) -> Front:
+    """Listens and follows the list. ConfigError or OSError when it can't.
+
+    `files` stand in for the seat log's folder, as in a rehearsal on a virtual disk.
+    """
     loop = asyncio.get_running_loop()
     # Wall time crosses the wire only; between its readings the loop's clock carries it on.
     offset = time.time() - loop.time() if wall_offset_s is None else wall_offset_s
@@ -157,7 +162,10 @@
     streams = Pool(per_origin=2, connect_s=config.boxes.connect_time / 1000.0)
     client = BoxClient(core, pool, streams, boxes, token, times, section.seed)
     core.doer = client
-    gate = _make_gate(config, core, pool, token, offset) if config.entitlement is not None else None
+    gate = None
+    if config.entitlement is not None:
+        files = files or DiskFiles(config.path(config.entitlement.ledger))
+        gate = _make_gate(config, core, pool, token, offset, files)
     use = None
     if gate is not None and config.entitlement is not None:
         use = UseCheck(
@@ -312,13 +320,13 @@
 
 
 def _make_gate(
-    config: FrontConfig, core: Core, pool: Pool, token: Callable[[], str], offset_s: float
+    config: FrontConfig, core: Core, pool: Pool, token: Callable[[], str], offset_s: float, files: Files
 ) -> Gate:
     """Opens the seat log and takes up what an earlier life left. ConfigError if the log is damaged."""
     section = config.entitlement
     assert section is not None
     folder = config.path(section.ledger)
-    log = SeatLog(DiskFiles(folder))
+    log = SeatLog(files)
     try:
         found = log.open()
         table = fold_all(found.snapshot, found.records)
--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -230,7 +230,7 @@
 
     def __init__(self) -> None:
         self.idle: list[ClientConnection] = []
-        self.open: set[ClientConnection] = set()
+        self.open: dict[ClientConnection, None] = {}  # for its order
         self.connecting = 0
         self.queue: deque[Call] = deque()
 
@@ -331,7 +331,7 @@
             if len(lane.queue) > lane.connecting:
                 lane.queue.popleft()._finish(Reply(Outcome.REFUSED, detail=detail or "closed"))
             return
-        lane.open.add(made[0])
+        lane.open[made[0]] = None
         made[0].idle_since = self.loop.time()
         lane.idle.append(made[0])
         self._serve(origin, lane)
@@ -348,7 +348,7 @@
         if lane is None:
             return
         if connection in lane.open:
-            lane.open.discard(connection)
+            del lane.open[connection]
             if lane.queue and not self.closed:
                 self._serve(connection.origin, lane)
         if connection in lane.idle:
--- a/fernweir/http/server.py
+++ b/fernweir/http/server.py
@@ -183,7 +183,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self.server.connections.add(self)
+        self.server.connections[self] = None
         if len(self.server.connections) > self.server.limits.connections:
             self.abort()
 
@@ -210,7 +210,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = self._closing = True
         self._events.clear()
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
         waiting, self._queue = list(self._queue), deque()
         for exchange in waiting:
             if exchange.on_gone is not None:
@@ -381,7 +381,8 @@
         self.limits = limits or ServerLimits()
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(65_536))
-        self.connections: set[ServerConnection] = set()
+        # A dict for its order, which a set of objects would take from their addresses in memory.
+        self.connections: dict[ServerConnection, None] = {}
         self.requests = self.faults = 0
         self.address: tuple[str, int] = ("", 0)
         self._made = 0
--- a/fernweir/rehearsal/site.py
+++ b/fernweir/rehearsal/site.py
@@ -53,10 +53,12 @@
 class RehearsalSite:
     """The stand-ins of a plan, in this process. Fronts are started by the caller from `settings`."""
 
-    def __init__(self, plan: SitePlan, folder: Path, trace: Trace, seed: int) -> None:
+    def __init__(
+        self, plan: SitePlan, folder: Path, trace: Trace, seed: int, *, wall_offset_s: float | None = None
+    ) -> None:
         self.plan, self.folder, self.trace, self.seed = plan, folder, trace, seed
         self.loop = asyncio.get_running_loop()
-        self.wall_offset_s = time.time() - self.loop.time()
+        self.wall_offset_s = time.time() - self.loop.time() if wall_offset_s is None else wall_offset_s
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "keys.json").write_text(make_keys("k1", "k2"))
         self.keyring = Keyring.read((folder / "keys.json").read_text(), sign_with="k1")
