--- a/fernweir/audit/records.py
+++ b/fernweir/audit/records.py
@@ -56,6 +56,7 @@
     classes: list[TermsClass]
     budget: TermsBudget | None
     cold: TermsCold | None
+    way_ms: float = 0.0  # how much longer than usual news may be on its way
 
 
 class FrontUp(Record):
--- a/fernweir/audit/rules.py
+++ b/fernweir/audit/rules.py
@@ -187,7 +187,7 @@
         self.checked += 1
         for other in self._out[record.session].values():
             # The end of the other may be seen a moment late, as it crosses another connection.
-            self._pending.append((record.t + SKEW_MS, line, record, other))
+            self._pending.append((record.t + SKEW_MS + self.terms.way_ms, line, record, other))
         kind = self.classes.get(record.cls)
         if kind is not None and kind.effect != "repeatable":
             if record.attempt > 0 and record.session in self._doubtful:
@@ -211,7 +211,7 @@
                 self.broken(line, record.t, text)
 
     def finish(self, t: float) -> None:
-        self._settle(t + SKEW_MS + 1.0)
+        self._settle(t + SKEW_MS + self.terms.way_ms + 1.0)
 
 
 class DrainsKept(Rule):
@@ -368,7 +368,7 @@
         self.most_held[record.cls] = max(self.most_held[record.cls], len(held))
         if len(held) > kind.seats:
             text = f"{record.front} holds {len(held)} of {kind.seats} seats of {record.title}"
-            self._pending.append((record.t + SETTLE_MS, line, record.t, key, text))
+            self._pending.append((record.t + SETTLE_MS + self.terms.way_ms, line, record.t, key, text))
 
     def _give_back(self, number: int) -> None:
         if number in self._keys:
@@ -396,7 +396,7 @@
             self.broken(line, at, text)
 
     def finish(self, t: float) -> None:
-        self._settle(t + SETTLE_MS + 1.0)
+        self._settle(t + SETTLE_MS + self.terms.way_ms + 1.0)
 
 
 class BudgetKept(Rule):
--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -25,6 +25,7 @@
 from fernweir.rehearsal.hours import Hours, HoursPlan
 from fernweir.rehearsal.kills import Kills, KillsResult
 from fernweir.rehearsal.storm import Storm, StormPlan
+from fernweir.rehearsal.sweep import keep as keep_schedules
 from fernweir.rehearsal.sweep import render as render_sweep
 from fernweir.rehearsal.sweep import sweep as sweep_seeds
 from fernweir.rehearsal.virtual import VirtualPlan
@@ -301,10 +302,14 @@
 @click.option("--jobs", default=os.cpu_count() or 1, show_default=True)
 @click.option("--seconds", default=30.0, show_default=True, help="Virtual seconds of each.")
 @click.option("--nasty", default=1.0, show_default=True, help="How many faults, and how strong.")
-def sweep_command(seeds: int, first: int, jobs: int, seconds: float, nasty: float) -> None:
+@click.option("--keep", "kept", type=click.Path(path_type=Path, file_okay=False),
+              help="Write the schedules of failed seeds here.")  # fmt: skip
+def sweep_command(seeds: int, first: int, jobs: int, seconds: float, nasty: float, kept: Path | None) -> None:
     """Many seeds over processes. Exit code 1 if one broke a rule or an invariant."""
     plan = VirtualPlan(seconds=seconds, nasty=nasty)
     result = sweep_seeds(plan, first, seeds, jobs, click.echo)
+    if kept is not None:
+        keep_schedules(result, plan, kept)
     click.echo(render_sweep(result))
     sys.exit(1 if result.failed else 0)
 
--- a/fernweir/rehearsal/site.py
+++ b/fernweir/rehearsal/site.py
@@ -46,6 +46,7 @@
     budget: tuple[float, float, float] = (10_000.0, 5.0, 0.1)
     cold: Cold | None = field(default_factory=lambda: Cold(8_000.0, 0.5, 2.5, 3_000.0))
     times: SiteTimes = field(default_factory=SiteTimes)
+    way_ms: float = 0.0
     front_extra: str = ""
     token_lines: str = ""
 
@@ -111,6 +112,7 @@
         self.trace.write(
             "terms",
             rungs=len(plan.ladder_kb),
+            way_ms=plan.way_ms,
             drain_grace_ms=plan.drain_grace_ms,
             classes=[
                 {"name": one.name, "floor": one.floor, "seats": one.seats, "effect": one.effect}
--- a/fernweir/rehearsal/sweep.py
+++ b/fernweir/rehearsal/sweep.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 from itertools import combinations_with_replacement
 from multiprocessing import get_context
+from pathlib import Path
 
 from fernweir.rehearsal.faults import Fault, Kind
 from fernweir.rehearsal.virtual import VirtualPlan, VirtualResult, play
@@ -97,6 +98,15 @@
         result.schedules[one.seed] = one.faults
 
 
+def keep(result: SweepResult, plan: VirtualPlan, folder: Path) -> None:
+    """A file for each failed seed: `# SEED RATE SECONDS`, what broke, and its faults."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for seed, faults in result.schedules.items():
+        lines = [f"# {seed} {plan.rate:g} {plan.seconds:g}"]
+        lines += [f"# {text[:200]}" for text in result.failed[seed][:3]]
+        (folder / f"seed-{seed}.txt").write_text("\n".join([*lines, *map(str, faults)]) + "\n")
+
+
 def render(result: SweepResult) -> str:
     """The summary for people."""
     kinds = Counter(text.split(":", 1)[0] for texts in result.failed.values() for text in set(texts))
