--- a/fernweir/rehearsal/loop.py
+++ b/fernweir/rehearsal/loop.py
@@ -29,12 +29,17 @@
 _HIGH_WATER = 65_536
 _MOST_READ = 65_536
 _START_S = 1_000.0
+_MOST_AT_ONCE = 200_000  # callbacks in one instant
 
 
 class DeadlockError(RuntimeError):
     """Nothing is scheduled, and somebody waits: time would stand still for ever."""
 
 
+class LivelockError(RuntimeError):
+    """Callbacks call each other without end, and time never goes on."""
+
+
 class NotVirtualError(RuntimeError):
     """The code under test used what a virtual loop can't have."""
 
@@ -93,7 +98,7 @@
         super().__init__()
         self.dice = Random(f"loop {seed}")
         self.network = Network(self, seed)
-        self.steps = 0
+        self.steps = self._at_once = 0
         self._now = _START_S
         self._selector = _Selector(self)
         self._clock_resolution = 1e-9
@@ -107,12 +112,17 @@
 
     def advance(self) -> None:
         scheduled: list[Any] = self._scheduled  # type: ignore[attr-defined]
-        self._now = max(self._now, scheduled[0]._when)
+        if scheduled[0]._when > self._now:
+            self._now, self._at_once = scheduled[0]._when, 0
 
     # --- nodes ---
 
     def may_run(self, handle: asyncio.Handle, context: contextvars.Context) -> bool:
         self.steps += 1
+        self._at_once += 1
+        if self._at_once > _MOST_AT_ONCE:
+            self._at_once = 0
+            raise LivelockError(f"{_MOST_AT_ONCE} callbacks in one instant, the last {handle!r}")
         if not (self._frozen or self._dead):
             return True
         node = context.get(NODE, "world")
--- a/fernweir/rehearsal/virtual.py
+++ b/fernweir/rehearsal/virtual.py
@@ -26,7 +26,7 @@
 from fernweir.config.front import load_front
 from fernweir.front.program import Front, start_front
 from fernweir.rehearsal.faults import Fault, Kind, draw
-from fernweir.rehearsal.loop import NODE, LinkFault, VirtualLoop, run
+from fernweir.rehearsal.loop import NODE, DeadlockError, LinkFault, LivelockError, VirtualLoop, run
 from fernweir.rehearsal.site import RehearsalSite, SitePlan
 from fernweir.seats.memory import MemoryFiles
 from fernweir.standin.box import Behaviour
@@ -407,8 +407,17 @@
     """One seed, from nothing to its verdict."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     with tempfile.TemporaryDirectory(prefix="fw-") as folder:
-        result: VirtualResult = run(plan.seed, lambda loop: VirtualDay(plan, loop, Path(folder)).run())
-    return result
+        days: list[VirtualDay] = []
+
+        def begin(loop: VirtualLoop) -> Any:
+            days.append(VirtualDay(plan, loop, Path(folder)))
+            return days[0].run()
+
+        try:
+            run(plan.seed, begin)
+        except (LivelockError, DeadlockError) as error:
+            days[0].result.broken.append(f"time: {error}")
+    return days[0].result
 
 
 def shrink(plan: VirtualPlan, result: VirtualResult, say: Callable[[str], None]) -> VirtualPlan:
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -21,9 +21,9 @@
 from fernweir.front.verdict import judge
 from fernweir.interface import Result, ServerState
 from fernweir.rehearsal.faults import Fault, Kind, ScheduleError, draw, read_schedule
-from fernweir.rehearsal.loop import NODE, DeadlockError, NotVirtualError, VirtualLoop, run
+from fernweir.rehearsal.loop import NODE, DeadlockError, LivelockError, NotVirtualError, VirtualLoop, run
 from fernweir.rehearsal.virtual import VirtualPlan, play, shrink
-from fernweir.seats.book import Seat
+from fernweir.seats.book import Book, Seat
 
 # --- the loop ---
 
@@ -75,6 +75,18 @@
         run(1, lambda loop: asyncio.Event().wait())
 
 
+def test_callbacks_without_end_in_one_instant_are_found_out() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        def again() -> None:
+            loop.call_soon(again)
+
+        again()
+        await asyncio.sleep(1.0)
+
+    with pytest.raises(LivelockError):
+        run(1, main)
+
+
 class Recorder(asyncio.Protocol):
     def __init__(self) -> None:
         self.data, self.said = b"", list[str]()
@@ -282,6 +294,15 @@
     patch.setattr(Host, "_turn_away", wrong)
 
 
+def leases_are_kept_after_their_end(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Book, "unwant", lambda self, now, session: None)
+
+
+def requests_are_dropped_while_leases_are_away(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Book, "_no_answer", lambda self, now, seat: None)
+    patch.setattr(Host, "_expire", lambda self, now: None)
+
+
 def every_repeat_has_a_key_of_its_own(patch: pytest.MonkeyPatch) -> None:
     numbers = iter(range(10**9))
     patch.setattr(Seat, "key", property(lambda self: f"{self.kept.session}.{next(numbers)}"))
@@ -300,6 +321,8 @@
     (seats_are_not_counted, (CROWD, Fault(4.0, 1.0, Kind.CROWD, 0, 1.0))),
     (the_floor_is_forgotten, ()),
     (a_refused_session_is_answered_twice, (Fault(1.0, 9.0, Kind.SEATS_AWAY), CROWD)),
+    (leases_are_kept_after_their_end, ()),
+    (requests_are_dropped_while_leases_are_away, (Fault(2.0, 8.0, Kind.SEATS_AWAY),)),
     (every_repeat_has_a_key_of_its_own, (Fault(2.0, 8.0, Kind.SEATS_LOSE, 0, 1.0),)),
 ]
 
