--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 from fernweir.http.reset import reset
 
 Origin = tuple[str, int]
+_SPLITS = re.compile(r"[\x00-\x20\x7f]")
 
 
 class Outcome(Enum):
@@ -54,7 +56,7 @@
     method: str, target: str, host: str, headers: Iterable[tuple[str, str]] = (), body: bytes = b""
 ) -> bytes:
     """A request with its body. A line break or space that would split it is a ValueError."""
-    if any(char <= " " or char == "\x7f" for char in target + method):
+    if _SPLITS.search(target) or _SPLITS.search(method):
         raise ValueError("space or control character in the request line")
     lines = [f"{method} {target} HTTP/1.1\r\nhost: {host}\r\n"]
     for name, value in headers:
