--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -160,7 +160,9 @@
             self._wake = None
         if due is not None and self._wake is None:
             self._wake_at = due
-            self._wake = self.loop.call_at(due / 1000.0, self._woken)
+            # A microsecond late: the way to seconds and back may round to just before what is due, and
+            # waking for nothing, again and again, would last until the clock has moved.
+            self._wake = self.loop.call_at(due / 1000.0 + 1e-6, self._woken)
 
     def _woken(self) -> None:
         self._wake = None
