The host takes over sessions that play, tells of ends and hands descriptions on unread

Need: the platform's protocol hands a starting front the sessions that play, owes viewers word when what stood is over, and brings descriptions that nobody here reads; the host knew only DASH's ways (a token that returns, an attempt kept for it). A second host was ruled out: ledger, batches and phases are the same. Change: Host.take_over, the command Over, linger of 0 (nobody returns: an attempt that nobody waits for is released at once), keys that a protocol brings, Ask.body. Core takes its log and no longer imports structlog or the HTTP client; the settings' parser reads a table, whatever text it came from; numbers from names. Result: decisions unchanged; tests of host, wire, sockets and control pass, with two new ones.

--- a/fernweir/front/boxlist.py
+++ b/fernweir/front/boxlist.py
@@ -10,11 +10,11 @@
 
 import json
 from dataclasses import dataclass
-from hashlib import blake2b
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from fernweir.front.names import number_of
 from fernweir.interface import ListKind, ListUpdate, ServerEntry, ServerState, Settings
 
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING, "gone": ServerState.GONE}
@@ -72,11 +72,6 @@
         raise ListError(f"{where}: {first['msg']} ({error.error_count()} in all)") from None
 
 
-def title_number(name: str) -> int:
-    """The number by which the module knows a lesson: the same at all fronts."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
 @dataclass(frozen=True, slots=True)
 class Lesson:
     number: int
@@ -167,7 +162,7 @@
             )
         for lesson in document.lessons:
             self._lesson_lines[lesson.title] = lesson
-            self.lessons[lesson.title] = Lesson(title_number(lesson.title), lesson.cell, lesson.copies)
+            self.lessons[lesson.title] = Lesson(number_of(lesson.title), lesson.cell, lesson.copies)
         return ListUpdate(kind, document.version & 0xFFFFFFFF, tuple(entries))
 
     def _start_of(self, now: float, line: BoxLine) -> float:
--- a/fernweir/front/commands.py
+++ b/fernweir/front/commands.py
@@ -12,7 +12,9 @@
 class Ask:
     """A request that was taken. `wait_ms` is how long its viewer waits from now on.
 
-    `via` names the protocol, whose carrier knows what a set-up looks like on the way to a box.
+    `via` names the protocol, whose carrier knows what a set-up looks like on the way to a box. `body` is
+    what that protocol hands on to the box unread. A protocol that tells viewers apart by a key of theirs
+    gives it as `key`, and whether they come again; otherwise the host knows them by `jti`.
     """
 
     ticket: int
@@ -27,6 +29,9 @@
     top_rung: int
     wait_ms: float
     tenant: str = ""
+    key: int = 0
+    returning: bool = False
+    body: object = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,4 +148,15 @@
     jti: str
 
 
-Command = SetUp | ChangeRung | Release | SendProbe | Arm | Follow | Say | Answer | Admit | Left
+@dataclass(frozen=True, slots=True)
+class Over:
+    """A session that played is over. `by_viewer`: its viewer ended it and need not be told."""
+
+    session: Ask
+    result: Result
+    why: str
+    moved: bool = False
+    by_viewer: bool = False
+
+
+Command = SetUp | ChangeRung | Release | SendProbe | Arm | Follow | Say | Answer | Admit | Left | Over
--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -6,9 +6,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
-
-import structlog
+from typing import TYPE_CHECKING, Any, Protocol
 
 from fernweir.front.commands import (
     Admit,
@@ -18,13 +16,16 @@
     ChangeRung,
     Command,
     Left,
+    Over,
     Release,
     Say,
     SendProbe,
     SetUp,
 )
 from fernweir.front.host import Host
-from fernweir.http.client import Reply
+
+if TYPE_CHECKING:
+    from fernweir.http.client import Reply
 
 Log = Any  # structlog's bound logger, whose methods depend on its configuration
 
@@ -74,13 +75,14 @@
 class Core:
     """Owns the host's clock: `loop.time()` in milliseconds. Events of one loop turn go in one batch."""
 
-    def __init__(self, host: Host, *, batch_ms: float = 0.0, log: Log | None = None) -> None:
+    def __init__(self, host: Host, *, batch_ms: float = 0.0, log: Log) -> None:
         self.loop = asyncio.get_running_loop()
         self.host = host
-        self.log = log or structlog.get_logger()
+        self.log = log
         self.carriers: dict[str, Carrier] = {}
         self.doer: Doer | None = None
         self.keeper: Keeper | None = None
+        self.on_over: Callable[[Over], None] | None = None
         self._batch_s = batch_ms / 1000.0
         self._numbers = itertools.count(1)
         self._answers: dict[int, Callable[[Answer], None]] = {}
@@ -178,6 +180,9 @@
                 self._idle.set()
         elif isinstance(command, Arm):
             self._arm(command)
+        elif isinstance(command, Over):
+            if self.on_over is not None:
+                self.on_over(command)
         elif isinstance(command, Admit | Left):
             if self.keeper is None:
                 self.log.error("nobody admits", command=type(command).__name__)
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -32,6 +32,7 @@
     Follow,
     Kind,
     Left,
+    Over,
     Release,
     Say,
     SendProbe,
@@ -63,6 +64,7 @@
     Settings,
     Started,
     Subscribe,
+    TakenOver,
     Timer,
     TimerFired,
     Viewer,
@@ -90,7 +92,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HostLimits:
-    """Times in milliseconds. `margin` is kept of each viewer's wait for the answer's way back."""
+    """Times in milliseconds. `margin` is kept of each viewer's wait for the answer's way back.
+
+    `linger` is how long what was set up for a viewer who left is kept for its return; with 0 nobody
+    returns to a session, and an attempt that nobody waits for is released at once.
+    """
 
     margin_ms: float = 40.0
     linger_ms: float = 2_000.0
@@ -179,7 +185,7 @@
         self._out: list[Command] = []
         self._next_number = 1
         self._lingering: list[tuple[float, str, int]] = []
-        self._past: OrderedDict[str, tuple[int, bool]] = OrderedDict()
+        self._past: OrderedDict[str | int, tuple[int, bool]] = OrderedDict()
 
     # --- what the shells tell ---
 
@@ -217,6 +223,16 @@
             held.tickets.append(ask.ticket)
             self._by_ticket[ask.ticket] = held
 
+    def take_over(self, now: float, ask: Ask, server: int) -> bool:
+        """A session that played there when this front started. False if it is held, or its box is gone."""
+        if ask.jti in self._held or self._states.get(server, ServerState.GONE) is ServerState.GONE:
+            return False
+        held = self._hold(now, ask)
+        held.phase, held.server, held.attempts, held.plays_told = Phase.PLAYING, server, 1, True
+        self._at_server.setdefault(server, {})[ask.jti] = held
+        self._events.append(TakenOver(self._viewer(now, held), server))
+        return True
+
     def withdraw(self, now: float, ticket: int) -> None:
         """The viewer of a request is gone. The attempt that is out may still be wanted when it returns."""
         self._now = now
@@ -300,7 +316,7 @@
             return False
         self._now = now
         self._release(held, "ended by its viewer")
-        self._end(held, Result.OK, "ended by its viewer")
+        self._end(held, Result.OK, "ended by its viewer", by_viewer=True)
         return True
 
     def box_lost(self, now: float, server: int) -> int:
@@ -495,13 +511,18 @@
 
     # --- pieces ---
 
-    def _begin(self, now: float, ask: Ask) -> None:
-        key, moved = self._past.pop(ask.jti, (0, False))
-        held = Held(ask, self._next_number, key or self._next_number)
+    def _hold(self, now: float, ask: Ask) -> Held:
+        key, moved = self._past.pop(ask.key or ask.jti, (0, False))
+        held = Held(ask, self._next_number, ask.key or key or self._next_number)
         self._next_number = self._next_number % 0xFFFFFFFF + 1
-        held.tickets.append(ask.ticket)
-        self._held[ask.jti] = self._by_number[held.number] = self._by_ticket[ask.ticket] = held
+        self._held[ask.jti] = self._by_number[held.number] = held
         held.answer_by, held.moved = now + ask.wait_ms, moved
+        return held
+
+    def _begin(self, now: float, ask: Ask) -> None:
+        held = self._hold(now, ask)
+        held.tickets.append(ask.ticket)
+        self._by_ticket[ask.ticket] = held
         self._write_down(What.ASKED, held)
         if self._gated:
             held.phase = Phase.GATED
@@ -510,9 +531,12 @@
             self._arrive(now, held)
 
     def _arrive(self, now: float, held: Held) -> None:
-        ask = held.ask
         held.phase = Phase.ASKED
-        viewer = Viewer(
+        self._events.append(Arrival(self._viewer(now, held)))
+
+    def _viewer(self, now: float, held: Held) -> Viewer:
+        ask = held.ask
+        return Viewer(
             session=held.number,
             cls=ask.cls,
             key=held.key,
@@ -523,9 +547,8 @@
             length_ms=None,
             left_ms=max(held.answer_by - now - 2.0 * self.limits.margin_ms, 0.0),
             moved=held.moved,
-            returning=held.key != held.number,
+            returning=ask.returning if ask.key else held.key != held.number,
         )
-        self._events.append(Arrival(viewer))
 
     def _start(self, now: float, held: Held, end: SetUpResult) -> None:
         held.phase, held.payload, held.last = Phase.PLAYING, end.payload, None
@@ -583,6 +606,10 @@
         elif held.phase is Phase.ASKED and not held.tickets:
             self._events.append(Abandoned(held.number))
             self._forget(held, why)
+        elif held.phase is Phase.OUT and not held.tickets and self.limits.linger_ms <= 0.0:
+            self._events.append(Abandoned(held.number))
+            self._release(held, why)
+            self._close(held, Result.CANCELLED, why)
 
     def _send_rung(self, held: Held) -> None:
         held.sent_rung = held.rung
@@ -593,7 +620,13 @@
         self.counts.released += 1
         self._out.append(Release(held.ask.jti, held.attempt, held.server, why, after_segment))
 
-    def _end(self, held: Held, result: Result, why: str, moved: bool = False) -> None:
+    def _end(
+        self, held: Held, result: Result, why: str, moved: bool = False, by_viewer: bool = False
+    ) -> None:
+        self._out.append(Over(held.ask, result, why, moved, by_viewer))
+        self._close(held, result, why, moved)
+
+    def _close(self, held: Held, result: Result, why: str, moved: bool = False) -> None:
         self._events.append(Ended(held.number, held.server, held.attempt, result, True, 0.0, ()))
         self._leave_server(held)
         self._forget(held, why, moved)
@@ -611,8 +644,10 @@
         self._by_number.pop(held.number, None)
         if self._gated:
             self._out.append(Left(held.ask.jti))
-        # A viewer who comes again is known to the module by its key.
-        self._past[held.ask.jti] = (held.key, moved)
+        # A viewer who comes again is known to the module by its key; one that brings it, only if moved.
+        if held.ask.key and not moved:
+            return
+        self._past[held.ask.key or held.ask.jti] = (held.key, moved)
         if len(self._past) > self.limits.remembered:
             self._past.popitem(last=False)
 
--- a/fernweir/wire.py
+++ b/fernweir/wire.py
@@ -244,16 +244,11 @@
     return _REPLY.pack(4 + len(body), number) + body
 
 
-class _Fields:
-    """The settings text as a table of paths; says which key is missing or unreadable."""
+class Fields:
+    """The settings as a table of paths; says which key is missing or unreadable."""
 
-    def __init__(self, raw: bytes) -> None:
-        try:
-            text = raw.decode()
-        except UnicodeDecodeError:
-            raise WireError("settings: not UTF-8 text") from None
-        pairs = (line.partition("=") for line in text.splitlines() if line)
-        self.table = {key: value for key, _, value in pairs}
+    def __init__(self, table: dict[str, str]) -> None:
+        self.table = table
 
     def text(self, key: str) -> str:
         if key not in self.table:
@@ -288,7 +283,15 @@
 
 
 def parse_settings(raw: bytes) -> Settings:
-    fields = _Fields(raw)
+    try:
+        text = raw.decode()
+    except UnicodeDecodeError:
+        raise WireError("settings: not UTF-8 text") from None
+    pairs = (line.partition("=") for line in text.splitlines() if line)
+    return read_settings(Fields({key: value for key, _, value in pairs}))
+
+
+def read_settings(fields: Fields) -> Settings:
     rates = fields.numbers("Extra.RatesKb")
     count = int(fields.number("Categories.count"))
     names = tuple(name for name in fields.table.get("Feedback.Names", "").split(",") if name)
@@ -333,7 +336,7 @@
     )
 
 
-def _session_class(fields: _Fields, place: int, count: int, rungs: int) -> SessionClass:
+def _session_class(fields: Fields, place: int, count: int, rungs: int) -> SessionClass:
     def extra(key: str, absent: float) -> float:
         values = fields.numbers(f"Extra.{key}", (absent,) * count)
         if place >= len(values):
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -17,6 +17,7 @@
     ChangeRung,
     Command,
     Kind,
+    Over,
     Release,
     SendProbe,
     SetUp,
@@ -424,3 +425,36 @@
 
 HostStory.TestCase.settings = hypothesis_settings(max_examples=200, stateful_step_count=40)
 TestHostStory = HostStory.TestCase
+
+
+def test_a_session_taken_over_plays_counts_and_its_end_is_told_once() -> None:
+    desk = Desk(SEATS)
+    ask = Ask(0, "x", "a", "who", "lesson", 5, 0, 4, 0, 3, 4000.0, key=77)
+    assert desk.host.take_over(desk.now, ask, 1)
+    assert not desk.host.take_over(desk.now, ask, 2)  # told again: held already
+    assert not desk.host.take_over(desk.now, replace(ask, jti="b"), 99)  # no such box
+    desk.step()
+    for name in ("c", "d"):  # one seat of two is left
+        desk.ask(name)
+        desk.step()
+    assert len(desk.of(SetUp)) == 1
+    desk.host.session_over(desk.now, "a", 0, Result.RESET)
+    desk.host.session_over(desk.now, "a", 0, Result.RESET)
+    desk.step()
+    assert [(over.session.jti, over.by_viewer) for over in desk.of(Over)] == [("a", False)]
+    assert desk.host.sessions == 1
+
+
+def test_where_nobody_returns_an_attempt_is_released_when_its_viewer_leaves() -> None:
+    desk = Desk()
+    desk.host.limits = HostLimits(margin_ms=0.0, linger_ms=0.0)
+    ticket = desk.ask("a", key=77, body=b"offer")
+    desk.step()
+    (setup,) = desk.of(SetUp)
+    assert setup.session.body == b"offer"
+    desk.host.withdraw(desk.now, ticket)
+    desk.done(setup)  # its answer comes in the same moment
+    desk.step()
+    assert [(one.jti, one.attempt) for one in desk.of(Release)] == [("a", 0)]
+    assert desk.answers() == {} and desk.of(Over) == [] and desk.host.sessions == 0
+    assert not desk.host._past  # a viewer with a key of its own leaves nothing behind
