An error on a title that never played here is not laid at its server's door

The node's log: all 88 failed set-ups were 'cause 47' within 0.2 ms, three to a session, each followed by 'server is suspect'. A trace of what came in showed well-formed requests for titles that no server has. Ruled out: limits, descriptors (234 of 384), CPU (0.24 s in the busiest second), spoilt connections. At fault: Controller._ended laid every error at the server's door, and _place tried a third one. Change: an error counts against its server only if the title has played here (a table of 4096, oldest out); of a title that never did, two servers are asked and no third. Guards also against titles just taken away; harm: a server that fails all is suspected by known titles only.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -33,6 +33,7 @@
 RATE_MS = 10_000.0  # own arrivals of this long tell what all fronts take
 HERD = 4.0  # a cold server is left room for so many times a server's usual part of the arrivals
 FEW = 0.05  # own sessions under this share of a line tell nothing of the others on it
+TITLES = 4096  # so many titles are remembered to have played here
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 FAILED = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
@@ -285,6 +286,7 @@
         self.prices: Counter[float] = Counter()  # of the next step up, of sessions that play
         self.in_rack: list[dict[int, Session]] = [{} for _ in range(settings.racks)]
         self.waiting: dict[int, list[Session]] = {}
+        self.played: dict[int, None] = {}  # titles that some server here has set up, oldest first
         self.watched: dict[int, Server] = {}  # with own sessions, strikes, or news since the last look
         self.fade_ms = 2.0 * max(settings.tell_ms + settings.seen_after_ms, UPKEEP_MS)
         self.late_ms = settings.seen_after_ms + UPKEEP_MS
@@ -545,6 +547,7 @@
         session, server = self._open(event.viewer, inf), self.servers.get(event.server)
         session.playing = session.may_have_run = session.told_start = True
         session.attempts = 1
+        self._known_title(session)
         # Handed over low with links idle, it may climb after one round of notes, not ten seconds.
         session.changed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
         if server is not None:
@@ -558,6 +561,7 @@
         if session is None or session.server is None:
             return
         session.playing, session.out, session.changed_at = True, False, self.now
+        self._known_title(session)
         self._tally(session, 1)
         server = session.server
         server.setting_up -= 1
@@ -569,10 +573,11 @@
 
     def _ended(self, event: Ended) -> None:
         session, server = self.sessions.get(event.session), self.servers.get(event.server)
+        stray = event.result is Result.ERROR and session is not None and self._stray(session)
         if server is not None:
             if session is None or not session.playing:
                 self._hear_report(server, event.report)
-            if event.result in FAILED:
+            if event.result in FAILED and not stray:
                 self._suspect(server, event.result)
             elif event.result is Result.FULL:
                 server.full_until = self.now + FULL_MARK_MS
@@ -586,9 +591,25 @@
         self._leave(session)
         if event.closed or session.playing:
             self.sessions.pop(event.session, None)
+        elif stray and session.attempts > 1:
+            self._give_up(session)
         else:
             self._place(session)
 
+    def _stray(self, session: Session) -> bool:
+        """Whether an error may be the request's own fault: its title has never played here.
+
+        Guards against requests for titles that nobody has, each of which would make a suspect of every
+        server that it tries. Two servers are asked, no third. Also covers titles just taken away. Harm:
+        a server that fails all it is asked is suspected only by titles that have played.
+        """
+        return session.viewer.title not in self.played
+
+    def _known_title(self, session: Session) -> None:
+        self.played[session.viewer.title] = None
+        if len(self.played) > TITLES:
+            del self.played[next(iter(self.played))]
+
     def _suspect(self, server: Server, result: Result) -> None:
         """Keeps new sessions off a server that failed, for longer with every failure in a row.
 
--- /dev/null
+++ b/tests/test_titles.py
@@ -0,0 +1,38 @@
+"""Requests that are at fault themselves: their errors are not laid at the servers' door."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from fernweir.interface import Refuse, Result
+from tests.helpers import SETTINGS, Front, entry, placed
+
+ALONE = replace(SETTINGS, may_probe=False)
+
+
+def test_a_title_that_nobody_has_makes_no_server_a_suspect() -> None:
+    front = Front(entry(1), entry(2, cell=1), entry(3, cell=2), settings=ALONE)
+    front.start(1, title=5)
+    first = placed(front.ask(2, title=404))[0]
+    second = placed(front.end(2, first.server, Result.ERROR))[0]
+    assert second.server != first.server
+    after = front.end(2, second.server, Result.ERROR, attempt=1)
+    assert not placed(after), "a third server was asked"
+    assert [type(one) for one in after] == [Refuse]
+    assert all(server.strikes == 0 for server in front.brain.servers.values())
+
+
+def test_an_error_on_a_title_that_played_still_counts_against_its_server() -> None:
+    front = Front(entry(1), entry(2, cell=1), settings=ALONE)
+    front.start(1, title=5)
+    first = placed(front.ask(2, title=5))[0]
+    front.end(2, first.server, Result.ERROR)
+    assert front.brain.servers[first.server].strikes == 1
+
+
+def test_the_titles_remembered_are_bounded() -> None:
+    front = Front(settings=replace(ALONE, kind_streams=(10_000,), rates_kb=(0.001, 0.002, 0.003, 0.004)))
+    for title in range(5000):
+        front.start(title + 1, title=title)
+        front.end(title + 1, front.brain.sessions[title + 1].server.id, Result.OK, closed=True)  # type: ignore[union-attr]
+    assert len(front.brain.played) == 4096 and 4999 in front.brain.played
