A broken or spoilt set-up is a reset only if its server takes no new connection

The node's log: each spoilt answer made a healthy server 'suspect: reset', unused for up to 5.9 s afterwards. Checked: the server took new connections all the while, so its process lived; the module takes a reset for a process that is gone, forgets its load and holds it cold for a whole warm-up (Controller._suspect, _probed, _started). At fault: Servers.down, which told every break as a reset. Change: a new connection decides. One that comes up shows that the process lives, and the set-up ended in an error; a refused or silent one, that it is gone.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -20,7 +20,7 @@
 from fernweir.node.feed import Feed
 from fernweir.node.frames import Code, Frame, FrameError, Frames, Type, encode
 from fernweir.node.limits import Shares
-from fernweir.node.watch import Verdict, Watch
+from fernweir.node.watch import Verdict, Watch, broke
 
 _UPKEEP_S = 0.25
 _GIVEN_UP = 16
@@ -78,6 +78,7 @@
     stays: dict[str, Stay] = field(default_factory=dict)
     tests: dict[str, Test] = field(default_factory=dict)
     letters: list[bytes] = field(default_factory=list)  # for the next connection that comes up
+    broken: list[tuple[Attempt, str]] = field(default_factory=list)  # until it's known whether it lives
 
 
 class Servers:
@@ -218,6 +219,8 @@
             # Late or silent, spoilt or stuck: nothing new goes there.
             conn.retired = conn.retired or attempt.written
         result = Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED
+        if conn is None:
+            result = broke(lives=False)
         self._finish(link, attempt, SetUpResult(result, self.core.now() - attempt.sent_at, {}))
 
     def _finish(self, link: Link, attempt: Attempt, end: SetUpResult) -> None:
@@ -348,6 +351,7 @@
             why = error.strerror or str(error)
         if conn in link.conns:
             link.conns.remove(conn)
+        self._broken(link, lives=False)
         for attempt in list(conn.attempts.values()):
             took = self.core.now() - attempt.sent_at
             self._finish(link, attempt, SetUpResult(Result.CONNECT_FAILED, took, {}, why=why))
@@ -359,6 +363,7 @@
         """A connection came up: what waited for it goes out."""
         link = conn.link
         link.watch.heard(self.core.now())
+        self._broken(link, lives=True)
         for letter in link.letters:
             conn.write(letter)
         link.letters.clear()
@@ -369,7 +374,10 @@
             self._write(link, attempt)
 
     def down(self, conn: Connection, why: str) -> None:
-        """A connection is over: set-ups that were written on it broke, others look for a new one."""
+        """A connection is over: set-ups that were written on it broke, others look for a new one.
+
+        How they ended depends on whether the server lives, which a new connection tells at once.
+        """
         link = conn.link
         if conn in link.conns:
             link.conns.remove(conn)
@@ -378,17 +386,25 @@
                 stay.conn = None
         attempts, conn.attempts = list(conn.attempts.values()), {}
         for attempt in attempts:
+            attempt.conn = None
             if attempt.written or attempt.connects >= _CONNECTS:
-                took = self.core.now() - attempt.sent_at
-                self._finish(link, attempt, SetUpResult(Result.RESET, took, {}, why=why))
+                link.broken.append((attempt, why))
             elif not self.stopped:
                 self._carry(link, attempt)
         for id, test in list(link.tests.items()):
             if test.conn is conn:
                 self._test_over(link, id, Result.RESET)
         if not self.stopped:
+            if link.broken and not any(not one.made for one in link.conns):
+                self._connect(link)
             self._look(link)
 
+    def _broken(self, link: Link, lives: bool) -> None:
+        broken, link.broken = link.broken, []
+        for attempt, why in broken:
+            took = self.core.now() - attempt.sent_at
+            self._finish(link, attempt, SetUpResult(broke(lives), took, {}, why=why))
+
     def _tell(self, server: int, id: str, frame: Frame) -> None:
         """On the connection of the set-up, else on any, else on the next that comes up."""
         link = self.links.get(server)
@@ -440,6 +456,7 @@
             self.core.log.warning(
                 "server lost", server=self.feed.names.get(link.server), held=len(link.stays)
             )
+            link.broken.clear()
             for attempt in list(link.attempts.values()):
                 took = now - attempt.sent_at
                 self._finish(link, attempt, SetUpResult(Result.RESET, took, {}, why="server lost"))
--- a/fernweir/node/watch.py
+++ b/fernweir/node/watch.py
@@ -10,12 +10,21 @@
 
 from enum import Enum
 
-from fernweir.interface import Settings
+from fernweir.interface import Result, Settings
 
 _FAILED_LOOKS = 2  # a single packet can be lost
 _QUIET_ABSENT_MS = 3_000.0  # where the settings name no notes
 
 
+def broke(lives: bool) -> Result:
+    """How a set-up ended whose connection broke, or brought what can't be read, after it was written.
+
+    To the module a reset says that the process is gone and what comes back is cold. A server that takes a
+    new connection lives: it may have run the set-up and failed to say so, which is an error.
+    """
+    return Result.ERROR if lives else Result.RESET
+
+
 class Verdict(Enum):
     WELL = "well"
     LOOK = "look"  # open a new connection
