The node's tests: scripted servers, feed and viewers over loopback; codecs on noise

Covered: the paths, spoilt and broken answers, give-ups, bad lines and figures, an id that is open, silent crowds, drains, a feed that breaks, doubles and gaps, a new address, SIGTERM, a successor at a gone one's address, shared order with other seeds and histories, node against bare module.

--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,404 @@
+"""The front node over loopback: one answer a request counted at viewers, one attempt out at servers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from fernweir.front.commands import Answer
+from fernweir.front.names import number_of
+from fernweir.node.frames import Code, Frame, Type
+from fernweir.node.jsonl import Message, write
+from fernweir.node.viewers import Viewers
+from tests.node_scene import OFFER, PLAIN, Scene, Told, play
+from tests.sockets import until
+
+
+def test_a_session_from_its_set_up_to_its_end_on_another_connection() -> None:
+    async def story(scene: Scene) -> None:
+        first, second = await scene.viewer(), await scene.viewer()
+        offer = OFFER + '\u00e9\U0001f3ac \\ "\t'
+        wish = scene.setup(sdp=offer)
+        first.write(write(wish)[:40])
+        first.write(write(wish)[40:])
+        answer = await first.answer(wish.id)
+        ((name, frame),) = scene.setups()
+        assert answer.sdp == f"{name} {wish.id}\r\n"
+        assert frame.text(Code.DESCRIPTION) == offer and frame.text(Code.TITLE) == "7f3a9c21e0b4d655"
+        assert frame.text(Code.CLASS) == "film" and 0 < int(frame.text(Code.WAIT)) <= 500
+        other = scene.setup()
+        second.send(other)
+        await second.answer(other.id)
+        first.close()
+        await until(lambda: wish.id not in scene.node.viewers.home)
+        server = scene.servers[name]
+        server.say(Frame(Type.RELEASE, wish.id, {Code.CAUSE: bytes((16,))}))
+        await until(lambda: wish.id in scene.ends)  # on the other's connection
+        assert scene.ends[wish.id].cause == 16 and second.raw[-1].id == wish.id
+        second.send(Message("release", other.id, cause=16))  # its viewer ends the other
+        await until(lambda: any(one == (other.id, 16) for one in scene.servers[name].releases))
+        await until(lambda: not scene.node.core.host.sessions)
+        assert other.id not in scene.ends
+
+    play(story)
+
+
+def test_what_played_at_the_start_is_held_steered_and_ended() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        extras = "home:0;copies:4;top:3;viewer:00000000b4d65521;at:s-1"
+        wish, strange = scene.setup(left="4294967", extras=extras), scene.setup(extras=extras[:-1] + "9")
+        viewer.send(wish, wish, strange)
+        await until(lambda: strange.id in scene.answers)  # no such server: it is over
+        server = scene.servers["s-1"]
+        await until(lambda: server.writers)  # the node comes to hear of its session
+        note = {Code.NOTE: b"level", Code.LEVEL: b"3"}
+        server.say(Frame(Type.NOTE, wish.id, note))
+        held = scene.node.core.host.session(wish.id)
+        assert held is not None
+        await until(lambda: held.rung == 3)
+        scene.answers[wish.id] = Message("answer", wish.id)
+        server.say(Frame(Type.RELEASE, wish.id, {Code.CAUSE: bytes((41,))}))
+        await until(lambda: wish.id in scene.ends)
+        assert not scene.setups() and scene.ends[wish.id].cause == 41
+
+    play(story)
+
+
+@pytest.mark.parametrize("move", ["noise", "empty", "binary", "reset", "47", "34", "102", "41", "half"])
+def test_a_set_up_that_fails_is_tried_elsewhere_and_answered_once(move: str) -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        known = scene.setup()
+        viewer.send(known)  # its title is known to play from now on
+        await viewer.answer(known.id)
+        ((head, _),) = scene.setups()
+        scene.servers[head].script = [move]
+        wish = scene.setup()
+        viewer.send(wish)
+        assert (await viewer.answer(wish.id)).type == "answer"
+        there = [name for name, frame in scene.setups() if frame.session == wish.id]
+        assert len(there) == 2 and there[0] != there[1]
+        assert (await viewer.answer(known.id)).type == "answer" and known.id not in scene.ends
+        # Its process lived all the while, so nothing may make the module think that it comes back cold.
+        assert scene.brain_server(head).lost is (move == "41")
+
+    play(story)
+
+
+def test_more_than_was_asked_for_changes_nothing() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        for server in scene.servers.values():
+            server.script = ["twice"] * 4
+        wishes = [scene.setup() for _ in range(4)]
+        viewer.send(*wishes)
+        for wish in wishes:
+            assert (await viewer.answer(wish.id)).type == "answer"
+        assert len(scene.setups()) == 4 and scene.node.core.host.sessions == 4
+
+    play(story)
+
+
+def test_a_server_whose_process_ends_ends_its_sessions_and_one_that_reconnects_does_not() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        wish = scene.setup()
+        viewer.send(wish)
+        await viewer.answer(wish.id)
+        ((name, _),) = scene.setups()
+        server = scene.servers[name]
+        for writer in server.writers:
+            writer.transport.abort()
+        server.writers.clear()
+        await until(lambda: server.writers)  # the node comes back to hear
+        assert scene.node.core.host.sessions == 1
+        server.die()
+        await until(lambda: wish.id in scene.ends)
+        assert scene.brain_server(name).lost and not scene.node.core.host.sessions
+
+    play(story)
+
+
+def test_a_viewer_who_gives_up_is_owed_nothing_and_its_attempt_is_released() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        for server in scene.servers.values():
+            server.script = ["silent"] * 200
+        wishes = [scene.setup() for _ in range(40)]
+        viewer.send(*wishes)
+        await until(lambda: scene.setups())
+        viewer.send(*(Message("release", wish.id, cause=16) for wish in wishes))  # in one read
+        await until(lambda: not scene.node.core.host.sessions)
+        await until(lambda: not any(server.out for server in scene.servers.values()))
+        assert not scene.answers and not scene.node.viewers.open
+
+    play(story)
+
+
+def test_a_viewer_whose_connection_ends_takes_its_open_set_ups_along() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        for server in scene.servers.values():
+            server.script = ["silent"]
+        viewer.send(scene.setup())
+        await until(lambda: scene.setups())
+        viewer.close()
+        await until(lambda: not scene.node.core.host.sessions)
+        await until(lambda: not any(server.out for server in scene.servers.values()))
+
+    play(story)
+
+
+BAD = [
+    b"nothing\n",
+    b"[1]\n",
+    b"[" * 9000 + b"\n",
+    b'{"type":"setup","id":"00000000000000aa","fields":{"left":1e999}}\n',
+    b'{"type":"setup","id":"00000000000000aa","fields":{"left":NaN}}\n',
+    b'{"type":"setup","id":"00000000000000aa","fields":{},"fields":{}}\n',
+    b'{"type":"setup","id":"00000000000000aa","sdp":"\\ud800","fields":{}}\n',
+    b'{"type":"setup","id":"\xff\xfe"}\n',
+    b'{"type":"setup","fields":{}}\n',
+    b'{"type":"setup","id":"12","fields":{}}\n',
+    b'{"type":"answer","id":"00000000000000aa","fields":{}}\n',
+    b'{"type":"release","id":"00000000000000aa","fields":{},"cause":16}\n',
+    b'{"type":"setup","id":' + b"9" * 5000 + b"}\n",
+    b"x" * 20_000,
+]
+FIELDS = [
+    {"class": "gold"},
+    {"class": 7},
+    {"key": "7f3a"},
+    {"left": "-5"},
+    {"left": "nan"},
+    {"left": "1e12"},
+    {"left": "soon"},
+    {"extras": "home:0;copies:4;top:99"},
+    {"extras": "home:-1;copies:4;top:3"},
+    {"extras": "home:0;copies:0;top:3"},
+    {"extras": "home:0;home:1;copies:4;top:3"},
+    {"extras": "copies"},
+]
+
+
+def test_bad_requests_are_answered_or_closed_and_touch_nobody_else() -> None:
+    async def story(scene: Scene) -> None:
+        honest = await scene.viewer()
+        for server in scene.servers.values():
+            server.script = ["silent"]
+        wish = scene.setup()
+        honest.send(wish)
+        await until(lambda: scene.setups())
+        for data in BAD:
+            bad = await scene.viewer()
+            bad.write(data)
+            await until(lambda bad=bad: bad.raw or bad.closed)
+            assert all(message.type == "release" for message in bad.raw)
+            scene.answers.clear()
+        for fields in FIELDS:
+            bad, wrong = await scene.viewer(), scene.setup(**fields)
+            bad.send(wrong)
+            await until(lambda bad=bad: bad.raw or bad.closed)
+            assert [(message.type, message.id) for message in bad.raw] == [("release", wrong.id)]
+        ((name, _),) = scene.setups()
+        server = scene.servers[name]
+        server.play("answer", wish.id, server.out[wish.id])
+        assert (await honest.answer(wish.id)).type == "answer"
+
+    play(story, settings=PLAIN)
+
+
+def test_the_id_of_an_open_request_gets_one_answer_and_never_a_mixed_one() -> None:
+    async def story(scene: Scene) -> None:
+        viewer, thief = await scene.viewer(), await scene.viewer()
+        for server in scene.servers.values():
+            server.script = ["silent"] * 2
+        stolen, doubled = scene.setup(), scene.setup()
+        viewer.send(stolen)
+        await until(lambda: scene.setups())
+        thief.send(scene.setup(stolen.id, sdp="other"))
+        await until(lambda: thief.closed)
+        assert stolen.id in scene.node.viewers.open and stolen.id not in scene.answers
+        liar = await scene.viewer()
+        liar.send(doubled, scene.setup(doubled.id, sdp="other"))
+        assert (await liar.answer(doubled.id)).type == "release"
+        await until(lambda: doubled.id not in [id for server in scene.servers.values() for id in server.out])
+        ((server, writer),) = [(s, w) for s in scene.servers.values() for w in s.out.values()]
+        server.play("answer", stolen.id, writer)
+        assert (await viewer.answer(stolen.id)).type == "answer"
+
+    play(story)
+
+
+def test_silent_connections_leave_room_for_those_who_speak() -> None:
+    async def story(scene: Scene) -> None:
+        crowd = [await scene.viewer() for _ in range(60)]
+        honest = await scene.viewer()
+        wish = scene.setup()
+        honest.send(wish)
+        assert (await honest.answer(wish.id)).type == "answer"
+        more = [await scene.viewer() for _ in range(60)]
+        await until(lambda: sum(one.closed for one in crowd) >= 29)
+        other = scene.setup()
+        honest.send(other)
+        assert (await honest.answer(other.id)).type == "answer"
+        assert len(scene.node.viewers.door) <= 32 and not honest.closed
+        for one in crowd + more:
+            one.close()
+
+    play(story, sockets=64)
+
+
+def test_a_drain_is_obeyed_and_a_feed_that_breaks_is_asked_again_from_its_last() -> None:
+    async def story(scene: Scene) -> None:
+        await until(lambda: scene.feed.asked == [1])
+        viewer = await scene.viewer()
+        wish = scene.setup()
+        viewer.send(wish)
+        await viewer.answer(wish.id)
+        ((name, _),) = scene.setups()
+        members = {"index": 2, "snapshot": False, "endpoints": [scene.line(name, "draining")]}
+        half = json.dumps({"n": 2, "members": members}).encode()
+        scene.feed.events.append({"n": 2, "members": members})
+        scene.feed.writers[-1].write(half[:50])
+        scene.feed.writers[-1].close()
+        await until(lambda: scene.node.feed.last == 2)
+        assert scene.feed.asked == [1, 1]
+        scene.feed.tell(scene.feed.events[0])  # told twice
+        scene.feed.tell(2)
+        scene.feed.tell(9)  # something is missing
+        await until(lambda: len(scene.feed.asked) == 3)
+        assert scene.feed.asked[-1] == 2
+        for _ in range(5):
+            wish = scene.setup()
+            viewer.send(wish)
+            assert (await viewer.answer(wish.id)).type == "answer"
+        assert len(scene.servers[name].setups) == 1
+
+    play(story)
+
+
+def test_a_new_feed_address_is_used_and_an_unreadable_file_is_not() -> None:
+    async def story(scene: Scene) -> None:
+        await until(lambda: scene.feed.asked == [1])
+        scene.node._environment = {"ROUTER_CONFIG": "/nowhere/config.json"}
+        scene.node.reload()
+        assert scene.node.follower.there == scene.feed.address and "not used" in scene.log.getvalue()
+        other = type(scene.feed)()
+        await other.listen()
+        scene.node.follower.move(other.address)
+        scene.node.follower.move(other.address)  # twice in a row
+        await until(lambda: other.writers)
+        members = {"index": 2, "snapshot": False, "endpoints": [scene.line("s-0", "removed")]}
+        other.add(members)
+        await until(lambda: scene.node.feed.last >= 2)
+        assert other.asked[-1] == 1
+
+    play(story)
+
+
+def test_after_sigterm_what_comes_is_refused_at_once_and_what_was_taken_is_answered() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        for server in scene.servers.values():
+            server.script = ["silent"]
+        wish = scene.setup()
+        viewer.send(wish)
+        await until(lambda: scene.setups())
+        scene.node.terminate()
+        late = scene.setup()
+        other = await scene.viewer()  # new connections keep coming
+        other.send(Message("ping", "0" * 15 + "1", cause=0), late)
+        assert (await other.answer(late.id)).cause == 34
+        assert other.raw[0].type == "pong" and other.raw[0].cause == 0
+        ((name, _),) = scene.setups()
+        scene.servers[name].play("answer", wish.id, scene.servers[name].out[wish.id])
+        assert (await viewer.answer(wish.id)).type == "answer"
+
+    play(story)
+
+
+def test_a_server_at_the_address_of_a_gone_one_takes_nothing_of_its_sessions() -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        wish = scene.setup()
+        viewer.send(wish)
+        await viewer.answer(wish.id)
+        ((name, _),) = scene.setups()
+        old = scene.servers[name]
+        successor = scene.line(name) | {"name": "s-new"}
+        scene.feed.add({"index": 2, "snapshot": False, "endpoints": [scene.line(name, "removed"), successor]})
+        await until(lambda: scene.node.feed.last == 2)
+        for writer in old.writers:
+            writer.transport.abort()
+        await until(lambda: wish.id in scene.ends)
+        await until(lambda: number_of(name) not in scene.node.servers.links)
+        assert number_of(name) not in scene.node.feed.names
+
+    play(story)
+
+
+def test_two_nodes_with_other_seeds_and_histories_place_a_title_alike() -> None:
+    heads: list[list[str]] = []
+
+    async def story(scene: Scene) -> None:
+        if heads:  # the second has another seed, and heard of its servers in another order
+            scene.node.stop()
+            names = dict(reversed(scene.servers.items()))
+            cells = {name: scene.line(name) for name in scene.servers}
+            scene.servers = names
+            scene.line = lambda name, *_: cells[name]  # type: ignore[method-assign,assignment]
+            scene.node = type(scene.node)(scene.config(seed=99), scene.node.log, {})
+            scene.node.start()
+            await until(lambda: scene.node.viewers.ready)
+        viewer, found = await scene.viewer(), []
+        for title in range(12):
+            wish = scene.setup(key=f"{title:016x}")
+            viewer.send(wish)
+            await viewer.answer(wish.id)
+            (name,) = [name for name, frame in scene.setups() if frame.session == wish.id]
+            found.append(name)
+        heads.append(found)
+
+    play(story, servers=4)
+    play(story, servers=4)
+    assert heads[0] == heads[1] and len(set(heads[0])) > 1
+
+
+def test_the_scene_sees_a_second_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    once = Viewers._answer
+
+    def twice(self: Viewers, id: str, answer: Answer) -> None:
+        connection = self.open[id][1]
+        once(self, id, answer)
+        connection.send(Message("answer", id, sdp="again"))
+
+    monkeypatch.setattr(Viewers, "_answer", twice)
+
+    async def story(scene: Scene) -> None:
+        viewer, wish = await scene.viewer(), scene.setup()
+        viewer.send(wish)
+        await until(lambda: len(viewer.raw) == 2)
+
+    with pytest.raises(Told):
+        play(story)
+
+
+def test_a_reader_who_does_not_read_is_let_go() -> None:
+    async def story(scene: Scene) -> None:
+        _, writer = await asyncio.open_connection(*scene.node.viewers.address)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        ping = write(Message("ping", "0" * 15 + "1", cause=0)) * 2000
+        try:
+            for _ in range(400):
+                writer.write(ping)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        await until(lambda: not len(scene.node.viewers.door))
+        writer.close()
+
+    play(story)
--- /dev/null
+++ b/tests/test_node_parts.py
@@ -0,0 +1,296 @@
+"""The node's parts without I/O: codecs on any split and on noise, feed, limits, watch, configuration."""
+
+from __future__ import annotations
+
+import io
+import json
+import struct
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fernweir.brain import Controller
+from fernweir.front.commands import Ask, Release, SetUp, SetUpResult
+from fernweir.front.host import Host, HostLimits
+from fernweir.interface import Action, Event, ListKind, ListUpdate, Result, ServerState
+from fernweir.node import frames, jsonl
+from fernweir.node.config import ConfigError, flat, load
+from fernweir.node.feed import Feed, FeedError
+from fernweir.node.frames import Code, Frame, FrameError, Frames, Type, encode
+from fernweir.node.jsonl import LineError, Lines, Message, read, write
+from fernweir.node.limits import HUSH_MS, Door, Remembered
+from fernweir.node.logs import NodeLog
+from fernweir.node.watch import Verdict, Watch
+from fernweir.wire import Fields, parse_settings, read_settings
+from tests.helpers import SETTINGS, entry
+from tests.test_wire import TEXT
+
+IDS = st.text("0123456789abcdef", min_size=16, max_size=16)
+MESSAGES = st.builds(
+    Message,
+    st.sampled_from(sorted(jsonl.TYPES)),
+    IDS,
+    st.dictionaries(st.text(max_size=8), st.text(max_size=20) | st.integers(-(10**18), 10**18), max_size=5),
+    st.none() | st.integers(0, 255),
+    st.none() | st.text(max_size=60),
+)
+FRAMES = st.builds(
+    Frame,
+    st.sampled_from(Type),
+    IDS,
+    st.dictionaries(st.integers(0, 255), st.binary(max_size=40), max_size=5),
+)
+
+
+def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    marks = sorted({cut % (len(data) + 1) for cut in cuts} | {0, len(data)})
+    return [data[a:b] for a, b in pairwise(marks)]
+
+
+@given(st.lists(MESSAGES, min_size=1, max_size=4), st.lists(st.integers(0, 5000), max_size=12))
+def test_lines_say_the_same_however_they_are_cut(messages: list[Message], cuts: list[int]) -> None:
+    lines = Lines()
+    found = [line for piece in pieces(b"".join(map(write, messages)), cuts) for line in lines.feed(piece)]
+    assert [read(line) for line in found] == messages and not lines.half
+
+
+@given(st.lists(FRAMES, min_size=1, max_size=4), st.lists(st.integers(0, 5000), max_size=12))
+def test_frames_say_the_same_however_they_are_cut(sent: list[Frame], cuts: list[int]) -> None:
+    codec, found = Frames(), list[Frame]()
+    for piece in pieces(b"".join(map(encode, sent)), cuts):
+        found += codec.feed(piece)
+    assert found == sent
+
+
+@given(st.lists(st.binary(max_size=400), max_size=100))
+def test_noise_makes_one_kind_of_error_and_little_is_kept(noise: list[bytes]) -> None:
+    codec, lines = Frames(), Lines()
+    try:
+        for piece in noise:
+            for frame in codec.feed(piece):
+                _ = (frame.cause, frame.report(), frame.text(Code.CLASS), frame.number(Code.LEVEL))
+    except FrameError:
+        pass
+    assert len(codec._rest) <= frames.MOST_BYTES + 400
+    try:
+        for piece in noise:
+            for line in lines.feed(piece):
+                read(line)
+    except LineError:
+        pass
+    assert len(lines._rest) <= jsonl.MOST_BYTES
+
+
+def test_a_line_that_never_ends_is_let_go_and_a_long_one_just_passes() -> None:
+    lines = Lines()
+    assert lines.feed(b"x" * (jsonl.MOST_BYTES - 1) + b"\n") == [b"x" * (jsonl.MOST_BYTES - 1)]
+    with pytest.raises(LineError):
+        for _ in range(2000):
+            lines.feed(b"y" * 1000)
+    assert not lines._rest
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        struct.pack(">HBQ", 5, 9, 1),  # shorter than its head
+        struct.pack(">HBQ", 65535, 9, 1),
+        struct.pack(">HBQ", 9, 7, 1),  # unknown type
+        struct.pack(">HBQ", 11, 9, 1) + b"\x30\x00",  # a parameter cut short
+        struct.pack(">HBQ", 13, 9, 1) + b"\x30\x00\x09x",  # longer than its message
+        struct.pack(">HBQ", 15, 9, 1) + b"\x30\x00\x00\x30\x00\x00",  # twice
+    ],
+)
+def test_frames_that_do_not_fit_are_refused_after_what_came_before(data: bytes) -> None:
+    good, codec = Frame(Type.RELEASED, "0" * 15 + "7"), Frames()
+    with pytest.raises(FrameError):
+        codec.feed(encode(good) + data)
+    assert codec.read == [good]
+
+
+@pytest.mark.parametrize("report", [b"x0", b"x0:nan", b"x0:1e999", b"x0:\xff", b";".join([b"a:1"] * 40)])
+def test_a_report_that_is_none_is_refused(report: bytes) -> None:
+    with pytest.raises(FrameError):
+        Frame(Type.PONG, "0" * 16, {Code.REPORT: report}).report()
+
+
+def endpoint(name: str, **more: object) -> dict[str, Any]:
+    line = {"name": name, "address": "127.0.0.1:5080", "zone": "z", "type": "box", "group": 1}
+    return {**line, "status": "up", "weight": 2, "since_ms": 0, **more}
+
+
+def event(n: int, *lines: object, snapshot: bool = False) -> dict[str, Any]:
+    return {"n": n, "members": {"index": n, "snapshot": snapshot, "endpoints": list(lines)}}
+
+
+def test_a_feed_takes_each_event_once_in_order_and_asks_again_after_a_gap() -> None:
+    feed = Feed(SETTINGS, ("box",), offset_ms=1000.0)
+    (whole,) = feed.start((event(1, endpoint("a"), endpoint("b"), snapshot=True),), 1)
+    assert (whole.kind, len(whole.entries)) == (ListKind.CACHED, 2)
+
+    def tell(body: object) -> ListUpdate | None:
+        return feed.line(json.dumps(body).encode())
+
+    started = tell(event(2, endpoint("c", since_ms=5000)))
+    assert started is not None and started.kind is ListKind.DELTA and started.entries[0].started_at == 4000.0
+    assert tell(event(2, endpoint("c"))) is None and tell(2) is None
+    for bad in (
+        event(4, endpoint("a")),
+        5,
+        event(3, endpoint("a", status="odd")),
+        event(3, {}),
+        "x",
+        {"n": True},
+    ):
+        with pytest.raises(FeedError):
+            tell(bad)
+        assert feed.last == 2
+    with pytest.raises(FeedError):
+        feed.line(b'{"n":3,"mem')
+    gone = tell(event(3, endpoint("a", status="removed")))
+    assert gone is not None and gone.entries[0].state is ServerState.GONE and feed.last == 3
+
+
+def test_the_door_prefers_those_who_speak_and_forgets_who_left() -> None:
+    door: Door[str] = Door(3)
+    assert [door.arrive(key, 0.0) for key in "abc"] == [None] * 3
+    for key in "ab":
+        door.spoke(key, 1.0)
+    door.opened("a")
+    door.opened("a")
+    assert door.arrive("d", 2.0) == "c"  # has said nothing
+    door.spoke("d", 2.0)
+    assert door.arrive("e", 3.0) == "b"  # has nothing open, and spoke longest ago
+    assert door.overdue(HUSH_MS + 2.0) == [] and door.overdue(HUSH_MS + 3.0) == ["e"]
+    door.half("a", 10.0, True)
+    door.half("a", 20.0, True)  # the same line goes on
+    assert door.overdue(HUSH_MS + 10.0) == ["e", "a"]
+    door.closed("a", 30.0)
+    door.closed("a", 31.0)
+    for key in "ade":
+        door.leave(key)
+    assert len(door) == 0 and not door.overdue(1e9)
+    remembered = Remembered(2)
+    for id in "xyz":
+        remembered.add(id)
+    assert [id in remembered for id in "xyz"] == [False, True, True]
+
+
+def test_a_server_is_lost_by_proof_only() -> None:
+    watch = Watch(SETTINGS, 0.0)
+    quiet = SETTINGS.tell_ms + SETTINGS.seen_after_ms + SETTINGS.period_ms
+    assert watch.look(1e6, holds=False, connected=False, connecting=False) is Verdict.WELL
+    watch.heard(0.0)
+    assert watch.look(quiet - 1, True, True, False) is Verdict.WELL
+    assert watch.look(quiet, True, True, False) is Verdict.LOOK  # silence is looked into
+    assert watch.look(quiet, True, True, True) is Verdict.WELL
+    watch.unreachable()
+    assert watch.look(quiet, True, True, False) is Verdict.LOOK  # one packet can be lost
+    watch.unreachable()
+    assert watch.look(quiet, True, True, False) is Verdict.LOST
+    watch.heard(quiet)
+    assert watch.look(quiet, True, False, False) is Verdict.LOOK  # a break proves nothing
+    watch.refused()
+    assert watch.look(quiet, True, False, False) is Verdict.LOST
+
+
+def nested(text: str) -> dict[str, Any]:
+    """The settings text of the simulator as the nested object that a node finds."""
+    table = dict(line.split("=", 1) for line in text.splitlines() if line)
+    tree: dict[str, Any] = {}
+    for path, value in table.items():
+        *above, last = path.split(".")
+        here = tree
+        for part in above:
+            here = here.setdefault(part, {})
+        here[last] = value.split(",") if "," in value else value
+    return _lists(tree)
+
+
+def _lists(tree: Any) -> Any:
+    if not isinstance(tree, dict):
+        return tree
+    if "count" in tree:
+        return [_lists(tree[str(place)]) for place in range(int(tree["count"]))]
+    return {key: _lists(value) for key, value in tree.items()}
+
+
+def test_the_settings_read_alike_from_json_and_from_the_simulators_text() -> None:
+    assert read_settings(Fields(flat(nested(TEXT)))) == parse_settings(TEXT.encode())
+    assert flat({"a": [1, 2.5], "b": True, "c": None, "d": ["x y"]}) == {
+        "a": "1,2.5",
+        "b": "true",
+        "d": "x_y",
+    }
+
+
+@pytest.mark.parametrize(
+    "text", [None, "{", "[]", "{}", '{"seed":"zz"}', '{"seed":"1","limits":{"sockets":9}}']
+)
+def test_a_configuration_that_can_not_be_used_is_one_clear_line(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(ConfigError) as caught:
+        load({"ROUTER_CONFIG": str(path), "ROUTER_LISTEN": "127.0.0.1:1"})
+    assert "\n" not in str(caught.value)
+    with pytest.raises(ConfigError):
+        load({})
+
+
+def test_the_log_of_a_node_is_bounded() -> None:
+    out, at = io.StringIO(), [5.0]
+    log = NodeLog("n", out, lambda: at[0])
+    for number in range(500):
+        log.info("x", number=number)
+    at[0] = 6.0
+    log.info("y")
+    lines = [json.loads(line) for line in out.getvalue().splitlines()]
+    assert len(lines) == 51 and lines[-1]["lines_left_out"] == 450
+
+
+def test_the_module_decides_alike_through_the_node_and_through_the_adapter() -> None:
+    """What the host hands to its module, handed to another by hand, gives the same actions."""
+    seen: list[tuple[float, list[Event], list[Action]]] = []
+    limits = HostLimits(margin_ms=0.0, linger_ms=0.0)
+    host = Host(SETTINGS, 11, limits, lambda now, events, actions: seen.append((now, events, list(actions))))
+    host.box_list(0.0, ListUpdate(ListKind.CACHED, 1, tuple(entry(n, cell=n % 4) for n in range(1, 6))))
+    out, now = host.step(0.0), 0.0
+    for number in range(200):
+        now += 7.0
+        ask = Ask(
+            number,
+            "platform",
+            f"{number:016x}",
+            "",
+            "t",
+            number % 9,
+            0,
+            4,
+            number % 2,
+            3,
+            900.0,
+            key=number + 1,
+        )
+        host.ask(now, ask)
+        for command in out:
+            if isinstance(command, SetUp):
+                result = (Result.OK, Result.ERROR, Result.RESET, Result.FULL)[number % 4]
+                jti = command.session.jti
+                host.set_up_done(
+                    now, jti, command.attempt, SetUpResult(result, 3.0, {"x0": 0.2, "x1": 0.1}, "d")
+                )
+        if number % 5 == 0:
+            host.withdraw(now, number)
+        if number % 11 == 0:
+            host.timer_fired(now, 1)
+        out = host.step(now)
+        assert not any(isinstance(one, Release) and one.attempt < 0 for one in out)
+    other = Controller(SETTINGS, 11)
+    assert len(seen) == 201
+    for at, events, actions in seen:
+        assert other.handle(at, events) == actions
