A connection to a server is ended in order, and one that broke is replaced at once

At fault: Connection.close, which threw away what its server had under way; the server says an end again only on the next connection that opens, and the node opened none, since others stood. Ruled out: box_lost, take-overs. Change: a close ends this side only and reads on until the other end closes (1 s at most); after a connection that broke, a new one opens where sessions stand. Test: an end that crosses the close; it fails without the change.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -24,6 +24,7 @@
 
 _UPKEEP_S = 0.25
 _GIVEN_UP = 16
+_FAREWELL_S = 1.0  # how long a closing connection waits for its other end
 _CONNECTS = 3  # of one set-up whose connections break before it is written
 _WRITE_MOST = 256 * 1024
 _BEFORE = {34: Result.FULL, 47: Result.ERROR, 102: Result.MOOT}  # other causes: as a reset
@@ -395,7 +396,9 @@
             if test.conn is conn:
                 self._test_over(link, id, Result.RESET)
         if not self.stopped:
-            if link.broken and not any(not one.made for one in link.conns):
+            # What was on its way on a connection that broke comes on the next that opens, and only there.
+            missed = bool(link.stays) and not conn.whole
+            if (link.broken or missed) and not any(not one.made for one in link.conns):
                 self._connect(link)
             self._look(link)
 
@@ -472,7 +475,8 @@
     def __init__(self, servers: Servers, link: Link) -> None:
         self.servers, self.link = servers, link
         self.attempts: dict[str, Attempt] = {}
-        self.made = self.retired = False
+        self.made = self.retired = self.closing = False
+        self.whole = False  # whether it ended in order, with all read that its server wrote
         self.used_at = servers.core.now()
         self._frames = Frames()
         self._why = "connection closed"
@@ -528,9 +532,18 @@
         if self.retired and not self.attempts:
             self.close()
 
+    @property
+    def usable(self) -> bool:
+        return super().usable and not self.closing
+
     def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+        """Ends this side. What the server has under way, as the end of a session, is still read."""
+        if not self.usable:
+            return
+        assert self.transport is not None
+        self.closing = True
+        self.transport.write_eof()
+        self.servers.core.loop.call_later(_FAREWELL_S, self.abort)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -540,4 +553,5 @@
         self.servers.down(self, f"connection reset: {exc}" if exc is not None else self._why)
 
     def eof_received(self) -> bool:
+        self.whole = True
         return False
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -37,6 +37,8 @@
         self.rungs: list[tuple[str, str]] = []
         self.pings = 0
         self.out: dict[str, asyncio.StreamWriter] = {}  # set-ups without an end
+        self.unheard: list[Frame] = []  # said on the next connection that opens, and said when one closes
+        self.parting: list[Frame] = []
         self.writers: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
@@ -60,10 +62,14 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
         frames = Frames()
+        for frame in self.unheard:
+            self.say(frame, writer)
         try:
             while data := await reader.read(65536):
                 for frame in frames.feed(data):
                     self._take(frame, writer)
+            for frame in self.parting:
+                self.say(frame, writer)
         except ConnectionError:
             pass
         finally:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -122,6 +122,31 @@
     play(story)
 
 
+@pytest.mark.parametrize("how", ["parting", "reset"])
+def test_an_end_that_crosses_the_close_of_its_connection_is_heard(how: str) -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        stands, late = scene.setup(), scene.setup()
+        viewer.send(stands)
+        await viewer.answer(stands.id)
+        ((name, _),) = scene.setups()
+        server = scene.servers[name]
+        end = Frame(Type.RELEASE, stands.id, {Code.CAUSE: bytes((16,))})
+        server.script = ["silent"]
+        viewer.send(late)  # on the same connection: it times out, which closes that
+        await until(lambda: late.id in server.out)
+        if how == "parting":
+            server.parting = [end]
+        else:
+            server.out.clear()
+            server.unheard = [end]
+            server.writers[0].transport.abort()
+        await until(lambda: stands.id in scene.ends)
+        assert (await viewer.answer(late.id)).type == "answer"
+
+    play(story)
+
+
 def test_a_viewer_who_gives_up_is_owed_nothing_and_its_attempt_is_released() -> None:
     async def story(scene: Scene) -> None:
         viewer = await scene.viewer()
