An honest connection is not closed for rare mistakes, and a half-closed one is answered

At fault: Connection.bytes_came counted mistakes over a connection's whole life and closed it at the third, with other viewers' requests open on it. Change: mistakes count in a row, a good message or a session that plays ends the row, and with requests open far more are borne (limits.Patience). Also: a viewer that ends its side alone is answered first; nothing is said on a silent connection that is closed; a connection with requests open never counts as idle; one command that fails leaves the others' answers alone; of releases before the answer only cause 41 says that a process is gone.

--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -144,7 +144,10 @@
         if self._stopped:
             return
         for command in self.host.step(self.now()):
-            self._do(command)
+            try:
+                self._do(command)
+            except Exception as error:  # a fault in carrying one out must not cost others their answers
+                self.log.error("command failed", command=type(command).__name__, why=repr(error))
         self._set_wake()
         after, self._after = self._after, []
         for do in after:
--- a/fernweir/node/limits.py
+++ b/fernweir/node/limits.py
@@ -59,12 +59,13 @@
 
     def spoke(self, key: Key, now: float) -> None:
         """Something readable came."""
-        if self._fresh.pop(key, None) is not None or key in self._idle:
+        if (self._fresh.pop(key, None) is not None or key in self._idle) and key not in self._busy:
             self._idle[key] = now
             self._idle.move_to_end(key)
 
     def opened(self, key: Key) -> None:
-        self._idle.pop(key, None)
+        for table in (self._fresh, self._idle):
+            table.pop(key, None)
         self._busy[key] = self._busy.get(key, 0) + 1
 
     def closed(self, key: Key, now: float) -> None:
@@ -98,6 +99,23 @@
         return list(found)
 
 
+class Patience:
+    """When a connection that goes on making mistakes is closed. Honest ones make one now and then."""
+
+    _IN_A_ROW, _WITH_REQUESTS = 3, 64
+
+    def __init__(self) -> None:
+        self._row = 0
+
+    def well(self) -> None:
+        self._row = 0
+
+    def wrong(self, open_requests: int) -> bool:
+        """Counts a mistake; whether it was one too many. What is open is answered first."""
+        self._row += 1
+        return self._row >= (self._WITH_REQUESTS if open_requests else self._IN_A_ROW)
+
+
 class Remembered:
     """The last so many ids that were answered or ended: what is said of them again is no mistake."""
 
--- a/fernweir/node/requests.py
+++ b/fernweir/node/requests.py
@@ -34,7 +34,7 @@
         kind = settings.classes[cls]
         left = _figure(fields.get("left"))
         if not at and not 0.0 < left <= kind.deadline_ms:
-            raise LineError("left is out of range", id)
+            raise LineError(f"left is out of range: {str(fields.get('left'))[:20]}", id)
         if message.sdp is None and not at:
             raise LineError("a set-up without a description", id)
         home, copies = _count(id, extras, "home"), _count(id, extras, "copies")
--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -27,7 +27,8 @@
 _FAREWELL_S = 1.0  # how long a closing connection waits for its other end
 _CONNECTS = 3  # of one set-up whose connections break before it is written
 _WRITE_MOST = 256 * 1024
-_BEFORE = {34: Result.FULL, 47: Result.ERROR, 102: Result.MOOT}  # other causes: as a reset
+# Other causes before the answer are as a reset; but who says so lives.
+_BEFORE = {34: Result.FULL, 41: Result.RESET, 47: Result.ERROR, 102: Result.MOOT}
 _AFTER = {16: Result.OK, 31: Result.CANCELLED}
 _NOTES = {
     "got": NoteKind.DELIVERED,
@@ -295,7 +296,7 @@
         id, cause, report = frame.session, frame.cause, frame.report()
         attempt = link.attempts.get(id)
         if attempt is not None and attempt.written:
-            result = _BEFORE.get(cause if cause is not None else -1, Result.RESET)
+            result = _BEFORE.get(cause if cause is not None else -1, broke(lives=True))
             took = self.core.now() - attempt.sent_at
             self._finish(link, attempt, SetUpResult(result, took, report, why=f"cause {cause}"))
         elif id in link.stays:
@@ -542,7 +543,11 @@
             return
         assert self.transport is not None
         self.closing = True
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:  # broken already, though the loop has not seen it yet
+            self.transport.abort()
+            return
         self.servers.core.loop.call_later(_FAREWELL_S, self.abort)
 
     def abort(self) -> None:
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -13,7 +13,7 @@
 from fernweir.node.buffer import Shell
 from fernweir.node.config import Address
 from fernweir.node.jsonl import NO_ID, LineError, Lines, Message, read, write
-from fernweir.node.limits import Door, Remembered
+from fernweir.node.limits import Door, Patience, Remembered
 from fernweir.node.requests import Requests
 from fernweir.node.servers import Servers
 
@@ -24,7 +24,6 @@
 _BACKLOG, _ACCEPTS = 1024, 64
 _SWEEP_S = 0.25
 _TELL_WITHIN_MS = 8_000.0  # PROTOCOL: a release that no connection could carry comes within 8 s of the end
-_WRONG_MOST = 3  # mistakes on one connection
 
 
 class Viewers:
@@ -104,7 +103,8 @@
             return
         now = self.core.now()
         for connection in self.door.overdue(now):
-            connection.refuse(LineError("nothing whole in time"))
+            if connection.began:  # to one that said nothing, nothing is said: a request may be on its way
+                connection.refuse(LineError("nothing whole in time"))
             connection.end()
         while self._untold and self._untold[0][0] <= now:
             self._untold.popleft()
@@ -140,6 +140,7 @@
         if core.host.session(id) is not None or id in self.remembered:
             raise LineError("an id that is in use")
         self.open[id] = (ticket, connection)
+        connection.requests.add(id)
         self.door.opened(connection)
         core.ask(ask, lambda answer: self._answer(id, answer))
 
@@ -156,12 +157,19 @@
         """The viewer of an open set-up wants it no more."""
         ticket, connection = self.open.pop(id)
         self.remembered.add(id)
+        connection.requests.discard(id)
         self.door.closed(connection, self.core.now())
         self.core.withdraw(ticket)
+        connection.end_if_left()
 
     def _answer(self, id: str, answer: Answer) -> None:
         _, connection = self.open.pop(id)
+        connection.requests.discard(id)
         self.door.closed(connection, self.core.now())
+        self._say(id, connection, answer)
+        connection.end_if_left()
+
+    def _say(self, id: str, connection: Connection, answer: Answer) -> None:
         if answer.kind is Kind.PLAYS:
             assert isinstance(answer.payload, str)
             connection.send(Message("answer", id, sdp=answer.payload))
@@ -180,6 +188,7 @@
     def _stands(self, id: str, connection: Connection) -> None:
         self.home[id] = connection
         connection.sessions.add(id)
+        connection.patience.well()
         self.spoken.pop(connection, None)
         self.spoken[connection] = None
         while self._untold:
@@ -206,9 +215,12 @@
         else:
             self._untold.append((self.core.now() + _TELL_WITHIN_MS, write(message)))
 
-    def gone(self, connection: Connection) -> None:
+    def gone(self, connection: Connection, why: str) -> None:
         """A connection is over: what is open on it can't be answered, what stands stays."""
-        for id in [id for id, (_, there) in self.open.items() if there is connection]:
+        dropped = list(connection.requests)
+        if dropped:
+            self.core.log.info("connection ended with requests open", requests=len(dropped), why=why)
+        for id in dropped:
             self._drop(id)
         for id in connection.sessions:
             self.home.pop(id, None)
@@ -222,11 +234,15 @@
     def __init__(self, viewers: Viewers) -> None:
         self._viewers = viewers
         self._lines = Lines()
-        self._wrong = 0
+        self.patience = Patience()
+        self._left = False
+        self.began = False
+        self.requests: set[str] = set()  # set-ups without an answer
         self.sessions: set[str] = set()
 
     def bytes_came(self, data: memoryview) -> None:
         viewers, now = self._viewers, self._viewers.core.now()
+        self.began = True
         try:
             lines = self._lines.feed(data)
         except LineError as error:
@@ -240,16 +256,17 @@
                 message = read(line)
                 viewers.take(self, message)
                 viewers.door.spoke(self, now)
+                self.patience.well()
             except LineError as error:
-                self._wrong += 1
                 self.refuse(error)
-                if error.id == NO_ID or self._wrong >= _WRONG_MOST:
+                if error.id == NO_ID or self.patience.wrong(len(self.requests)):
                     self.end()
                     return
         viewers.door.half(self, now, self._lines.half)
 
     def refuse(self, error: LineError) -> None:
         """Says once that something can't be taken."""
+        self._viewers.core.log.info("request refused", why=str(error), id=error.id)
         cause = UNREADABLE if error.id == NO_ID else UNKNOWN_ID
         self.send(Message("release", error.id, cause=cause))
 
@@ -266,12 +283,18 @@
 
     def end(self) -> None:
         """Closes after what was written is out."""
-        self._viewers.gone(self)
+        self._viewers.gone(self, "closed here")
         if self.transport is not None:
             self.transport.close()
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._viewers.gone(self)
-
     def eof_received(self) -> bool:
-        return False
+        """A viewer that ends its side may still read: what it asked is answered first."""
+        self._left = True
+        return bool(self.requests)
+
+    def end_if_left(self) -> None:
+        if self._left and not self.requests and self.transport is not None:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._viewers.gone(self, str(exc) if exc is not None else "closed there")
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -294,3 +294,13 @@
     assert len(seen) == 201
     for at, events, actions in seen:
         assert other.handle(at, events) == actions
+
+
+def test_a_connection_with_a_request_open_is_never_let_go_for_another() -> None:
+    door: Door[str] = Door(2)
+    door.arrive("a", 0.0)
+    door.opened("a")  # its first message is a set-up
+    door.spoke("a", 0.0)
+    door.arrive("b", 0.0)
+    door.opened("b")
+    assert len(door) == 2 and door.arrive("c", 1.0) == "c"
