Servers long gone are forgotten everywhere; a set-up sent again after a lost connection is taken

Change: the module drops a server a minute after it is gone if nothing names it; host and feed drop it at once; what was dropped with its connection is not remembered; a readable mistake closes only where nothing is open.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -33,6 +33,7 @@
 RATE_MS = 10_000.0  # own arrivals of this long tell what all fronts take
 HERD = 4.0  # a cold server is left room for so many times a server's usual part of the arrivals
 FEW = 0.05  # own sessions under this share of a line tell nothing of the others on it
+GONE_MS = 60_000.0  # a server gone for so long is forgotten
 TITLES = 4096  # so many titles are remembered to have played here
 UPKEEP_TOKEN = 1
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -160,6 +161,7 @@
     climbed_at: float = -inf
     climb_kb: float = 0.0
     lost: bool = False
+    gone_at: float = inf
     cold_since: float = -inf
     cold_sent_at: float = -inf
 
@@ -331,8 +333,27 @@
                     server.state = ServerState.GONE
         for entry in update.entries:
             self._entry(entry)
+        for server in list(self.servers.values()):
+            self._bury(server)
         self._size_up()
 
+    def _bury(self, server: Server) -> None:
+        """Forgets a server that is long gone and that nothing here names any more.
+
+        Guards against a fleet that is replaced for days, whose every server would be looked at for each
+        title. Harm: one that comes back under its id after that has its learnt load to learn again.
+        """
+        if server.state is not ServerState.GONE:
+            server.gone_at = inf
+            return
+        server.gone_at = min(server.gone_at, self.now)
+        named = server.sessions or server.setting_up or server.probing or server.id in self.waiting
+        if self.now - server.gone_at > GONE_MS and not named:
+            del self.servers[server.id]
+            self.watched.pop(server.id, None)
+            if server.link in server.uplink.feeders:
+                server.uplink.feeders.remove(server.link)
+
     def _size_up(self) -> None:
         """Shares out what uplinks carry: only the mean is told, so each gets its part by its links."""
         there = [server for server in self.servers.values() if server.state is not ServerState.GONE]
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -380,7 +380,10 @@
         if update.kind in (ListKind.CACHED, ListKind.FULL):
             self._states = {}
         for entry in update.entries:
-            self._states[entry.server] = entry.state
+            if entry.state is ServerState.GONE:
+                self._states.pop(entry.server, None)
+            else:
+                self._states[entry.server] = entry.state
 
     def timer_fired(self, now: float, token: int) -> None:
         self._events.append(TimerFired(token))
--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -165,6 +165,8 @@
             link, before = self.links.get(entry.server), self._started.get(entry.server, 0.0)
             if entry.state is ServerState.GONE:
                 self._started.pop(entry.server, None)
+                if link is None:
+                    self.feed.forget(entry.server)
             elif entry.started_at:
                 self._started[entry.server] = entry.started_at
             if link is not None and entry.started_at > before:
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -128,6 +128,7 @@
         if id in self.open and self.open[id][1] is connection:
             # Whose description would its answer be for? Neither: the open one ends here.
             self._drop(id)
+            self.remembered.add(id)
             raise LineError("an id that is open", id)
         ticket = core.ticket()
         ask, at = self.requests.read(message, ticket)
@@ -148,6 +149,7 @@
         id, core = message.id, self.core
         if id in self.open:
             self._drop(id)
+            self.remembered.add(id)
         elif core.host.release(core.now(), id):
             core.kick()
         elif id not in self.remembered:
@@ -156,7 +158,6 @@
     def _drop(self, id: str) -> None:
         """The viewer of an open set-up wants it no more."""
         ticket, connection = self.open.pop(id)
-        self.remembered.add(id)
         connection.requests.discard(id)
         self.door.closed(connection, self.core.now())
         self.core.withdraw(ticket)
@@ -220,7 +221,7 @@
         dropped = list(connection.requests)
         if dropped:
             self.core.log.info("connection ended with requests open", requests=len(dropped), why=why)
-        for id in dropped:
+        for id in dropped:  # not remembered: a viewer may send it again on a new connection
             self._drop(id)
         for id in connection.sessions:
             self.home.pop(id, None)
@@ -259,7 +260,8 @@
                 self.patience.well()
             except LineError as error:
                 self.refuse(error)
-                if error.id == NO_ID or self.patience.wrong(len(self.requests)):
+                nothing_to_lose = error.id == NO_ID and not self.requests
+                if nothing_to_lose or self.patience.wrong(len(self.requests)):
                     self.end()
                     return
         viewers.door.half(self, now, self._lines.half)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -406,7 +406,12 @@
             writer.transport.abort()
         await until(lambda: wish.id in scene.ends)
         await until(lambda: number_of(name) not in scene.node.servers.links)
-        assert number_of(name) not in scene.node.feed.names
+        unused = next(one for one in scene.servers if number_of(one) not in scene.node.servers.links)
+        scene.feed.add({"index": 3, "snapshot": False, "endpoints": [scene.line(unused, "removed")]})
+        await until(lambda: scene.node.feed.last == 3)
+        for one in (name, unused):
+            number = number_of(one)
+            assert number not in scene.node.feed.names and number not in scene.node.core.host.listed
 
     play(story)
 
--- a/tests/test_titles.py
+++ b/tests/test_titles.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from fernweir.interface import Refuse, Result
+from fernweir.interface import ListKind, ListUpdate, Refuse, Result, ServerState
 from tests.helpers import SETTINGS, Front, entry, placed
 
 ALONE = replace(SETTINGS, may_probe=False)
@@ -36,3 +36,15 @@
         front.start(title + 1, title=title)
         front.end(title + 1, front.brain.sessions[title + 1].server.id, Result.OK, closed=True)  # type: ignore[union-attr]
     assert len(front.brain.played) == 4096 and 4999 in front.brain.played
+
+
+def test_servers_long_gone_are_forgotten_but_not_those_with_sessions() -> None:
+    front = Front(entry(1), entry(2, cell=1), settings=ALONE)
+    place = front.start(1, title=5)
+    for number in range(3, 300):
+        came, went = entry(number, cell=number % 4), entry(number - 1, state=ServerState.GONE)
+        front.send(ListUpdate(ListKind.DELTA, number, (came, went)), after=5_000.0)
+    front.send(ListUpdate(ListKind.DELTA, 300, (entry(1, state=ServerState.GONE),)), after=90_000.0)
+    front.send(ListUpdate(ListKind.DELTA, 301, ()), after=90_000.0)
+    assert len(front.brain.servers) < 4 and place.server in front.brain.servers
+    assert place.server in (1, 2) and not set(front.brain.watched) - set(front.brain.servers)
