A viewer may wait a little longer than its class's deadline

At fault: Requests.read, which held the deadline for the most that left may be. Change: up to twice the deadline is taken as it stands; more is a mistake as before.

--- a/fernweir/node/requests.py
+++ b/fernweir/node/requests.py
@@ -12,6 +12,7 @@
 
 VIA = "platform"
 _HEX = re.compile(r"[0-9a-f]{16}")
+_FAR = 2.0  # a viewer may wait a little over its class's deadline; this many times it is a mistake
 _NUMBER = re.compile(r"[0-9]{1,9}")
 
 
@@ -33,7 +34,7 @@
             raise LineError("key is no title", id)
         kind = settings.classes[cls]
         left = _figure(fields.get("left"))
-        if not at and not 0.0 < left <= kind.deadline_ms:
+        if not at and not 0.0 < left <= _FAR * kind.deadline_ms:
             raise LineError(f"left is out of range: {str(fields.get('left'))[:20]}", id)
         if message.sdp is None and not at:
             raise LineError("a set-up without a description", id)
