A request that two servers fail alike is at fault itself: both are cleared

Ruled out: spoilt answers, time-outs. At fault: Controller._ended, which blamed each server in turn. Change: the second server that errs on one request clears the first, is not blamed, and no third is asked. Harm: two failing servers that meet in one request go free.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -200,6 +200,7 @@
     changed_at: float = 0.0
     told_start: bool = False
     asked: bool = False
+    erred: Server | None = None
 
 
 # --- 5. Guards of the rules -----------------------------------------------------------------------
@@ -594,7 +595,7 @@
 
     def _ended(self, event: Ended) -> None:
         session, server = self.sessions.get(event.session), self.servers.get(event.server)
-        stray = event.result is Result.ERROR and session is not None and self._stray(session)
+        stray = event.result is Result.ERROR and session is not None and self._stray(session, server)
         if server is not None:
             if session is None or not session.playing:
                 self._hear_report(server, event.report)
@@ -617,14 +618,18 @@
         else:
             self._place(session)
 
-    def _stray(self, session: Session) -> bool:
-        """Whether an error may be the request's own fault: its title has never played here.
+    def _stray(self, session: Session, server: Server | None) -> bool:
+        """Whether an error may be the request's own fault: its title never played here, or two servers err.
 
-        Guards against requests for titles that nobody has, each of which would make a suspect of every
-        server that it tries. Two servers are asked, no third. Also covers titles just taken away. Harm:
-        a server that fails all it is asked is suspected only by titles that have played.
+        Guards against requests for titles that nobody has, and for what has ended, each of which would
+        make a suspect of every server that it tries. Two servers are asked, no third, and the first is
+        cleared. Also covers titles just taken away. Harm: a server that fails all it is asked is
+        suspected only by titles that have played, and not where two such servers meet in one request.
         """
-        return session.viewer.title not in self.played
+        first, session.erred = session.erred, server
+        if first is not None and first is not server and first.strikes == 1:
+            first.strikes, first.suspect_until = 0, -inf
+        return first not in (None, server) or session.viewer.title not in self.played
 
     def _known_title(self, session: Session) -> None:
         self.played[session.viewer.title] = None
--- a/tests/test_titles.py
+++ b/tests/test_titles.py
@@ -30,6 +30,18 @@
     assert front.brain.servers[first.server].strikes == 1
 
 
+def test_a_request_that_two_servers_fail_alike_clears_both() -> None:
+    front = Front(entry(1), entry(2, cell=1), entry(3, cell=2), settings=ALONE)
+    front.start(1, title=5)
+    first = placed(front.ask(2, title=5))[0]
+    second = placed(front.end(2, first.server, Result.ERROR))[0]
+    assert front.brain.servers[first.server].strikes == 1
+    after = front.end(2, second.server, Result.ERROR, attempt=1)
+    assert [type(one) for one in after] == [Refuse]
+    assert all(server.strikes == 0 for server in front.brain.servers.values())
+    assert placed(front.ask(3, title=5))[0].server == first.server
+
+
 def test_the_titles_remembered_are_bounded() -> None:
     front = Front(settings=replace(ALONE, kind_streams=(10_000,), rates_kb=(0.001, 0.002, 0.003, 0.004)))
     for title in range(5000):
