--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,10 +13,19 @@
 from fernweir.node.frames import Code, Frame, Type
 from fernweir.node.jsonl import Message, write
 from fernweir.node.viewers import Viewers
-from tests.node_scene import OFFER, PLAIN, Scene, Told, play
+from tests.node_scene import OFFER, PLAIN, Scene, Told, ViewerConnection, play
 from tests.sockets import until
 
 
+async def one_that_stands(scene: Scene) -> tuple[ViewerConnection, Message, str]:
+    """A viewer, its set-up, and the server on which its session stands."""
+    viewer, wish = await scene.viewer(), scene.setup()
+    viewer.send(wish)
+    assert (await viewer.answer(wish.id)).type == "answer"
+    ((name, _),) = scene.setups()
+    return viewer, wish, name
+
+
 def test_a_session_from_its_set_up_to_its_end_on_another_connection() -> None:
     async def story(scene: Scene) -> None:
         first, second = await scene.viewer(), await scene.viewer()
@@ -105,11 +114,7 @@
 
 def test_a_server_whose_process_ends_ends_its_sessions_and_one_that_reconnects_does_not() -> None:
     async def story(scene: Scene) -> None:
-        viewer = await scene.viewer()
-        wish = scene.setup()
-        viewer.send(wish)
-        await viewer.answer(wish.id)
-        ((name, _),) = scene.setups()
+        _viewer, wish, name = await one_that_stands(scene)
         server = scene.servers[name]
         for writer in server.writers:
             writer.transport.abort()
@@ -326,11 +331,7 @@
 def test_a_drain_is_obeyed_and_a_feed_that_breaks_is_asked_again_from_its_last() -> None:
     async def story(scene: Scene) -> None:
         await until(lambda: scene.feed.asked == [1])
-        viewer = await scene.viewer()
-        wish = scene.setup()
-        viewer.send(wish)
-        await viewer.answer(wish.id)
-        ((name, _),) = scene.setups()
+        viewer, wish, name = await one_that_stands(scene)
         members = {"index": 2, "snapshot": False, "endpoints": [scene.line(name, "draining")]}
         half = json.dumps({"n": 2, "members": members}).encode()
         scene.feed.events.append({"n": 2, "members": members})
@@ -394,11 +395,7 @@
 
 def test_a_server_at_the_address_of_a_gone_one_takes_nothing_of_its_sessions() -> None:
     async def story(scene: Scene) -> None:
-        viewer = await scene.viewer()
-        wish = scene.setup()
-        viewer.send(wish)
-        await viewer.answer(wish.id)
-        ((name, _),) = scene.setups()
+        _viewer, wish, name = await one_that_stands(scene)
         old = scene.servers[name]
         successor = scene.line(name) | {"name": "s-new"}
         scene.feed.add({"index": 2, "snapshot": False, "endpoints": [scene.line(name, "removed"), successor]})
