A watcher that reads again is told what it missed, though nothing new happens

Checked: the writes to a watcher stop at 256 KB of buffer (has_room), but the transport was told of 1 MB, so between the two pause_writing is never called and resume_writing neither. Such a watcher was woken by the next entry only; with nothing more happening it waited for ever. Ruled out: a slow machine (the condition can't come without an entry), the follower. At fault: set_write_buffer_limits and has_room in control/channel.py, two bounds for one thing. Change: one bound, and has_room is the transport's own word. Test: a channel with no site behind it that goes quiet just then; fails each time before the change, passes after it.

--- a/fernweir/control/channel.py
+++ b/fernweir/control/channel.py
@@ -26,7 +26,7 @@
 _PART = 500  # sessions in one line of a snapshot
 _FLUSH_S = 0.05
 _MOST_PENDING = 5_000
-_MOST_BUFFERED = 1 << 20
+_MOST_BUFFERED = 256 * 1024
 _CREDENTIALS = struct.Struct("3i")
 
 
@@ -156,6 +156,7 @@
         self.channel = channel
         self.watching = self.missed = False
         self.pending: list[bytes] = []
+        self._paused = False
         self._buffer = bytearray(LINE_BYTES)
         self._used = 0
         self._transport: asyncio.Transport | None = None
@@ -194,7 +195,11 @@
         if self._used == LINE_BYTES:
             self._refuse("", f"a line of over {LINE_BYTES} bytes")
 
+    def pause_writing(self) -> None:
+        self._paused = True
+
     def resume_writing(self) -> None:
+        self._paused = False
         self.flush()
 
     # --- lines ---
@@ -266,7 +271,8 @@
 
     @property
     def has_room(self) -> bool:
-        return self._transport is not None and self._transport.get_write_buffer_size() < _MOST_BUFFERED // 4
+        # The transport's own word, not a size: only so does the end of it wake this watcher (resume_writing).
+        return self._transport is not None and not self._paused
 
     def pend(self, row: bytes) -> None:
         if self.missed:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,6 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from fernweir.config.ini import ConfigError
+from fernweir.control.channel import Channel
 from fernweir.control.client import ControlClient, ControlError
 from fernweir.control.orders import Command, Do, OrderRules, Orders, OrdersError, Outcome, Result, SiteNow
 from fernweir.control.overlay import Overlay
@@ -24,6 +25,7 @@
 from fernweir.interface import ListKind, ListUpdate, ServerState
 from fernweir.journal.events import What
 from fernweir.journal.picture import Picture
+from fernweir.journal.store import Journal
 from fernweir.rehearsal.site import SitePlan
 from fernweir.standin.site import SiteTimes
 from tests.helpers import entry
@@ -443,6 +445,46 @@
     control_scene(story)
 
 
+def test_a_watcher_that_reads_again_hears_of_it_though_nothing_new_happens(tmp_path: Path) -> None:
+    class Desk:
+        name, picture, journal = "quiet", Picture(), Journal()
+
+        def may_act(self, operator: str, uid: int) -> bool:
+            return True
+
+        def handle(self, operator: str, may_act: bool, ask: Any, reply: Any) -> None: ...
+
+        def gauges(self) -> dict[str, Any]:
+            return {}
+
+    async def story() -> None:
+        desk = Desk()
+        channel = Channel(desk, tmp_path / "quiet.sock", gauges_s=1e6)
+        desk.journal.watchers += [desk.picture.fold, channel.entry]
+        await channel.listen()
+        ann = ControlClient(tmp_path / "quiet.sock", "ann", watch=True)
+        ann.start()
+        await until(lambda: ann.follower.picture is not None)
+        assert ann._transport is not None
+        ann._transport.pause_reading()
+        (there,) = channel.clients
+        while there.has_room:  # a little more than it takes at once, and no more
+            for _ in range(100):
+                desk.journal.add(0, What.ASKED, session="x", why="w" * 200)
+            await until(lambda: channel._timer is None)
+        for _ in range(6_000):  # past the bound of what waits for it
+            desk.journal.add(0, What.ASKED, session="x")
+        await until(lambda: channel._timer is None)
+        assert there.missed
+        ann._transport.resume_reading()
+        await until(lambda: ann.follower.missed > 0)
+        await until(lambda: ann.follower.picture == desk.picture)
+        ann.close()
+        channel.stop()
+
+    asyncio.run(story())
+
+
 @pytest.mark.parametrize(
     ("line", "error"),
     [
