Commands are loaded when they are called; `node` stands among them in the help

Need: `python -m fernweir` imported every command's packages (Textual, pydantic, rehearsals) to show its help or to audit a trace; only the node was spared, by its own line. The node's own line in __main__ stays, as its environment holds no click. Test: each name finds its command, and loading the root loads none of the heavy packages.

--- a/fernweir/cli/main.py
+++ b/fernweir/cli/main.py
@@ -1,42 +1,54 @@
-"""Commands of the program itself: serve, check-config, audit, replay, keys, rehearse."""
+"""The command line's root: what each command needs is loaded when it is called, and no sooner."""
 
 from __future__ import annotations
 
-import asyncio
-import os
 import sys
-import tempfile
-from pathlib import Path
+from importlib import import_module
 
 import click
 
-from fernweir.audit import TraceError, audit_lines, render_table
-from fernweir.cli.appliance import appliance
-from fernweir.cli.console import ask, console
-from fernweir.cli.ledger import ledger
-from fernweir.cli.standin import standin
-from fernweir.config import ConfigError, load_front
-from fernweir.front.logs import set_up_logs
-from fernweir.front.program import read_keyring, serve
-from fernweir.front.record import RecordError, replay
-from fernweir.rehearsal.badday import BadDay, DayPlan, DayResult, render_day
-from fernweir.rehearsal.consoleday import BROKEN, ConsoleDay, ConsoleDayResult
-from fernweir.rehearsal.faults import ScheduleError, read_schedule
-from fernweir.rehearsal.hours import Hours, HoursPlan
-from fernweir.rehearsal.kills import Kills, KillsResult
-from fernweir.rehearsal.storm import Storm, StormPlan
-from fernweir.rehearsal.sweep import keep as keep_schedules
-from fernweir.rehearsal.sweep import render as render_sweep
-from fernweir.rehearsal.sweep import sweep as sweep_seeds
-from fernweir.rehearsal.virtual import VirtualPlan
-from fernweir.rehearsal.virtual import play as play_virtual
-from fernweir.rehearsal.virtual import shrink as shrink_day
-from fernweir.tokens.newkeys import make_keys
-
-_FILE = click.Path(path_type=Path, dir_okay=False)
-
-
-@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+# Command: where it stands, and its line in the help. What a front node needs nothing of is not loaded for it.
+COMMANDS = {
+    "appliance": ("fernweir.cli.appliance:appliance", "A unit that runs a site's fronts."),
+    "ask": ("fernweir.cli.console:ask", "A single question to, or command for, a unit or a front."),
+    "audit": ("fernweir.cli.front:audit_command", "Judge the six rules from a TRACE."),
+    "check-config": ("fernweir.cli.front:check_config", "Check SETTINGS and the keys that they name."),
+    "console": ("fernweir.cli.console:console", "The operator's picture of a unit or a front."),
+    "ledger": ("fernweir.cli.ledger:ledger", "The seat log of a front: verify, dump, compact."),
+    "new-keys": ("fernweir.cli.front:new_keys", "Write a JWK Set of fresh secrets."),
+    "node": ("fernweir.cli.main:node", "Run a front node on the platform's protocol (ROUTER_CONFIG)."),
+    "rehearse": (
+        "fernweir.cli.rehearse:rehearse",
+        "Play days of trouble on simulated servers, and judge them.",
+    ),
+    "replay": ("fernweir.cli.front:replay_command", "Feed a front's RECORD to a fresh module."),
+    "serve": ("fernweir.cli.front:serve_command", "Run a front by its SETTINGS until SIGTERM."),
+    "standin": ("fernweir.cli.standin:standin", "Simulated counterparts, each alone."),
+}
+
+
+class LazyGroup(click.Group):
+    """Lists commands by `COMMANDS`; imports the one that is called."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in COMMANDS:
+            return None
+        module, _, name = COMMANDS[cmd_name][0].partition(":")
+        command = getattr(import_module(module), name)
+        assert isinstance(command, click.Command)
+        return command
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, COMMANDS[name][1]) for name in sorted(COMMANDS)])
+
+
+@click.group(
+    cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100}
+)
 @click.version_option(package_name="fernweir", prog_name="fernweir", message="%(prog)s %(version)s")
 def main() -> None:
     """A session front: places video sessions on streaming servers and shapes them.
@@ -45,303 +57,12 @@
     """
 
 
-@main.command("serve")
-@click.argument("settings", type=_FILE)
-@click.option("--until-eof", is_flag=True, hidden=True, help="Stop when standard input ends.")
-def serve_command(settings: Path, until_eof: bool) -> None:
-    """Run a front by its SETTINGS until SIGTERM.
+@click.command("node")
+def node() -> None:
+    """Run a front node on the platform's protocol, by the file that ROUTER_CONFIG names, until SIGTERM.
 
-    Exit code 0: all that was taken was answered. 1: some was not. 2: the settings are wrong.
+    Exit code 0: it was told to stop. 2: the configuration can't be used, or the address can't be had.
     """
-    try:
-        config = load_front(settings)
-        set_up_logs(config.log.format, config.log.level)
-        code = asyncio.run(serve(config, until_eof=until_eof))
-    except ConfigError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
-    except OSError as error:
-        click.echo(f"fernweir: {error}", err=True)
-        sys.exit(2)
-    sys.exit(code)
-
-
-@main.command("check-config")
-@click.argument("settings", type=_FILE)
-def check_config(settings: Path) -> None:
-    """Check SETTINGS and the keys that they name; every mistake is listed."""
-    try:
-        config = load_front(settings)
-        keyring = read_keyring(config)
-    except ConfigError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
-    classes = ", ".join(config.class_names)
-    click.echo(
-        f"{settings}: good; front {config.front.name}, classes {classes}, keys {', '.join(keyring.ids)}"
-    )
-
-
-@main.command("audit")
-@click.argument("trace", type=_FILE)
-def audit_command(trace: Path) -> None:
-    """Judge the six rules from a TRACE. Exit code 1 if one is broken, 2 if it can't be read."""
-    try:
-        with open(trace, encoding="utf-8") as file:
-            auditor = audit_lines(file)
-    except (OSError, TraceError) as error:
-        click.echo(f"{trace}: {error}", err=True)
-        sys.exit(2)
-    click.echo(render_table(auditor))
-    sys.exit(1 if auditor.findings else 0)
-
-
-@main.command("replay")
-@click.argument("record", type=_FILE)
-def replay_command(record: Path) -> None:
-    """Feed a front's RECORD to a fresh module. Exit code 1 if it decides otherwise."""
-    try:
-        with open(record, encoding="utf-8") as file:
-            count, difference = replay(file)
-    except (OSError, RecordError) as error:
-        click.echo(f"{record}: {error}", err=True)
-        sys.exit(2)
-    click.echo(difference or f"{count} batches, all decided alike")
-    sys.exit(1 if difference else 0)
-
-
-@main.command("new-keys")
-@click.argument("file", type=_FILE)
-@click.option("--kid", "kids", multiple=True, default=("k1",), show_default=True, help="A key's id; repeat.")
-def new_keys(file: Path, kids: tuple[str, ...]) -> None:
-    """Write FILE, a JWK Set of fresh secrets, readable by its owner only."""
-    try:
-        handle = os.open(file, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
-    except FileExistsError:
-        click.echo(f"{file}: is there already", err=True)
-        sys.exit(2)
-    with open(handle, "w", encoding="utf-8") as out:
-        out.write(make_keys(*kids) + "\n")
-
-
-@main.group()
-def rehearse() -> None:
-    """Play a day of trouble on simulated servers, and judge it."""
-
-
-@rehearse.command("storm")
-@click.option("--seed", default=1, show_default=True, help="What losses, kills and viewers are drawn from.")
-@click.option("--sessions", default=100_000, show_default=True, help="First wants; some come again.")
-@click.option("--seats", default=120, show_default=True, help="Seats of each lesson, tenant and class.")
-@click.option("--slow", default=1.0, show_default=True, help="The server answers so many times slower.")
-@click.option("--away", default=0.0, show_default=True, help="Seconds that it says nothing, from 10 s on.")
-@click.option(
-    "--without", type=click.Choice(["", "ledger", "key"]), default="", help="Break this, to see it caught."
-)
-def storm(seed: int, sessions: int, seats: int, slow: float, away: float, without: str) -> None:
-    """A storm of leases on a virtual clock: losses, repeats, kills.
-
-    Exit code 1 if a seat was doubled or leaked.
-    """
-    gap = (10_000.0, 10_000.0 + away * 1000.0) if away else None
-    plan = StormPlan(seed=seed, sessions=sessions, seats=seats, slow=slow, away=gap, broken=without)
-    result = Storm(plan).run()
-    leads = sorted(result.leads_ms) or [0.0]
-    click.echo(
-        f"{result.asked} asked, {result.granted} granted, {result.refused} refused, "
-        f"{result.unanswered} unanswered, {result.renewed} renewed, {result.repeats} repeats, "
-        f"{result.kills} kills, {result.virtual_ms / 1000.0:.0f} s of virtual time"
-    )
-    click.echo(f"ended by the server or for want of an answer: {dict(result.revoked) or 'none'}")
-    named = (("least", 0.0), ("1 in 1000", 0.001), ("1 in 100", 0.01), ("median", 0.5))
-    cells = ", ".join(f"{name} {leads[int(len(leads) * share)]:.0f}" for name, share in named)
-    click.echo(f"left of a lease of {plan.ttl_ms:.0f} ms when renewed, ms: {cells}")
-    click.echo(
-        f"over the seats: {result.most_over} held, {result.most_playing_over} playing; "
-        f"most by one session {result.most_by_session}; left held {result.left_held}; "
-        f"wants without verdict {result.unanswered_wants}"
-    )
-    click.echo("seats kept" if result.good else "BROKEN")
-    sys.exit(0 if result.good else 1)
-
-
-@rehearse.command("bad-day")
-@click.option("--seed", default=1, show_default=True, help="What faults and viewers are drawn from.")
-@click.option("--seconds", default=40.0, show_default=True, help="Length of the day, real time.")
-@click.option("--boxes", default=16, show_default=True, type=click.IntRange(12), help="Simulated boxes.")
-@click.option("--rate", default=6.0, show_default=True, help="Viewers a second, besides the shift changes.")
-@click.option(
-    "--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep trace, logs and records here."
-)
-@click.option("--quiet", is_flag=True, help="Print the verdict only.")
-def bad_day(seed: int, seconds: float, boxes: int, rate: float, keep: Path | None, quiet: bool) -> None:
-    """Two fronts, boxes in two racks, a few hundred viewers, and everything that goes wrong.
-
-    Exit code 1 if a rule broke.
-    """
-    set_up_logs("json", "error")
-    say = (lambda text: None) if quiet else click.echo
-
-    async def play(folder: Path) -> DayResult:
-        return await BadDay(DayPlan(seed=seed, seconds=seconds, boxes=boxes, rate=rate), folder, say).run()
-
-    if keep is not None:
-        result = asyncio.run(play(keep))
-    else:
-        with tempfile.TemporaryDirectory(prefix="fernweir-") as folder:
-            result = asyncio.run(play(Path(folder)))
-    click.echo(render_day(result))
-    sys.exit(0 if result.good else 1)
-
-
-@rehearse.command("kills")
-@click.option("--seed", default=1, show_default=True, help="What victims and moments are drawn from.")
-@click.option("--count", default=50, show_default=True, help="Processes to kill.")
-@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep the unit here.")
-def kills(seed: int, count: int, keep: Path | None) -> None:
-    """Kill -9 of a unit's processes at drawn moments, while viewers come and an operator commands.
-
-    Exit code 1 if it didn't come back, an order was lost, or a command was done twice.
-    """
-
-    async def play(folder: Path) -> KillsResult:
-        folder.mkdir(parents=True, exist_ok=True)
-        return await Kills(seed, count, folder, click.echo).run()
-
-    with tempfile.TemporaryDirectory(prefix="fw-") as folder:
-        result = asyncio.run(play(keep or Path(folder)))
-    back = sorted(result.back_s)
-    click.echo(f"kills {dict(result.kills)}; {result.commands} commands; "
-               f"{result.played} of {result.asked} viewers played")  # fmt: skip
-    click.echo(f"back after s: median {back[len(back) // 2]:.1f}, longest {back[-1]:.1f}")
-    for text in result.wrong[:10]:
-        click.echo(f"  {text}")
-    click.echo("BROKEN" if result.wrong else "it came back each time, orders stood, nothing was done twice")
-    sys.exit(1 if result.wrong else 0)
-
-
-@rehearse.command("hours")
-@click.argument("settings", type=_FILE)
-@click.option("--seed", default=1, show_default=True)
-@click.option("--hours", "length", default=8.0, show_default=True, help="Simulated hours.")
-@click.option("--rate", default=2.0, show_default=True, help="New sessions a second.")
-def hours(settings: Path, seed: int, length: float, rate: float) -> None:
-    """Hours of churn on a virtual clock, of a front with SETTINGS, its journal and a console.
-
-    Exit code 1 if a bound was passed, or the picture at the end is not what the front holds.
-    """
-    try:
-        config = load_front(settings)
-    except ConfigError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
-    with tempfile.TemporaryDirectory(prefix="fernweir-") as folder:
-        plan = HoursPlan(seed=seed, hours=length, rate=rate)
-        result = Hours(plan, config.settings, Path(folder), click.echo).run()
-    click.echo(
-        f"{result.sessions} sessions, {result.most_held} at once, {result.entries} entries, oldest kept "
-        f"{result.first_kept}, {result.reconnects} reconnects"
-    )
-    memory = f"{result.most_journal / 1e6:.1f} MB of memory (bound {plan.memory_bytes / 1e6:.1f})"
-    click.echo(
-        f"journal: at most {memory}, "
-        f"{result.most_disk / 1e6:.1f} MB of disk (bound {plan.disk_bytes / 1e6:.1f}); "
-        f"all of Python by hour, MB: {', '.join(f'{one:.0f}' for one in result.python_mb)}"
-    )
-    for text in result.wrong[:10]:
-        click.echo(f"  {text}")
-    click.echo("BROKEN" if result.wrong else "bounds held, and the picture is right")
-    sys.exit(1 if result.wrong else 0)
-
-
-@rehearse.command("seed")
-@click.argument("seed", type=int)
-@click.option("--seconds", default=30.0, show_default=True, help="Virtual seconds.")
-@click.option("--schedule", type=click.Path(path_type=Path, dir_okay=False, exists=True),
-              help="Play the faults of this file instead of drawn ones.")  # fmt: skip
-@click.option("--trace", "story", is_flag=True, help="Print what happened, event by event.")
-@click.option("--shrink", "smaller", is_flag=True, help="Cut a failing day down, print its schedule.")
-def seed_command(seed: int, seconds: float, schedule: Path | None, story: bool, smaller: bool) -> None:
-    """One day of faults on virtual time, from its SEED; the same each time.
-
-    Exit code 1 if a rule or an invariant broke.
-    """
-    faults = None
-    if schedule is not None:
-        try:
-            faults = tuple(read_schedule(schedule.read_text(encoding="utf-8").splitlines()))
-        except ScheduleError as error:
-            click.echo(f"{schedule}: {error}", err=True)
-            sys.exit(2)
-    plan = VirtualPlan(seed=seed, seconds=seconds, faults=faults)
-    result = play_virtual(plan)
-    for fault in result.faults:
-        click.echo(str(fault))
-    if story:
-        for record in result.records:
-            fields = " ".join(f"{k}={v}" for k, v in record.items() if k not in ("t", "kind"))
-            click.echo(
-                f"{(record['t'] - result.records[0]['t']) / 1000.0:9.4f} {record['kind']:<14} {fields}"
-            )
-    click.echo(f"{result.viewers} viewers, answers {result.answers}, trace {result.digest}")
-    for text in result.broken[:10]:
-        click.echo(f"  {text}")
-    if smaller and result.broken:
-        click.echo("shrinking")
-        best = shrink_day(plan, result, click.echo)
-        click.echo(f"# seed {seed}, {best.rate:g} viewers a second, {best.seconds:g} s")
-        for fault in best.faults or ():
-            click.echo(str(fault))
-    click.echo("BROKEN" if result.broken else "every rule held")
-    sys.exit(1 if result.broken else 0)
-
-
-@rehearse.command("sweep")
-@click.option("--seeds", default=200, show_default=True)
-@click.option("--first", default=1, show_default=True)
-@click.option("--jobs", default=os.cpu_count() or 1, show_default=True)
-@click.option("--seconds", default=30.0, show_default=True, help="Virtual seconds of each.")
-@click.option("--nasty", default=1.0, show_default=True, help="How many faults, and how strong.")
-@click.option("--keep", "kept", type=click.Path(path_type=Path, file_okay=False),
-              help="Write the schedules of failed seeds here.")  # fmt: skip
-def sweep_command(seeds: int, first: int, jobs: int, seconds: float, nasty: float, kept: Path | None) -> None:
-    """Many seeds over processes. Exit code 1 if one broke a rule or an invariant."""
-    plan = VirtualPlan(seconds=seconds, nasty=nasty)
-    result = sweep_seeds(plan, first, seeds, jobs, click.echo)
-    if kept is not None:
-        keep_schedules(result, plan, kept)
-    click.echo(render_sweep(result))
-    sys.exit(1 if result.failed else 0)
-
-
-@rehearse.command("console-day")
-@click.option("--seed", default=1, show_default=True, help="What faults and viewers are drawn from.")
-@click.option("--broken", type=click.Choice(BROKEN), default="", help="Print a wrong view, to see it caught.")
-@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep trace and logs here.")
-def console_day(seed: int, broken: str, keep: Path | None) -> None:
-    """A scripted operator on a bad day; the boxes' own word judges what the console prints.
-
-    Exit code 1 if a print was wrong, a rule broke, or a drain let something through.
-    """
-    set_up_logs("json", "error")
-
-    async def play(folder: Path) -> ConsoleDayResult:
-        return await ConsoleDay(seed, folder, click.echo, broken).run()
-
-    with tempfile.TemporaryDirectory(prefix="fernweir-") as folder:
-        result = asyncio.run(play(keep or Path(folder)))
-    click.echo(render_table(result.auditor))
-    click.echo(
-        f"{result.steps} prints, {result.rows} rows, {result.commands} commands, {len(result.wrong)} wrong"
-    )
-    for text in result.wrong[:10]:
-        click.echo(f"  {text}")
-    click.echo("the picture was true" if result.good else "BROKEN")
-    sys.exit(0 if result.good else 1)
-
+    from fernweir.node.program import main as run
 
-main.add_command(appliance)
-main.add_command(ask)
-main.add_command(console)
-main.add_command(standin)
-main.add_command(ledger)
+    sys.exit(run())
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -11,11 +11,13 @@
 from pathlib import Path
 from typing import Any
 
+import click
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from fernweir.brain import Controller
+from fernweir.cli import main
 from fernweir.front.commands import Ask, Release, SetUp, SetUpResult
 from fernweir.front.host import Host, HostLimits
 from fernweir.interface import Action, Event, ListKind, ListUpdate, Result, ServerState
@@ -322,6 +324,23 @@
     assert done.stdout.strip() == "[]"
 
 
+def test_a_command_is_found_by_its_name_and_nothing_is_loaded_before() -> None:
+    context = click.Context(main)
+    for name in main.list_commands(context):
+        command = main.get_command(context, name)
+        assert command is not None and command.name == name
+    assert main.get_command(context, "fly") is None
+    script = (
+        "import sys, fernweir.cli;"
+        "heavy = ('textual', 'pydantic', 'joserfc', 'fernweir.rehearsal', 'fernweir.front');"
+        "print([name for name in heavy if name in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
+
+
 def test_a_bad_configuration_ends_the_program_with_2_and_one_line() -> None:
     done = subprocess.run(
         [sys.executable, "-m", "fernweir", "node"],
