A connection that is reset while new is made again; it says nothing of its server

Ruled out: a dead process (it refuses), the list, time-outs. At fault: Servers._open, which ended what waited for such a connection as connect-failed, to the module a process that is gone; likewise `down` for probes (reset), and _timed_out, which called an unknown end a reset. Change: whoever resets a connection listens; what was not written goes on a new one, three at most; a probe too; a set-up whose time runs out meanwhile is a time-out. Tests fail without it.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -25,7 +25,7 @@
 _UPKEEP_S = 0.25
 _GIVEN_UP = 16
 _FAREWELL_S = 1.0  # how long a closing connection waits for its other end
-_CONNECTS = 3  # of one set-up whose connections break before it is written
+_CONNECTS = 3  # of one set-up whose connections break before it is written, and of one probe
 _WRITE_MOST = 256 * 1024
 # Other causes before the answer are as a reset; but who says so lives.
 _BEFORE = {34: Result.FULL, 41: Result.RESET, 47: Result.ERROR, 102: Result.MOOT}
@@ -56,8 +56,9 @@
 
     sent_at: float
     timer: asyncio.TimerHandle
+    data: bytes
     conn: Connection | None = None
-    data: bytes = b""
+    connects: int = 0
 
 
 @dataclass(slots=True)
@@ -140,11 +141,9 @@
         self._tests += 1
         id = f"{self._tests:016x}"
         timer = self.core.loop.call_later(self.connect_s, self._test_over, link, id, Result.TIMEOUT)
-        test = Test(self.core.now(), timer, data=encode(Frame(Type.PING, id, {Code.CAUSE: b"\0"})))
+        test = Test(self.core.now(), timer, encode(Frame(Type.PING, id, {Code.CAUSE: b"\0"})))
         link.tests[id] = test
-        conn = test.conn = self._free(link) or self._connect(link)
-        if conn.usable:
-            conn.write(test.data)
+        self._carry_test(link, test)
 
     # --- what the rest of the node tells ---
 
@@ -223,8 +222,6 @@
             # Late or silent, spoilt or stuck: nothing new goes there.
             conn.retired = conn.retired or attempt.written
         result = Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED
-        if conn is None:
-            result = broke(lives=False)
         self._finish(link, attempt, SetUpResult(result, self.core.now() - attempt.sent_at, {}))
 
     def _finish(self, link: Link, attempt: Attempt, end: SetUpResult) -> None:
@@ -255,6 +252,12 @@
 
     # --- probes ---
 
+    def _carry_test(self, link: Link, test: Test) -> None:
+        test.connects += 1
+        conn = test.conn = self._free(link) or self._connect(link)
+        if conn.usable:
+            conn.write(test.data)
+
     def _test_over(self, link: Link, id: str, result: Result, report: dict[str, float] | None = None) -> None:
         test = link.tests.pop(id, None)
         if test is None:
@@ -351,6 +354,12 @@
         except ConnectionRefusedError:
             link.watch.refused()
             why = "connection refused"
+        except ConnectionResetError:
+            # It came up and broke before the loop saw it, as any connection may: somebody listens there.
+            conn.made = True
+            self._alive(link)
+            self.down(conn, "connection reset while new")
+            return
         except OSError as error:
             why = error.strerror or str(error)
         if conn in link.conns:
@@ -366,8 +375,7 @@
     def up(self, conn: Connection) -> None:
         """A connection came up: what waited for it goes out."""
         link = conn.link
-        link.watch.heard(self.core.now())
-        self._broken(link, lives=True)
+        self._alive(link)
         for letter in link.letters:
             conn.write(letter)
         link.letters.clear()
@@ -377,6 +385,10 @@
         for attempt in list(conn.attempts.values()):
             self._write(link, attempt)
 
+    def _alive(self, link: Link) -> None:
+        link.watch.heard(self.core.now())
+        self._broken(link, lives=True)
+
     def down(self, conn: Connection, why: str) -> None:
         """A connection is over: set-ups that were written on it broke, others look for a new one.
 
@@ -396,8 +408,10 @@
             elif not self.stopped:
                 self._carry(link, attempt)
         for id, test in list(link.tests.items()):
-            if test.conn is conn:
-                self._test_over(link, id, Result.RESET)
+            if test.conn is conn and test.connects < _CONNECTS and not self.stopped:
+                self._carry_test(link, test)  # a connection that broke says nothing of its server
+            elif test.conn is conn:
+                self._test_over(link, id, Result.ERROR)
         if not self.stopped:
             # What was on its way on a connection that broke comes on the next that opens, and only there.
             missed = bool(link.stays) and not conn.whole
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -35,7 +35,7 @@
         self.setups: list[Frame] = []
         self.releases: list[tuple[str, int | None]] = []
         self.rungs: list[tuple[str, str]] = []
-        self.pings = 0
+        self.pings = self.pings_to_break = 0
         self.out: dict[str, asyncio.StreamWriter] = {}  # set-ups without an end
         self.unheard: list[Frame] = []  # said on the next connection that opens, and said when one closes
         self.parting: list[Frame] = []
@@ -92,6 +92,9 @@
             self.rungs.append((frame.session, frame.text(Code.RUNG)))
         elif frame.type is Type.PING:
             self.pings += 1
+            if self.pings <= self.pings_to_break:
+                writer.transport.abort()
+                return
             self.say(Frame(Type.PONG, frame.session, {Code.CAUSE: b"\1"}), writer)
 
     def play(self, move: str, id: str, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import json
+from typing import Any
 
 import pytest
 
-from fernweir.front.commands import Answer
+from fernweir.front.commands import Answer, SendProbe
 from fernweir.front.names import number_of
 from fernweir.http.reset import reset
 from fernweir.node.frames import Code, Frame, Type
@@ -98,6 +99,39 @@
     play(story)
 
 
+def test_a_connection_reset_while_new_says_nothing_of_its_server() -> None:
+    async def story(scene: Scene) -> None:
+        viewer, wish = await scene.viewer(), scene.setup()
+        loop, resets = scene.node.core.loop, [2]
+        connect = loop.create_connection
+
+        async def reset_first(*args: Any, **more: Any) -> Any:
+            if resets[0]:
+                resets[0] -= 1
+                raise ConnectionResetError(104, "Connect call failed")
+            return await connect(*args, **more)
+
+        loop.create_connection = reset_first  # type: ignore[method-assign]
+        viewer.send(wish)
+        assert (await viewer.answer(wish.id)).type == "answer" and not resets[0]
+        assert not any(scene.brain_server(name).lost for name in scene.servers)
+
+    play(story)
+
+
+@pytest.mark.parametrize(("broken", "lives"), [(2, True), (9, False)])
+def test_a_probe_whose_connection_breaks_is_sent_again(broken: int, lives: bool) -> None:
+    async def story(scene: Scene) -> None:
+        server, known = scene.servers["s-1"], scene.brain_server("s-1")
+        server.pings_to_break = broken
+        known.probing = True
+        scene.node.servers.probe(SendProbe(number_of("s-1")))
+        await until(lambda: not known.probing)
+        assert server.pings == 3 and bool(known.strikes) is not lives
+
+    play(story)
+
+
 def test_more_than_was_asked_for_changes_nothing() -> None:
     async def story(scene: Scene) -> None:
         viewer = await scene.viewer()
