A cold server has the room its warmth leaves; a new one began empty; old sessions end a doubt

Checked: budget, seats, suspicion, marks, turns of cold servers: none of them. At fault: Server.room, which ranks a cold server by all of its link, while _fits takes its warmth: the cold one was the roomiest, fitted nothing, and the request was refused for all. Second: a server that has just started, with nothing told, was taken for as full as usual (0.67; it then told 0.01) and stayed unused until warm. Third: one broken connection made a living server cold for its whole warm-up. Change: room goes by warmth; a new server's load is own sessions times fronts until warm; news of a session that played before the doubt proves that the process did not restart.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -75,8 +75,10 @@
 class Meter:
     """What is asked of one link or uplink over what it gives: last told, plus own changes since."""
 
-    def __init__(self, capacity_kb: float, usual: Usual, fade_ms: float) -> None:
+    def __init__(self, capacity_kb: float, usual: Usual, fade_ms: float, fronts: int = 1) -> None:
         self.capacity_kb = max(capacity_kb, 1.0)
+        self.fronts = fronts
+        self.new_until = -inf
         self.usual = usual
         self.fade_ms = fade_ms
         self.own_kb = self.per_own = 0.0
@@ -112,10 +114,13 @@
         A report fades into own sessions times what was learnt to be asked for each of them, or, with
         few, into what is usual; both under the first step, as a short line makes itself heard. Guards
         against late reports, and against taking what nothing is known of for empty. Harm: an empty
-        server is taken for a usual one.
+        server is taken for a usual one. One that has just started did begin empty, and holds what
+        fronts like this one have put there since.
         """
         if self.feeders:
             guess = sum(one.asked_kb(now) for one in self.feeders) / self.capacity_kb
+        elif now < self.new_until:
+            guess = self.own_kb * self.fronts / self.capacity_kb
         else:
             learnt, own = self.per_own > 0.0, self.own_kb / self.capacity_kb
             guess = own * self.per_own if learnt and own >= FEW else max(self.usual.level, own)
@@ -164,17 +169,20 @@
     gone_at: float = inf
     cold_since: float = -inf
     cold_sent_at: float = -inf
+    doubted_at: float = -inf
 
-    def room(self, now: float) -> tuple[float, float]:
+    def room(self, now: float, warmth: float) -> tuple[float, float]:
         """Orders holders by room: by the rate left under the mark, and where none is left by load.
 
         Rate over the mark would call the smallest line the roomiest, at all fronts at once, and the
         more so the longer it goes on: guards against a fleet taken for full being served by its few
         smallest racks. Also covers mixed links and uplinks. Harm: past the mark a wide line, which
-        bears a given rate with a smaller rise, ranks no better than a narrow one.
+        bears a given rate with a smaller rise, ranks no better than a narrow one. A cold server has
+        the room that its warmth leaves: else it would be the roomiest, and refuse for all others.
         """
-        link, uplink = self.link.load(now), self.uplink.load(now)
-        left_kb = min((MARK - link) * self.link.capacity_kb, (MARK - uplink) * self.uplink.capacity_kb)
+        link, uplink = self.link.load(now) / warmth, self.uplink.load(now)
+        link_kb, uplink_kb = self.link.capacity_kb * warmth, self.uplink.capacity_kb
+        left_kb = min((MARK - link) * link_kb, (MARK - uplink) * uplink_kb)
         return max(left_kb, 0.0), -max(link, uplink)
 
     def load(self, now: float) -> float:
@@ -370,18 +378,24 @@
         if server is None:
             streams = settings.kind_streams[entry.kind] if entry.kind < len(settings.kind_streams) else 1
             link_kb = settings.weight_kb * (entry.weight if entry.weight > 0 else 1.0)
-            link = Meter(link_kb, self.usual_link, self.fade_ms)
+            link = Meter(link_kb, self.usual_link, self.fade_ms, settings.fronts)
             server = self.servers[entry.server] = Server(
                 entry.server, link, self.uplinks[rack], streams, rack, started_at=entry.started_at
             )
-            server.cold_since = entry.started_at or -inf
+            self._begin(server, entry.started_at)
             if "x1" not in settings.report_fields:
                 server.uplink.feeders.append(link)
         elif entry.started_at > server.started_at:
-            server.started_at = server.cold_since = entry.started_at
+            self._begin(server, entry.started_at)
             server.link.forget()
         server.state, server.cell, server.weight = entry.state, entry.cell, max(entry.weight, 1e-3)
 
+    def _begin(self, server: Server, started_at: float) -> None:
+        """The list tells when its process started; 0 says nothing."""
+        server.started_at, server.cold_since = started_at, started_at or -inf
+        if self.settings.cold is not None:
+            server.link.new_until = server.cold_since + self.settings.cold.warm_up_ms
+
     # --- 2. Order and placement ---
 
     def _arrive(self, event: Arrival) -> None:
@@ -420,7 +434,7 @@
                 return server, self._fair_rung(server, session)
         if not holders:
             return None
-        roomiest = max(holders, key=lambda one: one.room(self.now))
+        roomiest = max(holders, key=lambda one: one.room(self.now, self.guards.warmth(one, self.now)))
         for rung in range(session.top - 1, session.kind.lowest_rung - 1, -1):
             if self._fits(roomiest, session, rung):
                 return roomiest, rung
@@ -644,7 +658,7 @@
         of the order an aim's time.
         """
         self.watched[server.id] = server
-        server.lost = server.lost or result in LOST
+        self._doubt(server, result in LOST)
         if self.now < server.suspect_until or (result is Result.TIMEOUT and self.stood_ms > 0.0):
             return
         doublings = min(server.strikes, SUSPECT_DOUBLINGS)
@@ -657,6 +671,23 @@
                 self._probe(server)
             self.out.append(Log(f"server {server.id} is suspect: {result.name.lower()}"))
 
+    def _doubt(self, server: Server, gone: bool) -> None:
+        """Takes its process for gone, so that what comes back is cold."""
+        if gone and not server.lost:
+            server.lost, server.doubted_at = True, self.now
+
+    def _lives(self, server: Server, session: Session) -> None:
+        """News of a session that plays there from before the doubt: its process has not ended.
+
+        Guards against a server taken for cold, and its sessions squeezed, for one broken connection.
+        Also covers probes that were lost. Harm: none known; what a process said before its end is
+        no older than the latest of notes.
+        """
+        heard = self.now - self.late_ms - self.stood_ms
+        if session.playing and session.server is server and session.taken_at < server.doubted_at < heard:
+            server.lost, server.doubted_at = False, -inf
+            server.cold_since = server.started_at or -inf
+
     def _probed(self, event: Probed) -> None:
         server = self.servers.get(event.server)
         if server is None:
@@ -664,7 +695,7 @@
         server.probing = False
         self._hear_report(server, event.report)
         if event.result is not Result.OK:
-            server.lost = True
+            self._doubt(server, event.result is not Result.ERROR)
             self._suspect(server, event.result)
         elif server.lost:
             server.lost, server.cold_since = False, self.now
@@ -705,6 +736,8 @@
             return
         self.watched[server.id] = server
         seen_at = self.now - self.late_ms - self.stood_ms
+        if session is not None:
+            self._lives(server, session)
         if note.kind is NoteKind.DELIVERED:
             self._short(server, note.level, seen_at)
             return
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,8 +4,20 @@
 
 import pytest
 
-from fernweir.interface import Ended, NoteKind, Place, Probe, Probed, Refuse, Result, SetRung
-from tests.helpers import SETTINGS, Front, entry, placed
+from fernweir.interface import (
+    Ended,
+    ListKind,
+    ListUpdate,
+    NoteKind,
+    Place,
+    Probe,
+    Probed,
+    Refuse,
+    Result,
+    SetRung,
+    TimerFired,
+)
+from tests.helpers import COLD, SETTINGS, Front, entry, placed
 
 
 def first_for(title: int, seed: int = 7, weight: float = 1.0) -> int:
@@ -202,3 +214,41 @@
     for session in range(1, 4):
         front.take_over(session, 2, 0)
     assert SetRung(9, 3) not in front.ask(9, first_cell=0, copies=1)
+
+
+def test_a_cold_server_without_room_does_not_refuse_for_the_others() -> None:
+    settings = replace(SETTINGS, cold=COLD, may_probe=False)
+    front = Front(entry(1, weight=9.0), entry(2, cell=1), settings=settings)
+    front.take_over(9, 1, 0)
+    front.take_over(8, 2, 0)
+    front.note(9, 1, NoteKind.LINK, 0.6)  # under the mark, yet over what it bears while it is cold
+    front.note(8, 2, NoteKind.LINK, 0.7)
+    front.brain.servers[1].cold_since = front.now
+    assert placed(front.ask(1))[0].server == 2
+
+
+def test_a_server_that_has_just_started_is_taken_for_empty_not_for_usual() -> None:
+    settings = replace(SETTINGS, cold=COLD, may_probe=False, fronts=2)
+    front = Front(entry(1), settings=settings)
+    front.take_over(9, 1, 0)
+    front.note(9, 1, NoteKind.LINK, 0.9)
+    front.now += 60_000.0
+    front.send(ListUpdate(ListKind.DELTA, 2, (entry(2, started_at=front.now),)))
+    link = front.brain.servers[2].link
+    assert link.load(front.now) == 0.0 < front.brain.usual_link.level
+    front.take_over(7, 2, 1)
+    assert link.load(front.now) == pytest.approx(2 * 200.0 / 2000.0)
+    assert link.load(front.now + COLD.warm_up_ms) == front.brain.usual_link.level
+
+
+def test_news_of_a_session_from_before_ends_the_doubt_whether_its_server_restarted() -> None:
+    front = Front(settings=replace(SETTINGS, cold=COLD))
+    place = front.start(1)
+    front.send(Ended(99, place.server, 0, Result.CONNECT_FAILED, True, 10.0, ()))
+    server = front.brain.servers[place.server]
+    front.note(1, place.server, NoteKind.LINK, 0.5)  # may have been on its way before
+    assert server.lost
+    front.now += 2_000.0
+    front.send(TimerFired(1))
+    front.note(1, place.server, NoteKind.LINK, 0.5)
+    assert not server.lost and front.brain.guards.warmth(server, front.now) == 1.0
