Sessions handed over climb as soon as both their lines are told

At fault: changed_at in _take_over, one round of notes whatever is told. Change: a session as it was handed over climbs once link and uplink are fresh, else as before.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -207,6 +207,7 @@
     tried: list[int] = field(default_factory=list)
     changed_at: float = 0.0
     told_start: bool = False
+    as_handed: bool = False
     asked: bool = False
     erred: Server | None = None
 
@@ -584,7 +585,8 @@
         session.playing = session.may_have_run = session.told_start = True
         session.attempts = 1
         self._known_title(session)
-        # Handed over low with links idle, it may climb after one round of notes, not ten seconds.
+        # Handed over low with links idle, it may climb as soon as they are told, or after a round of notes.
+        session.as_handed = True
         session.changed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
         if server is not None:
             self.guards.hold(session, 1)
@@ -869,7 +871,10 @@
         server.climb_kb = 0.0
 
     def _may_climb(self, session: Session) -> bool:
-        if not session.playing or session.rung >= session.top or session.changed_at + CLIMB_MS > self.now:
+        if not session.playing or session.rung >= session.top or session.server is None:
+            return False
+        told = all(one.feeders or one.fresh(self.now) for one in (session.server.link, session.server.uplink))
+        if session.changed_at + CLIMB_MS > self.now and not (session.as_handed and told):
             return False
         left_s = (session.taken_at + (session.viewer.length_ms or inf) - self.now) / 1000.0
         gain = self.settings.worths[session.rung + 1] - self.settings.worths[session.rung]
@@ -879,6 +884,6 @@
         if session.server is None:
             return
         self._count(session, session.server, -1)
-        session.rung, session.changed_at = rung, self.now
+        session.rung, session.changed_at, session.as_handed = rung, self.now, False
         self._count(session, session.server, 1)
         self.rerung[session.viewer.session] = None
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -138,13 +138,19 @@
     assert [change.session for change in rungs(place)] == [9]
 
 
-def test_sessions_handed_over_low_climb_after_one_round_of_notes() -> None:
-    front = Front()
-    front.take_over(1, 1, 0, top_rung=1)
-    front.note(1, 1, NoteKind.LINK, 0.1)
-    assert rungs(front.tick()) == []
-    front.note(1, 1, NoteKind.LINK, 0.1)
-    assert rungs(front.tick(2800.0)) == [SetRung(1, 1)]
+def test_sessions_handed_over_low_climb_once_told_or_after_one_round_of_notes() -> None:
+    for told in (True, False):
+        front = Front()
+        front.take_over(1, 1, 0, top_rung=1)
+        front.note(1, 1, NoteKind.LINK, 0.1)
+        assert rungs(front.tick()) == []  # its uplink may be full
+        if told:
+            front.note(1, 1, NoteKind.UPLINK, 0.1)
+            front.note(1, 1, NoteKind.LINK, 0.1)
+            assert rungs(front.tick()) == [SetRung(1, 1)]
+        else:
+            front.note(1, 1, NoteKind.LINK, 0.1)
+            assert rungs(front.tick(2800.0)) == [SetRung(1, 1)]
 
 
 @pytest.mark.parametrize("fronts", [20, 200])
