--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,171 @@
+"""The program as the platform starts it: by its variables, in the foreground, told by signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+from fernweir.node.config import Address
+from fernweir.node.jsonl import Message
+from tests.node_scene import FeedServer, MediaServer, Scene
+from tests.sockets import until
+from tests.test_node_parts import ROOT, nested
+from tests.test_wire import TEXT
+
+MOST_MB = 64.0
+
+
+def free_address() -> Address:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        host, port = sock.getsockname()
+    return host, port
+
+
+class Outside(Scene):
+    """All that is around a node, which runs as a process of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        settings = nested(TEXT.replace("Deadline=3000", "Deadline=600"))
+        settings |= {"MachineTypes": ["box"], "Limits": {"ConnectTimeout": 250, "ConnIdle": 15000}}
+        self.plain, self.file = settings, folder / "config.json"
+        self.address = free_address()
+        self.node = SimpleNamespace(viewers=SimpleNamespace(address=self.address))  # type: ignore[assignment]
+        super().__init__(SimpleNamespace(cells=4), 128)  # type: ignore[arg-type]
+
+    def configure(self, feed: Address) -> None:
+        lines = [self.line(name) for name in self.servers]
+        first = {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": lines}}
+        body = {
+            "name": "of the file", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": MOST_MB, "sockets": self.sockets},
+            "feed": "{}:{}".format(*feed), "known": {"n": 1, "events": [first]}, "settings": self.plain,
+        }  # fmt: skip
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(json.dumps(body))
+        fresh.replace(self.file)
+
+    async def run(self) -> asyncio.subprocess.Process:
+        if not self.servers:
+            self.servers["s-0"] = MediaServer("s-0")
+            await self.servers["s-0"].listen()
+        self.configure(free_address())  # nobody listens there
+        variables = {
+            "ROUTER_CONFIG": str(self.file), "ROUTER_NAME": "n7",
+            "ROUTER_LISTEN": "{}:{}".format(*self.address),
+        }  # fmt: skip
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "fernweir", "node",
+            cwd=ROOT, env=variables, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+
+    async def said(self, process: asyncio.subprocess.Process, event: str) -> dict[str, Any]:
+        """Reads the log up to a line on this event."""
+        assert process.stderr is not None
+        async with asyncio.timeout(20.0):
+            while line := await process.stderr.readline():
+                body: dict[str, Any] = json.loads(line)
+                if body["event"] == event:
+                    return body
+        raise AssertionError(f"the node ended without a word on {event!r}")
+
+
+async def tell_without_end(address: Address) -> None:
+    """60 MB in one line, as fast as it is taken; returns once the node has closed."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        for _ in range(60 * 16):
+            writer.write(b"x" * 65_536)
+            await writer.drain()
+        await reader.read()
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+
+
+def most_memory_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024.0
+    raise AssertionError("the system does not tell")
+
+
+def test_a_node_from_its_start_to_its_end(tmp_path: Path) -> None:
+    async def story() -> None:
+        outside = Outside(tmp_path)
+        process = await outside.run()
+        try:
+            ready = await outside.said(process, "ready")
+            assert ready["node"] == "n7" and ready["listen"] == list(outside.address)
+            viewer = await outside.viewer()
+            extras = "home:0;copies:4;top:1;viewer:00000000b4d65521"
+            wish = outside.setup(left="600", extras=extras)
+            viewer.send(wish)
+            assert (await viewer.answer(wish.id)).type == "answer"  # though no feed answers yet
+
+            await asyncio.gather(*(tell_without_end(outside.address) for _ in range(3)))
+            half = await outside.viewer()
+            half.write(b'{"type":"setup","id":"00000')
+            half.close()
+            assert most_memory_mb(process.pid) < MOST_MB
+
+            first, second = FeedServer(), FeedServer()
+            await first.listen()
+            await second.listen()
+            outside.configure(first.address)
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: first.asked == [1])
+            outside.configure(second.address)
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGHUP)  # twice in a row, and the end right after
+            process.send_signal(signal.SIGTERM)
+            await outside.said(process, "stopping")
+            late = outside.setup(left="600", extras=extras)
+            viewer.send(late, Message("ping", "0" * 15 + "1", cause=0))
+            assert (await viewer.answer(late.id)).type == "release"
+            await until(lambda: any((one.type, one.cause) == ("pong", 0) for one in viewer.raw))
+            await until(lambda: second.asked)
+            assert set(second.asked) == {1} and wish.id not in outside.ends
+            async with asyncio.timeout(20.0):
+                assert await process.wait() == 0
+            assert not outside.faults
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(story())
+
+
+def test_a_node_that_is_killed_starts_again_at_its_address_and_takes_over(tmp_path: Path) -> None:
+    async def story() -> None:
+        outside = Outside(tmp_path)
+        process = await outside.run()
+        await outside.said(process, "ready")
+        os.kill(process.pid, signal.SIGKILL)
+        await process.wait()
+        again = await outside.run()
+        try:
+            await outside.said(again, "ready")
+            viewer = await outside.viewer()
+            extras = "home:0;copies:4;top:1;viewer:00000000b4d65521"
+            plays = outside.setup(extras=f"{extras};at:s-0")
+            viewer.send(plays)
+            server = outside.servers["s-0"]
+            await until(lambda: server.writers)  # it listens for what its session's server says
+            viewer.send(Message("release", plays.id, cause=16))
+            await until(lambda: (plays.id, 16) in server.releases)
+            assert not server.setups and not outside.answers
+        finally:
+            again.kill()
+            await again.wait()
+
+    asyncio.run(story())
