--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -121,6 +121,10 @@
             return
         self.out.pop(id, None)
 
+    def finish(self, id: str) -> None:
+        """Answers a set-up that was met with silence."""
+        self.play("answer", id, self.out[id])
+
     def say(self, frame: Frame, writer: asyncio.StreamWriter | None = None) -> None:
         (writer or self.writers[-1]).write(encode(frame))
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,7 @@
 from fernweir.node.frames import Code, Frame, Type
 from fernweir.node.jsonl import Message, write
 from fernweir.node.viewers import Viewers
-from tests.node_scene import OFFER, PLAIN, Scene, Told, ViewerConnection, play
+from tests.node_scene import OFFER, PLAIN, MediaServer, Scene, Told, ViewerConnection, play
 from tests.sockets import until
 
 
@@ -27,6 +27,17 @@
     return viewer, wish, name
 
 
+async def one_under_way(scene: Scene) -> tuple[ViewerConnection, Message, MediaServer]:
+    """A viewer, its set-up, and the server that has it and says nothing yet."""
+    viewer, wish = await scene.viewer(), scene.setup()
+    for server in scene.servers.values():
+        server.script = ["silent"]
+    viewer.send(wish)
+    await until(lambda: scene.setups())
+    ((name, _),) = scene.setups()
+    return viewer, wish, scene.servers[name]
+
+
 def test_a_session_from_its_set_up_to_its_end_on_another_connection() -> None:
     async def story(scene: Scene) -> None:
         first, second = await scene.viewer(), await scene.viewer()
@@ -205,15 +216,10 @@
 
 def test_a_viewer_that_only_ends_its_side_is_still_answered() -> None:
     async def story(scene: Scene) -> None:
-        viewer = await scene.viewer()
-        for server in scene.servers.values():
-            server.script = ["silent"]
-        wish = scene.setup()
-        viewer.write(write(wish))
+        viewer, wish, server = await one_under_way(scene)
         viewer._writer.write_eof()
-        await until(lambda: scene.setups())
-        ((name, _),) = scene.setups()
-        scene.servers[name].play("answer", wish.id, scene.servers[name].out[wish.id])
+        await until(lambda: any(one._left for one in scene.node.viewers.door._busy))
+        server.finish(wish.id)
         assert (await viewer.answer(wish.id)).type == "answer"
         await until(lambda: viewer.closed)
         assert scene.node.core.host.sessions == 1
@@ -223,11 +229,7 @@
 
 def test_a_viewer_whose_connection_breaks_takes_its_open_set_ups_along() -> None:
     async def story(scene: Scene) -> None:
-        viewer = await scene.viewer()
-        for server in scene.servers.values():
-            server.script = ["silent"]
-        viewer.send(scene.setup())
-        await until(lambda: scene.setups())
+        viewer, _wish, _server = await one_under_way(scene)
         reset(viewer._writer.transport)  # type: ignore[arg-type]
         await until(lambda: not scene.node.core.host.sessions)
         assert len(scene.setups()) == 1
@@ -271,12 +273,7 @@
 
 def test_bad_requests_are_answered_or_closed_and_touch_nobody_else() -> None:
     async def story(scene: Scene) -> None:
-        honest = await scene.viewer()
-        for server in scene.servers.values():
-            server.script = ["silent"]
-        wish = scene.setup()
-        honest.send(wish)
-        await until(lambda: scene.setups())
+        honest, wish, server = await one_under_way(scene)
         for data in BAD:
             bad = await scene.viewer()
             bad.write(data)
@@ -288,9 +285,7 @@
             bad.send(wrong)
             await until(lambda bad=bad: bad.raw or bad.closed)
             assert [(message.type, message.id) for message in bad.raw] == [("release", wrong.id)]
-        ((name, _),) = scene.setups()
-        server = scene.servers[name]
-        server.play("answer", wish.id, server.out[wish.id])
+        server.finish(wish.id)
         assert (await honest.answer(wish.id)).type == "answer"
 
     play(story, settings=PLAIN)
@@ -320,17 +315,11 @@
 
 def test_an_honest_connection_survives_its_rare_mistakes() -> None:
     async def story(scene: Scene) -> None:
-        viewer = await scene.viewer()
-        for server in scene.servers.values():
-            server.script = ["silent"]
-        wish = scene.setup()
-        viewer.send(wish)
-        await until(lambda: scene.setups())
+        viewer, wish, server = await one_under_way(scene)
         for _ in range(5):  # with a request open none of them ends it
             viewer.send(wrong := scene.setup(left="0"))
             assert (await viewer.answer(wrong.id)).type == "release"
-        ((name, _),) = scene.setups()
-        scene.servers[name].play("answer", wish.id, scene.servers[name].out[wish.id])
+        server.finish(wish.id)
         assert (await viewer.answer(wish.id)).type == "answer" and not viewer.closed
         for number in range(3):  # nor do some of them, far apart
             viewer.send(wrong := scene.setup(left="0"))
@@ -408,20 +397,14 @@
 
 def test_after_sigterm_what_comes_is_refused_at_once_and_what_was_taken_is_answered() -> None:
     async def story(scene: Scene) -> None:
-        viewer = await scene.viewer()
-        for server in scene.servers.values():
-            server.script = ["silent"]
-        wish = scene.setup()
-        viewer.send(wish)
-        await until(lambda: scene.setups())
+        viewer, wish, server = await one_under_way(scene)
         scene.node.terminate()
         late = scene.setup()
         other = await scene.viewer()  # new connections keep coming
         other.send(Message("ping", "0" * 15 + "1", cause=0), late)
         assert (await other.answer(late.id)).cause == 34
         assert other.raw[0].type == "pong" and other.raw[0].cause == 0
-        ((name, _),) = scene.setups()
-        scene.servers[name].play("answer", wish.id, scene.servers[name].out[wish.id])
+        server.finish(wish.id)
         assert (await viewer.answer(wish.id)).type == "answer"
 
     play(story)
