Ten seconds stand between climbs alone; five after a step down

Checked: `_may_climb` counted its ten seconds from `changed_at`, which every change set, a step down too (`_set_rung`). So a session that gave up a rung for a short fall waited as long as one that had just climbed. Ruled out: the line's room (under the mark), the bound near a session's end, the price.

Change: `climbed_at` and `eased_at` are kept apart. Climbs stay ten seconds from each other, as designed; after a step down five are enough, so that the report that shows its relief has come. The test plays both limits and fails with the old code.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -25,6 +25,7 @@
 FULL_MARK_MS = 5_000.0  # how long a refusal as full or a short delivery keeps new sessions away
 SHORT_MS = 1_500.0  # short deliveries this close together have one cause
 CLIMB_MS = 10_000.0  # a playing session climbs at most once in this time
+SETTLE_MS = 5_000.0  # and not so soon after a step down
 UPKEEP_MS = 250.0  # how often playing sessions and suspects are looked at
 ATTEMPT_AIMS = 0.5  # time-out of an attempt, in aims: a second one still meets the aim
 SUSPECT_AIMS = 1.0  # first suspicion, in aims; doubles with every failure in a row
@@ -205,7 +206,8 @@
     playing: bool = False
     may_have_run: bool = False
     tried: list[int] = field(default_factory=list)
-    changed_at: float = 0.0
+    climbed_at: float = 0.0
+    eased_at: float = -inf
     told_start: bool = False
     as_handed: bool = False
     asked: bool = False
@@ -587,7 +589,7 @@
         self._known_title(session)
         # Handed over low with links idle, it may climb as soon as they are told, or after a round of notes.
         session.as_handed = True
-        session.changed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
+        session.climbed_at = self.now + min(self.settings.tell_ms + self.late_ms - CLIMB_MS, 0.0)
         if server is not None:
             self.guards.hold(session, 1)
             self._join(session, server)
@@ -598,7 +600,7 @@
         session = self.sessions.get(event.session)
         if session is None or session.server is None:
             return
-        session.playing, session.out, session.changed_at = True, False, self.now
+        session.playing, session.out, session.climbed_at = True, False, self.now
         self._known_title(session)
         self._tally(session, 1)
         server = session.server
@@ -874,7 +876,8 @@
         if not session.playing or session.rung >= session.top or session.server is None:
             return False
         told = all(one.feeders or one.fresh(self.now) for one in (session.server.link, session.server.uplink))
-        if session.changed_at + CLIMB_MS > self.now and not (session.as_handed and told):
+        settled = max(session.climbed_at + CLIMB_MS, session.eased_at + SETTLE_MS) <= self.now
+        if not settled and not (session.as_handed and told):
             return False
         left_s = (session.taken_at + (session.viewer.length_ms or inf) - self.now) / 1000.0
         gain = self.settings.worths[session.rung + 1] - self.settings.worths[session.rung]
@@ -884,6 +887,10 @@
         if session.server is None:
             return
         self._count(session, session.server, -1)
-        session.rung, session.changed_at, session.as_handed = rung, self.now, False
+        if rung > session.rung:
+            session.climbed_at = self.now
+        else:
+            session.eased_at = self.now
+        session.rung, session.as_handed = rung, False
         self._count(session, session.server, 1)
         self.rerung[session.viewer.session] = None
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -153,6 +153,22 @@
             assert rungs(front.tick(2800.0)) == [SetRung(1, 1)]
 
 
+@pytest.mark.parametrize(("played", "back"), [(60_000.0, 5_000.0), (2_000.0, 8_000.0)])
+def test_after_a_step_down_it_climbs_back_sooner_but_climbs_stay_ten_seconds_apart(
+    played: float, back: float
+) -> None:
+    front = Front()
+    front.start(1, top_rung=1)  # a start counts as a climb
+    front.now += played
+    front.note(1, 1, NoteKind.LINK, 1.3)
+    assert rungs(front.tick()) == [SetRung(1, 0)]
+    since = front.now
+    while not (climbed := rungs(front.tick())):
+        front.note(1, 1, NoteKind.LINK, 0.1)
+        front.note(1, 1, NoteKind.UPLINK, 0.1)
+    assert climbed == [SetRung(1, 1)] and back - 500.0 <= front.now - since <= back + 500.0
+
+
 @pytest.mark.parametrize("fronts", [20, 200])
 def test_what_all_fronts_climb_on_one_note_adds_up_to_the_room(fronts: int) -> None:
     settings = replace(SETTINGS, fronts=fronts, weight_kb=500.0 * fronts, uplink_kb=None)
