A viewer who leaves as its answer is on its way leaves no session behind

Cause: an answer is decided in one turn of the loop and carried out in the next. A viewer's give-up, or the break of its connection, read in between found the ticket closed (`Host.withdraw` returned without a word), and `Core._do` threw the answer away as nobody waited for it. The session then stood at the server, held by the host and by the module's account, though no viewer knew of it. Seen by a new test that lets the give-up and the answer meet in one read, a hard case of the issue; ruled out: the connection shells, which had handed on both events rightly. The other way round (give-up first) was right before.

Change: `Core` tells the host of an answer that found nobody (`unheard`); the host counts how many viewers heard that a session plays. Where viewers may return it lingers as one that left before, else it is released at once.

Two smaller ones of the same kind. An end said by both sides in one turn was counted as a viewer's mistake, cause 81 (`Viewers._release`). A stopping front waited its full time for requests whose viewers had all left, as only answers woke `drained`.

--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -15,6 +15,7 @@
     Ask,
     ChangeRung,
     Command,
+    Kind,
     Left,
     Over,
     Release,
@@ -109,6 +110,8 @@
         if self._answers.pop(ticket, None) is not None:
             self.host.withdraw(self.now(), ticket)
             self.kick()
+            if not self._answers:
+                self._idle.set()
 
     def kick(self) -> None:
         """Something happened: a batch is due, once."""
@@ -179,6 +182,9 @@
             on_answer = self._answers.pop(command.ticket, None)
             if on_answer is not None:
                 on_answer(command)
+            elif command.kind is Kind.PLAYS:  # withdrawn in the same turn, after the host had answered
+                self.host.unheard(self.now(), command)
+                self.kick()
             if not self._answers:
                 self._idle.set()
         elif isinstance(command, Arm):
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -195,7 +195,7 @@
             exchange.respond(204, _CORS)
         elif exchange.method == "HEAD":
             held = self.core.host.session(claims.jti)
-            if held is None or not held.plays_told:
+            if held is None or not held.told:
                 raise _RefusedError(404, "no-session", "no such session plays here")
             exchange.respond(200, [*_CORS, ("content-type", MPD_TYPE), ("cache-control", "no-store")])
         else:
@@ -220,7 +220,7 @@
     def _covered(self, claims: SessionClaims) -> bool:
         """A session that plays on a renewed lease may ask for its manifest with the token it began with."""
         keeper, held = self.core.keeper, self.core.host.session(claims.jti)
-        return keeper is not None and held is not None and held.plays_told and keeper.covers(claims.jti)
+        return keeper is not None and held is not None and held.told > 0 and keeper.covers(claims.jti)
 
     def _take(self, exchange: Exchange, claims: SessionClaims, in_query: bool, spent_ms: float) -> None:
         if not self.boxes.epoch:
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -125,7 +125,7 @@
     last: Result | None = None
     answer_by: float = 0.0
     moved: bool = False
-    plays_told: bool = False
+    told: int = 0  # viewers who heard that it plays
 
     @property
     def attempt(self) -> int:
@@ -233,7 +233,7 @@
         if ask.jti in self._held or self._states.get(server, ServerState.GONE) is ServerState.GONE:
             return False
         held = self._hold(now, ask)
-        held.phase, held.server, held.attempts, held.plays_told = Phase.PLAYING, server, 1, True
+        held.phase, held.server, held.attempts, held.told = Phase.PLAYING, server, 1, 1
         self._at_server.setdefault(server, {})[ask.jti] = held
         self._events.append(TakenOver(self._viewer(now, held), server))
         return True
@@ -246,6 +246,21 @@
             held.tickets.remove(ticket)
             self._unwanted(held, "its viewer left")
 
+    def unheard(self, now: float, answer: Answer) -> None:
+        """A viewer left while word that its session plays was on its way: as if it had left before."""
+        held = self._held.get(answer.session.jti) if answer.session is not None else None
+        if held is None or held.phase is not Phase.PLAYING or held.attempt != answer.attempt:
+            return
+        self._now = now
+        held.told -= 1
+        if held.told:
+            return
+        if self.limits.linger_ms > 0.0:
+            self._linger(now, held)
+        else:
+            self._release(held, "its viewer left")
+            self._close(held, Result.CANCELLED, "its viewer left")
+
     def set_up_done(self, now: float, jti: str, attempt: int, end: SetUpResult) -> None:
         """The one end of an attempt. One that comes for a session no longer held is released."""
         held = self._held.get(jti)
@@ -459,7 +474,7 @@
         while self._lingering and self._lingering[0][0] <= now:
             _, jti, number = heapq.heappop(self._lingering)
             held = self._held.get(jti)
-            if held is not None and held.number == number and not held.plays_told:
+            if held is not None and held.number == number and not held.told:
                 self._release(held, "its viewer did not come back")
                 self._end(held, Result.CANCELLED, "its viewer did not come back")
 
@@ -572,10 +587,13 @@
             del self._by_ticket[ticket]
             self._plays(held, ticket)
         if not tickets:
-            heapq.heappush(self._lingering, (now + self.limits.linger_ms, held.ask.jti, held.number))
+            self._linger(now, held)
+
+    def _linger(self, now: float, held: Held) -> None:
+        heapq.heappush(self._lingering, (now + self.limits.linger_ms, held.ask.jti, held.number))
 
     def _plays(self, held: Held, ticket: int) -> None:
-        held.plays_told = True
+        held.told += 1
         self.counts.plays += 1
         self._answer(
             Answer(
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -152,7 +152,7 @@
             self.remembered.add(id)
         elif core.host.release(core.now(), id):
             core.kick()
-        elif id not in self.remembered:
+        elif id not in self.remembered and id not in self.home:  # there: its end is about to be told
             raise LineError("no such session", id)
 
     def _drop(self, id: str) -> None:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from dataclasses import replace
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import settings as hypothesis_settings
@@ -23,6 +25,7 @@
     SetUp,
     SetUpResult,
 )
+from fernweir.front.core import Core
 from fernweir.front.host import Host, HostLimits, Phase
 from fernweir.front.ledger import Ledger, LedgerError
 from fernweir.interface import Action, Event, ListKind, ListUpdate, NoteKind, Result, ServerState
@@ -130,6 +133,23 @@
     assert [release.jti for release in desk.of(Release)] == ["b"] and desk.host.sessions == 0
 
 
+def test_who_leaves_while_its_answer_is_on_its_way_is_as_one_who_left_before() -> None:
+    desk = Desk()
+    desk.ask("a"), desk.ask("a")
+    desk.step()
+    desk.done(desk.of(SetUp)[0])
+    desk.step()
+    first, second = desk.of(Answer)
+    desk.host.unheard(desk.now, first)
+    desk.step(600)
+    assert desk.host.sessions == 1  # the other heard
+    desk.host.unheard(desk.now, second)
+    desk.step(400)
+    assert desk.host.sessions == 1  # it may come back
+    desk.step(200)
+    assert [release.jti for release in desk.of(Release)] == ["a"] and desk.host.sessions == 0
+
+
 def test_after_its_last_waiter_left_a_failed_attempt_is_not_followed_by_another() -> None:
     desk = Desk()
     ticket = desk.ask("a")
@@ -458,3 +478,16 @@
     assert [(one.jti, one.attempt) for one in desk.of(Release)] == [("a", 0)]
     assert desk.answers() == {} and desk.of(Over) == [] and desk.host.sessions == 0
     assert not desk.host._past  # a viewer with a key of its own leaves nothing behind
+
+
+def test_a_front_that_stops_waits_for_nobody_whose_viewers_all_left() -> None:
+    async def story() -> bool:
+        core = Core(Host(ALONE, 7), log=None)
+        core.doer = Mock()  # the set-up stays out
+        core.host.box_list(core.now(), ListUpdate(ListKind.FULL, 1, (entry(1),)))
+        ask = Ask(core.ticket(), "dash", "a", "who", "lesson", 5, 0, 4, 0, 3, 4000.0)
+        core.ask(ask, lambda answer: None)
+        asyncio.get_running_loop().call_soon(core.withdraw, ask.ticket)
+        return await core.drained(10.0)
+
+    assert asyncio.run(story())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -173,6 +174,91 @@
     play(story)
 
 
+def test_a_machine_that_says_nothing_any_more_is_lost_and_its_viewers_hear() -> None:
+    async def story(scene: Scene) -> None:
+        viewer, wish, name = await one_that_stands(scene)
+        silent, loop = scene.servers[name], scene.node.core.loop
+        silent.script = ["34"]
+        viewer.send(other := scene.setup())
+        assert (await viewer.answer(other.id)).type == "answer"  # at another server
+        connect = loop.create_connection
+
+        async def cut_off(made: Any, *there: Any) -> Any:  # its connections stay, new ones never come up
+            return await (asyncio.Event().wait() if there == silent.address else connect(made, *there))
+
+        loop.create_connection = cut_off  # type: ignore[method-assign,assignment]
+        await until(lambda: wish.id in scene.ends)
+        assert scene.ends[wish.id].cause == 41 and scene.brain_server(name).lost
+        assert other.id not in scene.ends and scene.node.core.host.sessions == 1
+        viewer.send(third := scene.setup())
+        assert (await viewer.answer(third.id)).type == "answer"
+        assert len(silent.setups) == 2
+
+    play(story, settings=replace(PLAIN, tell_ms=200.0, seen_after_ms=100.0))
+
+
+@pytest.mark.parametrize("late_s", [0.6, 5.0])  # past the attempt's time-out; past the viewer's deadline
+def test_an_answer_and_the_end_of_its_time_in_one_tick_make_one_answer(late_s: float) -> None:
+    async def story(scene: Scene) -> None:
+        viewer, wish, server = await one_under_way(scene)
+        loop = scene.node.core.loop
+        time = loop.time
+        server.finish(wish.id)  # lies in the node's socket while all its timers come due
+        loop.time = lambda: time() + late_s  # type: ignore[method-assign]
+        assert (await viewer.answer(wish.id)).type == "answer"
+        assert len(scene.setups()) == 1 and not server.releases
+        assert scene.node.core.host.sessions == 1 and not scene.node.viewers.open
+
+    play(story)
+
+
+@pytest.mark.parametrize("first", ["viewer", "server"])
+def test_a_give_up_that_crosses_the_answer_leaves_nothing_at_the_server(first: str) -> None:
+    async def story(scene: Scene) -> None:
+        viewer, wish, server = await one_under_way(scene)
+        says = [lambda: viewer.send(Message("release", wish.id, cause=16)), lambda: server.finish(wish.id)]
+        for say in says if first == "viewer" else reversed(says):
+            say()
+        await until(lambda: (wish.id, 16) in server.releases)
+        assert not scene.node.core.host.sessions and wish.id not in scene.ends
+        assert len(scene.setups()) == 1 and not scene.node.viewers.open
+
+    play(story)
+
+
+@pytest.mark.parametrize("first", ["viewer", "server"])
+def test_an_end_by_both_sides_in_one_tick_is_no_mistake_of_the_viewer(first: str) -> None:
+    async def story(scene: Scene) -> None:
+        viewer, wish, name = await one_that_stands(scene)
+        server = scene.servers[name]
+        end = Frame(Type.RELEASE, wish.id, {Code.CAUSE: bytes((16,))})
+        says = [lambda: viewer.send(Message("release", wish.id, cause=16)), lambda: server.say(end)]
+        for say in says if first == "viewer" else reversed(says):
+            say()
+        await until(lambda: not scene.node.core.host.sessions)
+        viewer.send(Message("ping", "0" * 15 + "1", cause=0))
+        await until(lambda: any(one.type == "pong" for one in viewer.raw))
+        assert all(one.cause == 16 for one in viewer.raw if one.type == "release")
+
+    play(story)
+
+
+def test_an_answer_after_its_time_out_and_the_end_behind_it_change_nothing() -> None:
+    async def story(scene: Scene) -> None:
+        viewer, wish, server = await one_under_way(scene)
+        answer = Frame(Type.ANSWER, wish.id, {Code.DESCRIPTION: b"late\r\n"})
+        server.parting = [answer, Frame(Type.RELEASE, wish.id, {Code.CAUSE: bytes((16,))})]
+        await until(lambda: len(scene.setups()) == 2)  # elsewhere
+        second = next(one for one in scene.servers.values() if one.out)
+        await until(lambda: not server.writers)  # the late words were written before its connection ended
+        second.finish(wish.id)
+        assert (await viewer.answer(wish.id)).sdp == f"{second.name} {wish.id}\r\n"
+        await until(lambda: not scene.node.servers.links[number_of(server.name)].conns)
+        assert scene.node.core.host.sessions == 1 and wish.id not in scene.ends
+
+    play(story)
+
+
 @pytest.mark.parametrize("how", ["parting", "reset"])
 def test_an_end_that_crosses_the_close_of_its_connection_is_heard(how: str) -> None:
     async def story(scene: Scene) -> None:
