--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -467,15 +467,15 @@
         connecting = any(not one.made for one in link.conns)
         holds = bool(link.stays)
         gone = self.core.host.listed.get(link.server, ServerState.GONE) is ServerState.GONE
-        verdict = link.watch.look(now, holds, connected, connecting)
+        verdict, why = link.watch.look(now, holds, connected, connecting), link.watch.why
         if holds and gone and not connected:
-            verdict = Verdict.LOST  # another may listen at its address by now
+            # Another may listen at its address by now.
+            verdict, why = Verdict.LOST, "gone from the list, its connections ended"
         if verdict is Verdict.LOOK:
             self._connect(link)
         elif verdict is Verdict.LOST:
-            self.core.log.warning(
-                "server lost", server=self.feed.names.get(link.server), held=len(link.stays)
-            )
+            name = self.feed.names.get(link.server)
+            self.core.log.warning("server lost", server=name, held=len(link.stays), why=why)
             link.broken.clear()
             for attempt in list(link.attempts.values()):
                 took = now - attempt.sent_at
--- a/fernweir/node/watch.py
+++ b/fernweir/node/watch.py
@@ -39,16 +39,17 @@
         self._quiet_ms = told + settings.period_ms
         self._heard_at = now
         self._failed = 0
+        self.why = ""  # what the last look found
 
     def heard(self, now: float) -> None:
         """Bytes came, or a connection came up."""
         self._heard_at, self._failed = now, 0
 
     def refused(self) -> None:
-        self._failed = _FAILED_LOOKS
+        self._failed, self.why = _FAILED_LOOKS, "connection refused"
 
     def unreachable(self) -> None:
-        self._failed += 1
+        self._failed, self.why = self._failed + 1, "no connection comes up"
 
     def look(self, now: float, holds: bool, connected: bool, connecting: bool) -> Verdict:
         if not holds:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -196,11 +196,11 @@
     watch.unreachable()
     assert watch.look(quiet, True, True, False) is Verdict.LOOK  # one packet can be lost
     watch.unreachable()
-    assert watch.look(quiet, True, True, False) is Verdict.LOST
+    assert watch.look(quiet, True, True, False) is Verdict.LOST and "comes up" in watch.why
     watch.heard(quiet)
     assert watch.look(quiet, True, False, False) is Verdict.LOOK  # a break proves nothing
     watch.refused()
-    assert watch.look(quiet, True, False, False) is Verdict.LOST
+    assert watch.look(quiet, True, False, False) is Verdict.LOST and "refused" in watch.why
 
 
 def nested(text: str) -> dict[str, Any]:
