A gone server is no holder and in no sum of an unreported uplink

Checked who counts them. `_size_up` and the guards do not. `_entry` and `_bury` kept their links among the feeders of an unreported uplink, each taken to carry what is usual, so a rack whose five servers were replaced one by one was taken for full (0.95) at a true 0.23. `_order` handed them to `_blind`, where they counted as holders not heard of and could ask for a probe.

Change: `_size_up`, which the list drives, makes the feeders of the servers that are there; `_order` yields listed holders only. Two special cases go. A new test replaces five servers in an unreported rack; it fails before.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -363,17 +363,20 @@
         if self.now - server.gone_at > GONE_MS and not named:
             del self.servers[server.id]
             self.watched.pop(server.id, None)
-            if server.link in server.uplink.feeders:
-                server.uplink.feeders.remove(server.link)
 
     def _size_up(self) -> None:
-        """Shares out what uplinks carry: only the mean is told, so each gets its part by its links."""
+        """Shares out what uplinks carry: only the mean is told, so each gets its part by its links.
+
+        Where no uplink is reported, it is also what these links carry, and no link of a gone server.
+        """
         there = [server for server in self.servers.values() if server.state is not ServerState.GONE]
         self.guards.ready = max(sum(1 for server in there if server.state is ServerState.READY), 1)
         total_kb = sum(server.link.capacity_kb for server in there)
         for rack, uplink in enumerate(self.uplinks if there else ()):
-            links_kb = sum(server.link.capacity_kb for server in there if server.rack == rack)
-            uplink.capacity_kb = max(1.0, links_kb / total_kb * self.uplinks_kb)
+            links = [server.link for server in there if server.rack == rack]
+            uplink.capacity_kb = max(1.0, sum(one.capacity_kb for one in links) / total_kb * self.uplinks_kb)
+            if "x1" not in self.settings.report_fields:
+                uplink.feeders = links
 
     def _entry(self, entry: ServerEntry) -> None:
         settings, server = self.settings, self.servers.get(entry.server)
@@ -386,8 +389,6 @@
                 entry.server, link, self.uplinks[rack], streams, rack, started_at=entry.started_at
             )
             self._begin(server, entry.started_at)
-            if "x1" not in settings.report_fields:
-                server.uplink.feeders.append(link)
         elif entry.started_at > server.started_at:
             self._begin(server, entry.started_at)
             server.link.forget()
@@ -456,13 +457,14 @@
         return may and server in unheard and 2 * len(unheard) > len(holders)
 
     def _order(self, session: Session) -> list[Server]:
-        """The holders of a title, each drawn for it in proportion to its weight: alike at all fronts.
+        """The listed holders of a title, each drawn for it in proportion to its weight: alike at all fronts.
 
         One order for all titles would send all fronts to the same few servers, of whose load each
         front learns only by being turned away.
         """
-        viewer, cells, known = session.viewer, self.settings.cells, self.servers.values()
-        holders = [one for one in known if (one.cell - viewer.first_cell) % cells < viewer.copies]
+        viewer, cells, gone = session.viewer, self.settings.cells, ServerState.GONE
+        listed = [one for one in self.servers.values() if one.state is not gone]
+        holders = [one for one in listed if (one.cell - viewer.first_cell) % cells < viewer.copies]
         return sorted(holders, key=lambda one: (lot(viewer.title, one.id) / one.weight, one.id))
 
     def _fair_rung(self, server: Server, session: Session) -> int:
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fernweir.interface import Ended, NoteKind, Result, SetRung
+from fernweir.interface import Ended, ListKind, ListUpdate, NoteKind, Result, ServerState, SetRung
 from tests.helpers import SETTINGS, Front, entry, rungs
 
 
@@ -129,6 +129,20 @@
     assert front.brain.servers[3].uplink.load(front.now) < 0.8
 
 
+def test_servers_that_are_gone_carry_nothing_on_an_unreported_uplink() -> None:
+    settings = replace(SETTINGS, report_fields=("x0",), racks=1, uplink_kb=6000.0)
+    front = Front(entry(1), settings=settings)
+    front.take_over(1, 1, 0)
+    for old in range(1, 6):
+        for _ in range(8):
+            front.note(1, 1, NoteKind.LINK, 0.9)
+        before = front.brain.servers[1].uplink.load(front.now)
+        update = (entry(old + 1), *([entry(old, state=ServerState.GONE)] if old > 1 else []))
+        front.send(ListUpdate(ListKind.DELTA, old + 1, update))
+    after = front.brain.servers[1].uplink.load(front.now)
+    assert len(front.brain.servers) == 6 and 0.0 < after <= before < 0.8
+
+
 def test_what_is_only_guessed_steps_nobody_down_and_refuses_nobody() -> None:
     front = Front(entry(1, weight=2.0), settings=replace(SETTINGS, fronts=4))
     for session in range(1, 5):
