A set-up whose answer was lost or spoilt is released at its server

Cause: a set-up whose connection broke or brought what can't be read ends as an error, and the host asks for its release. `Servers._finish` had forgotten by then that the server may hold it (`link.stays.pop` for all but answers and time-outs), so `release` sent nothing. But the protocol says that a standing session belongs to no connection: an answer written and spoilt on its way leaves a session at its server, beside the one of the next attempt. Seen by reading what happens after each kind of end, and by a test whose servers now remember what they answered: it fails before for noise, an answer without a description, and one that is no text. Ruled out: time-outs, which were right.

Change: only the server's own word, or a process that is gone, ends what it may hold. Where it lives the release goes out on the next connection.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -230,8 +230,6 @@
             return
         del link.attempts[jti]
         self._settle(attempt)
-        if end.result not in (Result.OK, Result.TIMEOUT):
-            link.stays.pop(jti, None)
         self._done(attempt.command, end)
 
     def _settle(self, attempt: Attempt) -> None:
@@ -303,6 +301,7 @@
         if attempt is not None and attempt.written:
             result = _BEFORE.get(cause if cause is not None else -1, broke(lives=True))
             took = self.core.now() - attempt.sent_at
+            link.stays.pop(id, None)
             self._finish(link, attempt, SetUpResult(result, took, report, why=f"cause {cause}"))
         elif id in link.stays:
             self._over(link, id, _AFTER.get(cause if cause is not None else -1, Result.RESET))
@@ -420,9 +419,12 @@
             self._look(link)
 
     def _broken(self, link: Link, lives: bool) -> None:
+        """A server that lives may have written an answer that was lost: the host has it released there."""
         broken, link.broken = link.broken, []
         for attempt, why in broken:
             took = self.core.now() - attempt.sent_at
+            if not lives:
+                link.stays.pop(attempt.command.session.jti, None)
             self._finish(link, attempt, SetUpResult(broke(lives), took, {}, why=why))
 
     def _tell(self, server: int, id: str, frame: Frame) -> None:
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -37,6 +37,7 @@
         self.rungs: list[tuple[str, str]] = []
         self.pings = self.pings_to_break = 0
         self.out: dict[str, asyncio.StreamWriter] = {}  # set-ups without an end
+        self.stands: set[str] = set()  # what it answered, heard whole or not, until it is released
         self.unheard: list[Frame] = []  # said on the next connection that opens, and said when one closes
         self.parting: list[Frame] = []
         self.writers: list[asyncio.StreamWriter] = []
@@ -88,6 +89,7 @@
         elif frame.type is Type.RELEASE:
             self.releases.append((frame.session, frame.cause))
             self.out.pop(frame.session, None)
+            self.stands.discard(frame.session)
         elif frame.type is Type.RATE:
             self.rungs.append((frame.session, frame.text(Code.RUNG)))
         elif frame.type is Type.PING:
@@ -99,6 +101,8 @@
 
     def play(self, move: str, id: str, writer: asyncio.StreamWriter) -> None:
         answer = Frame(Type.ANSWER, id, {Code.DESCRIPTION: f"{self.name} {id}\r\n".encode()})
+        if move in ("answer", "twice", "empty", "noise", "binary", "half"):
+            self.stands.add(id)
         if move == "answer":
             self.say(answer, writer)
         elif move == "twice":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -105,6 +105,7 @@
         there = [name for name, frame in scene.setups() if frame.session == wish.id]
         assert len(there) == 2 and there[0] != there[1]
         assert (await viewer.answer(known.id)).type == "answer" and known.id not in scene.ends
+        await until(lambda: wish.id not in scene.servers[head].stands)  # an answer may have been spoilt
         # Its process lived all the while, so nothing may make the module think that it comes back cold.
         assert scene.brain_server(head).lost is (move == "41")
 
