--- a/fernweir/cli/rehearse.py
+++ b/fernweir/cli/rehearse.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import NoReturn
 
 import click
 
@@ -29,6 +30,14 @@
 _FILE = click.Path(path_type=Path, dir_okay=False)
 
 
+def _end(wrong: list[str], well: str) -> NoReturn:
+    """Prints the first things that went wrong, or that none did, and ends the program."""
+    for text in wrong[:10]:
+        click.echo(f"  {text}")
+    click.echo("BROKEN" if wrong else well)
+    sys.exit(1 if wrong else 0)
+
+
 @click.group()
 def rehearse() -> None:
     """Play a day of trouble on simulated servers, and judge it."""
@@ -119,10 +128,7 @@
     click.echo(f"kills {dict(result.kills)}; {result.commands} commands; "
                f"{result.played} of {result.asked} viewers played")  # fmt: skip
     click.echo(f"back after s: median {back[len(back) // 2]:.1f}, longest {back[-1]:.1f}")
-    for text in result.wrong[:10]:
-        click.echo(f"  {text}")
-    click.echo("BROKEN" if result.wrong else "it came back each time, orders stood, nothing was done twice")
-    sys.exit(1 if result.wrong else 0)
+    _end(result.wrong, "it came back each time, orders stood, nothing was done twice")
 
 
 @rehearse.command("hours")
@@ -153,10 +159,7 @@
         f"{result.most_disk / 1e6:.1f} MB of disk (bound {plan.disk_bytes / 1e6:.1f}); "
         f"all of Python by hour, MB: {', '.join(f'{one:.0f}' for one in result.python_mb)}"
     )
-    for text in result.wrong[:10]:
-        click.echo(f"  {text}")
-    click.echo("BROKEN" if result.wrong else "bounds held, and the picture is right")
-    sys.exit(1 if result.wrong else 0)
+    _end(result.wrong, "bounds held, and the picture is right")
 
 
 @rehearse.command("seed")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,6 +14,7 @@
     Probed,
     Refuse,
     Result,
+    ServerState,
     SetRung,
     TimerFired,
 )
@@ -193,6 +194,15 @@
     assert placed(front.ask(3, top_rung=0))[0].server == 1
 
 
+def test_a_server_that_is_gone_is_no_holder_whose_silence_asks_for_a_probe() -> None:
+    settings = replace(SETTINGS, fronts=50)
+    front = Front(*(entry(server, cell=server - 1) for server in (1, 2, 3)), settings=settings)
+    front.take_over(9, 2, 0)
+    front.send(ListUpdate(ListKind.DELTA, 2, (entry(3, cell=2, state=ServerState.GONE),)))
+    actions = front.ask(1)
+    assert placed(actions)[0].server == 1 and Probe(1) not in actions
+
+
 def test_one_of_several_fronts_probes_a_server_it_knows_nothing_of_and_places_by_the_answer() -> None:
     front = Front(settings=replace(SETTINGS, fronts=50))
     actions = front.ask(1)
