Contracts between the parts of the peers, written before the parts

Ruled out: counters for ids of channels (names alone are alike on every front), source addresses as identity (a relay or a second interface changes them).

--- /dev/null
+++ b/fernweir/peers/port.py
@@ -0,0 +1,112 @@
+"""The narrow interface by which peers see and steer a front. Types only; `front/peering.py` implements it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+import msgspec
+
+
+class Standing(msgspec.Struct, frozen=True, array_like=True):
+    """A session that stands, as whoever inherits it must know it.
+
+    `cls` and `title` are names, `box` the list's number; `attempt` counts from 0 over all owners, `rung` from
+    0. `payload` is the digest of what its viewers are answered from. `answers`: how often its viewers were
+    told that it plays. `spent`: further attempts it took out of the ration.
+    """
+
+    session: str
+    via: str
+    who: str
+    title: str
+    cls: str
+    top_rung: int
+    tenant: str
+    key: int
+    box: int
+    attempt: int
+    rung: int
+    payload: bytes = b""
+    answers: int = 0
+    spent: int = 0
+
+
+class Deed(StrEnum):
+    """Kinds of decisions that leave a front."""
+
+    SETUP = "setup"
+    MOVE = "move"
+    REFUSED = "refused"
+    DRAIN = "drain"  # heard that a box drains
+    LEASE = "lease"  # used a lease
+    HANDOFF = "handoff"
+    SHUTOUT = "shutout"
+
+
+@dataclass(frozen=True, slots=True)
+class Act:
+    """One decision that left the front; `at` in ms of the loop's clock, `box` -1 for none."""
+
+    at: float
+    deed: Deed
+    session: str = ""
+    title: str = ""
+    tenant: str = ""
+    box: int = -1
+    outcome: str = ""
+
+
+class Listener(Protocol):
+    """Who is told, in the order in which it happens, of what changes at a front."""
+
+    def stands(self, now: float, standing: Standing) -> None:
+        """A session plays, or one that plays changed its rung or was answered again."""
+
+    def over(self, now: float, session: str) -> None:
+        """A session that stood is over at its box."""
+
+    def acted(self, act: Act) -> None: ...
+
+    def list_told(self, now: float, digest: bytes, told_at: float) -> None:
+        """The list of boxes now has this content; `told_at` is wall ms."""
+
+
+class Port(Protocol):
+    """A front, as its peers' parts may use it."""
+
+    def listen(self, listener: Listener) -> None: ...
+
+    def standing(self) -> list[Standing]:
+        """All that plays here."""
+
+    def load(self) -> int:
+        """Sessions held."""
+
+    def payload(self, digest: bytes) -> bytes | None:
+        """What viewers of a session are answered from, to be given to an heir."""
+
+    def take_over(self, now: float, standing: Standing, payload: bytes | None) -> bool:
+        """The session is this front's from now on. False if it is held, or its box or lesson is not known."""
+
+    def let_go(self, now: float, session: str) -> bool:
+        """The session is another's from now on: nothing is said to its box or its viewers."""
+
+    def hold_back(self, why: str, wait_ms: float) -> None:
+        """No new session is taken, each refused with that reason and wait; an empty reason ends it."""
+
+    def claim(self, box: int, channel: str, fence: int, then: Callable[[Claimed], None]) -> None:
+        """Tells a box that this front owns a channel under a fence; `then` is called once, later."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """What a box said to a claim: the highest fence it knows, and its sessions (id, attempt, rung)."""
+
+    box: int
+    reached: bool
+    accepted: bool = False
+    fence: int = 0
+    sessions: tuple[tuple[str, int, int], ...] = ()
