The virtual loop has datagrams, and ways that break in one direction

Peers speak by datagrams and connections, and their rehearsals need losses, doubles, lateness, overtaking and cuts for each directed pair of ends.

- `loop.create_datagram_endpoint` opens sockets in memory; a standing process's buffer fills and then drops, a killed one's sockets vanish and what it sent still arrives.
- `network.ways` holds faults by directed pair: nodes (with or without life), addresses, or any.
All that fit a way apply together.
- On a connection a cut holds what is sent and is silent; a reset over it is not heard, connects hang, and a writer fills up even if only the answers are cut.
What is lost comes later, in order.

Weighed: resets by cuts (a real cut is silent), and faults in the existing table by address (has no direction).

--- a/fernweir/rehearsal/loop.py
+++ b/fernweir/rehearsal/loop.py
@@ -7,7 +7,7 @@
 
 TCP as far as it matters here: connections that are refused or hang, latency, pieces split and joined, order
 kept within a direction, buffers that fill and pause their writer, half-close, and resets that overtake what
-the receiver had not read.
+the receiver had not read. Datagrams, and what is wrong with one direction of a way, are in `datagrams`.
 """
 
 from __future__ import annotations
@@ -24,11 +24,14 @@
 from random import Random
 from typing import Any
 
+from fernweir.rehearsal.datagrams import Datagrams, Ways, names
+
 NODE: contextvars.ContextVar[str] = contextvars.ContextVar("node", default="world")
 _SOCKET_BUFFER = 262_144
 _HIGH_WATER = 65_536
 _MOST_READ = 65_536
 _START_S = 1_000.0
+_AGAIN_S = 0.2  # what a cut held is tried again
 _MOST_AT_ONCE = 200_000  # callbacks in one instant
 
 
@@ -180,6 +183,11 @@
                             **options: Any) -> Any:  # fmt: skip
         return self.network.listen(protocol_factory, host, port)
 
+    async def create_datagram_endpoint(
+        self, protocol_factory: Any, local_addr: Any = None, remote_addr: Any = None, **options: Any
+    ) -> Any:
+        return self.network.datagrams.open(protocol_factory, local_addr, remote_addr, NODE.get())
+
     def _process_events(self, event_list: Any) -> None:
         pass
 
@@ -268,6 +276,8 @@
         self.spared: set[tuple[str, int]] = set()
         self.orderly: set[tuple[str, int]] = set()  # whose resets overtake nothing
         self.ends: dict[int, MemoryTransport] = {}
+        self.ways = Ways()
+        self.datagrams = Datagrams(self, seed)
         self._ports = itertools.count(20_001)
         self._numbers = itertools.count(1)
 
@@ -290,6 +300,8 @@
         await asyncio.sleep(self.latency(address))
         while fault.hang:  # until it is over, or the caller's patience is
             await asyncio.sleep(0.05)
+        while self._cut_off(address):
+            await asyncio.sleep(0.05)
         server = self.listening.get(address)
         if server is None or fault.refuse or server.node in self.loop._dead:
             raise ConnectionRefusedError(111, "Connection refused")
@@ -297,13 +309,22 @@
         mine = MemoryTransport(self, here, address, NODE.get(), contextvars.copy_context())
         other = MemoryTransport(self, there, address, server.node, server.context.copy())
         mine.peer, other.peer = other, mine
+        other.names = names(server.node, address)
         self.loop.call_soon(there.connection_made, other, context=other.context)
         here.connection_made(mine)
         await asyncio.sleep(self.latency(address))
         return mine, here
 
+    def _cut_off(self, address: tuple[str, int]) -> bool:
+        if not self.ways:
+            return False
+        server = self.listening.get(address)
+        here, there = names(NODE.get()), (address,) if server is None else names(server.node, address)
+        return self.ways.cut(here, there) or self.ways.cut(there, here)
+
     def forget(self, node: str) -> None:
-        """A killed process: the kernel closes its listeners and resets its connections."""
+        """A killed process: the kernel closes its sockets and resets its connections."""
+        self.datagrams.forget(node)
         for address in [address for address, server in self.listening.items() if server.node == node]:
             del self.listening[address]
         for end in [end for end in self.ends.values() if end.node == node]:
@@ -333,6 +354,7 @@
         super().__init__()
         self.network, self.loop, self.address, self.node = network, network.loop, address, node
         self.context = context
+        self.names = names(node)
         self.peer: MemoryTransport | None = None
         self.number = next(network._numbers)
         network.ends[self.number] = self
@@ -343,6 +365,9 @@
         self._high, self._low = _HIGH_WATER, _HIGH_WATER // 4
         self._last_arrival = 0.0
         self._in_flight = 0
+        self._held: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()  # by a cut
+        self._unconfirmed = 0  # came here, and a cut keeps its sender from knowing
+        self._trying_again = False
         self._reading_paused = self._writing_paused = False
         self._closing = self._lost = self._eof_sent = self._reading_scheduled = False
 
@@ -404,8 +429,9 @@
         if self._lost:
             return
         self._lose(None)
+        self._held.clear()
         peer = self.peer
-        if peer is None or peer._lost:
+        if peer is None or peer._lost or self._cut():
             return
         rules, dice = self.network.rules, self.network.dice
         if self.address not in self.network.orderly and dice.random() < rules.overtaken_share:
@@ -448,13 +474,58 @@
     _inbox_told_end = False
 
     def _arrives(self, do: Callable[..., None], *args: Any) -> None:
-        """In order: nothing overtakes what was sent before it."""
+        """In order: nothing overtakes what was sent before it, and a cut holds it."""
+        if self._held or self._cut():
+            self._held.append((do, args))
+            self._try_again_later()
+            return
         # Strictly later: of two things in one instant the seed would choose.
-        at = max(self.loop.time() + self.network.latency(self.address), nextafter(self._last_arrival, inf))
+        at = max(
+            self.loop.time() + self.network.latency(self.address) + self._extra_s(),
+            nextafter(self._last_arrival, inf),
+        )
         self._last_arrival = at
         # Not in a node's context: the wire goes on though a process stands still.
         self.loop.call_at(at, do, *args, context=contextvars.Context())
 
+    def _cut(self) -> bool:
+        peer = self.peer
+        return peer is not None and bool(self.network.ways) and self.network.ways.cut(self.names, peer.names)
+
+    def _extra_s(self) -> float:
+        """What is wrong with the way there makes it slow: what is lost is sent again."""
+        extra = 0.0
+        if self.network.ways and self.peer is not None:
+            dice = self.network.datagrams.dice
+            for fault in self.network.ways.between(self.names, self.peer.names):
+                extra += fault.extra_s + dice.random() * fault.jitter_s
+                if dice.random() < fault.late:
+                    extra += fault.late_s * dice.uniform(0.5, 1.0)
+                if dice.random() < fault.loss:
+                    extra += fault.again_s
+        return extra
+
+    def _try_again_later(self) -> None:
+        if not self._trying_again:
+            self._trying_again = True
+            self.loop.call_later(_AGAIN_S, self._try_again, context=contextvars.Context())
+
+    def _try_again(self) -> None:
+        """The kernel's own doing: it goes on while the process stands still, or has closed its end."""
+        self._trying_again = False
+        if not (self._held or self._unconfirmed):
+            return
+        if self._cut():
+            self._try_again_later()
+            return
+        if self.peer is not None and self._unconfirmed:
+            self.peer._in_flight -= self._unconfirmed
+            self._unconfirmed = 0
+            self.peer._pump()
+        held, self._held = self._held, deque()
+        for do, args in held:
+            self._arrives(do, *args)
+
     def _resume_writer(self) -> None:
         if not self._lost:
             self._protocol.resume_writing()
@@ -463,9 +534,13 @@
 
     def _takes(self, piece: bytes) -> None:
         if self.peer is not None:
-            self.peer._in_flight -= len(piece)
+            if self._cut():
+                self._unconfirmed += len(piece)
+                self._try_again_later()
+            else:
+                self.peer._in_flight -= len(piece)
         if self._lost:
-            if self.peer is not None and not self.peer._lost:
+            if self.peer is not None and not self.peer._lost and not self._cut():
                 self.peer._reset()  # nobody is here any more: the kernel answers with a reset
             return
         self._inbox.pieces.append(piece)
