A relay between fronts: each directed path loses, delays, doubles, cuts as told

Proofs with several fronts need a network that breaks in one direction only, and by a seed. Traffic control of the kernel was ruled out: it needs rights, and no seed gives the same losses twice. Decisions (which datagram is lost, doubled, overtaken, when a piece of a connection goes on) are a pure class; the sockets are a thin shell around it. A connection in a cut is silent, not reset, and a reset of its end does not pass the cut.

--- /dev/null
+++ b/tests/test_peers_rig.py
@@ -0,0 +1,217 @@
+"""The rig with several processes: the relay breaks paths as told, schedules can be read, fronts run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fernweir.rehearsal.fleet.paths import Manner, PathFaults
+from fernweir.rehearsal.relay import Relay, free_pair
+
+# --- decisions ---
+
+
+def times(path: PathFaults, count: int, size: int = 100, every_ms: float = 1.0) -> list[tuple[float, ...]]:
+    return [path.datagram(number * every_ms, size) for number in range(count)]
+
+
+def test_a_path_does_what_its_manner_says_and_the_same_again_from_its_seed() -> None:
+    plain = times(PathFaults(Random(1)), 50)
+    assert plain == [(float(number),) for number in range(50)]
+    manner = Manner(loss=0.3, delay_ms=20.0, jitter_ms=10.0, doubled=0.2, overtaken=0.1)
+    path = PathFaults(Random(7), manner)
+    drawn = times(path, 2_000)
+    assert drawn == times(PathFaults(Random(7), manner), 2_000)
+    assert 0.25 < sum(not one for one in drawn) / 2_000 < 0.35
+    passed = path.passed
+    assert (passed.carried, passed.doubled) == (
+        sum(bool(one) for one in drawn),
+        sum(len(one) == 2 for one in drawn),
+    )
+    assert 0.16 < passed.doubled / passed.carried < 0.24 and 0.07 < passed.overtaken / passed.carried < 0.13
+    assert all(20.0 <= copy - sent <= 120.0 + 90.0 for sent, one in enumerate(drawn) for copy in one)
+    firsts = [one[0] for one in drawn if one]
+    assert firsts != sorted(firsts)
+
+
+def test_a_cut_path_drops_datagrams_and_a_slow_one_queues_for_a_second_at_most() -> None:
+    path = PathFaults(Random(1), Manner(cut=True))
+    assert times(path, 20) == [()] * 20
+    path.manner = Manner(rate=1_000.0)
+    sent = [path.datagram(0.0, 100) for _ in range(20)]
+    assert sent == [(100.0 * number,) for number in range(1, 11)] + [()] * 10
+    assert path.piece(0.0, 500, 0.0) == 1_500.0, "a connection shares the link with datagrams"
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    st.integers(0, 1_000), st.floats(0.0, 0.9), st.floats(0.0, 500.0), st.sampled_from([0.0, 5_000.0]),
+    st.lists(st.tuples(st.floats(0.0, 50.0), st.integers(0, 5_000)), max_size=40),
+)  # fmt: skip
+def test_pieces_of_a_connection_are_late_but_never_lost_or_overtaken(
+    seed: int, loss: float, jitter: float, rate: float, pieces: list[tuple[float, int]]
+) -> None:
+    path = PathFaults(Random(seed), Manner(loss=loss, jitter_ms=jitter, rate=rate))
+    now = last = 0.0
+    link = 0.0  # when an honest link of that rate would have carried all so far
+    for wait, size in pieces:
+        now += wait
+        link = max(now, link) + (size * 1_000.0 / rate if rate else 0.0)
+        due = path.piece(now, size, last)
+        assert due >= last and due >= link - 1e-6
+        last = due
+
+
+# --- the relay, on sockets ---
+
+
+class Heard(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[tuple[bytes, tuple[str, int]]] = asyncio.Queue()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.queue.put_nowait((data, addr))
+
+
+class Ends:
+    """Two or three fronts' ends around a relay: bare sockets at the real addresses."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.relay = Relay(seed)
+        self.real: dict[str, tuple[str, int]] = {}
+        self.at: dict[str, tuple[str, int]] = {}
+        self.heard: dict[str, Heard] = {}
+        self.out: dict[str, asyncio.DatagramTransport] = {}
+        self.came: dict[str, asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
+        self.servers: list[asyncio.Server] = []
+
+    async def add(self, number: int) -> None:
+        name, loop = f"front-{number}", asyncio.get_running_loop()
+        self.real[name] = free_pair(f"127.0.1.{number}")
+        self.at[name] = await self.relay.add(name, self.real[name], f"127.0.2.{number}")
+        self.out[name], self.heard[name] = await loop.create_datagram_endpoint(Heard, self.real[name])
+        came = self.came[name] = asyncio.Queue()
+        self.servers.append(
+            await asyncio.start_server(lambda r, w: came.put_nowait((r, w)), *self.real[name])
+        )
+
+    def send(self, source: str, target: str, data: bytes) -> None:
+        self.out[source].sendto(data, self.at[target])
+
+    async def connect(self, source: str, target: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self.at[target], local_addr=(self.real[source][0], 0))
+
+    def close(self) -> None:
+        self.relay.close()
+        for transport in self.out.values():
+            transport.close()
+        for server in self.servers:
+            server.close()
+
+
+def with_ends(story: Callable[[Ends], Awaitable[None]], fronts: int = 2) -> None:
+    async def run() -> None:
+        ends = Ends()
+        try:
+            for number in range(1, fronts + 1):
+                await ends.add(number)
+            await asyncio.wait_for(story(ends), 20.0)
+        finally:
+            ends.close()
+
+    asyncio.run(run())
+
+
+def test_datagrams_go_one_way_when_the_other_is_cut_and_come_from_where_their_sender_is_answered() -> None:
+    async def story(ends: Ends) -> None:
+        ends.relay.path("front-1", "front-2").manner.cut = True
+        ends.send("front-1", "front-2", b"lost")
+        ends.send("front-2", "front-1", b"there")
+        assert await ends.heard["front-1"].queue.get() == (b"there", ends.at["front-2"])
+        ends.send("front-1", "front-3", b"another path")
+        assert (await ends.heard["front-3"].queue.get())[0] == b"another path"
+        ends.relay.path("front-1", "front-2").manner.cut = False
+        ends.send("front-1", "front-2", b"again")
+        assert await ends.heard["front-2"].queue.get() == (b"again", ends.at["front-1"])
+        assert ends.heard["front-2"].queue.empty()
+        assert ends.relay.path("front-1", "front-2").passed.lost == 1
+
+    with_ends(story, 3)
+
+
+def test_doubled_datagrams_arrive_twice_and_strangers_are_not_carried() -> None:
+    async def story(ends: Ends) -> None:
+        ends.relay.path("front-1", "front-2").manner = Manner(doubled=1.0, held_ms=1.0)
+        ends.send("front-1", "front-2", b"x")
+        assert [(await ends.heard["front-2"].queue.get())[0] for _ in range(2)] == [b"x", b"x"]
+        with socket.socket(type=socket.SOCK_DGRAM) as stranger:
+            stranger.bind(("127.0.3.9", 0))
+            stranger.sendto(b"no front", ends.at["front-2"])
+            while not ends.relay.strangers:
+                ends.send("front-1", "front-2", b"y")
+                await ends.heard["front-2"].queue.get()
+        reader, _ = await asyncio.open_connection(*ends.at["front-2"], local_addr=("127.0.3.9", 0))
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+
+    with_ends(story)
+
+
+def test_a_connection_keeps_its_order_on_a_bad_path_and_is_silent_not_reset_in_a_cut() -> None:
+    async def story(ends: Ends) -> None:
+        path = ends.relay.path("front-1", "front-2")
+        path.manner = Manner(loss=0.02, jitter_ms=3.0, rate=20_000_000.0)
+        reader, writer = await ends.connect("front-1", "front-2")
+        far_reader, far_writer = await ends.came["front-2"].get()
+        body = Random(3).randbytes(1_500_000)
+        writer.write(body)
+        got = await far_reader.readexactly(700_000)
+        path.manner.cut = True
+        far_writer.write(b"other way")
+        assert await reader.readexactly(9) == b"other way"
+        assert not far_reader.at_eof() and not reader.at_eof()
+        path.manner.cut = False
+        ends.relay.changed()
+        got += await far_reader.readexactly(800_000)
+        assert got == body
+        writer.write_eof()
+        assert await far_reader.read() == b""
+        far_writer.write(b"answer")
+        far_writer.close()
+        assert await reader.read() == b"answer"
+        writer.close()
+
+    with_ends(story)
+
+
+def test_a_reset_is_heard_at_both_ends_but_not_through_a_cut() -> None:
+    async def story(ends: Ends) -> None:
+        reader, writer = await ends.connect("front-1", "front-2")
+        far_reader, far_writer = await ends.came["front-2"].get()
+        assert ends.relay.reset("front-2", "front-1") == 0 and ends.relay.reset("front-1", "front-2") == 1
+        for end in (reader, far_reader):
+            with pytest.raises(ConnectionResetError):
+                await end.read(1)
+        reader, writer = await ends.connect("front-1", "front-2")
+        far_reader, far_writer = await ends.came["front-2"].get()
+        path = ends.relay.path("front-1", "front-2")
+        path.manner.cut = True
+        writer.transport.abort()  # the kernel says a reset or an end, and neither passes the cut
+        far_writer.write(b"x")
+        await far_writer.drain()
+        ends.send("front-2", "front-1", b"after that")
+        await ends.heard["front-1"].queue.get()
+        assert not far_reader.at_eof() and far_reader.exception() is None
+        path.manner.cut = False
+        ends.relay.changed()
+        with contextlib.suppress(ConnectionResetError):
+            assert await far_reader.read(1) == b""
+
+    with_ends(story)
