Host: sessions taken over with attempt and rung, let go without an end, an observer

Need: a session that outlives its front is taken over by another with the attempt that set it up, its rung and what its viewers are answered from, and let go by the old owner without a release at its box.

--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from fernweir.brain import Controller
 from fernweir.front.commands import (
@@ -147,6 +147,26 @@
 Watcher = Callable[[float, list[Event], list[Action]], None]
 
 
+class Observer(Protocol):
+    """Who is told of what happens to sessions, in order; a front that stands alone has none."""
+
+    def placed(self, now: float, held: Held) -> None:
+        """An attempt leaves for a box."""
+
+    def stands(self, now: float, held: Held) -> None:
+        """It plays; or its rung, or how often its viewers were told, has changed."""
+
+    def moved(self, now: float, held: Held) -> None: ...
+
+    def turned_away(self, now: float, ask: Ask, why: str) -> None:
+        """A request was answered otherwise than that its session plays."""
+
+    def over(self, now: float, held: Held, why: str) -> None:
+        """It is held no more, whether it had played or not."""
+
+    def listed(self, now: float, update: ListUpdate) -> None: ...
+
+
 class Host:
     """See the module's page. `watch` is shown every batch, for recording."""
 
@@ -176,6 +196,8 @@
         self.ledger = Ledger()
         self.counts = HostCounts()
         self.closing = False
+        self.observer: Observer | None = None
+        self.held_back: tuple[str, float] | None = None  # why no new session may begin, and for how long, ms
         self._watch = watch
         self._gated = gated
         self._held: dict[str, Held] = {}
@@ -203,10 +225,10 @@
             if self.closing:
                 self._answer(Answer(ask.ticket, Kind.REFUSED, "front is stopping", 0.0), ask)
                 return
-            why = self._turned_away(ask) if self._turned_away is not None else ""
+            why, wait_ms = self._held_off(ask)
             if why:
                 self.counts.refused += 1
-                self._answer(Answer(ask.ticket, Kind.REFUSED, why, self.limits.held_retry_ms), ask)
+                self._answer(Answer(ask.ticket, Kind.REFUSED, why, wait_ms), ask)
                 return
             self._begin(now, ask)
             return
@@ -228,14 +250,39 @@
             held.tickets.append(ask.ticket)
             self._by_ticket[ask.ticket] = held
 
-    def take_over(self, now: float, ask: Ask, server: int) -> bool:
-        """A session that played there when this front started. False if it is held, or its box is gone."""
+    def take_over(
+        self, now: float, ask: Ask, server: int, *, attempt: int = 0, rung: int | None = None,
+        payload: object = None, told: int = 1,
+    ) -> bool:  # fmt: skip
+        """A session that plays there, placed by another front or before this one's start.
+
+        `attempt` is the one that set it up, `rung` what it plays where that is known, `payload` what its
+        viewers are answered from. False if it is held, or its box is gone.
+        """
         if ask.jti in self._held or self._states.get(server, ServerState.GONE) is ServerState.GONE:
             return False
         held = self._hold(now, ask)
-        held.phase, held.server, held.attempts, held.told = Phase.PLAYING, server, 1, 1
+        held.phase, held.server, held.attempts, held.told = Phase.PLAYING, server, attempt + 1, told
+        held.payload = payload
         self._at_server.setdefault(server, {})[ask.jti] = held
         self._events.append(TakenOver(self._viewer(now, held), server))
+        if rung is not None:
+            held.rung = held.sent_rung = rung
+            self._events.append(Note(held.number, server, attempt, NoteKind.RUNG, float(rung)))
+        if not told:
+            self._linger(now, held)
+        return True
+
+    def let_go(self, now: float, jti: str) -> bool:
+        """A session that plays is another front's from now on: neither box nor viewer is told of an end.
+
+        False if it does not play here.
+        """
+        held = self._held.get(jti)
+        if held is None or held.phase is not Phase.PLAYING:
+            return False
+        self._now = now
+        self._close(held, Result.CANCELLED, "another front's now")
         return True
 
     def withdraw(self, now: float, ticket: int) -> None:
@@ -364,10 +411,13 @@
         if held is not None and held.phase is Phase.PLAYING and held.attempt == attempt:
             self._events.append(Note(held.number, held.server, attempt, kind, level))
             if kind is NoteKind.RUNG and 0 <= level < len(self.settings.rates_kb):
-                if held.rung != int(level):
+                changed = held.rung != int(level)
+                if changed:
                     self._now = now
                     self._write_down(What.RUNG, held, rung=int(level), why="its box")
                 held.rung = held.sent_rung = int(level)
+                if changed and self.observer is not None:
+                    self.observer.stands(now, held)
 
     def probe_done(
         self, now: float, server: int, result: Result, took_ms: float, report: dict[str, float]
@@ -381,6 +431,8 @@
         self._now = now
         if self.journal is not None:
             self._write_down_list(update)
+        if self.observer is not None:
+            self.observer.listed(now, update)
         self._hear_list(update if self._overlay is None else self._overlay.list_says(update))
 
     def orders_changed(self, now: float) -> None:
@@ -505,9 +557,13 @@
             self.counts.set_ups += 1
             if self.journal is not None:
                 self._write_down_choice(held)
+            if self.observer is not None:
+                self.observer.placed(self._now, held)
             self._out.append(SetUp(held.ask, held.attempt, action.server, held.rung, action.timeout_ms))
         elif isinstance(action, Move):
             self._write_down(What.MOVED, held)
+            if self.observer is not None:
+                self.observer.moved(self._now, held)
             self._release(held, "moved")
             self._end(held, Result.CANCELLED, "moved", moved=True)
         else:
@@ -534,6 +590,13 @@
 
     # --- pieces ---
 
+    def _held_off(self, ask: Ask) -> tuple[str, float]:
+        """Why a new session may not begin, and when to come again, ms; an empty reason if it may."""
+        if self.held_back is not None:
+            return self.held_back
+        why = self._turned_away(ask) if self._turned_away is not None else ""
+        return why, self.limits.held_retry_ms
+
     def _hold(self, now: float, ask: Ask) -> Held:
         key, moved = self._past.pop(ask.key or ask.jti, (0, False))
         held = Held(ask, self._next_number, ask.key or key or self._next_number)
@@ -588,12 +651,16 @@
             self._plays(held, ticket)
         if not tickets:
             self._linger(now, held)
+        if self.observer is not None:
+            self.observer.stands(now, held)
 
     def _linger(self, now: float, held: Held) -> None:
         heapq.heappush(self._lingering, (now + self.limits.linger_ms, held.ask.jti, held.number))
 
     def _plays(self, held: Held, ticket: int) -> None:
         held.told += 1
+        if held.told > 1 and self.observer is not None:
+            self.observer.stands(self._now, held)
         self.counts.plays += 1
         self._answer(
             Answer(
@@ -618,6 +685,8 @@
     def _answer(self, answer: Answer, ask: Ask | None, detail: dict[str, object] | None = None) -> None:
         self.ledger.answer(answer.ticket)
         self._out.append(answer)
+        if self.observer is not None and ask is not None and answer.kind is not Kind.PLAYS:
+            self.observer.turned_away(self._now, ask, answer.why)
         if self.journal is not None and ask is not None:
             self.journal.add(
                 self._now, _ANSWERED[answer.kind], session=ask.jti, lesson=ask.title_name,
@@ -640,6 +709,8 @@
     def _send_rung(self, held: Held) -> None:
         held.sent_rung = held.rung
         self._write_down(What.RUNG, held, rung=held.rung, why="this front")
+        if self.observer is not None:
+            self.observer.stands(self._now, held)
         self._out.append(ChangeRung(held.ask.jti, held.attempt, held.server, held.rung))
 
     def _release(self, held: Held, why: str, after_segment: bool = False) -> None:
@@ -666,6 +737,8 @@
 
     def _forget(self, held: Held, why: str, moved: bool = False) -> None:
         self._write_down(What.ENDED, held, why=why)
+        if self.observer is not None:
+            self.observer.over(self._now, held, why)
         self._held.pop(held.ask.jti, None)
         self._by_number.pop(held.number, None)
         if self._gated:
