Boxes keep the highest fence of a channel; a front's side of its peers

Need: a session must be able to go on at another front. Ruled out: the front's name as the right to steer (a woken owner has it too); a path segment for the channel (escaped slashes are refused there).

--- a/fernweir/audit/records.py
+++ b/fernweir/audit/records.py
@@ -57,6 +57,7 @@
     budget: TermsBudget | None
     cold: TermsCold | None
     way_ms: float = 0.0  # how much longer than usual news may be on its way
+    overlap_ms: float = 0.0  # how long a channel's old owner may still steer
 
 
 class FrontUp(Record):
@@ -127,6 +128,8 @@
     title: str
     cls: str
     rung: int
+    channel: str = ""
+    fence: int = 0
 
 
 class BoxRuns(Record):
@@ -141,6 +144,8 @@
     title: str
     cls: str
     rung: int
+    channel: str = ""
+    fence: int = 0
 
 
 class BoxAnswer(Record):
@@ -190,6 +195,31 @@
     status: int
 
 
+class BoxClaim(Record):
+    """A front said that it owns a channel. `highest` is the fence that the box knows after it."""
+
+    kind: Literal["box.claim"]
+    box: int
+    channel: str
+    front: str
+    fence: int
+    accepted: bool
+    highest: int
+
+
+class BoxSteer(Record):
+    """A front steered a session of a channel, or set one up in it, `by` name under a fence."""
+
+    kind: Literal["box.steer"]
+    box: int
+    channel: str
+    fence: int
+    by: str
+    session: str
+    attempt: int
+    accepted: bool
+
+
 class ListTold(Record):
     kind: Literal["list.told"]
     front: str
@@ -244,6 +274,8 @@
     | BoxEnd
     | BoxRung
     | BoxSegment
+    | BoxClaim
+    | BoxSteer
     | ListTold
     | SeatTaken
     | SeatFreed
--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -124,6 +124,23 @@
         else:
             self.pool.request(origin, "GET", "/probe", done, timeout_s=self.times.probe_s)
 
+    def claim(self, box: int, channel: str, fence: int, done: Callable[[Reply], None]) -> None:
+        """Tells a box that this front owns a channel under a fence; `done` is called once, never at once."""
+        origin = self.boxes.address(box)
+        if origin is None:
+            self.core.loop.call_soon(done, Reply(Outcome.REFUSED, detail="no address"))
+            return
+        target = f"/channels?channel={quote(channel, safe='')}"
+        self._call(origin, "PUT", target, done, json.dumps({"fence": fence}).encode())
+
+    def drop(self, box: int, session: str, attempt: int, why: str) -> None:
+        """Takes back what runs at a box and is no session of this front's."""
+        self._delete(Release(session, attempt, box, why), again=True)
+
+    def listen(self, server: int) -> None:
+        """Hears a box's notes, as for sessions that were taken over there."""
+        self._listen(server)
+
     def close(self) -> None:
         self.closed = True
         for stream in list(self._streams.values()):
@@ -153,9 +170,8 @@
         if origin is None:
             self._rungs.forget(send.jti, send.attempt)
             return
-        self._call(
-            origin, "PATCH", _session(send.jti, send.attempt), done, json.dumps({"rung": send.rung}).encode()
-        )
+        body = json.dumps({"rung": send.rung}).encode()
+        self._call(origin, "PATCH", _session(send.jti, send.attempt), done, body, session=send.jti)
 
     def _rungs_later(self) -> None:
         due = self._rungs.next_due()
@@ -179,16 +195,21 @@
         if origin is None:
             return
         if command.after_segment and again:
-            self._call(origin, "PATCH", target, done, json.dumps({"end": command.why}).encode())
+            body = json.dumps({"end": command.why}).encode()
+            self._call(origin, "PATCH", target, done, body, session=command.jti)
         else:
-            self._call(origin, "DELETE", target, done)
+            self._call(origin, "DELETE", target, done, session=command.jti)
 
     def _call(
-        self, origin: Origin, method: str, target: str, done: Callable[[Reply], None], body: bytes = b""
-    ) -> None:
+        self, origin: Origin, method: str, target: str, done: Callable[[Reply], None], body: bytes = b"",
+        session: str = "",
+    ) -> None:  # fmt: skip
         headers = [("authorization", f"Bearer {self._token()}")]
         if body:
             headers.append(("content-type", MERGE_PATCH))
+        under = self.core.owner.fence(session) if self.core.owner is not None and session else None
+        if under is not None:
+            headers.append(("fernweir-fence", f"{under[0]};{under[1]}"))
         self.pool.request(
             origin, method, target, done, headers=headers, body=body, timeout_s=self.times.call_s
         )
--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -54,6 +54,12 @@
     def accept(self, command: SetUp, reply: Reply) -> object:
         """What viewers will be answered from. BadAnswerError if the reply is no good."""
 
+    def pack(self, payload: object) -> tuple[bytes, bytes]:
+        """What viewers are answered from, as bytes, with their digest; empty if there is nothing."""
+
+    def unpack(self, cls: int, top_rung: int, data: bytes) -> object:
+        """What another front packed, for a viewer of that class. BadAnswerError if it is no good."""
+
 
 class Doer(Protocol):
     """Who carries out commands towards boxes."""
@@ -73,6 +79,13 @@
         """Whether a session's entitlement is good now, whatever its first token says."""
 
 
+class Owner(Protocol):
+    """Under which channel and fence this front steers a session, where sessions can change their owner."""
+
+    def fence(self, jti: str) -> tuple[str, int] | None:
+        """None where a session ends with its front, or is another's by now."""
+
+
 class Core:
     """Owns the host's clock: `loop.time()` in milliseconds. Events of one loop turn go in one batch."""
 
@@ -83,6 +96,7 @@
         self.carriers: dict[str, Carrier] = {}
         self.doer: Doer | None = None
         self.keeper: Keeper | None = None
+        self.owner: Owner | None = None
         self.on_over: Callable[[Over], None] | None = None
         self._batch_s = batch_ms / 1000.0
         self._numbers = itertools.count(1)
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -86,7 +86,9 @@
         self._wall_s, self._most_waiting = wall_s, most_waiting
         self._desk, self._plays_unanswered = desk, plays_unanswered
         self._manifests = ManifestCache(len(settings.rates_kb))
-        self._signed: OrderedDict[tuple[str, int, int, int], tuple[str, float]] = OrderedDict()
+        self._signed: OrderedDict[tuple[str, int, int, int, tuple[str, int] | None], tuple[str, float]] = (
+            OrderedDict()
+        )
         core.carriers[_VIA] = self
 
     # --- viewers ---
@@ -308,19 +310,37 @@
         except ManifestError as error:
             raise BadAnswerError(f"manifest: {error}") from None
 
+    def pack(self, payload: object) -> tuple[bytes, bytes]:
+        if not isinstance(payload, Manifest):
+            return b"", b""
+        return payload.digest, payload.body
+
+    def unpack(self, cls: int, top_rung: int, data: bytes) -> object:
+        kind = self.settings.classes[cls]
+        try:
+            top = max(min(top_rung, kind.top_rung), kind.lowest_rung)
+            return self._manifests.judge(data, kind.lowest_rung, top)
+        except ManifestError as error:
+            raise BadAnswerError(f"manifest: {error}") from None
+
     def _box_token(self, ask: Ask, server: int, attempt: int, rung: int) -> str:
         """The token of one attempt; the viewer's document mostly carries the one of its set-up."""
-        key, now = (ask.jti, server, attempt, rung), self._wall_s()
+        owner = self.core.owner
+        under = owner.fence(ask.jti) if owner is not None else None
+        key, now = (ask.jti, server, attempt, rung, under), self._wall_s()
         signed = self._signed.get(key)
         if signed is not None and now < signed[1]:
             return signed[0]
-        token = self._sign_box_token(ask, server, attempt, rung, now)
+        token = self._sign_box_token(ask, server, attempt, rung, now, under)
         self._signed[key] = (token, now + self.rules.box_life_s / 2.0)
         if len(self._signed) > _SIGNED_KEPT:
             self._signed.popitem(last=False)
         return token
 
-    def _sign_box_token(self, ask: Ask, server: int, attempt: int, rung: int, now: float) -> str:
+    def _sign_box_token(
+        self, ask: Ask, server: int, attempt: int, rung: int, now: float, under: tuple[str, int] | None
+    ) -> str:
+        channel, fence = under or (None, 0)
         return self.keyring.sign(
             BoxClaims(
                 iss=self.front,
@@ -335,6 +355,8 @@
                 front=self.front,
                 attempt=attempt,
                 rung=rung,
+                channel=channel,
+                fence=fence,
             )
         )
 
--- /dev/null
+++ b/fernweir/front/peering.py
@@ -0,0 +1,189 @@
+"""The front's side of its peers: what they see of it and do to it, and nothing else. A thin shell.
+
+Implements `peers.port.Port`. It is loaded only where the settings have a `[peers]` section.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from hashlib import blake2b
+from typing import Any
+
+from fernweir.front.boxes import BoxClient
+from fernweir.front.boxlist import BoxList
+from fernweir.front.commands import Ask
+from fernweir.front.core import BadAnswerError, Core
+from fernweir.front.host import Held, Phase
+from fernweir.http.client import Outcome, Reply
+from fernweir.interface import ListUpdate
+from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing
+
+_PAYLOADS_KEPT = 4_096
+_ROWS_MOST = 100_000
+
+
+class Peering:
+    """`wall_ms` gives wall time now. `fences` is asked under which channel and fence a session is steered."""
+
+    def __init__(
+        self, core: Core, boxes: BoxList, client: BoxClient, classes: Mapping[str, int],
+        wall_ms: Callable[[], float],
+    ) -> None:  # fmt: skip
+        self._core, self._boxes, self._client = core, boxes, client
+        self._classes, self._wall_ms = classes, wall_ms
+        self._names = {number: name for name, number in classes.items()}
+        self._listener: Listener | None = None
+        self._payloads: OrderedDict[bytes, bytes] = OrderedDict()
+        self._draining: set[int] = set()
+        self._letting_go = False
+        core.host.observer = self
+
+    # --- what peers ask of the front ---
+
+    def listen(self, listener: Listener) -> None:
+        self._listener = listener
+
+    def standing(self) -> list[Standing]:
+        return [self._standing(held) for held in self._core.host.held().values() if _plays(held)]
+
+    def load(self) -> int:
+        return self._core.host.sessions
+
+    def payload(self, digest: bytes) -> bytes | None:
+        return self._payloads.get(digest)
+
+    def boxes(self) -> list[int]:
+        """All boxes that the list names now."""
+        return [box for box, line in self._boxes.boxes.items() if line.state != "gone"]
+
+    def take_over(self, now: float, standing: Standing, payload: bytes | None) -> bool:
+        core, lesson = self._core, self._boxes.lessons.get(standing.title)
+        cls, carrier = self._classes.get(standing.cls), core.carriers.get(standing.via)
+        if lesson is None or cls is None or carrier is None:
+            return False
+        unpacked = None
+        if payload is not None:
+            try:
+                unpacked = carrier.unpack(cls, standing.top_rung, payload)
+            except BadAnswerError as error:
+                core.log.warning("inherited payload is no good", session=standing.session, why=str(error))
+            else:
+                self._keep(standing.payload, payload)
+        ask = Ask(
+            ticket=0, via=standing.via, jti=standing.session, who=standing.who, title_name=standing.title,
+            title=lesson.number, first_cell=lesson.first_cell, copies=lesson.copies, cls=cls,
+            top_rung=standing.top_rung, wait_ms=0.0, tenant=standing.tenant, key=standing.key,
+        )  # fmt: skip
+        taken = core.host.take_over(
+            now, ask, standing.box, attempt=standing.attempt, rung=standing.rung, payload=unpacked,
+            told=max(standing.answers, 1),
+        )  # fmt: skip
+        if taken:
+            self._client.listen(standing.box)
+            core.kick()
+        return taken
+
+    def let_go(self, now: float, session: str) -> bool:
+        self._letting_go = True  # another's now, not over: standbys must not be told of an end
+        gone = self._core.host.let_go(now, session)
+        self._letting_go = False
+        if gone:
+            self._core.kick()
+        return gone
+
+    def release(self, now: float, box: int, session: str, attempt: int, why: str) -> None:
+        self._client.drop(box, session, attempt, why)
+
+    def hold_back(self, why: str, wait_ms: float) -> None:
+        self._core.host.held_back = (why, wait_ms) if why else None
+
+    def claim(self, box: int, channel: str, fence: int, then: Callable[[Claimed], None]) -> None:
+        def done(reply: Reply) -> None:
+            then(_claimed(box, reply))
+
+        self._client.claim(box, channel, fence, done)
+
+    # --- what happens at the front (host.Observer) ---
+
+    def placed(self, now: float, held: Held) -> None:
+        self._act(now, Deed.SETUP, held)
+
+    def stands(self, now: float, held: Held) -> None:
+        if self._listener is not None and _plays(held):
+            self._listener.stands(now, self._standing(held))
+
+    def moved(self, now: float, held: Held) -> None:
+        self._act(now, Deed.MOVE, held)
+
+    def turned_away(self, now: float, ask: Ask, why: str) -> None:
+        if self._listener is not None:
+            act = Act(now, Deed.REFUSED, ask.jti, ask.title_name, ask.tenant, outcome=why)
+            self._listener.acted(act)
+
+    def over(self, now: float, held: Held, why: str) -> None:
+        if self._listener is not None and _plays(held) and not self._letting_go:
+            self._listener.over(now, held.ask.jti)
+
+    def listed(self, now: float, update: ListUpdate) -> None:
+        draining = {box for box, line in self._boxes.boxes.items() if line.state == "draining"}
+        if self._listener is not None:
+            self._listener.list_told(now, self.list_digest(), self._wall_ms())
+            for box in sorted(draining - self._draining):
+                self._listener.acted(Act(now, Deed.DRAIN, box=box, outcome="heard"))
+        self._draining = draining
+
+    def list_digest(self) -> bytes:
+        """Of the list's content, alike at every front that was told the same: no feed's number is in it."""
+        rows: list[Any] = [
+            [box, line.state, line.boot, line.host, line.port, line.cell, line.kind, line.weight]
+            for box, line in sorted(self._boxes.boxes.items())[:_ROWS_MOST]
+            if line.state != "gone"
+        ]
+        rows += [[title, one.first_cell, one.copies] for title, one in sorted(self._boxes.lessons.items())]
+        return blake2b(json.dumps(rows).encode(), digest_size=16).digest()
+
+    # --- pieces ---
+
+    def _act(self, now: float, deed: Deed, held: Held) -> None:
+        if self._listener is not None:
+            ask = held.ask
+            act = Act(
+                now, deed, ask.jti, ask.title_name, ask.tenant, held.server, outcome=f"try {held.attempt}"
+            )
+            self._listener.acted(act)
+
+    def _standing(self, held: Held) -> Standing:
+        ask = held.ask
+        carrier = self._core.carriers[ask.via]
+        digest, data = carrier.pack(held.payload)
+        if digest:
+            self._keep(digest, data)
+        return Standing(
+            session=ask.jti, via=ask.via, who=ask.who, title=ask.title_name, cls=self._names[ask.cls],
+            top_rung=ask.top_rung, tenant=ask.tenant, key=ask.key, box=held.server, attempt=held.attempt,
+            rung=held.rung, payload=digest, answers=held.told, spent=held.attempt,
+        )  # fmt: skip
+
+    def _keep(self, digest: bytes, data: bytes) -> None:
+        self._payloads[digest] = data
+        self._payloads.move_to_end(digest)
+        if len(self._payloads) > _PAYLOADS_KEPT:
+            self._payloads.popitem(last=False)
+
+
+def _plays(held: Held) -> bool:
+    return held.phase is Phase.PLAYING
+
+
+def _claimed(box: int, reply: Reply) -> Claimed:
+    """What a box's answer to a claim says; one that can't be read says that the box was not reached."""
+    if reply.outcome is not Outcome.ANSWERED or reply.status not in (200, 409):
+        return Claimed(box, reached=False)
+    try:
+        body = json.loads(reply.body)
+        sessions = tuple((str(jti), int(attempt), int(rung)) for jti, attempt, rung in body["sessions"])
+        return Claimed(box, True, reply.status == 200, int(body["fence"]), sessions)
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return Claimed(box, reached=False)
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -85,6 +85,9 @@
     def load(self) -> int:
         """Sessions held."""
 
+    def boxes(self) -> list[int]:
+        """All boxes that the list names now."""
+
     def payload(self, digest: bytes) -> bytes | None:
         """What viewers of a session are answered from, to be given to an heir."""
 
@@ -94,6 +97,9 @@
     def let_go(self, now: float, session: str) -> bool:
         """The session is another's from now on: nothing is said to its box or its viewers."""
 
+    def release(self, now: float, box: int, session: str, attempt: int, why: str) -> None:
+        """Takes back what runs at a box, which no front can prove to be wanted."""
+
     def hold_back(self, why: str, wait_ms: float) -> None:
         """No new session is taken, each refused with that reason and wait; an empty reason ends it."""
 
--- a/fernweir/rehearsal/site.py
+++ b/fernweir/rehearsal/site.py
@@ -113,6 +113,7 @@
             "terms",
             rungs=len(plan.ladder_kb),
             way_ms=plan.way_ms,
+            overlap_ms=plan.times.overlap,
             drain_grace_ms=plan.drain_grace_ms,
             classes=[
                 {"name": one.name, "floor": one.floor, "seats": one.seats, "effect": one.effect}
--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -13,6 +13,7 @@
 from fernweir.http.server import Exchange, Server, ServerLimits
 from fernweir.http.sse import KEEP_ALIVE, encode_event
 from fernweir.http.target import TargetError, split_target
+from fernweir.standin.fences import Fences
 from fernweir.standin.site import Site, as_of
 from fernweir.standin.trace import Trace
 from fernweir.tokens import BoxClaims, ControlClaims, TokenError
@@ -49,6 +50,7 @@
     rung: int
     seen_at: float
     ending: str = ""
+    channel: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -97,6 +99,7 @@
         self._unwatched: dict[str, float] = {}
         self._held_back: list[Exchange] = []
         self._released: dict[tuple[str, int], float] = {}
+        self._fences = Fences(site.times.overlap / 1000.0)
         self._history: deque[tuple[float, float]] = deque(maxlen=256)
         self._asked_kb = 0.0
         self._lives = 0
@@ -137,6 +140,7 @@
         if self._server is None:
             return
         server, self._server = self._server, None
+        self._fences = Fences(self.site.times.overlap / 1000.0)
         self.trace.write("box.stop", box=self.spec.number, why=why)
         for session in list(self.sessions.values()):
             self._end(session, "died", tell=False)
@@ -163,6 +167,8 @@
             exchange.respond(204, [self._load_header()])
         elif path == ["notes"] and method == "GET":
             self._open_notes(exchange)
+        elif path == ["channels"] and method == "PUT":
+            self._claim(exchange, query.get("channel", ""))
         elif len(path) == 2 and path[0] == "sessions" and method in ("PATCH", "DELETE"):
             self._steer(exchange, path[1], query)
         elif len(path) == 3 and path[0] == "lessons" and path[2] == "manifest.mpd" and method == "GET":
@@ -186,10 +192,16 @@
         if claims.title != title or claims.cls not in self.site.classes:
             self._problem(exchange, 403, "token is for something else")
             return
+        if claims.channel is not None and not self._may_steer(
+            claims.channel, claims.front, claims.fence, claims.jti, claims.attempt
+        ):
+            self._problem(exchange, 412, "the channel has another owner")
+            return
         number = self.trace.number()
         self.trace.write(
             "box.setup", box=self.spec.number, id=number, front=claims.front, session=claims.jti,
             attempt=claims.attempt, title=title, cls=claims.cls, rung=claims.rung,
+            **_under(claims.channel, claims.fence),
         )  # fmt: skip
         how = self.behaviour
         self._count_cold()
@@ -219,8 +231,10 @@
         how = self.behaviour
         session = BoxSession(
             claims.jti, claims.attempt, claims.front, claims.title, claims.cls, claims.top, claims.rung,
-            self._loop.time(),
+            self._loop.time(), channel=claims.channel or "",
         )  # fmt: skip
+        if session.channel:  # its owner may have changed while the work was done
+            session.front = self._fences.owner(session.channel) or session.front
         old = self.sessions.pop((session.jti, session.attempt), None)
         if old is not None:
             self._account(old, -1)
@@ -229,6 +243,7 @@
         self.trace.write(
             "box.runs", box=self.spec.number, id=number, front=session.front, session=session.jti,
             attempt=session.attempt, title=session.title, cls=session.cls, rung=session.rung,
+            **_under(claims.channel, claims.fence),
         )  # fmt: skip
         if exchange.gone:
             return
@@ -284,7 +299,14 @@
                 front = self.site.keyring.verify(
                     token, ControlClaims, audience=self.site.audience, now_s=now
                 ).front
-                allowed = session is None or session.front == front
+                if session is not None and session.channel:
+                    channel, fence = _fence_of(exchange)
+                    if channel != session.channel or not self._may_steer(channel, front, fence, jti, attempt):
+                        self._problem(exchange, 412, "the channel has another owner")
+                        return
+                    allowed = True
+                else:
+                    allowed = session is None or session.front == front
         except TokenError as error:
             self._problem(exchange, 401, str(error))
             return
@@ -303,6 +325,55 @@
         else:
             self._patch(exchange, session)
 
+    def _may_steer(self, channel: str, front: str, fence: int, jti: str, attempt: int) -> bool:
+        before = self._fences.owner(channel)
+        accepted = self._fences.accepts(self._loop.time(), channel, front, fence)
+        self.trace.write(
+            "box.steer", box=self.spec.number, channel=channel, fence=fence, by=front, session=jti,
+            attempt=attempt, accepted=accepted,
+        )  # fmt: skip
+        if self._fences.owner(channel) != before:
+            self._hand_over(channel)
+        return accepted
+
+    def _claim(self, exchange: Exchange, channel: str) -> None:
+        """A front owns a channel from now on, if no higher fence is known; it gets the sessions held."""
+        token = exchange.headers.get("authorization").partition(" ")[2]
+        now = self._loop.time()
+        try:
+            front = self.site.keyring.verify(
+                token, ControlClaims, audience=self.site.audience, now_s=now + self.site.wall_offset_s
+            ).front
+            fence = json.loads(exchange.body)["fence"]
+            if not channel or not isinstance(fence, int) or not 0 < fence < 1 << 63:
+                raise ValueError("no channel, or no fence")
+        except TokenError as error:
+            self._problem(exchange, 401, str(error))
+            return
+        except (ValueError, KeyError, TypeError) as error:
+            self._problem(exchange, 422, str(error))
+            return
+        accepted = self._fences.claim(now, channel, front, fence)
+        highest = self._fences.highest(channel)
+        self.trace.write(
+            "box.claim", box=self.spec.number, channel=channel, front=front, fence=fence, accepted=accepted,
+            highest=highest,
+        )  # fmt: skip
+        if accepted:
+            self._hand_over(channel)
+        held = [[one.jti, one.attempt, one.rung] for one in self.sessions.values() if one.channel == channel]
+        body = json.dumps({"fence": highest, "sessions": held if accepted else []}).encode()
+        exchange.respond(200 if accepted else 409, [("content-type", "application/json")], body)
+
+    def _hand_over(self, channel: str) -> None:
+        """From now on its sessions' notes go to its owner."""
+        owner = self._fences.owner(channel)
+        for session in self.sessions.values():
+            if session.channel == channel:
+                session.front = owner
+        if owner not in self._watchers:
+            self._unwatched[owner] = self._loop.time()
+
     def _patch(self, exchange: Exchange, session: BoxSession) -> None:
         try:
             body = json.loads(exchange.body)
@@ -449,7 +520,7 @@
             unwatched = self._unwatched.get(session.front)
             if now - session.seen_at > times.idle / 1000.0:
                 self._end(session, "idle", tell=True)
-            elif unwatched is not None and now - unwatched > times.orphan / 1000.0:
+            elif unwatched is not None and now - unwatched > self._kept_s(session):
                 self._end(session, "front is gone", tell=False)
         if now - self._told_at < min(1.0, times.tell / 1000.0):
             return
@@ -474,6 +545,11 @@
         if whole:
             self._told_at = now
 
+    def _kept_s(self, session: BoxSession) -> float:
+        """How long a session goes on with nobody watching it."""
+        times = self.site.times
+        return (times.heirless if session.channel else times.orphan) / 1000.0
+
     def _count_cold(self) -> None:
         """A cold box that is sent too much falls over and stays down."""
         cold, life = self.site.cold, self._life
@@ -489,3 +565,14 @@
         if len(life.arrivals) > most + 1.0:
             self.toppled = True
             self.die("toppled")
+
+
+def _under(channel: str | None, fence: int) -> dict[str, object]:
+    """What a trace adds where the session may change its owner."""
+    return {} if channel is None else {"channel": channel, "fence": fence}
+
+
+def _fence_of(exchange: Exchange) -> tuple[str, int]:
+    """The channel and fence under which a front steers; no channel if the field is not there or malformed."""
+    channel, _, fence = exchange.headers.get("fernweir-fence").rpartition(";")
+    return (channel, int(fence)) if fence.isascii() and fence.isdigit() and len(fence) < 20 else ("", 0)
--- a/fernweir/standin/site.py
+++ b/fernweir/standin/site.py
@@ -32,13 +32,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteTimes:
-    """Milliseconds: how often boxes tell, how late reports are, how long an unwatched session is kept."""
+    """Milliseconds: how often boxes tell, how late reports are, how long an unwatched session is kept.
+
+    `orphan` holds for a session that ends with its front, `heirless` for one whose channel may be inherited;
+    `overlap` is how long a front that was followed by another may still steer.
+    """
 
     tell: float = 2000.0
     seen_after: float = 300.0
     set_up: tuple[float, float] = (8.0, 40.0)
     idle: float = 10_000.0
     orphan: float = 3_000.0
+    heirless: float = 30_000.0
+    overlap: float = 1_000.0
 
 
 @dataclass(slots=True)
--- a/fernweir/tokens/claims.py
+++ b/fernweir/tokens/claims.py
@@ -11,6 +11,11 @@
 Slug = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._~-]*$")]
 
 
+# A channel is a part of a front's sessions that can change its owner; its fence grows with each.
+Channel = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[A-Za-z0-9._:/-]+$")]
+Fence = Annotated[int, Field(ge=0, le=0x7FFFFFFFFFFFFFFF)]
+
+
 class TokenFault(Enum):
     """Each reason for refusing a token; the value goes into logs and problem details."""
 
@@ -63,12 +68,17 @@
 
 
 class BoxClaims(SessionClaims):
-    """The narrower token that a front mints for one box: this session there, and nothing else."""
+    """The narrower token that a front mints for one box: this session there, and nothing else.
+
+    `channel` and `fence` stand in the token of a set-up, if the front's sessions may change their owner.
+    """
 
     front: Name
     attempt: Annotated[int, Field(ge=0, le=1000)]
     rung: Annotated[int, Field(ge=0, le=63)]
     use: Literal["session"] = "session"
+    channel: Channel | None = None
+    fence: Fence = 0
 
 
 class ControlClaims(Claims):
--- /dev/null
+++ b/tests/test_peers_boxes.py
@@ -0,0 +1,153 @@
+"""What a simulated box accepts of two owners of one channel, and a session that goes on at another front."""
+
+from __future__ import annotations
+
+from fernweir.front.boxes import BoxClient
+from fernweir.front.peering import Peering
+from fernweir.interface import Result
+from fernweir.peers.port import Claimed, Standing
+from fernweir.rehearsal.site import SitePlan
+from fernweir.standin.fences import Fences
+from fernweir.standin.site import SiteTimes
+from tests.scene import Scene, play
+from tests.sockets import until
+
+PLAN = SitePlan(
+    times=SiteTimes(
+        tell=200.0, seen_after=50.0, set_up=(2.0, 6.0), idle=10_000.0, orphan=300.0, overlap=400.0
+    )
+)
+
+
+def test_a_lower_fence_is_accepted_for_the_overlap_alone() -> None:
+    fences = Fences(overlap_s=1.0)
+    assert fences.claim(0.0, "c", "a", 5) and fences.accepts(0.0, "c", "a", 5)
+    assert not fences.claim(0.0, "c", "b", 5)  # nobody shares a fence
+    assert fences.claim(10.0, "c", "b", 6)
+    assert fences.accepts(11.0, "c", "a", 5) and not fences.accepts(11.001, "c", "a", 5)
+    assert not fences.claim(10.0, "c", "a", 5)
+    assert fences.claim(10.5, "c", "c", 7)
+    # Overtaken by 6 at 10: that 7 came later gives 5 no more time.
+    assert not fences.accepts(11.2, "c", "a", 5) and fences.accepts(11.2, "c", "b", 6)
+    for number in range(8, 30):  # more rises than are remembered: what is forgotten is refused
+        assert fences.accepts(11.3, "c", "d", number)
+    assert not fences.accepts(11.3, "c", "b", 6)
+    assert fences.owner("c") == "d" and fences.highest("c") == 29
+    small = Fences(1.0, most=2)
+    for name in "xyz":
+        assert small.claim(0.0, name, "a", 1)
+    assert small.highest("x") == 0 and small.highest("z") == 1
+
+
+class _Owner:
+    """Channel and fence for every session."""
+
+    def __init__(self, channel: str, fence: int) -> None:
+        self.under: tuple[str, int] | None = (channel, fence)
+
+    def fence(self, jti: str) -> tuple[str, int] | None:
+        return self.under
+
+
+class _Told:
+    """A listener that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.standings: dict[str, Standing] = {}
+        self.ends: list[str] = []
+        self.acts: list[object] = []
+        self.lists: list[bytes] = []
+
+    def stands(self, now: float, standing: Standing) -> None:
+        self.standings[standing.session] = standing
+
+    def over(self, now: float, session: str) -> None:
+        self.ends.append(session)
+
+    def acted(self, act: object) -> None:
+        self.acts.append(act)
+
+    def list_told(self, now: float, digest: bytes, told_at: float) -> None:
+        self.lists.append(digest)
+
+
+def test_a_session_goes_on_at_another_front_that_took_its_channel() -> None:
+    async def story(scene: Scene) -> None:
+        ports, told = [], []
+        for number, front in enumerate(scene.fronts):
+            client = front.core.doer
+            assert isinstance(client, BoxClient)
+            classes = {one.name: place for place, one in enumerate(front.core.host.settings.classes)}
+            port = Peering(front.core, client.boxes, client, classes, lambda: 0.0)
+            front.core.owner = _Owner("front-0:1/0", 5 + number)
+            told.append(_Told())
+            port.listen(told[-1])
+            ports.append(port)
+        assert ports[0].list_digest() == ports[1].list_digest()
+        wish = scene.wish(play_s=30.0)
+        path = "/lessons/lesson-0/manifest.mpd"
+        reply = await scene.http("GET", path, wish)
+        assert reply.status == 200
+        standing = told[0].standings[wish.session]
+        payload = ports[0].payload(standing.payload)
+        assert payload is not None and standing.answers == 1 and standing.attempt == 0
+        assert [str(act.deed) for act in told[0].acts] == ["setup"]  # type: ignore[attr-defined]
+
+        claims: list[Claimed] = []
+        ports[1].claim(standing.box, "front-0:1/0", 6, claims.append)
+        await until(lambda: bool(claims))
+        assert claims[0].accepted and claims[0].sessions == ((wish.session, 0, standing.rung),)
+        now = scene.fronts[1].core.now()
+        assert ports[1].take_over(now, standing, payload)
+        assert not ports[1].take_over(now, standing, payload)  # held already
+        assert ports[0].let_go(now, wish.session) and told[0].ends == []
+        assert not ports[0].let_go(now, wish.session)
+        # The heir answers its viewer from what stands, without a second set-up, and ends it at its box.
+        again = await scene.http("GET", path, wish, front=1)
+        assert again.status == 200 and len(scene.of("box.setup")) == 1
+        claims.clear()
+        ports[0].claim(standing.box, "front-0:1/0", 5, claims.append)  # woken, and none the wiser
+        await until(lambda: bool(claims))
+        assert not claims[0].accepted and claims[0].fence == 6 and claims[0].sessions == ()
+        assert scene.fronts[1].core.host.sessions == 1  # its stream of notes did not take it for lost
+        assert (await scene.http("DELETE", "/lessons/lesson-0/session", wish, front=1)).status == 204
+        await until(lambda: scene.of("box.end"))
+        (end,) = scene.of("box.end")
+        assert end["front"] == "front-1" and end["why"] == "released"
+        assert told[1].ends == [wish.session]
+        assert all(front.core.host.sessions == 0 for front in scene.fronts)
+
+    play(story, PLAN, fronts=2)
+
+
+def test_a_channel_s_session_outlives_its_front_and_steering_past_the_overlap_is_refused() -> None:
+    async def story(scene: Scene) -> None:
+        front = scene.fronts[0]
+        client = front.core.doer
+        assert isinstance(client, BoxClient)
+        owner = front.core.owner = _Owner("front-0:1/0", 5)
+        wish = scene.wish(play_s=30.0)
+        assert (await scene.http("GET", "/lessons/lesson-0/manifest.mpd", wish)).status == 200
+        (setup,) = scene.of("box.setup")
+        box = scene.site.boxes[int(setup["box"])]
+        claims: list[object] = []
+        heir = scene.fronts[1].core.doer
+        assert isinstance(heir, BoxClient)
+        heir.claim(box.spec.number, "front-0:1/0", 9, claims.append)
+        await until(lambda: bool(claims))
+        began = box._loop.time()
+        await until(lambda: box._loop.time() - began > 0.45)
+        host = front.core.host
+        assert host.release(front.core.now(), wish.session)  # past its bound: refused at the box
+        front.core.kick()
+        await until(lambda: [one for one in scene.of("box.steer") if not one["accepted"]])
+        assert (wish.session, 0) in box.sessions
+        owner.under = None  # steering without a fence is refused as well
+        host.session_over(front.core.now(), wish.session, 0, Result.OK)
+        client.drop(box.spec.number, wish.session, 0, "no fence")
+        front.kill()
+        began = box._loop.time()
+        await until(lambda: box._loop.time() - began > 0.8)  # more than `orphan`: an heir may still come
+        assert (wish.session, 0) in box.sessions
+
+    play(story, PLAN, fronts=2)
