Peers on the wire: codec, seals, replay windows, frames, links, and [peers] settings

Parts of the peers need their messages carried, authenticated and bounded, before they can be joined. Weighed: one counter a peer instead of one a front (a name is not known while joining, so one a front); HMAC-SHA256 instead of keyed BLAKE2b (slower in the standard library, no gain); TLS between fronts (needs a set of certificates and gives nothing to datagrams). A hello may be recorded, so a connection counts only after a frame whose tag covers both nonces.

--- a/fernweir/config/front.py
+++ b/fernweir/config/front.py
@@ -11,6 +11,7 @@
 from pydantic import AfterValidator, Field
 
 from fernweir.config.ini import IniFile, Reader, Section, read_file
+from fernweir.config.peers import PeersSection, check_peers
 from fernweir.config.units import (
     Address,
     Count,
@@ -216,6 +217,7 @@
     entitlement: EntitlementSection | None
     introspection: IntrospectionSection | None
     control: ControlSection | None
+    peers: PeersSection | None
     plays_unanswered: frozenset[str]
     class_names: dict[str, int]
     settings: Settings
@@ -250,6 +252,11 @@
     control = None
     if "control" in file.sections:
         control = reader.take("control", ControlSection)
+    peers = None
+    if "peers" in file.sections:
+        peers = reader.take("peers", PeersSection)
+        if peers is not None:
+            check_peers(reader, peers, folder)
     classes = reader.take_all("class", ClassSection)
     if not any(name.startswith("class.") for name in file.sections):
         reader.wrong("class.NAME", "", "at least one class is needed")
@@ -279,6 +286,7 @@
         entitlement=entitlement,
         introspection=introspection,
         control=control,
+        peers=peers,
         plays_unanswered=plays,
         class_names=numbers,
         settings=settings,
--- /dev/null
+++ b/fernweir/peers/link/udp.py
@@ -0,0 +1,80 @@
+"""Datagrams on asyncio's DatagramProtocol: a budget for what goes out, a gate for what comes in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from fernweir.peers.base import Address
+from fernweir.peers.link.rules import Drop, LinkCounts, LinkRules
+from fernweir.peers.wire.bucket import Bucket
+from fernweir.peers.wire.gate import Gate
+from fernweir.peers.wire.seal import Kind, Opened, Seal, SealError
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """`opened` gets what came and is authenticated, `stale` an authenticated (sender, life, newest life)."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        seal: Seal,
+        bucket: Bucket,
+        rules: LinkRules,
+        counts: LinkCounts,
+        opened: Callable[[Opened], None],
+        stale: Callable[[str, int, int], None],
+    ) -> None:
+        self.seal, self.gate = seal, Gate(rules.gate)
+        self._loop, self._bucket, self._counts = loop, bucket, counts
+        self._opened, self._stale = opened, stale
+        self._transport: asyncio.DatagramTransport | None = None
+        self._paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]  # a loop's own, of any class
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        now = self._loop.time() * 1000.0
+        self._counts.datagrams_in += 1
+        self._counts.bytes_in += len(data)
+        if not self.gate.admits(now, addr):
+            self._counts.drop(Drop.FLOOD)
+            return
+        try:
+            opened = self.seal.open(data)
+        except SealError as error:
+            self.gate.failed(now, addr)
+            self._counts.drop(Drop.SEALED)
+            if error.kind is Kind.OLD_LIFE:
+                self._stale(error.sender, error.life, error.newest)
+            return
+        self.gate.passed(addr)
+        self._opened(opened)
+
+    def send(self, body: bytes, form: int, address: Address) -> None:
+        if self._transport is None or self._transport.is_closing():
+            self._counts.drop(Drop.FORGOTTEN)
+        elif self._paused:
+            self._counts.drop(Drop.SOCKET)
+        elif not self._bucket.take(self._loop.time() * 1000.0, len(body) + self.seal.over):
+            self._counts.drop(Drop.BUDGET)
+        else:
+            data = self.seal.seal(body, form)
+            self._counts.datagrams_out += 1
+            self._counts.bytes_out += len(data)
+            self._transport.sendto(data, address)
+
+    def error_received(self, exc: Exception) -> None:
+        """The kernel heard that nobody listens there, or could not send: as if it were lost."""
+        self._counts.errors += 1
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/fernweir/peers/wire/gate.py
@@ -0,0 +1,54 @@
+"""What a flood of datagrams may cost: past so many bad ones a second, strangers are dropped unlooked at.
+
+Who is no stranger is known by where good datagrams came from lately. That is a guess, as a source can be
+forged: it only says whose seals are still looked at, and each such source has its own number a second.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class GateRules:
+    bad: int = 2_000  # a second over all, before strangers are dropped
+    bad_source: int = 200  # a second from one known source, before it is a stranger
+    sources: int = 4_096
+
+
+class Gate:
+    """`now` is ms."""
+
+    __slots__ = ("_bad", "_known", "_second", "rules")
+
+    def __init__(self, rules: GateRules | None = None) -> None:
+        self.rules = rules or GateRules()
+        self._second, self._bad = 0, 0
+        self._known: dict[Hashable, tuple[int, int]] = {}  # second and bad ones in it; last heard last
+
+    def admits(self, now: float, source: Hashable) -> bool:
+        """Whether a datagram's seal is worth looking at."""
+        self._turn(now)
+        return self._bad < self.rules.bad or source in self._known
+
+    def passed(self, source: Hashable) -> None:
+        """A datagram from there was authenticated."""
+        self._known[source] = self._known.pop(source, (0, 0))
+        if len(self._known) > self.rules.sources:
+            del self._known[next(iter(self._known))]
+
+    def failed(self, now: float, source: Hashable) -> None:
+        self._turn(now)
+        self._bad += 1
+        if source in self._known:
+            second, bad = self._known[source]
+            bad = bad + 1 if second == self._second else 1
+            self._known[source] = (self._second, bad)
+            if bad > self.rules.bad_source:
+                del self._known[source]
+
+    def _turn(self, now: float) -> None:
+        second = int(now // 1000.0)
+        if second != self._second:
+            self._second, self._bad = second, 0
--- /dev/null
+++ b/fernweir/peers/wire/seal.py
@@ -0,0 +1,153 @@
+"""Datagrams sealed with the fleet key: who sent them is proved, and each is taken once.
+
+A datagram is `magic 2, format 1, length of the name 1, name, life 8, counter 8, body, tag 16`, numbers big
+endian, the tag a keyed BLAKE2b of all before it. It is authenticated and not hidden. Checks go from cheap
+to dear, and only what is authenticated changes anything but a count.
+
+What a window can't know: a front that just started takes what was recorded before its start once more, and
+so does any front that the datagram was not sent to. Messages must bear that, as they must bear doubling.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+from fernweir.peers.wire.keys import TAG, Sealer
+from fernweir.peers.wire.window import Window
+
+MAGIC = b"\xfe\x57"
+_NUMBERS = struct.Struct(">QQ")
+NAME_MOST = 64
+LEAST = 4 + 1 + _NUMBERS.size + TAG
+USE = b"fernweir dgram"
+
+
+class Kind(StrEnum):
+    """Why something was not opened."""
+
+    SHORT = "short"
+    MAGIC = "magic"
+    FORMAT = "format"
+    NAME = "name"
+    TAG = "tag"
+    REPLAY = "replay"  # seen, or before the window
+    OLD_LIFE = "old life"
+    OWN = "own"  # what was sent from here, come back
+    COUNTER = "counter"  # on a connection: a frame repeated, left out or out of order
+
+
+class SealError(Exception):
+    """Something that is not opened. For an old life, `sender` and the two lives are authenticated."""
+
+    def __init__(self, kind: Kind, sender: str = "", life: int = 0, newest: int = 0) -> None:
+        super().__init__(kind.value)
+        self.kind, self.sender, self.life, self.newest = kind, sender, life, newest
+
+
+class Opened(NamedTuple):
+    sender: str
+    life: int
+    counter: int
+    format: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SealRules:
+    """`senders` bounds the windows; the one not heard longest makes room, for an authenticated one only."""
+
+    window: int = 1_024
+    senders: int = 4_096
+    formats: tuple[int, int] = (1, 1)
+
+
+class _Sender:
+    __slots__ = ("life", "window")
+
+    def __init__(self, life: int, size: int) -> None:
+        self.life, self.window = life, Window(size)
+
+
+class Seal:
+    """Seals under one name and life, and opens what others sealed. The first key seals, any opens."""
+
+    def __init__(self, keys: Sequence[bytes], name: str, life: int, rules: SealRules | None = None) -> None:
+        self.rules = rules or SealRules()
+        self.counts: dict[Kind, int] = dict.fromkeys(Kind, 0)
+        self.name, self.life, self._counter = name, life, 0
+        self._sealer = Sealer(keys, USE)
+        self._senders: dict[str, _Sender] = {}
+        self._bytes = name.encode()
+        if not 1 <= len(self._bytes) <= NAME_MOST:
+            raise ValueError(f"a name of {len(self._bytes)} bytes, not 1 to {NAME_MOST}")
+        self.over = LEAST - 1 + len(self._bytes)  # bytes that sealing adds
+
+    def relive(self, life: int) -> None:
+        """From now on this front seals under a later life, as others know its name in one above its own."""
+        if life <= self.life:
+            raise ValueError(f"life {life} is not after {self.life}")
+        self.life, self._counter = life, 0
+
+    def seal(self, body: bytes, form: int) -> bytes:
+        self._counter += 1
+        name = self._bytes
+        head = MAGIC + bytes((form, len(name))) + name + _NUMBERS.pack(self.life, self._counter)
+        data = head + body
+        return data + self._sealer.tag(data)
+
+    def open(self, data: bytes) -> Opened:
+        """What a datagram says, and by whom. SealError, counted by its kind, for all but a good new one."""
+        try:
+            return self._open(data)
+        except SealError as error:
+            self.counts[error.kind] += 1
+            raise
+
+    def _open(self, data: bytes) -> Opened:
+        size = len(data)
+        if size < LEAST:
+            raise SealError(Kind.SHORT)
+        if not data.startswith(MAGIC):
+            raise SealError(Kind.MAGIC)
+        form, length = data[2], data[3]
+        if not self.rules.formats[0] <= form <= self.rules.formats[1]:
+            raise SealError(Kind.FORMAT)
+        if not 1 <= length <= NAME_MOST:
+            raise SealError(Kind.NAME)
+        start = 4 + length + _NUMBERS.size
+        if size < start + TAG:
+            raise SealError(Kind.SHORT)
+        view = memoryview(data)
+        if self._sealer.opens(view[:-TAG], view[-TAG:]) is None:
+            raise SealError(Kind.TAG)
+        try:
+            sender = data[4 : 4 + length].decode()
+        except UnicodeDecodeError:
+            raise SealError(Kind.NAME) from None
+        life, counter = _NUMBERS.unpack_from(data, 4 + length)
+        if sender == self.name and life == self.life:
+            raise SealError(Kind.OWN)
+        self._take(sender, life, counter)
+        return Opened(sender, life, counter, form, data[start:-TAG])
+
+    def _take(self, sender: str, life: int, counter: int) -> None:
+        known = self._senders.pop(sender, None)
+        if known is not None and life < known.life:
+            self._senders[sender] = known
+            raise SealError(Kind.OLD_LIFE, sender, life, known.life)
+        if known is None or life > known.life:
+            known = _Sender(life, self.rules.window)
+        self._senders[sender] = known  # last in order, as it was heard last
+        if len(self._senders) > self.rules.senders:
+            del self._senders[next(iter(self._senders))]
+        if not known.window.take(counter):
+            raise SealError(Kind.REPLAY, sender, life, known.life)
+
+    def newest(self, sender: str) -> int:
+        """The latest life heard under a name, 0 if none is known."""
+        known = self._senders.get(sender)
+        return 0 if known is None else known.life
