A judge of ownership: one owner a channel, fences grow, nothing of a shut-out front

Sessions will move between fronts, so the auditor must see who owns them by what boxes accepted alone: it imports nothing of the peers. Three rules beside the six (7: one owner, two only within the overlap's bound; 8: fences grow over all boxes and each box keeps to its highest; 9: nothing of a shut-out front past its bound), and figures of what the loss of a front costs: gaps until an heir acts, sessions ended, given up, set up anew elsewhere.

The six rules learn that a session changes its front: seats go along with a claim (an heir may inherit over its seats and then add nothing), a front that stands still owes no answer in time and its drain's grace stands still too, one that was told to stop owes what was asked before. Traces without the new records are judged as before.

One mistake it found: an old owner's act in the overlap made it the owner again in the figures of gaps.

--- a/fernweir/audit/records.py
+++ b/fernweir/audit/records.py
@@ -66,10 +66,47 @@
 
 
 class FrontDown(Record):
-    """The front was killed or told to stop; `taking` is False from a SIGTERM on."""
+    """The front was killed, or told to stop; `planned` if it ended by itself after `front.term`."""
 
     kind: Literal["front.down"]
     front: str
+    planned: bool = False
+
+
+class FrontTerm(Record):
+    """The front was told to stop: what it took before must be answered."""
+
+    kind: Literal["front.term"]
+    front: str
+
+
+class FrontStop(Record):
+    """The process stands still from now on (SIGSTOP)."""
+
+    kind: Literal["front.stop"]
+    front: str
+
+
+class FrontCont(Record):
+    """It goes on, as if no time had passed."""
+
+    kind: Literal["front.cont"]
+    front: str
+
+
+class FleetShutOut(Record):
+    """The fleet shut a front out; from `bound_ms` later boxes must take nothing of it."""
+
+    kind: Literal["fleet.shutout"]
+    front: str
+    bound_ms: float
+
+
+class FleetBack(Record):
+    """It is one of the fleet again."""
+
+    kind: Literal["fleet.back"]
+    front: str
 
 
 class ViewerAsk(Record):
@@ -261,6 +298,11 @@
     Terms
     | FrontUp
     | FrontDown
+    | FrontTerm
+    | FrontStop
+    | FrontCont
+    | FleetShutOut
+    | FleetBack
     | ViewerAsk
     | ViewerAnswer
     | ViewerCut
