--- a/fernweir/peers/wire/codec.py
+++ b/fernweir/peers/wire/codec.py
@@ -55,6 +55,8 @@
                 raise ValueError(
                     f"{kind.__name__} and {self.kinds[config.tag].__name__} are both {config.tag!r}"
                 )
+        if not self.kinds:
+            raise ValueError("no kinds of messages")
         union: Any = Union[tuple(self.kinds.values())]  # noqa: UP007 - made of what is given
         self._all = msgspec.msgpack.Decoder(list[union])
         self._each = msgspec.msgpack.Decoder(union)
