--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -86,6 +86,17 @@
         """None where a session ends with its front, or is another's by now."""
 
 
+class Finder(Protocol):
+    """Who knows whether a session that this front does not hold is held at another."""
+
+    def ask(self, ask: Ask, then: Callable[[Answer | None], None]) -> None:
+        """`then` is called exactly once, within the request's time: with the answer of the front that holds
+        the session, or a refusal where nobody can tell, or None if it may begin here."""
+
+    def tell(self, jti: str, what: str, then: Callable[[bool], None]) -> None:
+        """`what` is `look` or `end`; `then` is told exactly once whether such a session plays elsewhere."""
+
+
 class Core:
     """Owns the host's clock: `loop.time()` in milliseconds. Events of one loop turn go in one batch."""
 
@@ -97,6 +108,7 @@
         self.doer: Doer | None = None
         self.keeper: Keeper | None = None
         self.owner: Owner | None = None
+        self.finder: Finder | None = None
         self.on_over: Callable[[Over], None] | None = None
         self._batch_s = batch_ms / 1000.0
         self._numbers = itertools.count(1)
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -9,7 +9,7 @@
 import re
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 from urllib.parse import quote
 
@@ -190,18 +190,32 @@
     ) -> None:
         if claims.title != path[1]:
             raise _challenge(TokenError(TokenFault.TITLE, "the token is for another lesson"))
+        if exchange.method in ("DELETE", "HEAD"):
+            held, finder = self.core.host.session(claims.jti), self.core.finder
+            if held is None and finder is not None:
+                what = "end" if exchange.method == "DELETE" else "look"
+                finder.tell(
+                    claims.jti, what, lambda found: self._guard(exchange, lambda: self._say(exchange, found))
+                )
+            elif exchange.method == "DELETE":
+                ended = self.core.host.release(self.core.now(), claims.jti)
+                self.core.kick()
+                self._say(exchange, ended)
+            else:
+                self._say(exchange, held is not None and held.told > 0)
+        else:
+            self._take(exchange, claims, in_query, spent_ms)
+
+    def _say(self, exchange: Exchange, plays: bool) -> None:
+        """Answers a request to look for a session, or to end it."""
+        if exchange.gone:
+            return
+        if not plays:
+            raise _RefusedError(404, "no-session", "no such session plays here")
         if exchange.method == "DELETE":
-            if not self.core.host.release(self.core.now(), claims.jti):
-                raise _RefusedError(404, "no-session", "no such session plays here")
-            self.core.kick()
             exchange.respond(204, _CORS)
-        elif exchange.method == "HEAD":
-            held = self.core.host.session(claims.jti)
-            if held is None or not held.told:
-                raise _RefusedError(404, "no-session", "no such session plays here")
-            exchange.respond(200, [*_CORS, ("content-type", MPD_TYPE), ("cache-control", "no-store")])
         else:
-            self._take(exchange, claims, in_query, spent_ms)
+            exchange.respond(200, [*_CORS, ("content-type", MPD_TYPE), ("cache-control", "no-store")])
 
     def _claims(self, token: str) -> SessionClaims:
         try:
@@ -251,11 +265,27 @@
             wait_ms=max(wait_ms(exchange, kind) - spent_ms, 0.0),
             tenant=claims.tenant or "",
         )
-        exchange.on_gone = lambda: self.core.withdraw(ask.ticket)
         location = f"{self.public_url}/lessons/{quote(claims.title, safe='')}/manifest.mpd"
         if in_query:
             location += exchange.head.target[exchange.head.target.index("?") :]
-        self.core.ask(ask, lambda answer: self._answer(exchange, answer, location))
+        finder, begun = self.core.finder, self.core.now()
+
+        def here(ask: Ask) -> None:
+            exchange.on_gone = lambda: self.core.withdraw(ask.ticket)
+            self.core.ask(ask, lambda answer: self._answer(exchange, answer, location))
+
+        def found(answer: Answer | None) -> None:
+            if exchange.gone:
+                return
+            if answer is not None:
+                self._answer(exchange, answer, location)
+            else:
+                here(replace(ask, wait_ms=max(ask.wait_ms - (self.core.now() - begun), 0.0)))
+
+        if finder is None or self.core.host.session(ask.jti) is not None:
+            here(ask)
+        else:
+            finder.ask(ask, found)
 
     def _answer(self, exchange: Exchange, answer: Answer, location: str) -> None:
         if exchange.gone:
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -13,11 +13,12 @@
 
 from fernweir.front.boxes import BoxClient
 from fernweir.front.boxlist import BoxList
-from fernweir.front.commands import Ask
+from fernweir.front.commands import Answer, Ask, Kind
 from fernweir.front.core import BadAnswerError, Core
 from fernweir.front.host import Held, Phase
 from fernweir.http.client import Outcome, Reply
 from fernweir.interface import ListUpdate
+from fernweir.peers.forward.messages import Carried, Carry
 from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing
 
 _PAYLOADS_KEPT = 4_096
@@ -105,6 +106,38 @@
 
         self._client.claim(box, channel, fence, done)
 
+    def carry(self, request: Carry, then: Callable[[Carried], None]) -> None:
+        core, number = self._core, request.number
+        held = core.host.session(request.session)
+        if held is None:
+            then(Carried(number, "none"))
+        elif request.what == "look":
+            then(Carried(number, "done" if held.told else "none"))
+        elif request.what == "end":
+            ended = core.host.release(core.now(), request.session)
+            core.kick()
+            then(Carried(number, "done" if ended else "none"))
+        else:
+            self._ask(request, then)
+
+    def answer(self, ask: Ask, carried: Carried) -> Answer | None:
+        """What another front said to a request of this one's viewer; None if it holds no such session."""
+        if carried.kind in ("none", "done"):
+            return None
+        kind = Kind(carried.kind)
+        if kind is not Kind.PLAYS:
+            return Answer(
+                ask.ticket, kind, carried.why, carried.retry_ms, timed_out=carried.timed_out, session=ask
+            )
+        try:
+            payload = self._core.carriers[ask.via].unpack(ask.cls, ask.top_rung, carried.data)
+        except BadAnswerError as error:
+            return Answer(ask.ticket, Kind.FAILED, str(error), session=ask)
+        return Answer(
+            ask.ticket, kind, session=ask, server=carried.box, attempt=carried.attempt, rung=carried.rung,
+            payload=payload,
+        )  # fmt: skip
+
     # --- what happens at the front (host.Observer) ---
 
     def placed(self, now: float, held: Held) -> None:
@@ -146,6 +179,38 @@
 
     # --- pieces ---
 
+    def _ask(self, request: Carry, then: Callable[[Carried], None]) -> None:
+        core, lesson = self._core, self._boxes.lessons.get(request.title)
+        cls, carrier = self._classes.get(request.cls), core.carriers.get(request.via)
+        if lesson is None or cls is None or carrier is None:
+            then(Carried(request.number, "failed", "lesson or class is not known to the session's front"))
+            return
+
+        def answered(answer: Answer) -> None:
+            digest, data = carrier.pack(answer.payload) if answer.kind is Kind.PLAYS else (b"", b"")
+            then(
+                Carried(
+                    request.number,
+                    answer.kind.value,
+                    answer.why[:1_000],
+                    answer.retry_after_ms,
+                    answer.timed_out,
+                    answer.server,
+                    answer.attempt,
+                    answer.rung,
+                    digest,
+                    data,
+                )  # fmt: skip
+            )
+
+        ask = Ask(
+            ticket=core.ticket(), via=request.via, jti=request.session, who=request.who,
+            title_name=request.title, title=lesson.number, first_cell=lesson.first_cell,
+            copies=lesson.copies, cls=cls, top_rung=request.top_rung, wait_ms=request.wait_ms,
+            tenant=request.tenant,
+        )  # fmt: skip
+        core.ask(ask, answered)
+
     def _act(self, now: float, deed: Deed, held: Held) -> None:
         if self._listener is not None:
             ask = held.ask
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from fernweir.peers.forward.messages import Carried, Carry
+
 
 class Standing(msgspec.Struct, frozen=True, array_like=True):
     """A session that stands, as whoever inherits it must know it.
@@ -103,6 +105,9 @@
     def hold_back(self, why: str, wait_ms: float) -> None:
         """No new session is taken, each refused with that reason and wait; an empty reason ends it."""
 
+    def carry(self, request: Carry, then: Callable[[Carried], None]) -> None:
+        """A request that came to another front, for a session that is held here; `then` is called once."""
+
     def claim(self, box: int, channel: str, fence: int, then: Callable[[Claimed], None]) -> None:
         """Tells a box that this front owns a channel under a fence; `then` is called once, later."""
 
