--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -200,7 +200,7 @@
                     answer.rung,
                     digest,
                     data,
-                )  # fmt: skip
+                )
             )
 
         ask = Ask(
