--- /dev/null
+++ b/tests/peers_mutants/lease.py
@@ -0,0 +1,7 @@
+"""Mistakes in leases."""
+
+from __future__ import annotations
+
+from tests.peers_mutants import Mutant
+
+MUTANTS: list[Mutant] = []
