Links under drawn faults: a newer life takes over at once, long frames don't look idle

They found: a frame longer than the idle time closed its own connection; a connection refused for its name or life was called again without a pause; a newer life proved on a connection did not retire datagrams of the older one, nor the other way round. All mended: one table of lives for both.

--- a/fernweir/peers/link/connection.py
+++ b/fernweir/peers/link/connection.py
@@ -30,18 +30,19 @@
         me = owner.me
         self.talk = Conversation(me.keys, me.name, owner.life, me.nonce(16), me.formats)
         self.closed = self.paused = False
+        self.joined = False  # proven, and by whom it should be
         self.since = self.used = self.still_since = owner.now()
         self.out = memoryview(b"")  # what is left of the frame that is being written
         self._frames = Frames(HELLO_MOST)
         self._transport: asyncio.Transport | None = None
 
     @property
-    def proven(self) -> bool:
-        return self.talk.proven and not self.closed
+    def usable(self) -> bool:
+        return self.joined and not self.closed
 
     @property
     def writable(self) -> bool:
-        return self.talk.proven and not self.closed and not self.paused
+        return self.joined and not self.closed and not self.paused
 
     # --- asyncio ---
 
@@ -63,6 +64,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.owner.counts.bytes_in += nbytes
+        self.used = self.owner.now()
         self._frames.feed(self.owner.buffer[:nbytes])
         try:
             while not self.closed and (data := self._frames.next()) is not None:
@@ -103,18 +105,17 @@
         if not proven:
             self.owner.proved(self)
         if body and not self.closed:
-            self.used = self.owner.now()
             self.owner.heard(self, body)
 
     def start(self, body: bytes) -> None:
         """The next frame; `advance` writes it."""
         self.out = memoryview(frames.frame(self.talk.seal(body)))
-        self.used = self.owner.now()
 
     def advance(self, size: int) -> None:
         """Writes that much of the frame that has begun."""
         self._write(self.out[:size])
         self.out = self.out[size:]
+        self.used = self.owner.now()
         if not self.out:
             self.owner.counts.frames_out += 1
 
--- a/fernweir/peers/link/links.py
+++ b/fernweir/peers/link/links.py
@@ -95,8 +95,8 @@
         bucket = Bucket(rules.rate, rules.burst, loop.time() * 1000.0)
         self._datagrams = Datagrams(loop, self.seal, bucket, rules, counts, self._opened, self._on_stale)
         self.connections = Connections(
-            loop, me, listen[0], bucket, rules, counts, seed,
-            self._address, self.seal.newest, self._framed,
+            loop, me, self.seal, listen[0], bucket, rules, counts, seed,
+            self._address, self._framed, self._on_stale,
         )  # fmt: skip
         transport, _ = await loop.create_datagram_endpoint(lambda: self._datagrams, local_addr=listen)
         try:
--- a/fernweir/peers/link/tcp.py
+++ b/fernweir/peers/link/tcp.py
@@ -18,7 +18,7 @@
 from fernweir.peers.wire import frames
 from fernweir.peers.wire.bucket import Bucket
 from fernweir.peers.wire.conversation import OVER
-from fernweir.peers.wire.seal import Kind
+from fernweir.peers.wire.seal import Kind, Seal, SealError
 
 LONGEST = frames.MOST - OVER
 Called = str | Address
@@ -39,26 +39,32 @@
 
 
 class Connections:
-    """`address_of` gives a checked address, `opened` gets (sender, life, format, body) of what came."""
+    """`seal` knows the lives of others, `address_of` gives a checked address.
+
+    `opened` gets (sender, life, format, body) of what came, `stale` the (sender, life, newest life) of a
+    peer whose life is over.
+    """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         me: Identity,
+        seal: Seal,
         host: str,
         bucket: Bucket,
         rules: LinkRules,
         counts: LinkCounts,
         seed: int,
         address_of: Callable[[Called], Address | None],
-        newest: Callable[[str], int],
         opened: Callable[[str, int, int, bytes], None],
+        stale: Callable[[str, int, int], None],
     ) -> None:
         self.me, self.life, self.rules, self.counts = me, me.life, rules, counts
         self.unsealed_by_kind: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.buffer = memoryview(bytearray(65_536))
         self._loop, self._host, self._bucket = loop, host, bucket
-        self._address_of, self._newest, self._opened = address_of, newest, opened
+        self._seal, self._address_of, self._opened = seal, address_of, opened
+        self._stale = stale
         self._dice = Random(f"links {seed}")
         self._lanes: dict[Called, _Lane] = {}
         self._waiting = 0
@@ -111,7 +117,12 @@
 
     def _connection(self, whom: Called) -> Connection | None:
         found = self._named.get(whom) if isinstance(whom, str) else self._dialled.get(whom)
-        return found if found is not None and found.proven else None
+        if found is None or not found.usable:
+            return None
+        if found.talk.peer_life < self._seal.newest(found.talk.peer):  # its name lives on elsewhere
+            found.abort()
+            return None
+        return found
 
     def _pump(self, lane: _Lane, connection: Connection) -> None:
         """Writes what waits, as far as the peer reads and the budget goes; datagrams keep a quarter."""
@@ -224,10 +235,14 @@
             connection.abort()
             return
         known = self._named.get(talk.peer)
-        if talk.peer_life < max(self._newest(talk.peer), known.talk.peer_life if known else 0):
+        try:
+            self._seal.meet(talk.peer, talk.peer_life)
+        except SealError as error:
             self.counts.drop(Drop.OLD_LIFE)
             connection.abort()
+            self._stale(error.sender, error.life, error.newest)
             return
+        connection.joined = True
         if known is not None and known.talk.peer_life < talk.peer_life:
             known.abort()
         self.counts.proven += 1
@@ -275,7 +290,7 @@
         if self._named.get(talk.peer) is connection:
             del self._named[talk.peer]
             for other in self._all:
-                if other.proven and other.talk.peer == talk.peer:
+                if other.usable and other.talk.peer == talk.peer:
                     self._named.setdefault(talk.peer, other)
         if address is not None and self._dialled.get(address) is connection:
             del self._dialled[address]
@@ -285,7 +300,7 @@
             lane = self._lanes.get(whom) if whom is not None else None
             if lane is None:
                 continue
-            if talk.proven:
+            if connection.joined and self.now() - connection.since > self.rules.retry_ms:
                 self._serve(lane)
             elif whom == connection.called:
                 self._failed(lane)
@@ -295,9 +310,9 @@
     def _make_room(self) -> None:
         """The connection not used longest goes when there are too many."""
         most = self.rules.connections
-        proven = [one for one in self._all if one.proven]
-        if len(proven) >= most:
-            oldest = min(proven, key=lambda one: one.used)
+        usable = [one for one in self._all if one.usable]
+        if len(usable) >= most:
+            oldest = min(usable, key=lambda one: one.used)
             if oldest.paused or oldest.out:
                 oldest.abort()
             else:
@@ -309,7 +324,7 @@
             if connection.closed:  # orderly, and the last of it is not out
                 if now - connection.still_since > rules.stalled_ms:
                     connection.abort()
-            elif not connection.proven:
+            elif not connection.joined:
                 if now - connection.since > rules.hello_ms:
                     self.counts.late += 1
                     connection.abort()
@@ -344,7 +359,7 @@
         for lane in list(self._lanes.values()):
             self._drop_lane(lane, Drop.FORGOTTEN)
         for connection in list(self._all):
-            if connection.proven and not connection.paused:
+            if connection.usable and not connection.paused:
                 connection.close()
             else:
                 connection.abort()
--- a/fernweir/peers/wire/seal.py
+++ b/fernweir/peers/wire/seal.py
@@ -135,6 +135,11 @@
         return Opened(sender, life, counter, form, data[start:-TAG])
 
     def _take(self, sender: str, life: int, counter: int) -> None:
+        if not self.meet(sender, life).take(counter):
+            raise SealError(Kind.REPLAY, sender, life, life)
+
+    def meet(self, sender: str, life: int) -> Window:
+        """The window of a life that was proved; those before it are over. SealError for one of these."""
         known = self._senders.pop(sender, None)
         if known is not None and life < known.life:
             self._senders[sender] = known
@@ -144,8 +149,7 @@
         self._senders[sender] = known  # last in order, as it was heard last
         if len(self._senders) > self.rules.senders:
             del self._senders[next(iter(self._senders))]
-        if not known.window.take(counter):
-            raise SealError(Kind.REPLAY, sender, life, known.life)
+        return known.window
 
     def newest(self, sender: str) -> int:
         """The latest life heard under a name, 0 if none is known."""
--- a/tests/peers_mutants/wire.py
+++ b/tests/peers_mutants/wire.py
@@ -7,6 +7,7 @@
 _SEAL, _TALK = "fernweir/peers/wire/seal.py", "fernweir/peers/wire/conversation.py"
 _WINDOW, _FRAMES = "fernweir/peers/wire/window.py", "fernweir/peers/wire/frames.py"
 _KEYS, _TCP = "fernweir/peers/wire/keys.py", "fernweir/peers/link/tcp.py"
+_LINKS, _CONNECTION = "fernweir/peers/link/links.py", "fernweir/peers/link/connection.py"
 
 MUTANTS: list[Mutant] = [
     Mutant("window one too long", _WINDOW, "-ahead >= self.size", "-ahead > self.size", 3),
@@ -101,4 +102,80 @@
         'size = int.from_bytes(kept[1:_HEAD], "big")',
         20,
     ),
+    Mutant(
+        "queue without a bound", _TCP, "lane.size + len(body) > self.rules.queue if lane", "False if lane", 6
+    ),
+    Mutant(
+        "half-open connections without a bound",
+        _TCP,
+        "if len(self._half) > self.rules.half_open:",
+        "if len(self._half) > 9_999:",
+        40,
+    ),
+    Mutant(
+        "what was given up still counts as waiting",
+        _TCP,
+        "self.counts.drop(why, len(lane.queue))\n        self._waiting -= lane.size",
+        "self.counts.drop(why, len(lane.queue))",
+        40,
+    ),
+    Mutant(
+        "written to who does not read",
+        _CONNECTION,
+        "return self.joined and not self.closed and not self.paused",
+        "return self.joined and not self.closed",
+        40,
+        faults=2,
+    ),
+    Mutant(
+        "budget for datagrams only",
+        _TCP,
+        "if not self._bucket.take(now, size, keep):",
+        "if self._bucket.wait_ms(now, size, keep) < 0:",
+        40,
+    ),
+    Mutant(
+        "connections of an earlier life are used on",
+        _TCP,
+        "if found.talk.peer_life < self._seal.newest(found.talk.peer):",
+        "if found.talk.peer_life < 0:",
+        40,
+        faults=2,
+    ),
+    Mutant(
+        "frames of an earlier life are heard",
+        _LINKS,
+        "if life < self.seal.newest(sender):",
+        "if life < 0:",
+        40,
+        faults=2,
+    ),
+    Mutant(
+        "called once more, then never",
+        _TCP,
+        "        lane.retry = None\n        address =",
+        "        address =",
+        40,
+    ),
+    Mutant(
+        "a hello may come at any time",
+        _TCP,
+        "if now - connection.since > rules.hello_ms:",
+        "if now - connection.since > 1e9:",
+        40,
+    ),
+    Mutant(
+        "what was flushed is flushed again",
+        _LINKS,
+        "pending, self._pending = self._pending, {}",
+        "pending = self._pending",
+        1,
+    ),
+    Mutant(
+        "a lost connection keeps its name",
+        _TCP,
+        "if self._named.get(talk.peer) is connection:",
+        "if self._named.get(talk.peer) is connection and self._stopped:",
+        2,
+    ),
 ]
--- /dev/null
+++ b/tests/test_peers_link.py
@@ -0,0 +1,522 @@
+"""Links between fronts on virtual time and on sockets: what is broken, flooded, stalled, killed or forged."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import importlib
+import secrets
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from fernweir.peers.base import Address, Message, Send
+from fernweir.peers.wire.codec import Codec
+from fernweir.peers.wire.conversation import Conversation
+from fernweir.peers.wire.frames import frame
+from fernweir.peers.wire.seal import Seal
+from fernweir.rehearsal.datagrams import WayFault
+from fernweir.rehearsal.loop import NODE, VirtualLoop, run
+from tests.peers_mutants import Mutant, broken
+from tests.peers_mutants.wire import MUTANTS
+from tests.sockets import until
+
+KEY, OTHER = b"k" * 32, b"o" * 32
+
+
+class Item(Message, tag="item"):
+    number: int
+    data: bytes = b""
+
+
+def load() -> Any:
+    """The modules under test, afresh inside `broken`."""
+    parts = ("links", "rules")
+    return SimpleNamespace(**{name: importlib.import_module(f"fernweir.peers.link.{name}") for name in parts})
+
+
+class Front:
+    """One front's links, all it does in its own node."""
+
+    def __init__(self, fleet: Fleet, name: str, life: int) -> None:
+        self.fleet, self.name, self.life, self.node = fleet, name, life, f"{name}/{life}"
+        self.got: list[tuple[str, int, int]] = []
+        self.stale: list[tuple[str, int, int]] = []
+        self.links: Any = None
+
+    async def start(self, listen: Address, keys: list[bytes], rules: Any) -> Front:
+        m = load()
+        dice = Random(f"{self.fleet.seed} {self.node}")
+        me = m.rules.Identity(self.name, self.life, keys, dice.randbytes)
+        token = NODE.set(self.node)
+        try:
+            self.links = await m.links.Links.start(
+                listen, me, Codec([(Item,)]), self.fleet.addresses.get, self._heard,
+                rules=rules, seed=self.fleet.seed, on_stale=lambda *what: self.stale.append(what),
+            )  # fmt: skip
+        finally:
+            NODE.reset(token)
+        return self
+
+    def _heard(self, sender: str, life: int, message: Message) -> None:
+        assert isinstance(message, Item)
+        self.got.append((sender, life, message.number))
+
+    def act(self, do: Callable[..., Any], *args: Any) -> Any:
+        def inside() -> Any:
+            NODE.set(self.node)
+            return do(*args)
+
+        return contextvars.copy_context().run(inside)
+
+    def send(self, to: str | Address, number: int, size: int = 0, whole: bool = False) -> None:
+        self.act(self.links.send, Send(to, Item(number, bytes(size)), whole))
+
+    def numbers(self, sender: str) -> list[int]:
+        return [number for name, _, number in self.got if name == sender]
+
+    @property
+    def dropped(self) -> dict[str, int]:
+        return {why.value: count for why, count in self.links.counts.dropped.items() if count}
+
+
+class Fleet:
+    def __init__(self, loop: VirtualLoop, seed: int = 1) -> None:
+        self.loop, self.seed = loop, seed
+        self.addresses: dict[str, Address] = {}
+        self.fronts: dict[str, Front] = {}
+
+    async def front(self, name: str, life: int = 1, keys: list[bytes] | None = None, **rules: Any) -> Front:
+        address = (f"127.0.{life}.{ord(name[0])}", 7_400)
+        self.addresses[name] = address
+        front = Front(self, name, life)
+        self.fronts[name] = await front.start(address, keys or [KEY], load().rules.LinkRules(**rules))
+        return front
+
+
+def played(main: Callable[[Fleet], Any], seed: int = 1) -> Any:
+    return run(seed, lambda loop: main(Fleet(loop, seed)))
+
+
+# --- days ---
+
+RULES = {
+    "rate": 200_000.0, "burst": 50_000.0, "queue": 60_000, "queues": 100_000, "peers": 4, "connections": 8,
+    "half_open": 4, "connect_ms": 500.0, "hello_ms": 1_000.0, "idle_ms": 2_000.0, "stalled_ms": 1_500.0,
+    "retry_ms": 50.0, "retry_most_ms": 400.0, "give_up_ms": 4_000.0, "sweep_ms": 100.0,
+}  # fmt: skip
+
+
+def broken_bound(front: Front, begun: float) -> str:
+    """What must hold at every moment of every front."""
+    links, rules = front.links, front.links.rules
+    inside = links.connections
+    lanes = inside._lanes.values()
+    if inside._waiting != sum(lane.size for lane in lanes):
+        return f"{inside._waiting} bytes said to wait, and {sum(lane.size for lane in lanes)} do"
+    if any(lane.size != sum(map(len, lane.queue)) or lane.size > rules.queue for lane in lanes):
+        return f"a queue of {max(lane.size for lane in lanes)} bytes"
+    if inside._waiting > rules.queues or len(lanes) > rules.peers:
+        return f"{inside._waiting} bytes wait for {len(lanes)} peers"
+    if len(inside._half) > rules.half_open:
+        return f"{len(inside._half)} connections are half open"
+    for one in inside._all:
+        if one._transport.get_write_buffer_size() > 65_536 + rules.piece:
+            return f"{one._transport.get_write_buffer_size()} bytes are written to who does not read"
+        if one.talk.proven and one.talk.peer not in front.fleet.fronts:
+            return "a stranger is proven"
+    counts = links.counts
+    handshakes = 400 * (counts.dialled + counts.accepted)
+    if counts.bytes_out - handshakes > rules.rate * (front.fleet.loop.time() - begun) + rules.burst:
+        return f"{counts.bytes_out} bytes went out, more than the budget"
+    return ""
+
+
+def link_day(seed: int) -> str:
+    """Three fronts send all day; ways are cut, processes stand still, are killed and start again."""
+
+    async def main(fleet: Fleet) -> str:
+        dice, loop, begun = Random(seed), fleet.loop, fleet.loop.time()
+        fast = {"rate": 5e6, "burst": 2e6, "stalled_ms": 8_000.0, "queue": 90_000}
+        rules: dict[str, Any] = RULES | (fast if seed % 2 else {})
+        for name in "abc":
+            await fleet.front(name, **rules)
+        frozen: set[str] = set()
+        number, sent = 0, dict[int, tuple[str, int]]()
+        fronts = fleet.fronts
+        known: set[tuple[str, int]] = set()  # said to the newest life of a peer, as the sender knew
+        past: list[Front] = []  # killed, or going on beside a newer one of their name
+
+        def say(source: Front, to: str, size: int, whole: bool) -> int:
+            nonlocal number
+            number += 1
+            sent[number] = (source.name, source.life)
+            if source.links.seal.newest(to) == fronts[to].life:
+                known.add((fronts[to].node, number))
+            source.send(to, number, size, whole)
+            return number
+
+        for step in range(160):
+            source, to = dice.sample("abc", 2)
+            draw = dice.random()
+            if draw < 0.7 and source not in frozen:
+                size = dice.choice((0, 200, 2_000, 30_000))
+                for _ in range(dice.choice((1, 1, 6))):
+                    say(fronts[source], to, size, dice.random() < 0.5)
+            elif draw < 0.75 and not frozen:
+                frozen.add(source)
+                loop.freeze(fronts[source].node)
+            elif draw < 0.82 and frozen:
+                loop.thaw(fronts[frozen.pop()].node)
+            elif draw < 0.87:
+                loop.network.ways.set(source, to, WayFault(cut=dice.random() < 0.5, loss=0.2, late=0.2))
+            elif draw < 0.92:
+                loop.network.ways.clear_all()
+            elif draw < 0.94 and not frozen and fronts[source].life < 6:
+                past.append(fronts[source])
+                if dice.random() < 0.5:
+                    loop.kill(fronts[source].node)
+                await fleet.front(source, fronts[source].life + 1, **rules)
+            elif draw < 0.96:
+                for _ in range(9):
+                    await loop.create_connection(asyncio.Protocol, *fleet.addresses[to])
+            else:
+                hello = Conversation([OTHER], "a", 99, bytes(16)).hello()
+                transport, _ = await loop.create_connection(asyncio.Protocol, *fleet.addresses[to])
+                transport.write(frame(hello))
+            if past and (twin := dice.choice(past)).node not in loop._dead and twin.name != to:
+                say(twin, to, 300, dice.random() < 0.5)
+            await asyncio.sleep(dice.choice((0.0, 0.005, 0.05, 0.3)))
+            for front in fronts.values():
+                if said := broken_bound(front, begun):
+                    return f"step {step}, {front.node}: {said}"
+        for name in frozen:
+            loop.thaw(fronts[name].node)
+        loop.network.ways.clear_all()
+        await asyncio.sleep(8.0)
+        last = {(one, other): (say(fronts[one], other, 50, False), say(fronts[one], other, 5_000, True))
+                for one in "abc" for other in "abc" if one != other}  # fmt: skip
+        await asyncio.sleep(4.0)
+        for (one, other), numbers in last.items():
+            if missing := set(numbers) - set(fronts[other].numbers(one)):
+                return f"{one} to {other} was lost on a whole network: {missing}"
+        for front in [*past, *fronts.values()]:
+            for sender, life, what in front.got:
+                if front in past and (fronts[front.name].node, what) in known:
+                    return f"{front.node} heard {what}, which was for its newer life"
+                if sent.get(what) != (sender, life):
+                    return f"{front.node} heard {what} from {sender}/{life}, who never said it"
+            if front.got and max(Counter(front.got).values()) > 1:
+                return f"{front.node} heard one message twice"
+            for sender in "abc":
+                lives = [life for name, life, _ in front.got if name == sender]
+                if lives != sorted(lives):
+                    return f"{front.node} heard an older life of {sender} after a newer one"
+        await asyncio.sleep(6.0)
+        for front in fronts.values():
+            inside = front.links.connections
+            if inside._lanes or inside._all or inside._named or inside._dialled or inside._waiting:
+                return f"{front.node} keeps what is long over"
+            await front.links.stop()
+        return ""
+
+    return str(played(main, seed))
+
+
+def test_drawn_days_of_faults_keep_every_bound_and_end_whole() -> None:
+    for seed in range(12):
+        assert link_day(seed) == "", f"seed {seed}"
+
+
+def test_a_day_is_the_same_twice() -> None:
+    def day() -> Any:
+        async def main(fleet: Fleet) -> Any:
+            one, other = await fleet.front("a", **RULES), await fleet.front("b", **RULES)
+            fleet.loop.network.ways.set("*", "*", WayFault(loss=0.2, doubled=0.2, jitter_s=0.1))
+            for number in range(50):
+                one.send("b", number, 300 * (number % 7), number % 3 == 0)
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(2.0)
+            return other.got, one.links.counts, other.links.counts
+
+        return repr(played(main, 4))
+
+    assert day() == day()
+
+
+@pytest.mark.parametrize("mutant", [one for one in MUTANTS if "/link/" in one.file], ids=lambda one: one.name)
+def test_each_mistake_is_found(mutant: Mutant) -> None:
+    with broken(mutant, "fernweir.peers.link"):
+        for seed in range(mutant.seeds):
+            try:
+                if link_day(seed):
+                    return
+            except Exception:  # a mistake that stops the day is found too
+                return
+    pytest.fail("nobody noticed")
+
+
+# --- one hard case each ---
+
+
+def test_small_messages_share_datagrams_and_long_ones_take_the_connection() -> None:
+    async def main(fleet: Fleet) -> None:
+        one, other = await fleet.front("a"), await fleet.front("b")
+        for number in range(40):
+            one.send("b", number, 100)
+        one.send("b", 99, 1_400)
+        await asyncio.sleep(1.0)
+        assert sorted(other.numbers("a")) == [*range(40), 99]
+        assert one.links.counts.datagrams_out == 4 and one.links.counts.frames_out == 1
+        assert fleet.loop.network.datagrams.bytes_sent <= 4 * 1_400
+        one.send("b", 100, 1_048_576)
+        one.send("nobody", 101)
+        one.send(("box.example", 7_400), 102)
+        one.send(("box.example", 7_400), 103, whole=True)
+        await asyncio.sleep(1.0)
+        assert one.dropped == {"long": 1, "address": 3} and 100 not in other.numbers("a")
+
+    played(main)
+
+
+def test_a_wrong_fleet_key_gets_nothing_in_and_is_given_up() -> None:
+    async def main(fleet: Fleet) -> None:
+        one, other = await fleet.front("a", **RULES), await fleet.front("b", keys=[OTHER], **RULES)
+        for number in range(10):
+            one.send("b", number)
+            other.send("a", number, whole=True)
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(6.0)
+        assert not one.got and not other.got
+        assert one.links.counts.dropped["sealed"] > 5 and other.dropped == {"sealed": 10, "gave up": 10}
+        assert not other.links.connections._lanes and not one.links.connections._all
+
+    played(main)
+
+
+def test_a_flood_is_dropped_in_bounds_while_peers_are_heard() -> None:
+    async def main(fleet: Fleet) -> None:
+        gate = importlib.import_module("fernweir.peers.wire.gate").GateRules(bad=50, bad_source=20)
+        one, other = await fleet.front("a", gate=gate), await fleet.front("b", gate=gate)
+        looks = 0
+        opened = other.links.seal.open
+
+        def look(data: bytes) -> Any:
+            nonlocal looks
+            looks += 1
+            return opened(data)
+
+        other.links.seal.open = look
+        one.send("b", 0)
+        await asyncio.sleep(0.1)
+        stranger, _ = await fleet.loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=("127.0.0.99", 1)
+        )
+        forged = Seal([OTHER], "a", 1)
+        for number in range(1, 40):
+            for _ in range(100):
+                stranger.sendto(forged.seal(b"\x90", 1), fleet.addresses["b"])
+            one.send("b", number)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.1)
+        assert other.numbers("a") == list(range(40))
+        assert looks <= 40 + 50 * 4 and other.dropped["flood"] > 3_500
+
+    played(main)
+
+
+def test_what_was_recorded_of_a_connection_and_of_datagrams_is_not_heard_twice() -> None:
+    async def main(fleet: Fleet) -> None:
+        loop = fleet.loop
+        one, other = await fleet.front("a"), await fleet.front("b")
+        tape: list[bytes] = []
+        datagrams: list[bytes] = []
+        sendto = one.links._datagrams._transport.sendto
+
+        def heard(data: bytes, to: Address) -> None:
+            datagrams.append(data)
+            sendto(data, to)
+
+        one.links._datagrams._transport.sendto = heard
+        one.send("b", 1)
+        one.send("b", 2, whole=True)
+        await asyncio.sleep(0.0)
+        while not one.links.connections._all:
+            await asyncio.sleep(0.0005)
+        (connection,) = one.links.connections._all
+        through = connection._transport.write
+        connection._transport.write = lambda data: (tape.append(bytes(data)), through(data))
+        await asyncio.sleep(0.5)
+        assert sorted(other.numbers("a")) == [1, 2]
+        hello = frame(connection.talk.hello())  # what was written before the tape ran
+        seen = len(other.got)
+        for _ in range(3):
+            player, _ = await loop.create_connection(asyncio.Protocol, *fleet.addresses["b"])
+            player.write(hello)
+            for piece in tape:
+                player.write(piece)
+            stranger, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, local_addr=("127.0.0.99", 0)
+            )
+            stranger.sendto(datagrams[0], fleet.addresses["b"])
+            stranger.sendto(datagrams[0], fleet.addresses["a"])  # its own, come back
+            await asyncio.sleep(0.5)
+        assert len(tape) >= 2 and len(datagrams) == 1
+        assert len(other.got) == seen and not one.got
+        assert other.links.connections.unsealed_by_kind["tag"] == 3
+        assert other.links.seal.counts["replay"] == 3 and one.links.seal.counts["own"] == 3
+
+    played(main)
+
+
+def test_half_open_connections_are_bounded_and_don_t_keep_a_peer_out() -> None:
+    async def main(fleet: Fleet) -> None:
+        one, other = await fleet.front("a", half_open=8), await fleet.front("b", half_open=8)
+        for number in range(200):
+            await fleet.loop.create_connection(asyncio.Protocol, *fleet.addresses["b"])
+            assert len(other.links.connections._half) <= 8
+            if number % 20 == 0:
+                one.send("b", number, whole=True)
+        await asyncio.sleep(6.0)
+        assert other.numbers("a") == list(range(0, 200, 20))
+        assert other.links.counts.crowded >= 180 and not other.links.connections._half
+        assert other.links.counts.late > 0
+
+    played(main)
+
+
+def test_a_peer_that_stands_still_fills_a_bounded_queue_and_hears_the_rest_in_order() -> None:
+    async def main(fleet: Fleet) -> None:
+        rules: dict[str, Any] = RULES | {
+            "rate": 1e7,
+            "burst": 1e6,
+            "stalled_ms": 60_000.0,
+            "idle_ms": 60_000.0,
+        }
+        one, other = await fleet.front("a", **rules), await fleet.front("b", **rules)
+        one.send("b", 0, whole=True)
+        await asyncio.sleep(0.5)
+        fleet.loop.freeze(other.node)
+        for number in range(1, 100):
+            one.send("b", number, 9_000, whole=True)
+            await asyncio.sleep(0.01)
+            assert one.links.connections._waiting <= 60_000
+        dropped = one.dropped["queue"]
+        assert dropped > 10
+        fleet.loop.thaw(other.node)
+        await asyncio.sleep(2.0)
+        assert other.numbers("a") == list(range(100 - dropped))  # the first ones: what was full took no more
+        assert one.links.counts.dialled == 1
+
+    played(main)
+
+
+def test_a_peer_killed_inside_a_frame_is_met_again_in_its_next_life() -> None:
+    async def main(fleet: Fleet) -> None:
+        one, other = await fleet.front("a", **RULES), await fleet.front("b", **RULES)
+        one.send("b", 1, 55_000, whole=True)
+        one.send("b", 2, 100, whole=True)
+        while not (connections := list(one.links.connections._all)) or not connections[0].out:
+            await asyncio.sleep(0.001)
+        fleet.loop.kill(other.node)
+        again = await fleet.front("b", 2, **RULES)
+        await asyncio.sleep(3.0)
+        assert (other.got, again.got) == ([], [("a", 1, 2)]) and one.dropped["lost"] == 1
+        again.send("a", 3)
+        again.send("a", 4, whole=True)
+        await asyncio.sleep(1.0)
+        assert sorted(one.got) == [("b", 2, 3), ("b", 2, 4)]
+
+    played(main)
+
+
+def test_an_older_life_is_not_heard_and_can_live_on_under_a_newer_one() -> None:
+    async def main(fleet: Fleet) -> None:
+        one, new = await fleet.front("a", **RULES), await fleet.front("b", 9, **RULES)
+        new.send("a", 1)
+        await asyncio.sleep(0.5)
+        fleet.loop.kill(new.node)
+        old = await fleet.front("b", 5, **RULES)  # its wall clock went back
+        old.send("a", 2)
+        old.send("a", 3, whole=True)
+        await asyncio.sleep(1.0)
+        assert one.got == [("b", 9, 1)] and one.stale == [("b", 5, 9)] * 2 and one.dropped["old life"] == 1
+        old.act(old.links.relive, 10)
+        old.send("a", 4)
+        old.send("a", 5, whole=True)
+        await asyncio.sleep(1.0)
+        assert sorted(one.got) == [("b", 9, 1), ("b", 10, 4), ("b", 10, 5)]
+
+    played(main)
+
+
+def test_whoever_answers_under_another_name_is_sent_nothing() -> None:
+    async def main(fleet: Fleet) -> None:
+        one, other = await fleet.front("a", **RULES), await fleet.front("b", **RULES)
+        fleet.addresses["c"] = fleet.addresses["b"]
+        one.send("c", 1, whole=True)
+        one.send(fleet.addresses["b"], 2, whole=True)  # by address any name will do
+        await asyncio.sleep(9.0)
+        assert other.numbers("a") == [2] and one.dropped == {"gave up": 1}
+        assert one.links.counts.strangers > 0
+
+    played(main)
+
+
+def test_datagrams_go_out_while_a_long_transfer_uses_the_budget() -> None:
+    async def main(fleet: Fleet) -> None:
+        rules: dict[str, Any] = RULES | {"queue": 2_000_000, "queues": 2_000_000}
+        one, other = await fleet.front("a", **rules), await fleet.front("b", **rules)
+        begun = fleet.loop.time()
+        one.send("b", 0, 1_000_000, whole=True)
+        for number in range(1, 50):
+            await asyncio.sleep(0.1)
+            one.send("b", number)
+            assert one.links.counts.bytes_out <= 200_000 * (fleet.loop.time() - begun) + 50_000 + 1_000
+        await asyncio.sleep(1.0)
+        assert sorted(other.numbers("a")) == list(range(50)) and not one.dropped
+        for number in range(1_000):
+            one.send("b", number, 1_000)
+        await asyncio.sleep(0.0)
+        assert one.dropped["budget"] > 900
+
+    played(main)
+
+
+def test_links_on_sockets_carry_both_kinds_and_end_clean() -> None:
+    async def main() -> None:
+        m = load()
+        addresses: dict[str, Address] = {}
+        got: dict[str, list[int]] = {"a": [], "b": []}
+        links = {}
+        for name, host in (("a", "127.0.0.1"), ("b", "127.0.0.2")):
+            me = m.rules.Identity(name, 1, [KEY], secrets.token_bytes)
+            links[name] = await m.links.Links.start(
+                (host, 0), me, Codec([(Item,)]), addresses.get,
+                lambda sender, life, message, name=name: got[name].append(message.number),
+            )  # fmt: skip
+            addresses[name] = links[name].address
+        with pytest.raises(OSError):
+            await listen_again(m, addresses["a"])
+        for number in range(20):
+            links["a"].send(Send("b", Item(number, bytes(100))))
+            links["b"].send(Send("a", Item(number, bytes(50_000)), whole=True))
+        await until(lambda: len(got["a"]) == 20)
+        await until(lambda: len(got["b"]) == 20 or links["a"].counts.datagrams_out == 2)
+        assert got["a"] == list(range(20))
+        (inside,) = links["a"].connections._all
+        peer = inside._transport.get_extra_info("peername")
+        assert peer[0] == "127.0.0.2"  # who calls is seen by its host
+        for one in links.values():
+            await one.stop()
+        await until(lambda: not any(one.connections._all for one in links.values()))
+
+    async def listen_again(m: Any, address: Address) -> None:
+        me = m.rules.Identity("c", 1, [KEY], secrets.token_bytes)
+        await m.links.Links.start(address, me, Codec([(Item,)]), lambda name: None, lambda *what: None)
+
+    asyncio.run(main())
--- a/tests/test_peers_wire.py
+++ b/tests/test_peers_wire.py
@@ -4,6 +4,8 @@
 
 import base64
 import importlib
+import subprocess
+import sys
 from collections.abc import Callable, Iterator
 from hashlib import blake2b
 from itertools import pairwise
@@ -15,6 +17,8 @@
 import msgspec
 import pytest
 
+from fernweir.config.front import load_front, parse_front
+from fernweir.config.ini import ConfigError, IniFile
 from fernweir.peers.base import Message
 from tests.peers_mutants import Mutant, broken
 from tests.peers_mutants.wire import MUTANTS
@@ -568,3 +572,68 @@
         given += size * taken
         assert given <= 300.0 + now
     assert given > 0.9 * now
+
+
+# --- settings ---
+
+EXAMPLE = Path(__file__).parent.parent / "docs" / "example-front.ini"
+
+
+def peers_of(tmp_path: Path, lines: str) -> Any:
+    return parse_front(IniFile(EXAMPLE.read_text() + "\n[peers]\n" + lines), tmp_path).peers
+
+
+def test_the_section_of_peers_is_read_with_its_defaults(tmp_path: Path) -> None:
+    (tmp_path / "fleet.key").write_text("ab" * 32)
+    (tmp_path / "old.key").write_text("cd" * 32)
+    peers = peers_of(
+        tmp_path,
+        "listen = 10.0.0.1:7400\nseeds = 10.0.0.2:7400, 10.0.0.3:7400\nkey = fleet.key\nkeepers = a, b, c\n"
+        "lease = 4 s\nold-key = old.key",
+    )  # fmt: skip
+    assert peers.advertised == ("10.0.0.1", 7_400) and peers.seeds[1] == ("10.0.0.3", 7_400)
+    assert (peers.lease, peers.overlap, peers.drift, peers.parts) == (4_000.0, 1_000.0, 0.01, 8)
+    assert peers.keepers == ["a", "b", "c"] and peers.shut_out_share == 0.2
+    assert load_front(EXAMPLE).peers is None
+
+
+def test_every_mistake_among_the_peers_is_named_at_once(tmp_path: Path) -> None:
+    (tmp_path / "two.key").write_text("ab\ncd")
+    wrong = {
+        "listen = 0.0.0.0:7400": "advertise: is needed",
+        "seeds = 10.0.0.2:0": "seeds: each needs",
+        "key = none.key": "key: ",
+        "old-key = two.key": "old-key: ",
+        "keepers = a, b, c": "",
+        "lease = 1 s": "lease: must be longer",
+        "format-lowest = 3": "format-lowest: is above the highest, 2",
+        "format-highest = 2": "",
+    }
+    with pytest.raises(ConfigError) as caught:
+        peers_of(tmp_path, "\n".join(wrong))
+    found = [str(problem).partition("[peers] ")[2] for problem in caught.value.problems]
+    for said in filter(None, wrong.values()):
+        assert any(problem.startswith(said) for problem in found), (said, found)
+    assert len(found) == 6
+    wrong = {
+        "listen = front.example:7400": "listen: not an IPv4 address",
+        "key = x": "",
+        "keepers = a, b, a, a": "keepers: named twice: a",
+        "drift = 50%": "drift: ",
+        "standby = 2": "standby: unknown key; meant standbys?",
+        "bytes = 3": "bytes: not a rate",
+    }
+    with pytest.raises(ConfigError) as caught:
+        peers_of(tmp_path, "\n".join(wrong))
+    found = [str(problem).partition("[peers] ")[2] for problem in caught.value.problems]
+    for said in filter(None, wrong.values()):
+        assert any(problem.startswith(said) for problem in found), (said, found)
+    for keepers in ("", "a, b"):
+        with pytest.raises(ConfigError, match="keepers"):
+            peers_of(tmp_path, f"listen = 127.0.0.1:0\nkey = two.key\nkeepers = {keepers}")
+
+
+def test_settings_import_nothing_of_the_peers() -> None:
+    found = "any(name.startswith('fernweir.peers') for name in sys.modules)"
+    check = f"import sys, fernweir.config.front; sys.exit({found})"
+    assert subprocess.run([sys.executable, "-c", check], cwd=EXAMPLE.parent.parent).returncode == 0
