--- /dev/null
+++ b/fernweir/peers/channel/copies.py
@@ -0,0 +1,186 @@
+"""A channel's state at its standbys: `Replica` is the owner's and the standby's side in one machine."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from fernweir.peers.base import Effect, Event, Message, Outbox, Send
+from fernweir.peers.channel.messages import Deltas, Dropped, Hail, Have, PayloadPiece, PayloadWanted, Piece
+from fernweir.peers.channel.owned import OwnedChannel
+from fernweir.peers.channel.payloads import Payloads
+from fernweir.peers.channel.rules import ReplicaRules
+from fernweir.peers.channel.standby import Copy, Standby
+from fernweir.peers.port import Standing
+
+_FETCHED = 256  # payloads that no copy names, fetched for hand-offs
+
+
+@dataclass(frozen=True, slots=True)
+class Outdated(Event):
+    """A peer has heard of a higher fence: this front's state of the channel goes to nobody any more."""
+
+    channel: str
+    fence: int
+
+
+class Replica:
+    """Owned channels go to their standbys; copies of others' channels are kept.
+
+    A channel is either owned here or kept as a copy. What comes from peers is checked beyond its types and
+    never raises. Events: `Copied`, `Outdated`, `NeedPayload`.
+    """
+
+    def __init__(self, me: str, rules: ReplicaRules | None = None, seed: int = 0) -> None:
+        self.me, self.rules = me, rules or ReplicaRules()
+        self._out = Outbox()
+        self._owned: dict[str, OwnedChannel] = {}
+        self._standby = Standby(self.rules, Random(f"replica {me} {seed}"), self._out)
+        self._payloads = Payloads(self.rules, self._out)
+        self._next_digests = 0.0
+        self._fetched: dict[bytes, float] = {}
+
+    # --- the owner's side ---
+
+    def own(self, now: float, channel: str, fence: int, standings: Iterable[Standing]) -> bool:
+        """This front owns the channel under this fence, and this stands in it. False if a higher is known."""
+        owned = self._owned.get(channel)
+        if fence < max(self._standby.fence(channel), owned.fence if owned is not None else 0):
+            return False
+        if owned is not None and owned.fence == fence:
+            owned.become(now, standings)
+            return True
+        self._standby.forget(channel)
+        fresh = OwnedChannel(channel, fence, self.rules, self._out)
+        fresh.standings = {standing.session: standing for standing in standings}
+        self._owned[channel] = fresh
+        if owned is not None:
+            fresh.standbys(now, owned.names())
+        return True
+
+    def change(self, now: float, channel: str, standing: Standing) -> None:
+        """A session is new in an owned channel, or changed."""
+        if (owned := self._owned.get(channel)) is not None:
+            owned.change(now, standing)
+
+    def end(self, now: float, channel: str, session: str) -> None:
+        if (owned := self._owned.get(channel)) is not None:
+            owned.end(now, session)
+
+    def standbys(self, now: float, channel: str, names: Sequence[str]) -> None:
+        """Who keeps copies of an owned channel; who is no more among them is told to drop it."""
+        if (owned := self._owned.get(channel)) is not None:
+            owned.standbys(now, [name for name in names if name != self.me])
+
+    def over(self, now: float, channel: str) -> None:
+        """An owned channel has ended for good: its copies may go."""
+        if (owned := self._owned.pop(channel, None)) is not None:
+            owned.drop(now)
+
+    def cede(self, now: float, channel: str) -> None:
+        """The channel is another's, or nobody's for now: copies stay as they are."""
+        self._owned.pop(channel, None)
+
+    def owned(self) -> list[str]:
+        return list(self._owned)
+
+    def whole_at(self, channel: str, name: str) -> bool:
+        """Whether that standby has said that it has all of an owned channel."""
+        owned = self._owned.get(channel)
+        return owned is not None and owned.whole_at(name)
+
+    # --- the standby's side ---
+
+    def copy(self, channel: str) -> Copy | None:
+        return self._standby.copy(channel)
+
+    def copies(self) -> list[str]:
+        """Channels of which a copy is kept."""
+        return self._standby.channels()
+
+    def fence(self, channel: str) -> int:
+        """The highest fence known of a channel, 0 for none."""
+        owned = self._owned.get(channel)
+        return max(self._standby.fence(channel), owned.fence if owned is not None else 0)
+
+    # --- payloads ---
+
+    def payload(self, now: float, digest: bytes, data: bytes | None) -> None:
+        """The answer to `NeedPayload`; None if the front has it no more."""
+        self._payloads.payload(now, digest, data)
+
+    def payload_of(self, digest: bytes) -> bytes | None:
+        return self._payloads.get(digest)
+
+    def fetch(self, now: float, digest: bytes, owner: str) -> None:
+        """Fetches a payload that no copy names, as an heir does for what it was handed; kept for a while."""
+        if len(self._fetched) < _FETCHED or digest in self._fetched:
+            self._fetched[digest] = now + self.rules.serve_ms
+            self._payloads.want(now, digest, owner)
+
+    # --- the part ---
+
+    def heard(self, now: float, sender: str, message: Message) -> None:
+        if isinstance(message, Have):
+            self._have(now, sender, message)
+        elif isinstance(message, Hail | Deltas | Piece | Dropped):
+            self._as_standby(now, sender, message)
+        elif isinstance(message, PayloadWanted):
+            self._payloads.wanted(now, sender, message)
+        elif isinstance(message, PayloadPiece):
+            self._payloads.piece(now, sender, message)
+
+    def tick(self, now: float) -> None:
+        for owned in self._owned.values():
+            owned.tick(now)
+        self._standby.tick(now)
+        self._payloads.tick(now)
+        if now >= self._next_digests:
+            self._next_digests = now + self.rules.beat_ms
+            self._keep_named(now)
+
+    def next_due(self) -> float | None:
+        dues = [owned.next_due() for owned in self._owned.values()]
+        dues += [self._standby.next_due(), self._payloads.next_due()]
+        if self._standby.channels() or self._fetched or self._payloads.size():
+            dues.append(self._next_digests)
+        return min((due for due in dues if due is not None), default=None)
+
+    def take(self) -> list[Effect]:
+        return self._out.take()
+
+    # --- pieces ---
+
+    def _have(self, now: float, sender: str, have: Have) -> None:
+        owned = self._owned.get(have.channel)
+        if owned is None:
+            return
+        if have.fence > owned.fence:
+            self._outdated(have.channel, have.fence)
+        else:
+            owned.have(now, sender, have)
+
+    def _as_standby(self, now: float, sender: str, message: Hail | Deltas | Piece | Dropped) -> None:
+        owned = self._owned.get(message.channel)
+        if owned is not None:
+            if message.fence <= owned.fence or isinstance(message, Dropped):
+                self._out.add(Send(sender, Have(message.channel, owned.fence, -1, -1, 0, 0)))
+                return
+            self._outdated(message.channel, message.fence)
+        self._standby.heard(now, sender, message)
+
+    def _outdated(self, channel: str, fence: int) -> None:
+        del self._owned[channel]
+        self._out.add(Outdated(channel, fence))
+
+    def _keep_named(self, now: float) -> None:
+        """Payloads that copies name are here or on their way; those that none names go."""
+        self._fetched = {digest: until for digest, until in self._fetched.items() if now < until}
+        named = set(self._fetched)
+        for channel in self._standby.channels():
+            digests, owner = self._standby.digests(channel)
+            named |= digests
+            for digest in digests:
+                self._payloads.want(now, digest, owner)
+        self._payloads.only(named)
--- /dev/null
+++ b/fernweir/peers/channel/handoff.py
@@ -0,0 +1,153 @@
+"""Planned hand-off of channels: offered, accepted, moved, overlap, over. Both ends are in one machine.
+
+Who hands on goes down its list of heirs until one has accepted and got all that stands. Then it is frozen:
+the lease goes, and until `overlap_ms` after that, by its own clock, it finishes what is out and steers
+nothing else. The heir gets the lease above the old fence, claims at the boxes and acts. Every message about
+an offer carries its id and may come twice, late or never: what is not answered is said again, what is said
+again is answered again.
+
+Who is responsible: the old owner until it is frozen; then whoever gets the lease, which the old owner asks
+for again if its heir does not act or dies in the overlap. If neither gets it, the channel lapses to the
+unplanned way, which begins from `takeover` as well.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from random import Random
+
+from fernweir.peers.base import Effect, Message, Outbox
+from fernweir.peers.channel.giving import Giver
+from fernweir.peers.channel.rules import HandoffRules
+from fernweir.peers.channel.takeover import Inherited, Outdone, Takeover
+from fernweir.peers.channel.taking import Taker
+from fernweir.peers.port import Claimed, Standing
+
+
+class Handoff:
+    """Events: those of `giving` and of `takeover`. `listed` gives the numbers of all boxes of the list.
+
+    `takeover` is shared by the planned and the unplanned way; its events come out of `take` here.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        rules: HandoffRules | None = None,
+        seed: int = 0,
+        takeover: Takeover | None = None,
+        listed: Callable[[], Iterable[int]] = tuple,
+    ) -> None:
+        self.me, self.rules = me, rules or HandoffRules()
+        self.takeover = takeover or Takeover()
+        self._out = Outbox()
+        self._giver = Giver(self.rules, Random(f"handoff {me} {seed}"), self._out)
+        self._taker = Taker(self.rules, self.takeover, listed, self._out)
+
+    # --- the old owner's end ---
+
+    def offer(
+        self, now: float, channel: str, fence: int, standings: Mapping[str, Standing], heirs: Sequence[str]
+    ) -> bool:
+        """Hands a channel on, whose lease this front holds under `fence`. False if it is on its way already.
+
+        Until it is frozen the front steers on, and tells `change` and `end`.
+        """
+        return self._giver.offer(now, channel, fence, standings, [name for name in heirs if name != self.me])
+
+    def change(self, now: float, channel: str, standing: Standing) -> None:
+        """A session of a channel on its way is new or changed; in the overlap, an attempt's good end."""
+        self._giver.change(now, channel, standing.session, standing)
+
+    def end(self, now: float, channel: str, session: str) -> None:
+        self._giver.change(now, channel, session, None)
+
+    def frozen(self, now: float, channel: str, out: Iterable[str]) -> None:
+        """The answer to `Freeze`: nothing is steered any more, and attempts are out for these sessions."""
+        self._giver.frozen(now, channel, out)
+
+    def cancel(self, now: float, channel: str, why: str) -> bool:
+        """Takes an offer back; False once it is frozen and handed, or if there is none."""
+        return self._giver.cancel(now, channel, why)
+
+    def giving(self) -> list[str]:
+        return self._giver.channels()
+
+    # --- the heir's end ---
+
+    def room(self, sessions: int, closed: str = "") -> None:
+        """How many sessions may come by hand-off at a time; with `closed` none, for that reason."""
+        self._taker.room(sessions, closed)
+
+    def claimed(self, now: float, channel: str, claimed: Claimed) -> None:
+        """A box's answer to `Claim`, of whichever way."""
+        self.takeover.claimed(now, channel, claimed)
+        self._drain()
+
+    def taking(self) -> list[str]:
+        return self._taker.channels()
+
+    # --- both ---
+
+    def leased(self, now: float, channel: str, fence: int) -> bool:
+        """The lease that `WantLease` asked for is here. False if no hand-off waits for it."""
+        took = self._giver.leased(now, channel, fence) or self._taker.leased(now, channel, fence)
+        self._drain()
+        return took
+
+    def taken(self, now: float, channel: str, by: str, fence: int) -> None:
+        """Another holds the lease that was asked for."""
+        self._giver.taken(now, channel, by, fence)
+        self._taker.taken(channel, fence)
+
+    def lost(self, now: float, channel: str) -> None:
+        """The lease is gone without `ReleaseLease`. To be told before anything else on waking up."""
+        self._giver.lost(now, channel)
+        self._taker.lost(channel)
+        self.takeover.stop(channel)
+
+    def died(self, now: float, name: str) -> None:
+        """A front is believed dead."""
+        self._giver.died(now, name)
+
+    def may_steer(self, channel: str) -> bool:
+        """Whether hand-off and taking over leave an owner with a valid lease free to steer the channel."""
+        for verdict in (
+            self._giver.steers(channel), self._taker.steers(channel), self.takeover.steers(channel),
+        ):  # fmt: skip
+            if verdict is not None:
+                return verdict
+        return True
+
+    def may_finish(self, now: float, channel: str) -> bool:
+        """Whether attempts that were out when the channel was frozen may still be finished from here."""
+        return self._giver.finishes(now, channel)
+
+    # --- the part ---
+
+    def heard(self, now: float, sender: str, message: Message) -> None:
+        self._giver.heard(now, sender, message)
+        self._taker.heard(now, sender, message)
+        self._drain()
+
+    def tick(self, now: float) -> None:
+        self._giver.tick(now)
+        self._taker.tick(now)
+        self.takeover.tick(now)
+        self._drain()
+
+    def next_due(self) -> float | None:
+        dues = (self._giver.next_due(), self._taker.next_due(), self.takeover.next_due())
+        return min((due for due in dues if due is not None), default=None)
+
+    def take(self) -> list[Effect]:
+        self._drain()
+        return self._out.take()
+
+    def _drain(self) -> None:
+        for effect in self.takeover.take():
+            self._out.add(effect)
+            if isinstance(effect, Inherited):
+                self._taker.acts(effect.channel, effect.fence)
+            elif isinstance(effect, Outdone):
+                self._taker.taken(effect.channel, effect.fence)
--- /dev/null
+++ b/fernweir/peers/channel/owned.py
@@ -0,0 +1,316 @@
+"""The owner's side of a channel's copies: changes gathered into batches, snapshots in pieces, acks.
+
+The state after each batch has a sequence number under the channel's fence; a standby's copy is always the
+state at one of them. Batches are kept while standbys may need them, within a bound; who is behind that, or
+new, gets a snapshot first, and goes on where it broke off.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from fernweir.peers.base import Outbox, Send
+from fernweir.peers.channel.messages import AsOf, Deltas, Dropped, Hail, Have, Piece
+from fernweir.peers.channel.rules import ReplicaRules
+from fernweir.peers.port import Standing
+
+_DROPS = 3  # times a standby is told that its copy may go
+
+
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    seq: int
+    changed: list[Standing]
+    ended: list[str]
+    size: int
+    closed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Frozen:
+    """All that stood at `seq`, cut into pieces."""
+
+    seq: int
+    pieces: tuple[list[Standing], ...]
+    at: float
+
+
+@dataclass(slots=True)
+class _Follower:
+    """A standby, as the owner knows it. `acked` and `sent` are sequence numbers, -1 for none."""
+
+    heard: bool = False
+    acked: int = -1
+    sent: int = -1
+    frozen: _Frozen | None = None
+    pieces_acked: int = 0
+    pieces_sent: int = 0
+    hail_at: float = 0.0
+    resend_at: float | None = None
+    resends: int = 0  # without an answer that got on
+    told_at: float = 0.0
+    token: int = 0
+    token_at: float = 0.0
+    refused: str = ""
+
+
+@dataclass(slots=True)
+class OwnedChannel:
+    """One channel that this front owns. Effects go to `out`."""
+
+    channel: str
+    fence: int
+    rules: ReplicaRules
+    out: Outbox
+    standings: dict[str, Standing] = field(default_factory=dict)
+    seq: int = 0
+    _log: deque[_Batch] = field(default_factory=deque)
+    _log_bytes: int = 0
+    _frozen: _Frozen | None = None
+    _pending: dict[str, Standing | None] = field(default_factory=dict)
+    _flush_at: float | None = None
+    _pending_since: float = 0.0
+    _followers: dict[str, _Follower] = field(default_factory=dict)
+    _leaving: dict[str, tuple[int, float]] = field(default_factory=dict)  # standbys no more: tries, next
+
+    # --- the state ---
+
+    def change(self, now: float, standing: Standing) -> None:
+        if self.standings.get(standing.session) != standing:
+            self.standings[standing.session] = standing
+            self._gather(now, standing.session, standing)
+
+    def end(self, now: float, session: str) -> None:
+        if self.standings.pop(session, None) is not None:
+            self._gather(now, session, None)
+
+    def become(self, now: float, standings: Iterable[Standing]) -> None:
+        """The state is this from now on."""
+        wanted = {standing.session: standing for standing in standings}
+        for session in [session for session in self.standings if session not in wanted]:
+            self.end(now, session)
+        for standing in wanted.values():
+            self.change(now, standing)
+
+    def _gather(self, now: float, session: str, standing: Standing | None) -> None:
+        self._pending[session] = standing
+        if self._flush_at is None:
+            self._flush_at, self._pending_since = now + self.rules.flush_ms, now
+
+    # --- standbys ---
+
+    def standbys(self, now: float, names: Sequence[str]) -> None:
+        wanted = names[: self.rules.standbys_most]
+        for name in [name for name in self._followers if name not in wanted]:
+            del self._followers[name]
+            self._leaving[name] = (0, now)
+        for name in wanted:
+            self._leaving.pop(name, None)
+            if name not in self._followers:
+                self._followers[name] = _Follower(hail_at=now)
+        self.tick(now)
+
+    def names(self) -> list[str]:
+        return list(self._followers)
+
+    def whole_at(self, name: str) -> bool:
+        """Whether that standby has said that it has all up to now."""
+        follower = self._followers.get(name)
+        return follower is not None and not self._pending and follower.acked == self.seq
+
+    def drop(self, now: float) -> None:
+        """The channel is over: all standbys are told so."""
+        for name in [*self._followers, *self._leaving]:
+            self.out.add(Send(name, Dropped(self.channel, self.fence), whole=True))
+
+    def have(self, now: float, sender: str, told: Have) -> None:
+        follower = self._followers.get(sender)
+        if follower is None:
+            return
+        follower.heard, follower.token, follower.token_at = True, told.token, now
+        follower.refused = told.refused
+        if told.refused:
+            follower.acked, follower.frozen, follower.resend_at = -1, None, None
+            follower.hail_at = now + self.rules.refused_ms
+            return
+        seq = told.seq if told.fence == self.fence and told.seq <= self.seq else -1
+        if seq != follower.acked:
+            follower.sent = max(follower.sent, seq) if seq > follower.acked else seq
+            follower.acked = seq
+            follower.resend_at, follower.resends = None, 0
+        self._pieces(now, follower, told if told.fence == self.fence else None)
+        self._push(now, sender, follower)
+
+    def _pieces(self, now: float, follower: _Follower, told: Have | None) -> None:
+        """Where a snapshot goes on: the standby names what it has of which."""
+        if follower.frozen is not None and follower.acked >= follower.frozen.seq:
+            follower.frozen = None
+        frozen = follower.frozen or self._frozen
+        if frozen is None or told is None or told.piece_seq != frozen.seq or follower.acked >= frozen.seq:
+            return
+        if follower.frozen is not None or self._usable(now, frozen):
+            pieces = min(max(told.pieces, 0), len(frozen.pieces))
+            if follower.frozen is None:
+                follower.frozen, follower.pieces_sent = frozen, pieces
+            if pieces != follower.pieces_acked:
+                follower.pieces_acked, follower.resend_at, follower.resends = pieces, None, 0
+            follower.pieces_sent = max(follower.pieces_sent, pieces)
+
+    # --- time ---
+
+    def tick(self, now: float) -> None:
+        if self._flush_at is not None and now >= self._flush_at:
+            self._flush(now)
+            for name, follower in self._followers.items():
+                self._push(now, name, follower)
+        for name, follower in self._followers.items():
+            if follower.resend_at is not None and now >= follower.resend_at:
+                follower.sent, follower.pieces_sent = follower.acked, follower.pieces_acked
+                follower.resend_at = None
+                follower.resends += 1
+                self._push(now, name, follower)
+            if now >= follower.hail_at:
+                quiet = follower.heard and not follower.refused
+                wait = self.rules.beat_ms if quiet else self.rules.resend_ms
+                follower.hail_at = now + (self.rules.refused_ms if follower.refused else wait)
+                if not quiet or follower.told_at + self.rules.beat_ms <= now:
+                    as_of = self._as_of(now, follower, self.seq)
+                    self.out.add(Send(name, Hail(self.channel, self.fence, self.seq, as_of)))
+                    follower.told_at = now
+                else:  # deltas said as much: the next one is due a beat after them
+                    follower.hail_at = follower.told_at + self.rules.beat_ms
+        for name, (tries, due) in list(self._leaving.items()):
+            if now >= due:
+                self.out.add(Send(name, Dropped(self.channel, self.fence), whole=True))
+                self._leaving[name] = (tries + 1, now + self.rules.resend_ms)
+                if tries + 1 >= _DROPS:
+                    del self._leaving[name]
+
+    def next_due(self) -> float | None:
+        dues = [due for _, due in self._leaving.values()]
+        for follower in self._followers.values():
+            dues.append(follower.hail_at)
+            if follower.resend_at is not None:
+                dues.append(follower.resend_at)
+        if self._flush_at is not None:
+            dues.append(self._flush_at)
+        return min(dues, default=None)
+
+    # --- batches and snapshots ---
+
+    def _flush(self, now: float) -> None:
+        """Closes what was gathered into batches, each small enough for one message."""
+        changed: list[Standing] = []
+        ended: list[str] = []
+        size = 0
+        for session, standing in self._pending.items():
+            one = size_of(standing) if standing is not None else len(session) + 8
+            if size and size + one > self.rules.message_bytes:
+                self._close(now, changed, ended, size)
+                changed, ended, size = [], [], 0
+            size += one
+            if standing is None:
+                ended.append(session)
+            else:
+                changed.append(standing)
+        if size:
+            self._close(now, changed, ended, size)
+        self._pending.clear()
+        self._flush_at = None
+
+    def _close(self, now: float, changed: list[Standing], ended: list[str], size: int) -> None:
+        self.seq += 1
+        self._log.append(_Batch(self.seq, changed, ended, size, now))
+        self._log_bytes += size
+        while self._log_bytes > self.rules.backlog_bytes:
+            self._log_bytes -= self._log.popleft().size
+
+    def _freeze(self, now: float) -> _Frozen:
+        """A snapshot of the state after the last batch; one that others still use serves as well."""
+        if self._frozen is not None and self._usable(now, self._frozen):
+            return self._frozen
+        pieces: list[list[Standing]] = [[]]
+        size = 0
+        for standing in self.standings.values():
+            one = size_of(standing)
+            if size and size + one > self.rules.message_bytes:
+                pieces.append([])
+                size = 0
+            pieces[-1].append(standing)
+            size += one
+        self._frozen = _Frozen(self.seq, tuple(pieces), now)
+        return self._frozen
+
+    def _usable(self, now: float, frozen: _Frozen) -> bool:
+        return now < frozen.at + self.rules.frozen_ms and self._reaches(frozen.seq)
+
+    def _reaches(self, seq: int) -> bool:
+        """Whether the kept batches go on from there without a gap."""
+        return seq >= self.seq or bool(self._log and self._log[0].seq <= seq + 1)
+
+    def _push(self, now: float, name: str, follower: _Follower) -> None:
+        """Sends what the standby lacks, as far as its window allows."""
+        if not follower.heard or follower.refused:
+            return
+        if follower.frozen is not None and not self._usable(now, follower.frozen):
+            follower.frozen = None
+        if follower.frozen is None and (follower.acked < 0 or not self._reaches(follower.acked)):
+            if self._pending:  # a snapshot is of the state after a batch: close this one first
+                self._flush_at = now
+                return
+            follower.frozen = self._freeze(now)
+            follower.pieces_acked = follower.pieces_sent = 0
+            follower.sent = -1
+        if follower.frozen is not None:
+            self._push_pieces(now, name, follower, follower.frozen)
+            waits = follower.pieces_sent > follower.pieces_acked
+        else:
+            self._push_deltas(now, name, follower)
+            waits = follower.sent > follower.acked
+        if waits and follower.resend_at is None:
+            follower.resend_at = now + self.rules.resend_ms * 2.0 ** min(follower.resends, 4)
+
+    def _push_pieces(self, now: float, name: str, follower: _Follower, frozen: _Frozen) -> None:
+        until = min(follower.pieces_acked + self.rules.window, len(frozen.pieces))
+        for number in range(follower.pieces_sent, until):
+            piece = Piece(
+                self.channel, self.fence, frozen.seq, number, len(frozen.pieces), frozen.pieces[number],
+                self._as_of(now, follower, frozen.seq),
+            )  # fmt: skip
+            self._tell(now, name, follower, piece)
+        follower.pieces_sent = max(follower.pieces_sent, until)
+
+    def _push_deltas(self, now: float, name: str, follower: _Follower) -> None:
+        until = min(follower.acked + self.rules.window, self.seq)
+        first = max(follower.sent, follower.acked) + 1
+        for batch in self._log:
+            if first <= batch.seq <= until:
+                as_of = self._as_of(now, follower, batch.seq)
+                deltas = Deltas(self.channel, self.fence, batch.seq, batch.changed, batch.ended, as_of)
+                self._tell(now, name, follower, deltas)
+        follower.sent = max(follower.sent, until)
+
+    def _tell(self, now: float, name: str, follower: _Follower, message: Piece | Deltas) -> None:
+        self.out.add(Send(name, message, whole=True))
+        follower.told_at = now
+
+    def _as_of(self, now: float, follower: _Follower, seq: int) -> AsOf:
+        """The state at `seq` was all there was until the next batch was closed; older ones say no more."""
+        age = 0.0
+        if seq < self.seq:
+            closed = next((batch.closed_at for batch in self._log if batch.seq == seq), None)
+            if closed is None:
+                frozen = follower.frozen
+                closed = frozen.at if frozen is not None and frozen.seq == seq else 0.0
+            age = now - closed
+        elif self._pending:
+            age = now - self._pending_since
+        return AsOf(max(age, 0.0), follower.token, now - follower.token_at)
+
+
+def size_of(standing: Standing) -> int:
+    return len(msgspec.msgpack.encode(standing))
--- /dev/null
+++ b/fernweir/peers/channel/reconcile.py
@@ -0,0 +1,92 @@
+"""What a copy and the boxes' own lists say together of a channel's sessions; free of I/O and time.
+
+A standing was written when its box had answered, so the copy proves that attempt n of a session stood at
+box a. A box's list has ids, attempts and rungs only. `n` is the copy's attempt, `m` the list's.
+
+| copy | box a (the copy's) | another box b | what follows |
+| --- | --- | --- | --- |
+| (a, n) | lists n | | take, with the box's rung: it changed in the last moments, or did not arrive |
+| (a, n) | lists m > n | | take m: the box held a further attempt before the copy heard of it |
+| (a, n) | lists m < n | | give up m at a, over: what the copy proves is gone, what is there is no one's |
+| (a, n) | not listed | no list has m > n | over |
+| (a, n) | any | lists m > n | moved in the last moments: take m at b, give up what a lists |
+| (a, n) | not reached | lists m > n | take m at b; should a answer later and list it, give it up there |
+| (a, n) | any | lists m <= n | an earlier attempt left over: give up at b, the row for a as above |
+| (a, n) | not reached | no list has m > n | unknown: in doubt until a answers or its time has passed |
+| none | lists m | | give up: neither its viewer nor its lesson can be proved, and no one else would end it |
+
+Of several boxes with m > n the highest attempt is taken; the same at two boxes goes to the copy's, else to
+the lower number. A box that refused the claim knows a higher fence: the channel is another's, and nothing
+follows for anyone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from fernweir.peers.port import Claimed, Standing
+
+
+@dataclass(frozen=True, slots=True)
+class Reconciled:
+    """`give_up`: (box, session, attempt), to be released there. `outdone`: the highest fence of a box that
+    refused, or 0; then all else is empty."""
+
+    take: tuple[Standing, ...] = ()
+    over: tuple[str, ...] = ()
+    give_up: tuple[tuple[int, str, int], ...] = ()
+    unknown: tuple[Standing, ...] = ()
+    outdone: int = 0
+
+
+def reconcile(standings: Mapping[str, Standing], told: Sequence[Claimed]) -> Reconciled:
+    """See the table. Of several answers of one box the last that reached it counts."""
+    answers = {claimed.box: claimed for claimed in told if claimed.reached}
+    refused = [claimed.fence for claimed in answers.values() if not claimed.accepted]
+    if refused:
+        return Reconciled(outdone=max(refused))
+    listed: dict[str, list[tuple[int, int, int]]] = {}
+    for box in sorted(answers):
+        for session, attempt, rung in answers[box].sessions:
+            listed.setdefault(session, []).append((box, attempt, rung))
+    take: list[Standing] = []
+    over: list[str] = []
+    unknown: list[Standing] = []
+    give_up: list[tuple[int, str, int]] = []
+    for session, standing in standings.items():
+        places = listed.pop(session, [])
+        best = _best(standing, places)
+        give_up += [(box, session, attempt) for box, attempt, rung in places if (box, attempt, rung) != best]
+        if best is not None:
+            take.append(_with(standing, best))
+        elif standing.box in answers:
+            over.append(session)
+        else:
+            unknown.append(standing)
+    for session, places in listed.items():
+        give_up += [(box, session, attempt) for box, attempt, _ in places]
+    return Reconciled(tuple(take), tuple(over), tuple(give_up), tuple(unknown))
+
+
+def boxes_of(standings: Iterable[Standing]) -> list[int]:
+    """Boxes that these stand at, in order of their numbers."""
+    return sorted({standing.box for standing in standings})
+
+
+def _best(standing: Standing, places: Sequence[tuple[int, int, int]]) -> tuple[int, int, int] | None:
+    """The place that is the session's, of what the boxes list: (box, attempt, rung)."""
+    here = [
+        place
+        for place in places
+        if place[1] > standing.attempt or (place[0] == standing.box and place[1] == standing.attempt)
+    ]
+    return max(here, key=lambda place: (place[1], place[0] == standing.box, -place[0]), default=None)
+
+
+def _with(standing: Standing, place: tuple[int, int, int]) -> Standing:
+    """A standing as it is at its box."""
+    box, attempt, rung = place
+    return msgspec.structs.replace(standing, box=box, attempt=attempt, rung=rung)
--- /dev/null
+++ b/fernweir/peers/channel/registrar.py
@@ -0,0 +1,84 @@
+"""What a registrar keeps: which front said that it has a session. Bounded; dies with who said it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from fernweir.peers.channel.cut import FENCE_MOST, NAME_MOST
+from fernweir.peers.channel.rules import DirectoryRules
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    owner: str
+    life: int
+    fence: int
+    at: float
+
+
+@dataclass(slots=True)
+class Registrar:
+    """Of two fronts that say they have a session the one with its channel's higher fence is right; of one
+    front's two lives the later. Under one fence the last word counts."""
+
+    rules: DirectoryRules
+    _entries: dict[str, Entry] = field(default_factory=dict)
+    _of: dict[str, dict[str, None]] = field(default_factory=dict)  # sessions by owner
+    _lives: dict[str, int] = field(default_factory=dict)
+
+    def members(self, alive: Mapping[str, int]) -> None:
+        """Entries of who is gone, or of an earlier life of who is there, go."""
+        self._lives = dict(alive)
+        for owner in list(self._of):
+            life = alive.get(owner)
+            for session in list(self._of[owner]):
+                if life is None or self._entries[session].life < life:
+                    self._remove(session)
+
+    def register(self, now: float, owner: str, life: int, sessions: Sequence[tuple[str, int]]) -> None:
+        known = self._lives.get(owner)
+        if known is not None and life < known:
+            return
+        for session, fence in sessions[: self.rules.message_entries]:
+            if 0 < len(session) <= NAME_MOST and 0 <= fence < FENCE_MOST:
+                self._put(session, Entry(owner, life, fence, now))
+
+    def unregister(self, owner: str, life: int, sessions: Sequence[str]) -> None:
+        for session in sessions[: self.rules.message_entries]:
+            entry = self._entries.get(session)
+            if entry is not None and entry.owner == owner and entry.life <= life:
+                self._remove(session)
+
+    def find(self, now: float, session: str) -> Entry | None:
+        entry = self._entries.get(session)
+        return entry if entry is not None and now < entry.at + self.rules.keep_ms else None
+
+    def sweep(self, now: float) -> None:
+        for session, entry in list(self._entries.items()):
+            if now >= entry.at + self.rules.keep_ms:
+                self._remove(session)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _put(self, session: str, entry: Entry) -> None:
+        old = self._entries.get(session)
+        if old is not None:
+            if old.owner == entry.owner:
+                if entry.life < old.life:
+                    return
+            elif entry.fence < old.fence:
+                return
+            self._remove(session)
+        elif len(self._entries) >= self.rules.entries_most:
+            return
+        self._entries[session] = entry
+        self._of.setdefault(entry.owner, {})[session] = None
+
+    def _remove(self, session: str) -> None:
+        entry = self._entries.pop(session)
+        theirs = self._of[entry.owner]
+        del theirs[session]
+        if not theirs:
+            del self._of[entry.owner]
--- /dev/null
+++ b/fernweir/peers/channel/takeover.py
@@ -0,0 +1,287 @@
+"""Taking a channel over under a new fence: boxes are claimed, their lists weighed, sessions taken or not.
+
+It begins when this front has the lease. Boxes where sessions stand are claimed first; when all have
+answered, or after `first_ms`, the channel is acted for. What a box that was not reached holds is in doubt
+until it answers, or for `doubt_ms`. All other boxes are claimed one after another, so that a session which
+began in the old owner's last moments stays nowhere. What is decided of a session stays decided.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from fernweir.peers.base import Effect, Event, Outbox
+from fernweir.peers.channel.reconcile import boxes_of, reconcile
+from fernweir.peers.channel.rules import TakeoverRules
+from fernweir.peers.port import Claimed, Standing
+
+
+@dataclass(frozen=True, slots=True)
+class Claim(Event):
+    """Claim this channel at these boxes; each answer goes to `claimed`."""
+
+    channel: str
+    fence: int
+    boxes: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited(Event):
+    """From now on this front steers the channel. `Settled` about its sessions follows.
+
+    `standings` are all that may stand, in doubt or not: what its copies begin with.
+    """
+
+    channel: str
+    fence: int
+    doubtful: int
+    standings: tuple[Standing, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Settled(Event):
+    """Decided of a channel's sessions: taken, over, or to be released at a box under that attempt."""
+
+    channel: str
+    fence: int
+    take: tuple[Standing, ...] = ()
+    over: tuple[str, ...] = ()
+    give_up: tuple[tuple[int, str, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Finished(Event):
+    """Nothing of the channel is in doubt, and all boxes have answered or were left alone."""
+
+    channel: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outdone(Event):
+    """A box knows a higher fence: the channel is another's, nothing of it may be steered from here."""
+
+    channel: str
+    fence: int
+
+
+@dataclass(slots=True)
+class _Box:
+    ask_at: float
+    first: bool
+    answered: bool = False
+
+
+@dataclass(slots=True)
+class _Taken:
+    channel: str
+    fence: int
+    began: float
+    hold_until: float
+    standings: dict[str, Standing]
+    boxes: dict[int, _Box] = field(default_factory=dict)
+    told: dict[int, Claimed] = field(default_factory=dict)
+    decided: set[str] = field(default_factory=set)  # taken or over
+    released: set[tuple[int, str, int]] = field(default_factory=set)
+    out: set[str] = field(default_factory=set)  # the old owner finishes an attempt of these
+    held: bool = True  # sessions no one knows may still be the old owner's
+    acting: bool = False
+
+
+class Takeover:
+    """All channels that are being taken over here."""
+
+    def __init__(self, rules: TakeoverRules | None = None) -> None:
+        self.rules = rules or TakeoverRules()
+        self._out = Outbox()
+        self._taken: dict[str, _Taken] = {}
+
+    def begin(
+        self,
+        now: float,
+        channel: str,
+        fence: int,
+        standings: Mapping[str, Standing],
+        *,
+        listed: Iterable[int] = (),
+        age_ms: float = 0.0,
+        hold_ms: float | None = None,
+        out: Iterable[str] = (),
+    ) -> None:
+        """The lease is here. `listed` are all boxes of the list, `age_ms` how old the standings may be.
+
+        For `hold_ms` (`overlap_ms` if not given) boxes may still accept what the old owner sent: unknown
+        sessions are not given up, those `out` are not decided, and after it all boxes are asked once more.
+        """
+        hold = self.rules.overlap_ms if hold_ms is None else hold_ms
+        taken = _Taken(channel, fence, now, now + hold, dict(standings), out=set(out))
+        first = set(boxes_of(standings.values()))
+        rest = sorted(set(listed) - first)
+        if age_ms > self.rules.old_ms:
+            first, rest = first | set(rest), []
+        for box in sorted(first):
+            taken.boxes[box] = _Box(now, True)
+        gap = 1_000.0 / self.rules.later_a_second
+        for turn, box in enumerate(rest):
+            taken.boxes[box] = _Box(now + (turn + 1) * gap, False)
+        self._taken[channel] = taken
+        self.tick(now)
+
+    def begun(self, channel: str) -> bool:
+        return channel in self._taken
+
+    def steers(self, channel: str) -> bool | None:
+        """None if the channel is not being taken over."""
+        taken = self._taken.get(channel)
+        return None if taken is None else taken.acting
+
+    def learn(self, now: float, channel: str, session: str, standing: Standing | None) -> bool:
+        """The old owner's last word of a session: what it finished, or that it is over. False if too late."""
+        taken = self._taken.get(channel)
+        if taken is None or session in taken.decided:
+            return False
+        taken.out.discard(session)
+        if standing is None:
+            taken.standings.pop(session, None)
+            taken.decided.add(session)
+            if taken.acting:
+                self._out.add(Settled(channel, taken.fence, over=(session,)))
+            return True
+        taken.standings[session] = standing
+        if standing.box not in taken.boxes:
+            taken.boxes[standing.box] = _Box(now, False)
+        else:  # its list may be from before this attempt
+            box = taken.boxes[standing.box]
+            box.answered, box.ask_at = False, now
+            taken.told.pop(standing.box, None)
+        self.tick(now)
+        return True
+
+    def claimed(self, now: float, channel: str, claimed: Claimed) -> None:
+        """What a box said; one that was not reached is asked again at its time."""
+        taken = self._taken.get(channel)
+        if taken is None or claimed.box not in taken.boxes or not claimed.reached:
+            return
+        if (claimed.fence != taken.fence) if claimed.accepted else (claimed.fence <= taken.fence):
+            return  # of an earlier claim, late
+        taken.boxes[claimed.box].answered = True
+        taken.told[claimed.box] = claimed
+        self._weigh(now, taken)
+
+    def gone(self, now: float, box: int) -> None:
+        """The box is off the list for good: what stood there is over."""
+        for taken in list(self._taken.values()):
+            if box in taken.boxes:
+                taken.boxes[box].answered = True
+                taken.told[box] = Claimed(box, True, True, taken.fence)
+                self._weigh(now, taken)
+
+    def stop(self, channel: str) -> None:
+        """The channel is another's: nothing more is claimed."""
+        self._taken.pop(channel, None)
+
+    def tick(self, now: float) -> None:
+        for taken in list(self._taken.values()):
+            self._ask(now, taken)
+            self._weigh(now, taken)
+
+    def next_due(self) -> float | None:
+        dues: list[float] = []
+        for taken in self._taken.values():
+            dues += [box.ask_at for box in taken.boxes.values() if not box.answered]
+            if not taken.acting:
+                dues.append(taken.began + self.rules.first_ms)
+            elif taken.held:
+                dues.append(taken.hold_until)
+            elif any(session not in taken.decided for session in taken.standings):
+                dues.append(taken.hold_until + self.rules.doubt_ms)
+        return min(dues, default=None)
+
+    def take(self) -> list[Effect]:
+        return self._out.take()
+
+    # --- pieces ---
+
+    def _ask(self, now: float, taken: _Taken) -> None:
+        due = []
+        for number, box in taken.boxes.items():
+            if box.answered or now < box.ask_at:
+                continue
+            if now >= taken.began + self.rules.box_ms:
+                box.answered = True
+                continue
+            due.append(number)
+            doubted = now >= taken.hold_until + self.rules.doubt_ms
+            box.ask_at = now + (self.rules.slow_ms if doubted else self.rules.again_ms)
+        if due:
+            self._out.add(Claim(taken.channel, taken.fence, tuple(due)))
+
+    def _weigh(self, now: float, taken: _Taken) -> None:
+        if self._taken.get(taken.channel) is not taken:
+            return
+        result = reconcile(taken.standings, list(taken.told.values()))
+        if result.outdone:
+            del self._taken[taken.channel]
+            self._out.add(Outdone(taken.channel, result.outdone))
+            return
+        if not taken.acting:
+            waiting = any(box.first and not box.answered for box in taken.boxes.values())
+            if waiting and now < taken.began + self.rules.first_ms:
+                return
+            taken.acting = True
+            standings = tuple(taken.standings.values())
+            self._out.add(Inherited(taken.channel, taken.fence, len(result.unknown), standings))
+        self._unhold(now, taken)
+        self._settle(now, taken)
+        self._finish(now, taken)
+
+    def _unhold(self, now: float, taken: _Taken) -> None:
+        """The old owner's time has passed: lists from before that say nothing of what it set up last."""
+        if taken.held and now >= taken.hold_until:
+            taken.held = False
+            taken.out.clear()
+            if taken.hold_until > taken.began:
+                taken.told.clear()
+                gap = 1_000.0 / self.rules.later_a_second
+                for turn, box in enumerate(taken.boxes.values()):
+                    box.answered, box.ask_at = False, now + turn * gap
+                self._ask(now, taken)
+
+    def _settle(self, now: float, taken: _Taken) -> None:
+        result = reconcile(taken.standings, list(taken.told.values()))
+        settled = taken.decided | taken.out
+        new = [standing for standing in result.take if standing.session not in settled]
+        over = [session for session in result.over if session not in settled]
+        if now >= taken.hold_until + self.rules.doubt_ms:
+            over += [one.session for one in result.unknown if one.session not in settled]
+        for standing in new:
+            taken.standings[standing.session] = standing
+        for session in over:  # should a box list it after all, it is unwanted there
+            del taken.standings[session]
+        taken.decided.update(standing.session for standing in new)
+        taken.decided.update(over)
+        give_up = [] if taken.held else self._unwanted(taken, result.give_up)
+        if new or over or give_up:
+            self._out.add(
+                Settled(taken.channel, taken.fence, tuple(new), tuple(over), tuple(give_up)),
+            )
+
+    def _unwanted(self, taken: _Taken, listed: Iterable[tuple[int, str, int]]) -> list[tuple[int, str, int]]:
+        """What to release. Of a session that was taken only what is older: newer is this front's doing."""
+        new = []
+        for box, session, attempt in listed:
+            mine = taken.standings.get(session)
+            if (box, session, attempt) in taken.released or (mine is not None and attempt > mine.attempt):
+                continue
+            if mine is None or (box, attempt) != (mine.box, mine.attempt):
+                new.append((box, session, attempt))
+        taken.released.update(new)
+        return new
+
+    def _finish(self, now: float, taken: _Taken) -> None:
+        if not taken.held and all(box.answered for box in taken.boxes.values()):
+            unsettled = any(session not in taken.decided for session in taken.standings)
+            if not unsettled:
+                del self._taken[taken.channel]
+                self._out.add(Finished(taken.channel, taken.fence))
--- /dev/null
+++ b/tests/test_peers_channel.py
@@ -0,0 +1,801 @@
+"""Channels' copies and hand-off under lost, doubled, late and overtaken messages, stops, kills and cuts.
+
+One simulator of fronts, boxes and the lease on virtual time, driven by a seed. After each step it holds what
+boxes accepted, what standbys have and what fronts steer against small models of its own. `Mods` loads the
+program's modules, so that the same days are played with mistakes put in.
+"""
+
+from __future__ import annotations
+
+import heapq
+import importlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Union
+
+import msgspec
+import pytest
+
+PACKAGE = "fernweir.peers.channel"
+
+
+class Mods:
+    """The part's modules as they are now: with the mistake, inside `broken`."""
+
+    def __init__(self) -> None:
+        for name in (
+            "copies",
+            "handoff",
+            "giving",
+            "takeover",
+            "messages",
+            "rules",
+            "cut",
+            "heirs",
+            "standby",
+        ):
+            setattr(self, name, importlib.import_module(f"{PACKAGE}.{name}"))
+        self.base: Any = importlib.import_module("fernweir.peers.base")
+        self.port: Any = importlib.import_module("fernweir.peers.port")
+        self.decoder = msgspec.msgpack.Decoder(Union[self.messages.KINDS])  # noqa: UP007
+
+    def __getattr__(self, name: str) -> Any:
+        raise AttributeError(name)
+
+    def standing(self, session: str, box: int = 0, attempt: int = 0, rung: int = 0, **more: Any) -> Any:
+        return self.port.Standing(
+            session, "via", "who", "title", "cls", 4, "tenant", 7, box, attempt, rung, **more
+        )
+
+
+@dataclass
+class Weather:
+    """What the paths between fronts do. Times in ms."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    late: float = 0.0  # share of messages that are two seconds late
+    delay: float = 3.0
+
+
+class Net:
+    """Fronts' paths and clocks. `whole` messages of a pair keep their order, but broken ones lose some."""
+
+    def __init__(self, mods: Mods, seed: int, weather: Weather) -> None:
+        self.mods, self.dice, self.weather = mods, Random(f"net {seed}"), weather
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.last: dict[tuple[str, str], float] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.stopped: set[str] = set()
+        self.dead: set[str] = set()
+        self.bytes = 0
+        self.waiting: dict[str, list[Callable[[], None]]] = {}
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (when, self.count, what))
+
+    def send(self, sender: str, to: str, message: Any, whole: bool, hand: Callable[[Any], None]) -> None:
+        data = msgspec.msgpack.encode(message)
+        assert len(data) < 70_000
+        self.bytes += len(data)
+        if (
+            (sender, to) in self.cuts
+            or to in self.dead
+            or self.dice.random() < self.weather.loss * (0.5 if whole else 1)
+        ):
+            return
+        for _ in range(1 + (not whole and self.dice.random() < self.weather.double)):
+            when = self.now + self.dice.uniform(0.2, self.weather.delay)
+            if self.dice.random() < self.weather.late:
+                when += 2_000.0
+            if whole:
+                when = max(when, self.last.get((sender, to), 0.0))
+                self.last[(sender, to)] = when
+            self.at(when, lambda: self.deliver(to, lambda: hand(self.mods.decoder.decode(data))))
+
+    def deliver(self, to: str, what: Callable[[], None]) -> None:
+        if to in self.stopped:
+            self.waiting.setdefault(to, []).append(what)
+        elif to not in self.dead:
+            what()
+
+    def wake(self, name: str) -> None:
+        self.stopped.discard(name)
+        for what in self.waiting.pop(name, []):
+            what()
+
+
+# --- copies against a model: a copy is always a state that the owner had ---
+
+
+class CopyDay:
+    """An owner of a channel with standbys that are stopped, begin anew, are cut off; the fence changes hands.
+
+    The model: `history`, all states the owner of each fence had, with their times.
+    """
+
+    CHANNEL = "a:1/0"
+
+    def __init__(self, mods: Mods, seed: int, rules: Any = None) -> None:
+        self.mods, self.dice = mods, Random(f"copies {seed}")
+        weather = Weather(self.dice.choice([0.0, 0.1, 0.3]), 0.2, self.dice.choice([0.0, 0.05]))
+        self.net = Net(mods, seed, weather)
+        self.rules = rules or mods.rules.ReplicaRules(
+            message_bytes=400, backlog_bytes=1_500, window=3, keep_ms=100_000.0, frozen_ms=3_000.0
+        )
+        self.parts: dict[str, Any] = {}
+        self.rate = {name: self.dice.uniform(0.995, 1.005) for name in "abc"}
+        self.offset = {name: self.dice.uniform(0.0, 1e6) for name in "abc"}
+        for name in "abc":
+            self.begin(name)
+        self.owner, self.fence = "a", 1
+        self.state: dict[str, Any] = {f"s{n}": mods.standing(f"s{n}", n) for n in range(6)}
+        self.history: dict[int, list[tuple[float, dict[str, Any]]]] = {1: [(0.0, dict(self.state))]}
+        self.parts["a"].own(self.clock("a"), self.CHANNEL, 1, self.state.values())
+        self.parts["a"].standbys(self.clock("a"), self.CHANNEL, ["b", "c"])
+        self.seen = {"b": 0, "c": 0, "a": 0}
+        self.stamp = 0
+        self.faults: list[str] = []
+
+    def clock(self, name: str) -> float:
+        return self.net.now * self.rate[name] + self.offset[name]
+
+    def begin(self, name: str) -> None:
+        self.parts[name] = self.mods.copies.Replica(name, self.rules, self.dice.getrandbits(30))
+
+    def act(self) -> None:
+        """Something happens: mostly a change at the owner."""
+        kind, now = self.dice.random(), self.clock(self.owner)
+        if kind < 0.9 and self.owner not in self.net.stopped:
+            session = f"s{self.dice.randrange(24)}"
+            self.stamp += 1
+            if self.dice.random() < 0.25 and session in self.state:
+                del self.state[session]
+                self.parts[self.owner].end(now, self.CHANNEL, session)
+            else:
+                one = self.mods.standing(session, self.dice.randrange(9), answers=self.stamp)
+                self.state[session] = one
+                self.parts[self.owner].change(now, self.CHANNEL, one)
+            self.history[self.fence].append((self.net.now, dict(self.state)))
+        elif kind < 0.93:
+            name = self.dice.choice([name for name in "abc" if name != self.owner])
+            if name not in self.net.stopped:
+                self.begin(name)
+                self.seen[name] = 0
+        elif kind < 0.96:
+            cut = tuple(self.dice.sample("abc", 2))
+            self.net.cuts ^= {(cut[0], cut[1])}
+        elif kind < 0.985:
+            name = self.dice.choice("abc")
+            if name in self.net.stopped:
+                self.net.wake(name)
+            elif len(self.net.stopped) < 1:
+                self.net.stopped.add(name)
+        else:
+            self.hand_on()
+
+    def hand_on(self) -> None:
+        """A standby with a whole copy becomes the owner; the old one, maybe stopped, knows nothing."""
+        able = []
+        for name in "abc":
+            copy = self.parts[name].copy(self.CHANNEL) if name not in self.net.stopped else None
+            if name != self.owner and copy is not None and copy.whole and copy.fence == self.fence:
+                able.append((name, copy))
+        if not able:
+            return
+        name, copy = self.dice.choice(able)
+        self.owner, self.fence = name, self.fence + 1
+        self.state = dict(copy.standings)
+        self.history[self.fence] = [(self.net.now, dict(self.state))]
+        assert self.parts[name].own(self.clock(name), self.CHANNEL, self.fence, self.state.values())
+        self.parts[name].standbys(self.clock(name), self.CHANNEL, [one for one in "abc" if one != name])
+
+    def pump(self) -> None:
+        for name, part in self.parts.items():
+            if name in self.net.stopped:
+                continue
+            due = part.next_due()
+            if due is not None and due <= self.clock(name):
+                part.tick(self.clock(name))
+            for effect in part.take():
+                if isinstance(effect, self.mods.base.Send):
+                    to = str(effect.to)
+                    self.net.send(name, to, effect.message, effect.whole, self.hand(name, to))
+
+    def hand(self, sender: str, to: str) -> Callable[[Any], None]:
+        return lambda message: self.parts[to].heard(self.clock(to), sender, message)
+
+    def check(self) -> None:
+        for name, part in self.parts.items():
+            copy = part.copy(self.CHANNEL)
+            if name in self.net.stopped or copy is None:
+                continue
+            if copy.fence < self.seen[name]:
+                self.faults.append(f"{name} went back from fence {self.seen[name]} to {copy.fence}")
+            self.seen[name] = copy.fence
+            states = self.history.get(copy.fence, [])
+            index = max((n for n, (_, state) in enumerate(states) if state == copy.standings), default=-1)
+            if index < 0:
+                self.faults.append(f"{name} has a state that fence {copy.fence} never had")
+                continue
+            if copy.fence == self.fence and index + 1 < len(states):
+                age = copy.age_ms(self.clock(name))
+                if self.net.now - states[index + 1][0] > age * 1.02 + 1.0:
+                    self.faults.append(f"{name} believes its copy to be {age:.0f} ms old: it is older")
+
+    def run(self, ms: float, acts: bool = True) -> None:
+        until, next_act = self.net.now + ms, self.net.now
+        while self.net.now < until and not self.faults:
+            if acts and self.net.now >= next_act:
+                self.act()
+                next_act = self.net.now + self.dice.expovariate(1 / 60.0)
+            while self.net.queue and self.net.queue[0][0] <= self.net.now:
+                heapq.heappop(self.net.queue)[2]()
+            self.pump()
+            self.check()
+            self.net.now += 7.0
+
+    def quiet(self) -> None:
+        """All faults end; then every standby's copy is the owner's state, and young."""
+        self.net.cuts.clear()
+        for name in list(self.net.stopped):
+            self.net.wake(name)
+        self.net.weather = Weather()
+        self.run(9_000.0, acts=False)
+        for name, part in self.parts.items():
+            if name == self.owner or self.faults:
+                continue
+            copy = part.copy(self.CHANNEL)
+            if copy is None or not copy.whole or copy.fence != self.fence or copy.standings != self.state:
+                self.faults.append(f"{name} has no whole copy after quiet")
+            elif copy.age_ms(self.clock(name)) > 1_300.0:
+                self.faults.append(f"{name}'s copy is {copy.age_ms(self.clock(name)):.0f} ms old in quiet")
+
+
+def copy_day(mods: Mods, seed: int) -> list[str]:
+    day = CopyDay(mods, seed)
+    day.run(12_000.0)
+    if not day.faults:
+        day.quiet()
+    return day.faults
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_copy_is_always_a_state_the_owner_had_and_knows_its_age(seed: int) -> None:
+    assert copy_day(Mods(), seed) == []
+
+
+# --- hand-off and taking over, with a lease authority and boxes of our own ---
+
+LEASE = 1_500.0
+OVERLAP = 400.0
+WAY = 40.0  # the longest way between a front and a box, ms
+
+
+@dataclass
+class Box:
+    """Keeps the highest fence of each channel, and refuses lower ones when their overlap is over."""
+
+    number: int
+    dead: bool = False
+    fences: dict[str, list[tuple[int, float]]] = field(default_factory=dict)  # claimed fence, when
+    sessions: dict[str, tuple[str, int, int]] = field(default_factory=dict)  # id: channel, attempt, rung
+
+    def accepts(self, now: float, channel: str, fence: int) -> bool:
+        return all(fence >= claimed or now < at + OVERLAP for claimed, at in self.fences.get(channel, []))
+
+    def claim(
+        self, now: float, channel: str, fence: int
+    ) -> tuple[bool, int, tuple[tuple[str, int, int], ...]]:
+        known = self.fences.setdefault(channel, [])
+        highest = max((claimed for claimed, _ in known), default=0)
+        if fence < highest:
+            return False, highest, ()
+        if fence > highest:
+            known.append((fence, now))
+        mine = tuple((s, one[1], one[2]) for s, one in self.sessions.items() if one[0] == channel)
+        return True, fence, mine
+
+
+class Oracle:
+    """One authority for leases. A grant ends `LEASE` after it was last renewed, by its own time."""
+
+    def __init__(self, net: Net) -> None:
+        self.net = net
+        self.held: dict[str, tuple[str, int, float]] = {}
+        self.highest: dict[str, int] = {}
+        self.wants: dict[tuple[str, str], int] = {}
+
+    def step(
+        self, granted: Callable[[str, str, int], None], refused: Callable[[str, str, str, int], None]
+    ) -> None:
+        for (channel, name), floor in list(self.wants.items()):
+            if name in self.net.stopped or name in self.net.dead:
+                continue
+            holder = self.held.get(channel)
+            if holder is not None and holder[2] > self.net.now and holder[0] != name:
+                if holder[1] > floor:
+                    refused(name, channel, holder[0], holder[1])
+                continue
+            del self.wants[(channel, name)]
+            fence = max(self.highest.get(channel, 0), floor) + 1
+            self.highest[channel] = fence
+            self.held[channel] = (name, fence, self.net.now + LEASE)
+            granted(name, channel, fence)
+
+    def renew(self, channel: str, name: str, fence: int) -> bool:
+        holder = self.held.get(channel)
+        if holder is None or holder[:2] != (name, fence) or holder[2] <= self.net.now:
+            return False
+        self.held[channel] = (name, fence, self.net.now + LEASE)
+        return True
+
+    def release(self, channel: str, name: str) -> None:
+        if channel in self.held and self.held[channel][0] == name:
+            del self.held[channel]
+
+
+@dataclass
+class Owned:
+    fence: int
+    until: float
+    sessions: dict[str, Any] = field(default_factory=dict)
+    out: dict[str, tuple[int, int]] = field(default_factory=dict)  # session: box, attempt
+    steering: bool = True  # False once frozen
+
+
+class Front:
+    """What joins the parts at a front, as small as it can be."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name, self.mods = world, name, world.mods
+        rules = self.mods.rules
+        takeover = self.mods.takeover.Takeover(
+            rules.TakeoverRules(
+                overlap_ms=OVERLAP, first_ms=120.0, again_ms=60.0, doubt_ms=2_500.0, slow_ms=300.0
+            )
+        )
+        self.handoff = self.mods.handoff.Handoff(
+            name, rules.HandoffRules(overlap_ms=OVERLAP, late_ms=300.0, back_ms=4_000.0, message_bytes=600),
+            world.dice.getrandbits(30), takeover, lambda: range(len(world.boxes)),
+        )  # fmt: skip
+        self.replica = self.mods.copies.Replica(name, None, world.dice.getrandbits(30))
+        self.owned: dict[str, Owned] = {}
+        self.tried: dict[str, float] = {}
+        self.renew_at = 0.0
+
+    def clock(self) -> float:
+        return self.world.net.now * self.world.rate[self.name]
+
+    # steering
+
+    def may(self, channel: str, owned: Owned) -> bool:
+        return owned.steering and self.clock() < owned.until and bool(self.handoff.may_steer(channel))
+
+    def steer(self) -> None:
+        """One of: a rung changes, a further attempt at another box, a session ends."""
+        dice = self.world.dice
+        for channel, owned in list(self.owned.items()):
+            if not owned.sessions or not self.may(channel, owned) or dice.random() < 0.5:
+                continue
+            session = dice.choice(sorted(owned.sessions))
+            if session in owned.out:
+                continue
+            one, what = owned.sessions[session], dice.random()
+            if what < 0.7:
+                rung = (one.rung + 1) % 5
+                self.world.order(self.name, channel, owned.fence, one.box, session, one.attempt, rung, "rung")
+                self.know(channel, msgspec.structs.replace(one, rung=rung))
+            elif what < 0.95:
+                box = dice.choice([box.number for box in self.world.boxes if box.number != one.box])
+                owned.out[session] = (box, one.attempt + 1)
+                self.world.order(
+                    self.name, channel, owned.fence, box, session, one.attempt + 1, one.rung, "setup"
+                )
+            else:
+                self.world.ended.add(session)
+                self.world.order(self.name, channel, owned.fence, one.box, session, one.attempt, 0, "end")
+                self.know(channel, None, session)
+
+    def know(self, channel: str, standing: Any, session: str = "") -> None:
+        owned, now = self.owned[channel], self.clock()
+        if standing is None:
+            owned.sessions.pop(session, None)
+            self.replica.end(now, channel, session)
+            self.handoff.end(now, channel, session)
+        else:
+            owned.sessions[standing.session] = standing
+            self.replica.change(now, channel, standing)
+            self.handoff.change(now, channel, standing)
+
+    def setup_ended(self, channel: str, session: str, box: int, attempt: int, good: bool) -> None:
+        """An attempt's end; good or not, what is not the session's any more is released at its box."""
+        owned = self.owned.get(channel)
+        if owned is None or owned.out.pop(session, None) != (box, attempt):
+            return
+        allowed = self.may(channel, owned) or self.handoff.may_finish(self.clock(), channel)
+        one = owned.sessions.get(session)
+        if not good or not allowed or one is None:
+            return
+        self.know(channel, msgspec.structs.replace(one, box=box, attempt=attempt))
+        self.world.order(self.name, channel, owned.fence, one.box, session, one.attempt, 0, "end")
+
+    # events
+
+    def event(self, effect: Any) -> None:
+        now, world, kind = self.clock(), self.world, type(effect).__name__
+        if kind == "WantLease":
+            world.oracle.wants[(effect.channel, self.name)] = effect.floor
+        elif kind == "LeaveLease":
+            world.oracle.wants.pop((effect.channel, self.name), None)
+        elif kind == "ReleaseLease":
+            world.oracle.release(effect.channel, self.name)
+        elif kind == "Freeze":
+            owned = self.owned[effect.channel]
+            owned.steering = False
+            self.handoff.frozen(now, effect.channel, list(owned.out))
+        elif kind == "Claim":
+            for box in effect.boxes:
+                world.claim(self.name, effect.channel, effect.fence, box)
+        elif kind == "Inherited":
+            if effect.channel in self.owned:
+                self.owned[effect.channel].steering = True
+                self.replica.own(now, effect.channel, effect.fence, effect.standings)
+                self.replica.standbys(now, effect.channel, world.standbys(effect.channel, self.name))
+        elif kind == "Settled":
+            self.settled(effect)
+        elif kind == "TakenBack":
+            standings = {one.session: one for one in effect.standings}
+            self.begin(effect.channel, effect.fence, standings, 0.0)
+        elif kind in ("HandedOver", "Outdone"):
+            self.forget(effect.channel)
+        elif kind == "Outdated":  # in the overlap that is as it should be
+            if effect.channel not in self.handoff.giving():
+                self.forget(effect.channel)
+        elif kind == "Lapsed":
+            self.tried[effect.channel] = world.net.now
+        elif kind == "OverlapOver" and effect.channel in self.owned:
+            self.owned[effect.channel].out.clear()
+
+    def settled(self, effect: Any) -> None:
+        owned = self.owned.get(effect.channel)
+        if owned is None or owned.fence != effect.fence:
+            return
+        for one in effect.take:
+            owned.sessions[one.session] = one
+            self.replica.change(self.clock(), effect.channel, one)
+            self.world.taken(self.name, effect.channel, effect.fence, one)
+        for session in effect.over:
+            owned.sessions.pop(session, None)
+            self.replica.end(self.clock(), effect.channel, session)
+        for box, session, attempt in effect.give_up:
+            self.world.order(self.name, effect.channel, owned.fence, box, session, attempt, 0, "end")
+
+    def begin(self, channel: str, fence: int, standings: dict[str, Any], age_ms: float) -> None:
+        """The lease is here, by the unplanned way or back from an heir that does not act."""
+        self.owned[channel] = Owned(fence, self.clock() + LEASE * 0.97, steering=False)
+        self.handoff.takeover.begin(
+            self.clock(), channel, fence, standings, listed=range(len(self.world.boxes)), age_ms=age_ms
+        )
+
+    def forget(self, channel: str) -> None:
+        self.owned.pop(channel, None)
+        if self.replica.fence(channel):
+            self.replica.cede(self.clock(), channel)
+
+    def granted(self, channel: str, fence: int) -> None:
+        self.world.oracle.wants.pop((channel, self.name), None)
+        if self.handoff.leased(self.clock(), channel, fence):
+            self.owned[channel] = Owned(fence, self.clock() + LEASE * 0.97, steering=False)
+            return
+        if channel in self.handoff.giving():
+            self.world.oracle.release(channel, self.name)
+            return
+        copy = self.replica.copy(channel)
+        standings = dict(copy.standings) if copy is not None else {}
+        self.begin(channel, fence, standings, copy.age_ms(self.clock()) if copy is not None else float("inf"))
+
+    # time
+
+    def tick(self) -> None:
+        now, world = self.clock(), self.world
+        for channel, owned in list(self.owned.items()):
+            frozen = channel in self.handoff.giving() and not self.handoff.may_steer(channel)
+            if now >= owned.until and not frozen:
+                self.handoff.lost(now, channel)
+                self.forget(channel)
+        if now >= self.renew_at:
+            self.renew_at = now + 150.0
+            for channel, owned in self.owned.items():
+                if world.oracle.renew(channel, self.name, owned.fence):
+                    owned.until = now + LEASE * 0.97
+        for part in (self.handoff, self.replica):
+            due = part.next_due()
+            if due is not None and due <= now:
+                part.tick(now)
+        self.inherit()
+
+    def inherit(self) -> None:
+        """Channels whose lease lapsed are tried for by who has a copy, in the order of heirs."""
+        world = self.world
+        for channel in world.channels:
+            holder = world.oracle.held.get(channel)
+            lapsed = holder is None or holder[2] <= world.net.now
+            busy = channel in self.handoff.giving() or channel in self.handoff.taking()
+            if not lapsed or busy or (channel, self.name) in world.oracle.wants:
+                self.tried.pop(channel, None)
+                continue
+            self.tried.setdefault(channel, world.net.now)
+            order = world.order_of(channel)
+            wait = 500.0 + self.mods.heirs.wait_ms(order.index(self.name) if self.name in order else 9)
+            if world.net.now >= self.tried[channel] + wait:
+                world.oracle.wants[(channel, self.name)] = self.replica.fence(channel)
+
+    def pump(self) -> None:
+        for part in (self.handoff, self.replica):
+            for effect in part.take():
+                if isinstance(effect, self.mods.base.Send):
+                    to = str(effect.to)
+                    self.world.net.send(
+                        self.name, to, effect.message, effect.whole, self.world.hand(self.name, to)
+                    )
+                else:
+                    self.event(effect)
+
+
+class World:
+    """Four fronts, five boxes; `a` owns a few channels and hands them on while things break."""
+
+    def __init__(
+        self, mods: Mods, seed: int, weather: Weather | None = None, channels: int = 2, size: int = 8
+    ) -> None:
+        self.mods, self.dice = mods, Random(f"world {seed}")
+        self.net = Net(mods, seed, weather or Weather())
+        self.boxes = [Box(number) for number in range(5)]
+        self.rate = {name: self.dice.uniform(0.995, 1.005) for name in "abcd"}
+        self.oracle = Oracle(self.net)
+        self.channels = [f"a:1/{part}" for part in range(channels)]
+        self.faults: list[str] = []
+        self.ended: set[str] = set()
+        self.broken_at: float | None = None
+        self.steered: dict[str, dict[int, float]] = {}  # channel: fence: first steering that a box accepted
+        self.takers: dict[tuple[str, str], tuple[int, float]] = {}
+        self.fronts: dict[str, Front] = {name: Front(self, name) for name in "abcd"}
+        self.born: dict[str, float] = {}
+        for channel in self.channels:
+            standings = {}
+            for n in range(size):
+                session = f"{channel}.{n}"
+                box = self.dice.randrange(5)
+                standings[session] = mods.standing(session, box)
+                self.boxes[box].sessions[session] = (channel, 0, 0)
+            self.oracle.highest[channel] = 1
+            self.oracle.held[channel] = ("a", 1, LEASE)
+            front = self.fronts["a"]
+            front.owned[channel] = Owned(1, LEASE * 0.97, dict(standings))
+            front.replica.own(front.clock(), channel, 1, standings.values())
+            front.replica.standbys(front.clock(), channel, self.standbys(channel, "a"))
+            for box in self.boxes:
+                box.claim(0.0, channel, 1)
+
+    def hand(self, sender: str, to: str) -> Callable[[Any], None]:
+        def heard(message: Any) -> None:
+            front = self.fronts[to]
+            front.handoff.heard(front.clock(), sender, message)
+            front.replica.heard(front.clock(), sender, message)
+
+        return heard
+
+    def order_of(self, channel: str) -> list[str]:
+        fit = [
+            self.mods.heirs.Candidate(name, 0, 1e9)
+            for name in "abcd"
+            if name not in self.net.dead and name not in self.net.stopped
+        ]
+        return list(self.mods.heirs.standbys(channel, fit, 4))
+
+    def standbys(self, channel: str, owner: str) -> list[str]:
+        return [name for name in self.order_of(channel) if name != owner][:2]
+
+    # --- boxes ---
+
+    def order(
+        self, front: str, channel: str, fence: int, box: int, session: str, attempt: int, rung: int, what: str
+    ) -> None:
+        """A front's word to a box, on its way; what the box did comes back to who set up."""
+        if self.dice.random() < 0.02 and what == "rung":
+            return
+        at = self.net.now + self.dice.uniform(1.0, 20.0)
+        self.net.at(
+            at, lambda: self.obey(front, channel, fence, self.boxes[box], session, attempt, rung, what)
+        )
+
+    def obey(
+        self, front: str, channel: str, fence: int, box: Box, session: str, attempt: int, rung: int, what: str
+    ) -> None:
+        if box.dead:
+            return
+        if not box.accepts(self.net.now, channel, fence):
+            if what == "setup":
+                self.net.deliver(
+                    front,
+                    lambda: self.fronts[front].setup_ended(channel, session, box.number, attempt, False),
+                )
+            return
+        self.accepted(front, channel, fence, session)
+        here = box.sessions.get(session)
+        if what == "setup":
+            if here is None or here[1] < attempt:
+                box.sessions[session] = (channel, attempt, rung)
+            back = lambda: self.fronts[front].setup_ended(channel, session, box.number, attempt, True)  # noqa: E731
+            self.net.at(self.net.now + self.dice.uniform(1.0, 20.0), lambda: self.net.deliver(front, back))
+        elif here is not None and here[1] == attempt:
+            if what == "rung":
+                box.sessions[session] = (channel, attempt, rung)
+            else:
+                del box.sessions[session]
+
+    def claim(self, front: str, channel: str, fence: int, number: int) -> None:
+        def reach() -> None:
+            box = self.boxes[number]
+            if box.dead or self.dice.random() < 0.05:
+                told = self.mods.port.Claimed(number, False)
+            else:
+                accepted, highest, sessions = box.claim(self.net.now, channel, fence)
+                told = self.mods.port.Claimed(number, True, accepted, highest, sessions)
+            answer = lambda: self.fronts[front].handoff.claimed(self.fronts[front].clock(), channel, told)  # noqa: E731
+            self.net.at(self.net.now + self.dice.uniform(1.0, 20.0), lambda: self.net.deliver(front, answer))
+
+        self.net.at(self.net.now + self.dice.uniform(1.0, 20.0), reach)
+
+    # --- what must hold ---
+
+    def accepted(self, front: str, channel: str, fence: int, session: str) -> None:
+        """Steering by a lower fence only within the bound after steering under a higher one began."""
+        first = self.steered.setdefault(channel, {})
+        first.setdefault(fence, self.net.now)
+        for higher, since in first.items():
+            if higher > fence and self.net.now > since + OVERLAP * 1.02 + WAY:
+                late = self.net.now - since
+                self.faults.append(
+                    f"{channel}: {front} steers {session} under {fence}, {late:.0f} ms after {higher}"
+                )
+
+    def taken(self, front: str, channel: str, fence: int, one: Any) -> None:
+        known = self.takers.get((channel, one.session))
+        if known is not None and known[0] >= fence:
+            self.faults.append(f"{one.session} taken twice under {fence}")
+        self.takers[(channel, one.session)] = (fence, self.net.now)
+
+    def check(self) -> None:
+        for channel in self.channels:
+            steering = []
+            for name, front in self.fronts.items():
+                owned = front.owned.get(channel)
+                running = name not in self.net.stopped and name not in self.net.dead
+                if running and owned is not None and front.may(channel, owned):
+                    steering.append(name)
+            if len(steering) > 1:
+                self.faults.append(f"{channel} is steered by {steering} at {self.net.now:.0f}")
+
+    def step(self) -> None:
+        self.net.now += 4.0
+        while self.net.queue and self.net.queue[0][0] <= self.net.now:
+            heapq.heappop(self.net.queue)[2]()
+            self.pump()
+        running = [name for name in "abcd" if name not in self.net.stopped and name not in self.net.dead]
+        for name in running:
+            self.fronts[name].tick()
+        self.oracle.step(lambda name, c, f: self.fronts[name].granted(c, f), self.refused)
+        self.pump()
+        self.check()
+
+    def pump(self) -> None:
+        for name, front in self.fronts.items():
+            if name not in self.net.stopped and name not in self.net.dead:
+                front.pump()
+
+    def refused(self, name: str, channel: str, by: str, fence: int) -> None:
+        front = self.fronts[name]
+        front.handoff.taken(front.clock(), channel, by, fence)
+        if channel not in front.handoff.giving():
+            self.oracle.wants.pop((channel, name), None)
+
+    def run(self, ms: float, steering: bool = True) -> None:
+        until = self.net.now + ms
+        while self.net.now < until and not self.faults:
+            if steering and self.dice.random() < 0.2:
+                for name, front in self.fronts.items():
+                    if name not in self.net.stopped and name not in self.net.dead:
+                        front.steer()
+            self.step()
+
+    def die(self, name: str) -> None:
+        self.net.dead.add(name)
+        for other, front in self.fronts.items():
+            if other != name and other not in self.net.dead:
+                self.net.at(self.net.now + 300.0, lambda front=front: front.handoff.died(front.clock(), name))
+
+    def hand_on(self, name: str, heirs: str = "bcd") -> None:
+        front = self.fronts[name]
+        for channel, owned in front.owned.items():
+            if front.may(channel, owned):
+                front.handoff.offer(front.clock(), channel, owned.fence, owned.sessions, list(heirs))
+
+    def end(self) -> None:
+        """Faults are over; each session is in one place, at its box and at the channel's owner, or over."""
+        self.net.cuts.clear()
+        for name in list(self.net.stopped):
+            self.net.wake(name)
+        self.net.weather = Weather()
+        self.run(14_000.0, steering=False)
+        if self.faults:
+            return
+        for channel in self.channels:
+            holder = self.oracle.held.get(channel)
+            if holder is None or holder[0] in self.net.dead:
+                self.faults.append(f"{channel} has no owner in the end")
+                continue
+            front = self.fronts[holder[0]]
+            owned = front.owned.get(channel)
+            if owned is None or not front.may(channel, owned):
+                self.faults.append(f"{channel}: {holder[0]} has the lease and does not act")
+                continue
+            stands = {
+                s: (one.box, one.attempt) for s, one in owned.sessions.items() if not self.boxes[one.box].dead
+            }
+            listed: dict[str, tuple[int, int]] = {}
+            for box in self.boxes:
+                for session, (its, attempt, _) in box.sessions.items():
+                    if its == channel and not box.dead:
+                        if session in listed:
+                            self.faults.append(f"{session} stands at two boxes")
+                        listed[session] = (box.number, attempt)
+            if listed != stands:
+                odd = {s: (stands.get(s), listed.get(s)) for s in stands.keys() | listed.keys()}
+                odd = {s: both for s, both in odd.items() if both[0] != both[1]}
+                self.faults.append(f"{channel}: at {holder[0]} and at boxes differ: {odd}")
+
+
+def drawn_day(mods: Mods, seed: int) -> list[str]:
+    """Hand-offs while what is drawn breaks: stops, kills, cuts, a dead box, lost and late messages."""
+    dice = Random(f"day {seed}")
+    weather = Weather(dice.choice([0.0, 0.1, 0.3]), dice.choice([0.0, 0.3]), dice.choice([0.0, 0.03]))
+    world = World(mods, seed, weather)
+    world.run(dice.uniform(100.0, 900.0))
+    killed = 0
+    for _ in range(dice.randrange(1, 4)):
+        owners = sorted({held[0] for held in world.oracle.held.values()} - world.net.dead - world.net.stopped)
+        if owners and dice.random() < 0.8:
+            name = dice.choice(owners)
+            others = [one for one in "abcd" if one != name and one not in world.net.dead]
+            dice.shuffle(others)
+            world.hand_on(name, "".join(others))
+            world.run(dice.choice([0.0, dice.uniform(0.0, 60.0), dice.uniform(0.0, 700.0)]))
+        what, name = dice.random(), dice.choice(owners or ["a"])
+        victim = name if dice.random() < 0.6 else dice.choice("abcd")
+        if what < 0.35:
+            world.net.stopped.add(victim)
+            world.run(dice.choice([200.0, 2_500.0]))
+            world.net.wake(victim)
+        elif what < 0.6 and killed < 2 and victim not in world.net.dead:
+            killed += 1
+            world.die(victim)
+        elif what < 0.8:
+            pair = dice.sample("abcd", 2)
+            world.net.cuts.add((pair[0], pair[1]))
+        elif what < 0.9:
+            dice.choice(world.boxes).dead = True
+        world.run(dice.choice([50.0, 800.0, 3_000.0]))
+    if not world.faults:
+        world.end()
+    return world.faults
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_sessions_end_in_one_place_whatever_breaks_in_a_hand_off(seed: int) -> None:
+    assert drawn_day(Mods(), seed) == []
