A rig of real front processes with a relay between them and faults as lines from a seed

Fronts that fail together must be seen to as processes: killed, halted and woken, told to stop, with their paths cut, lossy, late or slow. Boxes, list, viewers and relay run in the rig's process and write one trace; fronts are children that end with their pipe, however the rig ends. Schedules are lines, drawn so that a majority stays up. Viewers go to another front when theirs refuses them.

--- /dev/null
+++ b/fernweir/rehearsal/fleet/roaming.py
@@ -0,0 +1,21 @@
+"""Viewers that go to another front when theirs can't be reached; their token is good at any."""
+
+from __future__ import annotations
+
+from random import Random
+
+from fernweir.http.client import Outcome, Reply
+from fernweir.standin.viewer import Shown, Viewers, Wish
+
+
+class RoamingViewers(Viewers):
+    async def ask(self, front: str, wish: Wish, shown: Shown | None = None) -> Reply:
+        """Asks one front after the other, from `front` on, until one takes the connection."""
+        others = [name for name in sorted(self.fronts) if name != front]
+        Random(f"{wish.session} {front}").shuffle(others)
+        reply = await super().ask(front, wish, shown)
+        for other in others:
+            if reply.outcome is not Outcome.REFUSED:
+                break
+            reply = await super().ask(other, wish, shown)
+        return reply
--- a/tests/test_peers_rig.py
+++ b/tests/test_peers_rig.py
@@ -4,15 +4,22 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fernweir.rehearsal.faults import ScheduleError
 from fernweir.rehearsal.fleet.paths import Manner, PathFaults
+from fernweir.rehearsal.fleet.plan import FleetPlan
+from fernweir.rehearsal.fleet.rig import Fleet, FleetResult
+from fernweir.rehearsal.fleet.schedule import ON_FRONT, draw, manner, read_schedule
 from fernweir.rehearsal.relay import Relay, free_pair
 
 # --- decisions ---
@@ -215,3 +222,82 @@
             assert await far_reader.read(1) == b""
 
     with_ends(story)
+
+
+# --- schedules ---
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.integers(0, 10_000), st.integers(2, 30), st.floats(6.0, 60.0))
+def test_drawn_schedules_are_read_as_written_and_leave_a_majority_up(
+    seed: int, fronts: int, seconds: float
+) -> None:
+    faults = draw(Random(seed), seconds=seconds, fronts=fronts, boxes=6, nasty=3.0)
+    assert read_schedule(map(str, faults)) == faults
+    assert faults == draw(Random(seed), seconds=seconds, fronts=fronts, boxes=6, nasty=3.0)
+    for fault in faults:
+        assert fault.at > 0.0 and fault.span >= 0.5 and fault.at + fault.span <= 0.8 * seconds + 0.51
+        down = {one.on for one in faults if one.kind in ON_FRONT and one.at <= fault.at < one.at + one.span}
+        assert len(down) <= (fronts - 1) // 2
+        assert all(1 <= number <= fronts for number in (*fault.sources, *fault.targets))
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["at 1 for 2 cut 3", "at 1 for 2 kill 1>2", "at 1 for 2 hang 1", "for 2 kill 1", "at 1 for 2 kill *",
+     "at 1 for 2 loss 1>2 strength 3", "at 1 for 2 cut 1,>2"],
+)  # fmt: skip
+def test_lines_that_are_no_faults_are_named(line: str) -> None:
+    assert read_schedule(["# none", "", "at 1 for 2 cut *>1,2  # all but one"])[0].targets == (1, 2)
+    with pytest.raises(ScheduleError, match="line 2"):
+        read_schedule(["at 1 for 2 kill 1", line])
+
+
+def test_faults_on_one_path_add_up_and_leave_others_alone() -> None:
+    text = [
+        "at 1 for 2 cut 1>2,3", "at 1 for 2 loss *>* strength 0.4", "at 1 for 2 loss 1>* strength 0.2",
+        "at 1 for 2 slow 2>1 strength 1.0", "at 1 for 2 late *>3 strength 1.0", "at 1 for 1 kill 1",
+    ]  # fmt: skip
+    faults = read_schedule(text)
+    base = Manner(delay_ms=5.0, loss=0.1)
+    assert manner(base, faults, 1, 2) == Manner(delay_ms=5.0, loss=0.4, cut=True)
+    assert manner(base, faults, 2, 1) == Manner(delay_ms=5.0, loss=0.4, rate=2_000.0)
+    assert manner(base, faults, 2, 3) == Manner(delay_ms=1_000.0, jitter_ms=1_000.0, loss=0.4)
+    assert manner(base, [], 1, 2) == base and base == Manner(delay_ms=5.0, loss=0.1)
+
+
+# --- processes ---
+
+DAY = ["at 1.0 for 1.5 kill 1", "at 3.0 for 1.0 stop 2", "at 4.5 for 0.2 term 3"]
+
+
+def play(plan: FleetPlan, folder: Path) -> tuple[FleetResult, list[dict[str, Any]]]:
+    async def day() -> FleetResult:
+        return await Fleet(plan, folder, lambda text: None).run()
+
+    result = asyncio.run(day())
+    lines = (folder / "trace.jsonl").read_text().splitlines()
+    return result, [json.loads(line) for line in lines]
+
+
+def test_a_day_of_three_fronts_that_are_killed_halted_and_told_to_stop(tmp_path: Path) -> None:
+    plan = FleetPlan(
+        seed=3, seconds=5.0, rate=8.0, play_s=(1.0, 3.0), settle_s=0.2, peers=None,
+        faults=tuple(read_schedule(DAY)),
+    )  # fmt: skip
+    result, trace = play(plan, tmp_path)
+    assert result.problems == [] and [str(one) for one in result.auditor.findings] == []
+    assert result.exits == [0] * 4 and not result.passed_over
+    done = [(one["kind"], one["front"]) for one in trace if one["kind"] in ("front.down", "front.cont")]
+    assert done[:3] == [("front.down", "front-1"), ("front.cont", "front-2"), ("front.down", "front-3")]
+    killed = next(index for index, one in enumerate(trace) if one["kind"] == "front.down")
+    refused = {one["req"] for one in trace[killed:] if one.get("outcome") == "refused"}
+    asked = {one["req"]: one for one in trace if one["kind"] == "viewer.ask"}
+    went_on = [
+        one["req"]
+        for one in trace
+        if one["kind"] == "viewer.answer"
+        and any(asked[req]["session"] == asked[one["req"]]["session"] for req in refused)
+    ]
+    assert refused and went_on, "viewers of the killed front were answered by another"
+    assert all(one.played_s > 0.0 for one in result.shown)
