--- /dev/null
+++ b/bench/peers_estimate.py
@@ -0,0 +1,243 @@
+"""Estimates of questions against what they touch: q-errors, bounds, and what estimating costs.
+
+python -m bench.peers_estimate [--seed 1] [--questions 2000] [--recorded FILE] [--sketches]
+
+Loads are drawn (`bench/peers_load.py`): nothing here is a measured fleet. `--recorded` reads a journal's
+entries, one JSON array a line, in place of them. What a question touches is counted by running it over all
+planned shards; what it should find, by plain dictionaries of all rows.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import click
+
+from bench.peers_load import LoadPlan, Scene, drawn_query, drawn_rows, scene
+from fernweir.journal.events import from_row
+from fernweir.peers.estimate.bounds import Estimate
+from fernweir.peers.estimate.catalogue import Catalogue, CatalogueRules
+from fernweir.peers.estimate.estimator import Estimator
+from fernweir.peers.estimate.feedback import QUANTITIES, Feedback, FeedbackRules, q_error
+from fernweir.peers.estimate.question import Query, Row, equalities, value_of
+from fernweir.peers.estimate.rules import EstimateRules, ShardRules
+from fernweir.peers.estimate.runner import Caught, Read, Result, Run, RunRules, Spend
+
+PLANS = {
+    "5 fronts": LoadPlan(fronts=5, rows=150_000),
+    "20 fronts": LoadPlan(fronts=20, rows=150_000),
+    "60 fronts": LoadPlan(fronts=60, rows=150_000, span_ms=600_000.0),
+    "200 fronts": LoadPlan(fronts=200, rows=200_000, span_ms=600_000.0),
+}
+
+
+def run(estimate: Estimate, at: Scene) -> Result:
+    """Runs a question to its end, without a budget."""
+    going = Run(estimate, {}, Spend(1e12, 1e12), RunRules(margin=1e6), 0.0)
+    while effects := going.take():
+        for effect in effects:
+            assert not isinstance(effect, Caught)
+            if isinstance(effect, Read):
+                going.answered(0.0, effect.number, at.store.read(estimate.query, effect))
+    return going.result()
+
+
+class Oracle:
+    """Plain dictionaries of all rows: for every field and value, the numbers of the rows that have it."""
+
+    def __init__(self, rows: Mapping[str, Sequence[Row]]) -> None:
+        self.rows = [(front, row) for front in rows for row in rows[front]]
+        self._having: dict[tuple[str, str], set[int]] = defaultdict(set)
+        for number, (front, row) in enumerate(self.rows):
+            self._having["front", front].add(number)
+            for name in ("deed", "session", "title", "box", "tenant", "version", "outcome"):
+                self._having[name, value_of(row, name)].add(number)
+
+    def found(self, query: Query) -> set[int]:
+        sets = [self._having.get(pair, set()) for pair in equalities(query)]
+        if query.fronts:
+            sets.append(set().union(*(self._having["front", front] for front in query.fronts)))
+        numbers = set.intersection(*sets) if sets else set(range(len(self.rows)))
+        return {n for n in numbers if query.since <= self.rows[n][1].at < query.until}
+
+
+@dataclass(slots=True)
+class Figures:
+    """Of one load: q-errors, upper and lower bounds that held, times and bytes."""
+
+    errors: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    high: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    low: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    questions: int = 0
+    estimating: float = 0.0
+    running: float = 0.0
+    told: float = 0.0  # bytes of the summaries
+    read: float = 0.0
+
+    def add(self, estimate: Estimate, result: Result) -> None:
+        self.questions += 1
+        for name in QUANTITIES:
+            bound, actual = getattr(estimate, name), getattr(result.actual, name)
+            self.errors[name].append(q_error(bound.guess, actual))
+            self.high[name] += actual <= bound.high
+            self.low[name] += actual >= bound.low
+
+    def quantile(self, name: str, share: float) -> float:
+        errors = sorted(self.errors[name])
+        return errors[min(len(errors) - 1, int(share * len(errors)))]
+
+
+def measure(at: Scene, questions: int, seed: int, check: bool = True) -> Figures:
+    figures = Figures()
+    feedback = Feedback(FeedbackRules())
+    estimator = Estimator(EstimateRules(), feedback)
+    oracle = Oracle(at.rows) if check else None
+    dice = Random(f"questions/{seed}")
+    for _ in range(questions):
+        query = drawn_query(at, dice)
+        begun = time.perf_counter()
+        estimate = estimator.estimate(query, at.catalogue, at.fronts, at.now)
+        between = time.perf_counter()
+        result = run(estimate, at)
+        figures.estimating += between - begun
+        figures.running += time.perf_counter() - between
+        figures.read += result.actual.bytes
+        if oracle is not None and len(oracle.found(query)) != result.actual.found:
+            raise AssertionError(f"{query} found {result.actual.found} rows")
+        figures.add(estimate, result)
+        feedback.record(estimate, result.actual)
+    figures.told = at.summary_bytes
+    return figures
+
+
+def print_figures(name: str, figures: Figures) -> None:
+    print(f"\n{name}: {figures.questions} questions")
+    print("  quantity   q median   q 90%   q 99%   q most   upper holds   lower holds")
+    for quantity in QUANTITIES:
+        q = [figures.quantile(quantity, share) for share in (0.5, 0.9, 0.99, 1.0)]
+        held = figures.high[quantity] / figures.questions, figures.low[quantity] / figures.questions
+        print(
+            f"  {quantity:9} {q[0]:9.3f} {q[1]:7.2f} {q[2]:7.2f} {q[3]:8.2f} {held[0]:12.2%} {held[1]:13.2%}"
+        )
+    print(
+        f"  estimating {figures.estimating / figures.questions * 1e3:.3f} ms a question,"
+        f" running {figures.running / figures.questions * 1e3:.1f} ms:"
+        f" {figures.estimating / figures.running:.2%}"
+    )
+    print(
+        f"  summaries {figures.told / 1e3:.0f} kB once for all, read by the questions"
+        f" {figures.read / 1e6:.0f} MB: {figures.told / figures.read:.3%}"
+    )
+
+
+def recorded_rows(path: Path) -> dict[str, list[Row]]:
+    """Entries of a journal as rows, by front; what an entry's kind is stands for the deed."""
+    rows: dict[str, list[Row]] = defaultdict(list)
+    with path.open() as lines:
+        for line in lines:
+            one = from_row(json.loads(line))
+            rows[one.front or "front"].append(
+                Row(float(one.at), str(one.what), one.session, one.lesson, one.box, one.tenant, "", one.why)
+            )
+    first = min(entries[0].at for entries in rows.values())
+    return {
+        front: sorted(
+            (
+                Row(row.at - first, *[getattr(row, name) for name in row.__struct_fields__[1:]])
+                for row in entries
+            ),
+            key=lambda row: row.at,
+        )
+        for front, entries in rows.items()
+    }
+
+
+_WEIGH = """
+import sys, time
+def rss():
+    return next(int(line.split()[1]) for line in open("/proc/self/status") if line.startswith("VmRSS"))
+words = [f"s{n % 4000}" for n in range(8192)]
+before, begun = rss(), time.perf_counter()
+{load}
+loaded, memory = time.perf_counter() - begun, rss() - before
+begun = time.perf_counter()
+{fill}
+took = time.perf_counter() - begun
+print(f"  {sys.argv[1]:34} import {loaded * 1e3:6.1f} ms {memory / 1e3:6.1f} MB,"
+      f" 8192 rows in {took * 1e3:6.2f} ms, {size} bytes")
+"""
+
+_WAYS = {
+    "dict, frequent 24 (plain)": (
+        "from collections import Counter",
+        "kept = Counter(); [kept.update((w,)) for w in words]; import msgspec as m;"
+        "size = len(m.msgpack.encode(kept.most_common(24)))",
+    ),
+    "datasketches frequent_strings": (
+        "import datasketches",
+        "kept = datasketches.frequent_strings_sketch(8); [kept.update(w) for w in words];"
+        "size = len(kept.serialize())",
+    ),
+    "set of hashes (plain)": (
+        "from fernweir.peers.estimate.sketches import key",
+        "kept = {key('session', w) % 2**64 for w in words}; size = 8 * len(kept)",
+    ),
+    "rbloom 1%": (
+        "import rbloom",
+        "from fernweir.peers.estimate.sketches import key, pack_filter;"
+        "size = len(pack_filter([key('session', w) for w in set(words)], 0.01, 8192))",
+    ),
+    "datasketches hll 12 (distinct)": (
+        "import datasketches",
+        "kept = datasketches.hll_sketch(12); [kept.update(w) for w in words];"
+        "size = len(kept.serialize_compact())",
+    ),
+    "len of dict (plain, distinct)": ("", "kept = dict.fromkeys(words); size = 8"),
+    "datasketches kll (time)": (
+        "import datasketches",
+        "kept = datasketches.kll_floats_sketch(64); [kept.update(float(n)) for n in range(8192)];"
+        "size = len(kept.serialize())",
+    ),
+    "bins of equally many rows (own)": (
+        "from fernweir.peers.estimate.sketches import steps",
+        "kept = steps([(float(n), 100) for n in range(8192)], 32); import msgspec as m;"
+        "size = len(m.msgpack.encode(kept))",
+    ),
+}
+
+
+def weigh_sketches() -> None:
+    """Each way in a process of its own; a library that isn't installed says so."""
+    for name, (load, fill) in _WAYS.items():
+        code = _WEIGH.replace("{load}", load).replace("{fill}", fill)
+        done = subprocess.run([sys.executable, "-c", code, name], capture_output=True, text=True, check=False)
+        print(done.stdout.rstrip() if done.returncode == 0 else f"  {name:34} {done.stderr.splitlines()[-1]}")
+
+
+@click.command()
+@click.option("--seed", default=1)
+@click.option("--questions", default=2000, help="over all loads")
+@click.option("--recorded", type=click.Path(exists=True, path_type=Path), default=None)
+@click.option("--sketches", is_flag=True, help="weigh ways to sketch instead")
+def main(seed: int, questions: int, recorded: Path | None, sketches: bool) -> None:
+    if sketches:
+        weigh_sketches()
+        return
+    loads = {"recorded": recorded_rows(recorded)} if recorded else None
+    for name in loads or PLANS:
+        rows = loads[name] if loads else drawn_rows(PLANS[name], seed)
+        catalogue = Catalogue(CatalogueRules())
+        at = scene(rows, catalogue, ShardRules(), 60_000.0, seed)
+        print_figures(name, measure(at, questions // len(loads or PLANS), seed))
+
+
+if __name__ == "__main__":
+    main()
