--- a/bench/peers_load.py
+++ b/bench/peers_load.py
@@ -111,10 +111,10 @@
 
 @dataclass(slots=True)
 class Kept:
-    """One shard as it is kept: blocks of (first row's time, last row's, rows, packed)."""
+    """One shard as it is kept: blocks of (first row's time, last row's, rows, their bytes, packed)."""
 
     name: str
-    blocks: list[tuple[float, float, int, bytes]] = field(default_factory=list)
+    blocks: list[tuple[float, float, int, int, bytes]] = field(default_factory=list)
 
 
 class Store:
@@ -140,7 +140,8 @@
     def _close(self, kept: list[Kept], name: str, block: list[Row]) -> None:
         if not kept or kept[-1].name != name:
             kept.append(Kept(name))
-        kept[-1].blocks.append((block[0].at, block[-1].at, len(block), _ENCODE(block)))
+        size = sum(len(_ENCODE(row)) for row in block)
+        kept[-1].blocks.append((block[0].at, block[-1].at, len(block), size, _ENCODE(block)))
 
     def read(self, query: Query, read: Read) -> Answered:
         """What the front of the plan, or a copy of its shards, answers."""
@@ -150,15 +151,15 @@
         for kept in self._planned(read):
             shards += 1
             found = False
-            for first, last, count, packed in kept.blocks:
+            for first, last, count, weight, packed in kept.blocks:
                 if last < planned.since or first >= planned.until:
                     continue
-                if touched + count > read.most.rows or size + len(packed) > read.most.bytes:
+                if touched + count > read.most.rows or size + weight > read.most.bytes:
                     if not rows and not touched:
                         return Answered((), shards, 0, 0, 0, 0, first)
                     return Answered(tuple(rows), shards, touched, size, holding + found, answer, first)
                 touched += count
-                size += len(packed)
+                size += weight
                 for row in _ROWS(packed):
                     if planned.since <= row.at < planned.until and matches(row):
                         rows.append(row)
--- a/fernweir/peers/estimate/estimator.py
+++ b/fernweir/peers/estimate/estimator.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from math import ceil, exp, inf, nextafter, sqrt
 
@@ -11,7 +11,7 @@
 from fernweir.peers.estimate.bounds import Bound, Estimate, Planned, exactly
 from fernweir.peers.estimate.catalogue import Catalogue
 from fernweir.peers.estimate.feedback import QUANTITIES, Feedback
-from fernweir.peers.estimate.question import STANDING, Query, equalities
+from fernweir.peers.estimate.question import ACTS, STANDING, Query, equalities
 from fernweir.peers.estimate.rules import EstimateRules
 from fernweir.peers.estimate.selectivity import Asked, Match, asked, match
 from fernweir.peers.estimate.summary import Known, Shard
@@ -102,6 +102,8 @@
         older = self._older(query, wanted, last)
         if older is not None:
             seen.parts.append(older)
+        if query.of == ACTS:
+            seen.parts += self._lost(query, mine, last)
         return seen
 
     def _part(
@@ -119,7 +121,7 @@
         found = like if inside else None
         if found is None and not grows:
             return None
-        row_bytes = summary.size / summary.rows if summary.rows else 256.0
+        row_bytes = summary.size / summary.rows if summary.rows else rules.row_bytes
         rows = size = there = _NONE
         if found is not None:
             rows, size = self._reading(query, known, before)
@@ -180,6 +182,32 @@
         )
         return _Part(planned, shards, found, 0.0, _NONE, older.size / older.rows)
 
+    def _lost(self, query: Query, known: Sequence[Known], last: Known) -> Iterator[_Part]:
+        """Shards whose summaries should be here and are not: anything may be in them, up to a whole shard's.
+
+        There may be none such: as many as a front publishes lie between those only counted and the last.
+        """
+        names = {one.summary.shard.name for one in known}
+        begin, end = last.summary.older.shards, int(last.summary.shard.name)
+        for number in range(max(begin, end - self._rules.most_lost), end):
+            if str(number) in names:
+                continue
+            shard = last.summary.shard
+            most = float(self._rules.most_rows)
+            row_bytes = last.summary.size / last.summary.rows if last.summary.rows else self._rules.row_bytes
+            rows = Bound(0.0, most / 2, most)
+            size = Bound(0.0, most / 2 * row_bytes, most * row_bytes * self._rules.size_margin)
+            planned = Planned(
+                Shard(shard.front, shard.life, str(number), -inf, shard.since),
+                query.of,
+                query.since,
+                query.until,
+                False,
+                rows,
+                size,
+            )
+            yield _Part(planned, exactly(1.0), Bound(), 0.0, Bound(0.0, 0.0, most), row_bytes)
+
     def _reading(
         self, query: Query, known: Known, low: tuple[float, float, float, float, float, float]
     ) -> tuple[Bound, Bound]:
--- a/fernweir/peers/estimate/limits.py
+++ b/fernweir/peers/estimate/limits.py
@@ -100,9 +100,9 @@
         reserved = self._reserved.pop(ticket, None)
         if reserved is None:
             return
-        self._left = Spend(
-            min(self._most(self._rules.rows_s), self._left.rows + reserved.most.rows - actual.rows),
-            min(self._most(self._rules.bytes_s), self._left.bytes + reserved.most.bytes - actual.bytes),
+        self._hold(
+            self._left.rows + reserved.most.rows - actual.rows,
+            self._left.bytes + reserved.most.bytes - actual.bytes,
         )
 
     def left(self, now: float) -> Spend:
@@ -130,7 +130,13 @@
         rows, size = self._left.rows, self._left.bytes
         for ticket in [t for t, r in self._reserved.items() if now - r.at >= self._rules.forgotten_ms]:
             del self._reserved[ticket]  # taken as spent: what it touched is not known
+        self._hold(rows + self._rules.rows_s * free, size + self._rules.bytes_s * free)
+
+    def _hold(self, rows: float, size: float) -> None:
+        """What is left, so that with what is set aside it is never more than the account holds."""
+        out_rows = sum(one.most.rows for one in self._reserved.values())
+        out_size = sum(one.most.bytes for one in self._reserved.values())
         self._left = Spend(
-            min(self._most(self._rules.rows_s), rows + self._rules.rows_s * free),
-            min(self._most(self._rules.bytes_s), size + self._rules.bytes_s * free),
+            min(self._most(self._rules.rows_s) - out_rows, rows),
+            min(self._most(self._rules.bytes_s) - out_size, size),
         )
--- a/fernweir/peers/estimate/narrow.py
+++ b/fernweir/peers/estimate/narrow.py
@@ -25,7 +25,6 @@
     fits: Callable[[Estimate], bool],
     summaries: Catalogue,
     fronts: Sequence[str],
-    now: float,
 ) -> tuple[Query, Estimate] | None:
     """A question within this one whose estimate fits, and that keeps most rows of those tried; None if none.
 
--- a/fernweir/peers/estimate/rules.py
+++ b/fernweir/peers/estimate/rules.py
@@ -39,6 +39,8 @@
     unknown_bytes: float = 1_000_000.0
     likened: int = 16  # fronts to which it is likened if none that is asked is known
     sample_weight: float = 12.0  # how many sampled rows the guess by independence is worth
+    most_lost: int = 128  # shards of one front that are read without a summary
+    row_bytes: float = 256.0  # where nothing tells better
     stale_ms: float = 120_000.0  # an older summary counts as none
     most_rows: int = 8192  # of a shard, as all fronts seal them
     most_span_ms: float = 600_000.0
--- a/fernweir/peers/estimate/summary.py
+++ b/fernweir/peers/estimate/summary.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from fernweir.peers.estimate.question import FIELDS, KINDS, MOST_TEXT
+from fernweir.peers.estimate.question import FIELDS, KINDS, MOST_TEXT, STANDING
 from fernweir.peers.estimate.sketches import Filter, Frequent, Steps, read_filter
 
 FORMAT = 1
@@ -23,7 +23,11 @@
 
 
 class Shard(msgspec.Struct, frozen=True, array_like=True):
-    """A part of what a front recorded in one life. `until`: no row is later; `name` is unique in its life."""
+    """A part of what a front recorded in one life. `until`: no row in it is later.
+
+    Shards of acts are named by their numbers from 0 on without a gap, so that a lost summary shows; what
+    stands is one shard, which has its kind's name.
+    """
 
     front: str
     life: int
@@ -94,10 +98,12 @@
     if summary.format != FORMAT:
         raise ValueError("another format")
     shard = summary.shard
-    if shard.front != owner or shard.life != life or not 0 < len(shard.name) <= MOST_TEXT:
+    if shard.front != owner or shard.life != life or not shard.name:
         raise ValueError("another's shard")
     if summary.of not in KINDS:
         raise ValueError("no such kind")
+    if shard.name != (STANDING if summary.of == STANDING else _number(shard.name)):
+        raise ValueError("name")
     if not (isfinite(summary.taken) and -inf < shard.since <= shard.until < inf):
         raise ValueError("times")
     if not (0 <= summary.rate <= MOST_RATE and 0 <= summary.peak <= MOST_RATE):
@@ -121,6 +127,10 @@
     return Known(summary, read_filter(summary.filter), heard)
 
 
+def _number(name: str) -> str:
+    return str(int(name)) if name.isascii() and name.isdigit() and len(name) <= 12 else ""
+
+
 def _check_frequent(frequent: Frequent, rows: int) -> None:
     if len(frequent.values) != len(frequent.counts) or len(frequent.values) > MOST_LIST:
         raise ValueError("frequent values")
