--- a/fernweir/peers/link/tcp.py
+++ b/fernweir/peers/link/tcp.py
@@ -18,7 +18,7 @@
 from fernweir.peers.wire import frames
 from fernweir.peers.wire.bucket import Bucket
 from fernweir.peers.wire.conversation import OVER
-from fernweir.peers.wire.seal import Kind, Seal, SealError
+from fernweir.peers.wire.seal import Kind, Seal
 
 LONGEST = frames.MOST - OVER
 Called = str | Address
@@ -235,12 +235,10 @@
             connection.abort()
             return
         known = self._named.get(talk.peer)
-        try:
-            self._seal.meet(talk.peer, talk.peer_life)
-        except SealError as error:
+        if self._seal.meet(talk.peer, talk.peer_life) is None:
             self.counts.drop(Drop.OLD_LIFE)
             connection.abort()
-            self._stale(error.sender, error.life, error.newest)
+            self._stale(talk.peer, talk.peer_life, self._seal.newest(talk.peer))
             return
         connection.joined = True
         if known is not None and known.talk.peer_life < talk.peer_life:
--- a/fernweir/peers/link/udp.py
+++ b/fernweir/peers/link/udp.py
@@ -9,7 +9,7 @@
 from fernweir.peers.link.rules import Drop, LinkCounts, LinkRules
 from fernweir.peers.wire.bucket import Bucket
 from fernweir.peers.wire.gate import Gate
-from fernweir.peers.wire.seal import Kind, Opened, Seal, SealError
+from fernweir.peers.wire.seal import Kind, Opened, Refused, Seal
 
 
 class Datagrams(asyncio.DatagramProtocol):
@@ -41,16 +41,15 @@
         if not self.gate.admits(now, addr):
             self._counts.drop(Drop.FLOOD)
             return
-        try:
-            opened = self.seal.open(data)
-        except SealError as error:
+        found = self.seal.look(data)
+        if isinstance(found, Refused):
             self.gate.failed(now, addr)
             self._counts.drop(Drop.SEALED)
-            if error.kind is Kind.OLD_LIFE:
-                self._stale(error.sender, error.life, error.newest)
+            if found.kind is Kind.OLD_LIFE:
+                self._stale(found.sender, found.life, found.newest)
             return
         self.gate.passed(addr)
-        self._opened(opened)
+        self._opened(found)
 
     def send(self, body: bytes, form: int, address: Address) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/fernweir/peers/wire/conversation.py
+++ b/fernweir/peers/wire/conversation.py
@@ -14,7 +14,7 @@
 
 from fernweir.peers.wire.codec import common
 from fernweir.peers.wire.keys import TAG, Sealer
-from fernweir.peers.wire.seal import NAME_MOST, Kind, SealError
+from fernweir.peers.wire.seal import NAME_MOST, Kind, Refused, SealError
 
 MAGIC = b"\xfe\x48"
 NONCE = 16
@@ -54,25 +54,25 @@
     def take_hello(self, data: bytes) -> None:
         """The other side's hello. SealError if it is none, of the own name, or of no format spoken here."""
         if len(data) < _HELLO_LEAST:
-            raise SealError(Kind.SHORT)
+            raise SealError(Refused(Kind.SHORT))
         if not data.startswith(MAGIC):
-            raise SealError(Kind.MAGIC)
+            raise SealError(Refused(Kind.MAGIC))
         length = data[4]
         if not 1 <= length <= NAME_MOST or len(data) != _HELLO_LEAST - 1 + length:
-            raise SealError(Kind.NAME)
+            raise SealError(Refused(Kind.NAME))
         view = memoryview(data)
         which = self._hellos.opens(view[:-TAG], view[-TAG:])
         if which is None:
-            raise SealError(Kind.TAG)
+            raise SealError(Refused(Kind.TAG))
         try:
             peer = data[5 : 5 + length].decode()
         except UnicodeDecodeError:
-            raise SealError(Kind.NAME) from None
+            raise SealError(Refused(Kind.NAME)) from None
         if peer == self.name:
-            raise SealError(Kind.OWN)
+            raise SealError(Refused(Kind.OWN))
         form = common(self.formats, (data[3], data[2]))
         if form is None:
-            raise SealError(Kind.FORMAT)
+            raise SealError(Refused(Kind.FORMAT))
         self.peer, self.format, self._key = peer, form, which
         (self.peer_life,) = _LIFE.unpack_from(data, 5 + length)
         self._peer_nonce = data[-TAG - NONCE : -TAG]
@@ -88,12 +88,12 @@
     def open(self, data: bytes) -> bytes:
         """The body of a frame. SealError for any that is not the next of this conversation."""
         if len(data) < OVER:
-            raise SealError(Kind.SHORT)
+            raise SealError(Refused(Kind.SHORT))
         covered = b"".join((self._peer_nonce, self._nonce, data[:-TAG]))
         if not self._frames.opens_with(self._key, covered, data[-TAG:]):
-            raise SealError(Kind.TAG)
+            raise SealError(Refused(Kind.TAG))
         if int.from_bytes(data[:8], "big") != self._heard + 1:
-            raise SealError(Kind.COUNTER)
+            raise SealError(Refused(Kind.COUNTER))
         self._heard += 1
         self.proven = True
         return data[8:-TAG]
--- a/fernweir/peers/wire/seal.py
+++ b/fernweir/peers/wire/seal.py
@@ -40,12 +40,25 @@
     COUNTER = "counter"  # on a connection: a frame repeated, left out or out of order
 
 
+class Refused(NamedTuple):
+    """For an old life, `sender` and the two lives are authenticated."""
+
+    kind: Kind
+    sender: str = ""
+    life: int = 0
+    newest: int = 0
+
+
 class SealError(Exception):
-    """Something that is not opened. For an old life, `sender` and the two lives are authenticated."""
+    """Something that is not opened."""
+
+    def __init__(self, refused: Refused) -> None:
+        super().__init__(refused.kind.value)
+        self.refused, self.kind = refused, refused.kind
 
-    def __init__(self, kind: Kind, sender: str = "", life: int = 0, newest: int = 0) -> None:
-        super().__init__(kind.value)
-        self.kind, self.sender, self.life, self.newest = kind, sender, life, newest
+
+_SHORT, _MAGIC, _FORMAT = Refused(Kind.SHORT), Refused(Kind.MAGIC), Refused(Kind.FORMAT)
+_NAME, _TAG, _OWN = Refused(Kind.NAME), Refused(Kind.TAG), Refused(Kind.OWN)
 
 
 class Opened(NamedTuple):
@@ -80,6 +93,7 @@
         self.counts: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.name, self.life, self._counter = name, life, 0
         self._sealer = Sealer(keys, USE)
+        self._formats = self.rules.formats
         self._senders: dict[str, _Sender] = {}
         self._bytes = name.encode()
         if not 1 <= len(self._bytes) <= NAME_MOST:
@@ -101,49 +115,55 @@
 
     def open(self, data: bytes) -> Opened:
         """What a datagram says, and by whom. SealError, counted by its kind, for all but a good new one."""
-        try:
-            return self._open(data)
-        except SealError as error:
-            self.counts[error.kind] += 1
-            raise
-
-    def _open(self, data: bytes) -> Opened:
+        found = self.look(data)
+        if isinstance(found, Refused):
+            raise SealError(found)
+        return found
+
+    def look(self, data: bytes) -> Opened | Refused:
+        """As `open`; raising would cost more than the looking."""
+        found = self._look(data)
+        if isinstance(found, Refused):
+            self.counts[found.kind] += 1
+        return found
+
+    def _look(self, data: bytes) -> Opened | Refused:
         size = len(data)
         if size < LEAST:
-            raise SealError(Kind.SHORT)
+            return _SHORT
         if not data.startswith(MAGIC):
-            raise SealError(Kind.MAGIC)
+            return _MAGIC
         form, length = data[2], data[3]
-        if not self.rules.formats[0] <= form <= self.rules.formats[1]:
-            raise SealError(Kind.FORMAT)
+        lowest, highest = self._formats
+        if not lowest <= form <= highest:
+            return _FORMAT
         if not 1 <= length <= NAME_MOST:
-            raise SealError(Kind.NAME)
+            return _NAME
         start = 4 + length + _NUMBERS.size
         if size < start + TAG:
-            raise SealError(Kind.SHORT)
-        view = memoryview(data)
-        if self._sealer.opens(view[:-TAG], view[-TAG:]) is None:
-            raise SealError(Kind.TAG)
+            return _SHORT
+        if self._sealer.opens(memoryview(data)[:-TAG], data[-TAG:]) is None:
+            return _TAG
         try:
             sender = data[4 : 4 + length].decode()
         except UnicodeDecodeError:
-            raise SealError(Kind.NAME) from None
+            return _NAME
         life, counter = _NUMBERS.unpack_from(data, 4 + length)
         if sender == self.name and life == self.life:
-            raise SealError(Kind.OWN)
-        self._take(sender, life, counter)
+            return _OWN
+        window = self.meet(sender, life)
+        if window is None:
+            return Refused(Kind.OLD_LIFE, sender, life, self.newest(sender))
+        if not window.take(counter):
+            return Refused(Kind.REPLAY, sender, life, life)
         return Opened(sender, life, counter, form, data[start:-TAG])
 
-    def _take(self, sender: str, life: int, counter: int) -> None:
-        if not self.meet(sender, life).take(counter):
-            raise SealError(Kind.REPLAY, sender, life, life)
-
-    def meet(self, sender: str, life: int) -> Window:
-        """The window of a life that was proved; those before it are over. SealError for one of these."""
+    def meet(self, sender: str, life: int) -> Window | None:
+        """The window of a life that was proved; those before it are over. None for one of these."""
         known = self._senders.pop(sender, None)
         if known is not None and life < known.life:
             self._senders[sender] = known
-            raise SealError(Kind.OLD_LIFE, sender, life, known.life)
+            return None
         if known is None or life > known.life:
             known = _Sender(life, self.rules.window)
         self._senders[sender] = known  # last in order, as it was heard last
--- a/tests/peers_mutants/wire.py
+++ b/tests/peers_mutants/wire.py
@@ -17,8 +17,8 @@
     Mutant(
         "tag leaves out the life",
         _SEAL,
-        "if self._sealer.opens(view[:-TAG], view[-TAG:]) is None:",
-        "if self._sealer.opens(data[: 4 + length] + data[12 + length : -TAG], view[-TAG:]) is None:",
+        "if self._sealer.opens(memoryview(data)[:-TAG], data[-TAG:]) is None:",
+        "if self._sealer.opens(data[: 4 + length] + data[12 + length : -TAG], data[-TAG:]) is None:",
         2,
     ),
     Mutant(
@@ -45,10 +45,10 @@
     Mutant(
         "windows made before the tag is checked",
         _SEAL,
-        "        view = memoryview(data)\n        if self._sealer",
+        "        if self._sealer.opens(",
         "        name = data[4 : 4 + length].decode(errors='replace')\n"
-        "        self._take(name, *_NUMBERS.unpack_from(data, 4 + length))\n"
-        "        view = memoryview(data)\n        if self._sealer",
+        "        self.meet(name, _NUMBERS.unpack_from(data, 4 + length)[0])\n"
+        "        if self._sealer.opens(",
         2,
     ),
     Mutant(
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -303,14 +303,14 @@
         gate = importlib.import_module("fernweir.peers.wire.gate").GateRules(bad=50, bad_source=20)
         one, other = await fleet.front("a", gate=gate), await fleet.front("b", gate=gate)
         looks = 0
-        opened = other.links.seal.open
+        opened = other.links.seal.look
 
         def look(data: bytes) -> Any:
             nonlocal looks
             looks += 1
             return opened(data)
 
-        other.links.seal.open = look
+        other.links.seal.look = look
         one.send("b", 0)
         await asyncio.sleep(0.1)
         stranger, _ = await fleet.loop.create_datagram_endpoint(
