--- a/fernweir/rehearsal/fleet/plan.py
+++ b/fernweir/rehearsal/fleet/plan.py
@@ -11,6 +11,8 @@
 
 KEY_FILE = "fleet.key"
 _KEEPERS = 5
+_LESSONS = 8
+_WAY_MS = 100.0  # by how much a busy machine may delay what a process hears
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
     seconds: float = 12.0
     rate: float = 4.0
     play_s: tuple[float, float] = (3.0, 7.0)
+    segment_s: float = 1.0
     settle_s: float = 3.0
     asks_while_playing: float = 0.3
     peers: PeerPlan | None = field(default_factory=PeerPlan)
@@ -63,15 +66,13 @@
         times = SiteTimes(
             tell=1_000.0, seen_after=200.0, orphan=3_000.0, heirless=20_000.0, overlap=peers.overlap
         )
+        standing = 3.0 * self.rate * self.play_s[1]  # with room for all of them at a third of the boxes
+        classes = (
+            SiteClass("briefing", 1.4, 1, seats=max(60, round(standing / _LESSONS)), deadline_ms=3_000.0),
+            SiteClass("training", deadline_ms=4_000.0, when_silent="play"),
+        )
         return SitePlan(
-            boxes=self.boxes, racks=2, fronts=self.fronts, lessons=8, classes=_CLASSES, times=times,
-            streams=max(30, round(3.0 * self.rate * self.play_s[1] / self.boxes)),
+            boxes=self.boxes, racks=2, fronts=self.fronts, lessons=_LESSONS, classes=classes, times=times,
+            streams=max(30, round(standing / self.boxes)),
             link_kb=4_000_000.0, uplink_kb=40_000_000.0, way_ms=_WAY_MS,
         )  # fmt: skip
-
-
-_WAY_MS = 100.0  # by how much a busy machine may delay what a process hears
-_CLASSES = (
-    SiteClass("briefing", scale=1.4, floor=1, seats=60, deadline_ms=3_000.0),
-    SiteClass("training", scale=1.0, deadline_ms=4_000.0, when_silent="play"),
-)
--- a/fernweir/rehearsal/fleet/rig.py
+++ b/fernweir/rehearsal/fleet/rig.py
@@ -15,6 +15,7 @@
 from random import Random
 
 from fernweir.audit import Auditor, audit_lines
+from fernweir.audit.gaps import Loss
 from fernweir.rehearsal.badday import free_port
 from fernweir.rehearsal.fleet.paths import Passed
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
@@ -69,6 +70,7 @@
             self.trace = Trace(file, self._loop.time)
             self.relay = Relay(self.plan.seed)
             self.site = RehearsalSite(self.plan.site(), self.folder, self.trace, self.plan.seed)
+            self.site.site.segment_s = self.plan.segment_s
             try:
                 await self.site.start()
                 await self.start_fronts()
@@ -233,6 +235,9 @@
             ]
             if front.life is not Life.DOWN:
                 problems.append(f"{front.name} is left {front.life.value}")
+        ended = auditor.gaps.costs[Loss.PLANNED].ended
+        if self.plan.peers is not None and ended:
+            problems.append(f"{ended} sessions ended with fronts that were told to stop")
         passed = Passed()
         for path in self.relay.paths(*[[front.name for front in self.fronts.values()]] * 2):
             for name in Passed.__slots__:
