Taking over claims all boxes first, and tells old owners' last attempts from its own

All listed boxes are now claimed before an heir acts (after a planned hand-off it waits for those that sessions stand at, and what the old owner had out is decided after its bound, from new lists). After an unplanned loss boxes accept no lower fence at all. What a box not reached at first lists later is released only if the front says which set-ups are its own. An offer under a lower fence than is known is declined: a woken owner's was taken by the channel's new owner.

--- a/fernweir/peers/channel/copies.py
+++ b/fernweir/peers/channel/copies.py
@@ -169,6 +169,8 @@
                 return
             self._outdated(message.channel, message.fence)
         self._standby.heard(now, sender, message)
+        # What a new session is answered from is of use only if it is here before the owner is gone.
+        self._next_digests = min(self._next_digests, now + self.rules.flush_ms)
 
     def _outdated(self, channel: str, fence: int) -> None:
         del self._owned[channel]
--- a/fernweir/peers/channel/handoff.py
+++ b/fernweir/peers/channel/handoff.py
@@ -25,8 +25,10 @@
 
 
 class Handoff:
-    """Events: those of `giving` and of `takeover`. `listed` gives the numbers of all boxes of the list.
+    """Events: those of `giving` and of `takeover`.
 
+    `listed` gives the numbers of all boxes that are listed and believed up, `known` the highest fence that
+    is known of a channel (`Replica.fence`): what somebody offers under a lower one is not taken.
     `takeover` is shared by the planned and the unplanned way; its events come out of `take` here.
     """
 
@@ -37,12 +39,13 @@
         seed: int = 0,
         takeover: Takeover | None = None,
         listed: Callable[[], Iterable[int]] = tuple,
+        known: Callable[[str], int] = lambda channel: 0,
     ) -> None:
         self.me, self.rules = me, rules or HandoffRules()
         self.takeover = takeover or Takeover()
         self._out = Outbox()
         self._giver = Giver(self.rules, Random(f"handoff {me} {seed}"), self._out)
-        self._taker = Taker(self.rules, self.takeover, listed, self._out)
+        self._taker = Taker(self.rules, self.takeover, listed, known, self._out)
 
     # --- the old owner's end ---
 
@@ -112,9 +115,7 @@
 
     def may_steer(self, channel: str) -> bool:
         """Whether hand-off and taking over leave an owner with a valid lease free to steer the channel."""
-        for verdict in (
-            self._giver.steers(channel), self._taker.steers(channel), self.takeover.steers(channel),
-        ):  # fmt: skip
+        for verdict in (self._giver.steers(channel), self.takeover.steers(channel)):
             if verdict is not None:
                 return verdict
         return True
--- a/fernweir/peers/channel/rules.py
+++ b/fernweir/peers/channel/rules.py
@@ -36,17 +36,18 @@
     """A box that does not answer within `first_ms` is not waited for: its sessions are doubtful.
 
     It is asked again every `again_ms`, and after `doubt_ms` every `slow_ms`; what is in doubt that long is
-    over. Boxes that no copy names are claimed at `later_a_second`, so that no unknown session stays there.
+    over. With `attempts_told` the front tells `attempted`: a later attempt that a list names and that is not
+    its own is then released, else it is left.
     """
 
-    overlap_ms: float = 2_000.0  # that boxes accept a lower fence after a claim
+    overlap_ms: float = 2_000.0  # that boxes accept a lower fence after a planned claim
+    attempts_told: bool = False
     first_ms: float = 300.0
     again_ms: float = 250.0
     doubt_ms: float = 10_000.0
     slow_ms: float = 5_000.0
     box_ms: float = 120_000.0  # a box that never answers is left alone after this
-    later_a_second: float = 20.0
-    old_ms: float = 5_000.0  # a copy older than this names too few boxes
+    again_a_second: float = 50.0  # boxes that are asked once more, of a channel
 
 
 @dataclass(frozen=True, slots=True)
--- a/fernweir/peers/channel/takeover.py
+++ b/fernweir/peers/channel/takeover.py
@@ -1,9 +1,10 @@
 """Taking a channel over under a new fence: boxes are claimed, their lists weighed, sessions taken or not.
 
-It begins when this front has the lease. Boxes where sessions stand are claimed first; when all have
-answered, or after `first_ms`, the channel is acted for. What a box that was not reached holds is in doubt
-until it answers, or for `doubt_ms`. All other boxes are claimed one after another, so that a session which
-began in the old owner's last moments stays nowhere. What is decided of a session stays decided.
+It begins when this front has the lease. All boxes of the list are claimed, not only those that the copy
+names: a session may have begun or moved in the old owner's last moments. When all have answered (after a
+planned hand-off: those where sessions stand), or after `first_ms`, the channel is acted for. What a box
+that was not reached holds is in doubt until it answers, or for `doubt_ms`. When what the old owner had out
+must have ended, all boxes are asked once more. What is decided of a session stays decided.
 """
 
 from __future__ import annotations
@@ -12,18 +13,23 @@
 from dataclasses import dataclass, field
 
 from fernweir.peers.base import Effect, Event, Outbox
-from fernweir.peers.channel.reconcile import boxes_of, reconcile
+from fernweir.peers.channel.reconcile import Reconciled, boxes_of, reconcile
 from fernweir.peers.channel.rules import TakeoverRules
 from fernweir.peers.port import Claimed, Standing
 
 
 @dataclass(frozen=True, slots=True)
 class Claim(Event):
-    """Claim this channel at these boxes; each answer goes to `claimed`."""
+    """Claim this channel at these boxes; each answer goes to `claimed`.
+
+    They may accept a lower fence for `overlap_ms` more: none after an unplanned loss, whose owner has no
+    lease, so that what it still had on its way changes nothing once a box has told its list.
+    """
 
     channel: str
     fence: int
     boxes: tuple[int, ...]
+    overlap_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,13 +85,16 @@
     fence: int
     began: float
     hold_until: float
+    overlap_ms: float
     standings: dict[str, Standing]
     boxes: dict[int, _Box] = field(default_factory=dict)
     told: dict[int, Claimed] = field(default_factory=dict)
     decided: set[str] = field(default_factory=set)  # taken or over
     released: set[tuple[int, str, int]] = field(default_factory=set)
     out: set[str] = field(default_factory=set)  # the old owner finishes an attempt of these
+    mine: dict[str, set[int]] = field(default_factory=dict)  # boxes this front set a session up at
     held: bool = True  # sessions no one knows may still be the old owner's
+    relist_until: float = 0.0
     acting: bool = False
 
 
@@ -105,26 +114,20 @@
         standings: Mapping[str, Standing],
         *,
         listed: Iterable[int] = (),
-        age_ms: float = 0.0,
-        hold_ms: float | None = None,
+        planned_ms: float | None = None,
         out: Iterable[str] = (),
     ) -> None:
-        """The lease is here. `listed` are all boxes of the list, `age_ms` how old the standings may be.
+        """The lease is here. `listed` are all boxes of the list that are believed up.
 
-        For `hold_ms` (`overlap_ms` if not given) boxes may still accept what the old owner sent: unknown
-        sessions are not given up, those `out` are not decided, and after it all boxes are asked once more.
+        After a planned hand-off the old owner may finish those `out` for `planned_ms`: they are not decided
+        until then. As long, or for `overlap_ms` after an unplanned loss, unknown sessions are not given up.
         """
-        hold = self.rules.overlap_ms if hold_ms is None else hold_ms
-        taken = _Taken(channel, fence, now, now + hold, dict(standings), out=set(out))
-        first = set(boxes_of(standings.values()))
-        rest = sorted(set(listed) - first)
-        if age_ms > self.rules.old_ms:
-            first, rest = first | set(rest), []
-        for box in sorted(first):
-            taken.boxes[box] = _Box(now, True)
-        gap = 1_000.0 / self.rules.later_a_second
-        for turn, box in enumerate(rest):
-            taken.boxes[box] = _Box(now + (turn + 1) * gap, False)
+        hold = self.rules.overlap_ms if planned_ms is None else planned_ms
+        overlap = 0.0 if planned_ms is None else self.rules.overlap_ms
+        taken = _Taken(channel, fence, now, now + hold, overlap, dict(standings), out=set(out))
+        stand = boxes_of(standings.values())
+        for box in sorted({*stand, *listed}):
+            taken.boxes[box] = _Box(now, planned_ms is None or box in stand)
         self._taken[channel] = taken
         self.tick(now)
 
@@ -169,6 +172,12 @@
         taken.told[claimed.box] = claimed
         self._weigh(now, taken)
 
+    def attempted(self, channel: str, session: str, box: int) -> None:
+        """This front sets the session up at that box: a later attempt that its list names is its own."""
+        taken = self._taken.get(channel)
+        if taken is not None:
+            taken.mine.setdefault(session, set()).add(box)
+
     def gone(self, now: float, box: int) -> None:
         """The box is off the list for good: what stood there is over."""
         for taken in list(self._taken.values()):
@@ -194,6 +203,8 @@
                 dues.append(taken.began + self.rules.first_ms)
             elif taken.held:
                 dues.append(taken.hold_until)
+            elif taken.out:
+                dues.append(taken.relist_until)
             elif any(session not in taken.decided for session in taken.standings):
                 dues.append(taken.hold_until + self.rules.doubt_ms)
         return min(dues, default=None)
@@ -215,7 +226,7 @@
             doubted = now >= taken.hold_until + self.rules.doubt_ms
             box.ask_at = now + (self.rules.slow_ms if doubted else self.rules.again_ms)
         if due:
-            self._out.add(Claim(taken.channel, taken.fence, tuple(due)))
+            self._out.add(Claim(taken.channel, taken.fence, tuple(due), taken.overlap_ms))
 
     def _weigh(self, now: float, taken: _Taken) -> None:
         if self._taken.get(taken.channel) is not taken:
@@ -240,13 +251,16 @@
         """The old owner's time has passed: lists from before that say nothing of what it set up last."""
         if taken.held and now >= taken.hold_until:
             taken.held = False
-            taken.out.clear()
+            gap = 1_000.0 / self.rules.again_a_second
+            taken.relist_until = now + gap * len(taken.boxes) + self.rules.first_ms
             if taken.hold_until > taken.began:
                 taken.told.clear()
-                gap = 1_000.0 / self.rules.later_a_second
                 for turn, box in enumerate(taken.boxes.values()):
                     box.answered, box.ask_at = False, now + turn * gap
                 self._ask(now, taken)
+        answered = all(box.answered for box in taken.boxes.values())
+        if not taken.held and (answered or now >= taken.relist_until):
+            taken.out.clear()
 
     def _settle(self, now: float, taken: _Taken) -> None:
         result = reconcile(taken.standings, list(taken.told.values()))
@@ -261,21 +275,25 @@
             del taken.standings[session]
         taken.decided.update(standing.session for standing in new)
         taken.decided.update(over)
-        give_up = [] if taken.held else self._unwanted(taken, result.give_up)
+        give_up = [] if taken.held else self._unwanted(taken, result)
         if new or over or give_up:
             self._out.add(
                 Settled(taken.channel, taken.fence, tuple(new), tuple(over), tuple(give_up)),
             )
 
-    def _unwanted(self, taken: _Taken, listed: Iterable[tuple[int, str, int]]) -> list[tuple[int, str, int]]:
-        """What to release. Of a session that was taken only what is older: newer is this front's doing."""
+    def _unwanted(self, taken: _Taken, result: Reconciled) -> list[tuple[int, str, int]]:
+        """What to release. Of a session that was taken a later attempt may be this front's own doing."""
         new = []
+        listed = [*result.give_up, *((one.box, one.session, one.attempt) for one in result.take)]
         for box, session, attempt in listed:
             mine = taken.standings.get(session)
-            if (box, session, attempt) in taken.released or (mine is not None and attempt > mine.attempt):
+            if (box, session, attempt) in taken.released or session in taken.out:
                 continue
-            if mine is None or (box, attempt) != (mine.box, mine.attempt):
-                new.append((box, session, attempt))
+            if mine is not None:
+                own = not self.rules.attempts_told or box in taken.mine.get(session, ())
+                if (box, attempt) == (mine.box, mine.attempt) or (attempt > mine.attempt and own):
+                    continue
+            new.append((box, session, attempt))
         taken.released.update(new)
         return new
 
--- a/fernweir/peers/channel/taking.py
+++ b/fernweir/peers/channel/taking.py
@@ -42,12 +42,19 @@
 
 
 class Taker:
-    """All channels that are on their way to here. `listed` gives the numbers of all boxes."""
+    """All channels that are on their way to here. `listed` gives the numbers of all boxes, `known` the
+    highest fence that is known of a channel."""
 
     def __init__(
-        self, rules: HandoffRules, takeover: Takeover, listed: Callable[[], Iterable[int]], out: Outbox
+        self,
+        rules: HandoffRules,
+        takeover: Takeover,
+        listed: Callable[[], Iterable[int]],
+        known: Callable[[str], int],
+        out: Outbox,
     ) -> None:
-        self.rules, self._takeover, self._listed, self._out = rules, takeover, listed, out
+        self.rules, self._takeover, self._out = rules, takeover, out
+        self._listed, self._known = listed, known
         self._takings: dict[str, _Taking] = {}
         self._room = rules.sessions_most
         self._closed = ""
@@ -55,11 +62,6 @@
     def room(self, sessions: int, closed: str) -> None:
         self._room, self._closed = sessions, closed
 
-    def steers(self, channel: str) -> bool | None:
-        """None if the channel is not on its way to here."""
-        taking = self._takings.get(channel)
-        return None if taking is None else taking.step is Step.ACTING
-
     def channels(self) -> list[str]:
         return list(self._takings)
 
@@ -72,7 +74,13 @@
         taking.step, taking.fence = Step.CLAIMING, fence
         hold = max(taking.hold_until - now, self._takeover.rules.overlap_ms)
         self._takeover.begin(
-            now, channel, fence, taking.standings, listed=self._listed(), hold_ms=hold, out=taking.yours.out
+            now,
+            channel,
+            fence,
+            taking.standings,
+            listed=self._listed(),
+            planned_ms=hold,
+            out=taking.yours.out,
         )
         return True
 
@@ -139,6 +147,8 @@
             return self._closed
         if taking is not None and (taking.step is not Step.ACCEPTED or taking.giver != sender):
             return "on its way already"
+        if self._known(offer.channel) > offer.fence:
+            return "outdated"
         if self._takeover.begun(offer.channel):
             return "being taken over"
         coming = sum(one.count for one in self._takings.values() if one.step is not Step.ACTING)
--- a/tests/test_peers_channel.py
+++ b/tests/test_peers_channel.py
@@ -282,21 +282,23 @@
 
     number: int
     dead: bool = False
-    fences: dict[str, list[tuple[int, float]]] = field(default_factory=dict)  # claimed fence, when
+    fences: dict[str, list[tuple[int, float]]] = field(
+        default_factory=dict
+    )  # fence, until when lower ones do
     sessions: dict[str, tuple[str, int, int]] = field(default_factory=dict)  # id: channel, attempt, rung
 
     def accepts(self, now: float, channel: str, fence: int) -> bool:
-        return all(fence >= claimed or now < at + OVERLAP for claimed, at in self.fences.get(channel, []))
+        return all(fence >= claimed or now < until for claimed, until in self.fences.get(channel, []))
 
     def claim(
-        self, now: float, channel: str, fence: int
+        self, now: float, channel: str, fence: int, overlap: float
     ) -> tuple[bool, int, tuple[tuple[str, int, int], ...]]:
         known = self.fences.setdefault(channel, [])
         highest = max((claimed for claimed, _ in known), default=0)
         if fence < highest:
             return False, highest, ()
         if fence > highest:
-            known.append((fence, now))
+            known.append((fence, now + overlap))
         mine = tuple((s, one[1], one[2]) for s, one in self.sessions.items() if one[0] == channel)
         return True, fence, mine
 
@@ -356,14 +358,19 @@
         rules = self.mods.rules
         takeover = self.mods.takeover.Takeover(
             rules.TakeoverRules(
-                overlap_ms=OVERLAP, first_ms=120.0, again_ms=60.0, doubt_ms=2_500.0, slow_ms=300.0
+                overlap_ms=OVERLAP,
+                attempts_told=True,
+                first_ms=120.0,
+                again_ms=60.0,
+                doubt_ms=2_500.0,
+                slow_ms=300.0,
             )
         )
+        self.replica = self.mods.copies.Replica(name, None, world.dice.getrandbits(30))
         self.handoff = self.mods.handoff.Handoff(
             name, rules.HandoffRules(overlap_ms=OVERLAP, late_ms=300.0, back_ms=4_000.0, message_bytes=600),
-            world.dice.getrandbits(30), takeover, lambda: range(len(world.boxes)),
+            world.dice.getrandbits(30), takeover, lambda: range(len(world.boxes)), self.replica.fence,
         )  # fmt: skip
-        self.replica = self.mods.copies.Replica(name, None, world.dice.getrandbits(30))
         self.owned: dict[str, Owned] = {}
         self.tried: dict[str, float] = {}
         self.renew_at = 0.0
@@ -393,6 +400,7 @@
             elif what < 0.95:
                 box = dice.choice([box.number for box in self.world.boxes if box.number != one.box])
                 owned.out[session] = (box, one.attempt + 1)
+                self.handoff.takeover.attempted(channel, session, box)
                 self.world.order(
                     self.name, channel, owned.fence, box, session, one.attempt + 1, one.rung, "setup"
                 )
@@ -440,7 +448,7 @@
             self.handoff.frozen(now, effect.channel, list(owned.out))
         elif kind == "Claim":
             for box in effect.boxes:
-                world.claim(self.name, effect.channel, effect.fence, box)
+                world.claim(self.name, effect.channel, effect.fence, box, effect.overlap_ms)
         elif kind == "Inherited":
             if effect.channel in self.owned:
                 self.owned[effect.channel].steering = True
@@ -450,7 +458,7 @@
             self.settled(effect)
         elif kind == "TakenBack":
             standings = {one.session: one for one in effect.standings}
-            self.begin(effect.channel, effect.fence, standings, 0.0)
+            self.begin(effect.channel, effect.fence, standings)
         elif kind in ("HandedOver", "Outdone"):
             self.forget(effect.channel)
         elif kind == "Outdated":  # in the overlap that is as it should be
@@ -475,11 +483,11 @@
         for box, session, attempt in effect.give_up:
             self.world.order(self.name, effect.channel, owned.fence, box, session, attempt, 0, "end")
 
-    def begin(self, channel: str, fence: int, standings: dict[str, Any], age_ms: float) -> None:
+    def begin(self, channel: str, fence: int, standings: dict[str, Any]) -> None:
         """The lease is here, by the unplanned way or back from an heir that does not act."""
         self.owned[channel] = Owned(fence, self.clock() + LEASE * 0.97, steering=False)
         self.handoff.takeover.begin(
-            self.clock(), channel, fence, standings, listed=range(len(self.world.boxes)), age_ms=age_ms
+            self.clock(), channel, fence, standings, listed=range(len(self.world.boxes))
         )
 
     def forget(self, channel: str) -> None:
@@ -487,6 +495,10 @@
         if self.replica.fence(channel):
             self.replica.cede(self.clock(), channel)
 
+    def claimed(self, channel: str, told: Any) -> None:
+        self.look_at_leases()
+        self.handoff.claimed(self.clock(), channel, told)
+
     def granted(self, channel: str, fence: int) -> None:
         self.world.oracle.wants.pop((channel, self.name), None)
         if self.handoff.leased(self.clock(), channel, fence):
@@ -497,17 +509,22 @@
             return
         copy = self.replica.copy(channel)
         standings = dict(copy.standings) if copy is not None else {}
-        self.begin(channel, fence, standings, copy.age_ms(self.clock()) if copy is not None else float("inf"))
+        self.begin(channel, fence, standings)
 
     # time
 
-    def tick(self) -> None:
-        now, world = self.clock(), self.world
+    def look_at_leases(self) -> None:
+        """Before anything else: a front that stood still must not act on what it meant to do."""
+        now = self.clock()
         for channel, owned in list(self.owned.items()):
             frozen = channel in self.handoff.giving() and not self.handoff.may_steer(channel)
             if now >= owned.until and not frozen:
                 self.handoff.lost(now, channel)
                 self.forget(channel)
+
+    def tick(self) -> None:
+        now, world = self.clock(), self.world
+        self.look_at_leases()
         if now >= self.renew_at:
             self.renew_at = now + 150.0
             for channel, owned in self.owned.items():
@@ -580,11 +597,12 @@
             front.replica.own(front.clock(), channel, 1, standings.values())
             front.replica.standbys(front.clock(), channel, self.standbys(channel, "a"))
             for box in self.boxes:
-                box.claim(0.0, channel, 1)
+                box.claim(0.0, channel, 1, 0.0)
 
     def hand(self, sender: str, to: str) -> Callable[[Any], None]:
         def heard(message: Any) -> None:
             front = self.fronts[to]
+            front.look_at_leases()
             front.handoff.heard(front.clock(), sender, message)
             front.replica.heard(front.clock(), sender, message)
 
@@ -639,15 +657,15 @@
             else:
                 del box.sessions[session]
 
-    def claim(self, front: str, channel: str, fence: int, number: int) -> None:
+    def claim(self, front: str, channel: str, fence: int, number: int, overlap: float) -> None:
         def reach() -> None:
             box = self.boxes[number]
             if box.dead or self.dice.random() < 0.05:
                 told = self.mods.port.Claimed(number, False)
             else:
-                accepted, highest, sessions = box.claim(self.net.now, channel, fence)
+                accepted, highest, sessions = box.claim(self.net.now, channel, fence, overlap)
                 told = self.mods.port.Claimed(number, True, accepted, highest, sessions)
-            answer = lambda: self.fronts[front].handoff.claimed(self.fronts[front].clock(), channel, told)  # noqa: E731
+            answer = lambda: self.fronts[front].claimed(channel, told)  # noqa: E731
             self.net.at(self.net.now + self.dice.uniform(1.0, 20.0), lambda: self.net.deliver(front, answer))
 
         self.net.at(self.net.now + self.dice.uniform(1.0, 20.0), reach)
