Mistakes put into the judge of ownership and the relay; two weak checks found and mended

23 mistakes that somebody could make (a refused claim counted, a bound from the newest follower, seats that heirs don't count, a piece that overtakes). Seven went unnoticed at first: doctored traces broke more than one thing at a time, so each now breaks one; one condition on a drain's grace was never needed and is gone.

--- a/fernweir/audit/rules.py
+++ b/fernweir/audit/rules.py
@@ -283,12 +283,11 @@
                 self.broken(line, record.t, text)
 
     def _wake(self, record: FrontCont) -> None:
-        """While it stood still no grace ran out that had not before, and it heard nothing."""
+        """While it stood still no grace ran out, and it heard nothing."""
         begun = self._still.pop(record.front, record.t)
         for key, (since, state) in self._since.items():
-            told_ms = max(begun - since, 0.0)
-            if key[0] == record.front and told_ms <= (self.terms.drain_grace_ms or 0.0):
-                self._since[key] = (record.t - told_ms, state)
+            if key[0] == record.front:
+                self._since[key] = (record.t - max(begun - since, 0.0), state)
 
 
 @dataclass(slots=True)
--- a/tests/test_audit_owners.py
+++ b/tests/test_audit_owners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 from collections.abc import Callable
 from typing import Any
@@ -10,9 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fernweir.audit import Auditor, audit_lines, render_table
+from fernweir.audit import Auditor, render_table
 from fernweir.audit.gaps import Cost, Loss
-from fernweir.audit.owners import OneOwner
+from tests.peers_mutants import Mutant
+from tests.peers_mutants import broken as with_mistake
+from tests.peers_mutants.rig import MUTANTS
 
 Trace = list[dict[str, Any]]
 OVERLAP = 1_000.0
@@ -82,6 +85,7 @@
         front("down", 5_000.0, "a"),
         claim(8_000.0, 1, "b", 20), claim(8_010.0, 2, "b", 20),
         claim(8_020.0, 1, "a", 10, accepted=False, highest=20),
+        claim(11_000.0, 1, "a", 10, accepted=False, highest=20),
         steer(8_100.0, 1, "b", 20),
         front("term", 12_000.0, "b"),
         claim(12_050.0, 1, "c", 30), claim(12_060.0, 2, "c", 30),
@@ -100,7 +104,9 @@
 
 def judged(trace: Trace) -> Auditor:
     trace.sort(key=lambda record: float(record["t"]))
-    return audit_lines(json.dumps(record) for record in trace)
+    auditor = importlib.import_module("fernweir.audit").audit_lines(json.dumps(record) for record in trace)
+    assert hasattr(auditor, "gaps")
+    return auditor  # type: ignore[no-any-return]
 
 
 def broken(trace: Trace) -> set[str]:
@@ -119,15 +125,15 @@
 
 
 def old_owner_sets_up_past_its_bound(trace: Trace) -> None:
-    trace += runs(9_200.0, "s3", 3)
+    trace += runs(9_200.0, "s3", 3)[1:]  # the set-up alone shows it
 
 
-def two_under_one_fence(trace: Trace) -> None:
-    trace.append(claim(8_300.0, 3, "c", 20))
+def old_owner_behind_two(trace: Trace) -> None:
+    trace.append(steer(12_080.0, 3, "a", 10, "s3"))  # within the bound of the second only
 
 
-def three_beside_each_other(trace: Trace) -> None:
-    trace += [steer(12_200.0, 3, "a", 11), claim(12_000.0, 3, "a", 11), steer(12_300.0, 1, "b", 20)]
+def two_under_one_fence(trace: Trace) -> None:
+    trace.append(claim(8_300.0, 3, "c", 20))
 
 
 def a_lower_fence_after_a_higher(trace: Trace) -> None:
@@ -162,16 +168,15 @@
     trace += runs(25_000.0, "s9", 2, "c", 30)
 
 
-@pytest.mark.parametrize(
-    ("rule", "doctor"),
-    [
-        ("7", old_owner_past_its_bound), ("7", old_owner_sets_up_past_its_bound), ("7", two_under_one_fence),
-        ("7", three_beside_each_other), ("8", a_lower_fence_after_a_higher),
-        ("8", a_box_takes_what_it_overtook), ("8", a_box_accepts_a_lower_claim),
-        ("8", a_box_forgets_its_highest), ("8", a_box_refuses_a_higher_claim), ("8", a_box_refuses_its_owner),
-        ("9", shut_out_and_steering), ("9", shut_out_and_setting_up),
-    ],
-)  # fmt: skip
+DOCTORED: list[tuple[str, Callable[[Trace], None]]] = [
+    ("7", old_owner_past_its_bound), ("7", old_owner_sets_up_past_its_bound), ("7", two_under_one_fence),
+    ("7", old_owner_behind_two), ("8", a_lower_fence_after_a_higher), ("8", a_box_takes_what_it_overtook),
+    ("8", a_box_accepts_a_lower_claim), ("8", a_box_forgets_its_highest), ("8", a_box_refuses_a_higher_claim),
+    ("8", a_box_refuses_its_owner), ("9", shut_out_and_steering), ("9", shut_out_and_setting_up),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("rule", "doctor"), DOCTORED)
 def test_a_doctored_trace_is_caught(rule: str, doctor: Callable[[Trace], None]) -> None:
     trace = good()
     assert broken(trace) == set()
@@ -198,6 +203,18 @@
     assert broken(late) == set()
 
 
+def test_a_third_owner_is_none_while_the_second_is_quiet() -> None:
+    trace = [one for one in good() if float(one["t"]) < 5_000.0]
+    trace += [claim(8_000.0, 1, "b", 20), claim(8_300.0, 1, "c", 30), steer(8_700.0, 1, "a", 10)]
+    assert broken(list(trace)) == set()
+    assert broken([*trace, steer(8_600.0, 1, "b", 20)]) == {"7"}
+    assert broken([*trace, steer(8_800.0, 1, "b", 20)]) == {"7"}
+
+
+def test_an_owner_under_a_newer_fence_is_no_other_owner() -> None:
+    assert broken([*good(), claim(32_000.0, 1, "c", 40), steer(34_000.0, 2, "c", 30, "s2")]) == set()
+
+
 def test_traces_without_channels_show_no_rule_of_ownership() -> None:
     trace = [dict(TERMS), front("up", 1, "a"), *runs(1_000.0, "s1", 1, channel="")]
     auditor = judged(trace)
@@ -233,8 +250,8 @@
             if beside and t > begun[top] + 50.0:
                 wrong.add(index)
     trace = [dict(TERMS), *(steer(t, number, name, fence) for t, name, fence, number in acts)]
-    rule = next(one for one in judged(trace).rules if isinstance(one, OneOwner))
-    assert {finding.line - 2 for finding in rule.findings} == wrong
+    found = [finding for finding in judged(trace).findings if finding.rule == "7"]
+    assert {finding.line - 2 for finding in found} == wrong
 
 
 # --- gaps ---
@@ -333,3 +350,28 @@
     assert broken([*head, *over, *moved]) == set()
     alive = [claim(6_000.0, 1, "b", 20), *runs(6_100.0, "a3", 3, "a", 1, cls="crew", channel="a:1/1")]
     assert broken([*head, *alive]) == set(), "the old owner has its seats back"
+
+
+# --- mistakes put in on purpose ---
+
+
+def every_check() -> None:
+    for rule, doctor in DOCTORED:
+        test_a_doctored_trace_is_caught(rule, doctor)
+    test_what_is_allowed_is_not_caught()
+    test_a_third_owner_is_none_while_the_second_is_quiet()
+    test_an_owner_under_a_newer_fence_is_no_other_owner()
+    test_gaps_and_what_became_of_sessions_of_a_lost_front()
+    test_a_planned_stop_that_hands_over_late_has_a_gap_and_one_that_never_does_ends_sessions()
+    test_a_front_that_stands_still_and_wakes_and_one_whose_heir_acts()
+    test_a_front_that_stands_still_owes_no_answer_in_time_and_one_told_to_stop_owes_the_old_ones()
+    test_a_drain_told_to_a_front_that_stands_still_counts_from_when_it_wakes()
+    test_seats_move_with_sessions_to_their_heir()
+
+
+@pytest.mark.parametrize(
+    "mutant", [one for one in MUTANTS if "/audit/" in one.file], ids=lambda one: one.name
+)
+def test_each_mistake_is_found(mutant: Mutant) -> None:
+    with with_mistake(mutant, "fernweir.audit"), pytest.raises((AssertionError, StopIteration)):
+        every_check()
--- a/tests/test_peers_rig.py
+++ b/tests/test_peers_rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import importlib
 import json
 import socket
 from collections.abc import Awaitable, Callable
@@ -21,6 +22,8 @@
 from fernweir.rehearsal.fleet.rig import Fleet, FleetResult
 from fernweir.rehearsal.fleet.schedule import ON_FRONT, draw, manner, read_schedule
 from fernweir.rehearsal.relay import Relay, free_pair
+from tests.peers_mutants import Mutant, broken
+from tests.peers_mutants.rig import MUTANTS
 
 # --- decisions ---
 
@@ -76,6 +79,60 @@
         last = due
 
 
+def wrong_path(seed: int) -> str:
+    """A drawn path beside a slow one that counts the same dice: what differs, in words."""
+    paths = importlib.import_module("fernweir.rehearsal.fleet.paths")
+    dice = Random(seed)
+    manner = paths.Manner(
+        loss=dice.choice([0.0, 0.3]), delay_ms=dice.choice([0.0, 20.0]), jitter_ms=dice.choice([0.0, 30.0]),
+        doubled=dice.choice([0.0, 0.4]), rate=dice.choice([0.0, 2_000.0]), cut=seed % 4 == 0,
+    )  # fmt: skip
+    path = paths.PathFaults(Random(seed), manner)
+    now = free_at = last = 0.0
+    fates = []
+    for _ in range(300):
+        now += dice.uniform(0.0, 40.0)
+        size = dice.randint(1, 200)
+        link = max(now, free_at) + size * 1_000.0 / manner.rate if manner.rate else now
+        if dice.random() < 0.5:
+            copies = path.datagram(now, size)
+            fates.append(len(copies))
+            if copies and (manner.cut or link - now > 1_000.0):
+                return "a datagram passed a cut, or a full queue"
+            if (
+                copies
+                and not link + manner.delay_ms - 1e-6
+                <= copies[0]
+                <= link + manner.delay_ms + manner.jitter_ms + 1e-6
+            ):
+                return "a datagram came at another time than its link allows"
+            if len(copies) == 2 and copies[0] == copies[1]:
+                return "two copies came as one"
+            free_at = link if copies else free_at
+        else:
+            due = path.piece(now, size, last)
+            free_at = link
+            if due < last or due < link + manner.delay_ms - 1e-6:
+                return "a piece came before its time"
+            fates.append(3 if due > max(last, link + manner.delay_ms + manner.jitter_ms) + 100.0 else 4)
+            last = due
+    if manner.loss and 3 not in fates:
+        return "no piece was ever sent again"
+    return ""
+
+
+def test_drawn_paths_are_as_a_slow_one_says() -> None:
+    assert [wrong_path(seed) for seed in range(60)] == [""] * 60
+
+
+@pytest.mark.parametrize(
+    "mutant", [one for one in MUTANTS if "/fleet/" in one.file], ids=lambda one: one.name
+)
+def test_each_mistake_is_found(mutant: Mutant) -> None:
+    with broken(mutant, "fernweir.rehearsal.fleet.paths"):
+        assert any(wrong_path(seed) for seed in range(mutant.seeds))
+
+
 # --- the relay, on sockets ---
 
 
