--- a/fernweir/peers/members/detector.py
+++ b/fernweir/peers/members/detector.py
@@ -50,6 +50,7 @@
         self._lost = Lost(self._dice)
         self._allowance = Allowance(rules.tables_a_second)
         self._round: list[str] = []
+        self._told_round: list[str] = []
         self._now = 0.0
         self._in = False
         self._probe_at = self._sync_at = self._call_at = math.inf
@@ -224,10 +225,10 @@
         return known
 
     def _repeats(self) -> int:
-        return max(1, math.ceil(self._rules.repeats * math.log2(len(self._roster.living) + 2)))
+        return max(1, math.ceil(self._rules.repeats * (math.log2(len(self._roster.living) + 1) + 2.0)))
 
-    def _take_news(self, first: Record | None = None) -> tuple[Record, ...]:
-        return self._queue.take(self._rules.datagram_bytes - _FARE, self._repeats(), first)
+    def _take_news(self, to: str, first: Record | None = None) -> tuple[Record, ...]:
+        return self._queue.take(self._rules.datagram_bytes - _FARE, self._repeats(), to, first)
 
     def _gossip_due(self) -> float:
         if not self._queue or not self._roster.living:
@@ -235,10 +236,22 @@
         return self._gossiped + self._rules.gossip_every
 
     def _spread(self, count: int) -> None:
+        """To the next ones of a shuffled round: in a small fleet nobody is left out by bad luck."""
         self._gossiped = self._now
-        for record in self._roster.draw(self._dice, count):
-            if news := self._take_news():
-                self._send(record.address, Gossip(news))
+        for _ in range(min(count, len(self._roster.living))):
+            member = self._next_to_tell()
+            if news := self._take_news(member.name):
+                self._send(member.address, Gossip(news))
+
+    def _next_to_tell(self) -> Member:
+        """There must be living others."""
+        while True:
+            if not self._told_round:
+                self._told_round = list(self._roster.living)
+                self._dice.shuffle(self._told_round)
+            member = self._roster.rows.get(self._told_round.pop())
+            if member is not None and member.record.living:
+                return member
 
     def _send(self, to: Address, message: Message, whole: bool = False) -> None:
         self._out.add(Send(to, message, whole))
@@ -275,7 +288,7 @@
                 continue
             known = self._roster.known(probe.record.name) or probe.record
             first = known if known.state is not State.ALIVE else None
-            ping = Ping(seq, probe.record.name, self._identity.record, self._take_news(first))
+            ping = Ping(seq, probe.record.name, self._identity.record, self._take_news(known.name, first))
             self._send(probe.record.address, ping)
             if probe.tries and not probe.look:
                 self._ask_helpers(seq, probe)
@@ -324,13 +337,13 @@
         if sender == self._identity.record.name:
             self._identity.asked_by(ping.me)
         if ping.to == self._identity.record.name:
-            news = self._take_news(self._about(ping.me))
+            news = self._take_news(sender, self._about(ping.me))
             self._send(ping.me.address, Ack(ping.seq, self._identity.record.life, news))
 
     def _heard_ack(self, sender: str, ack: Ack) -> None:
         self._hear(ack.news)
         if (relay := self._probes.relayed(ack.seq, sender)) is not None:
-            self._send(relay.to, Ack(relay.seq, ack.life, self._take_news()))
+            self._send(relay.to, Ack(relay.seq, ack.life, self._take_news("")))
         elif (probe := self._probes.answered(ack.seq, sender, ack.life)) is not None:
             self._awareness.better()
             self._suspicions.again(self._now, probe.record.name)
@@ -346,7 +359,8 @@
         if seq is not None:
             known = self._roster.known(request.name)
             first = known if known is not None and known.state is not State.ALIVE else None
-            self._send(address, Ping(seq, request.name, self._identity.record, self._take_news(first)))
+            news = self._take_news(request.name, first)
+            self._send(address, Ping(seq, request.name, self._identity.record, news))
 
     def _ask_rival(self) -> None:
         number = self._probes.number() if self._identity.due() <= self._now else 0
--- a/fernweir/peers/members/gossip.py
+++ b/fernweir/peers/members/gossip.py
@@ -36,8 +36,11 @@
                 self._drop((record.name, other), level)
         self._put((record.name, by), 0, (record, len(self._encoder.encode(record))))
 
-    def take(self, room: int, repeats: int, first: Record | None = None) -> tuple[Record, ...]:
-        """News of at most `room` bytes; `first`, if given, comes before all and is not counted."""
+    def take(self, room: int, repeats: int, to: str = "", first: Record | None = None) -> tuple[Record, ...]:
+        """News of at most `room` bytes; `first`, if given, comes before all and is not counted.
+
+        What a member said itself is not told to it.
+        """
         taken: list[Record] = []
         if first is not None:
             taken.append(first)
@@ -48,6 +51,8 @@
         moved: list[tuple[Slot, int]] = []
         for level in range(min(repeats, len(self._levels))):
             for slot, (record, size) in reversed(self._levels[level].items()):
+                if slot[0] == to and record.state is State.ALIVE:
+                    continue
                 if size > room:
                     break
                 room -= size
--- a/fernweir/peers/members/rules.py
+++ b/fernweir/peers/members/rules.py
@@ -10,7 +10,7 @@
     """Times in ms, sizes in bytes. Both times of a probe stretch while a front doubts itself.
 
     `period` lies between two probes and is what one probe may take; `timeout` lies between its tries, which
-    are two or three. A suspicion lasts `suspicion_least` times `period` times log10 of the fleet (at least 1)
+    are two or three. A suspicion lasts `suspicion_least` times `period` times log10 of the fleet (at least 2)
     once `confirmations` others confirm it, and `suspicion_most` times that when nobody does. A dead member is
     shown for `forget`, and a tombstone keeps old news of it out for `tombstone` more.
     """
@@ -26,7 +26,7 @@
     late_after: float = 350.0  # a timer this late makes a front doubt itself
     gossip_every: float = 150.0
     fanout: int = 3
-    repeats: float = 2.0  # each front passes on a piece of news this many times log2 of the fleet
+    repeats: float = 2.0  # each front passes on a piece of news this many times log2 of the fleet plus two
     sync_every: float = 10_000.0
     join_every: float = 1_000.0  # while no other front is known alive
     rejoin_every: float = 10_000.0  # between tries to reach one dead member or absent seed
--- a/fernweir/peers/members/suspicion.py
+++ b/fernweir/peers/members/suspicion.py
@@ -14,7 +14,7 @@
 
 def bounds(rules: MemberRules, fleet: int) -> tuple[float, float]:
     """The shortest and longest time, ms, that a suspicion lasts among this many fronts."""
-    least = rules.suspicion_least * rules.period * max(1.0, math.log10(max(fleet, 1)))
+    least = rules.suspicion_least * rules.period * max(2.0, math.log10(max(fleet, 1)))
     return least, least * rules.suspicion_most
 
 
--- /dev/null
+++ b/tests/peers_mutants/members.py
@@ -0,0 +1,97 @@
+"""Mistakes in membership, and the day of `test_peers_members` that is to find each."""
+
+from __future__ import annotations
+
+from tests.peers_mutants import Mutant
+
+_DAYS: dict[str, list[Mutant]] = {}
+
+
+def _on(day: str, name: str, file: str, old: str, new: str, seeds: int, faults: int = 1) -> None:
+    mutant = Mutant(f"members: {name}", f"fernweir/peers/members/{file}.py", old, new, seeds, faults)
+    _DAYS.setdefault(day, []).append(mutant)
+
+
+_on(
+    "back", "life left out of the order", "messages",
+    "return (self.life, self.incarnation, self.state)", "return (0, self.incarnation, self.state)", 4,
+)  # fmt: skip
+_on(
+    "calm", "life compared with >=", "identity",
+    "if record.life > own.life:", "if record.life >= own.life:", 2,
+)  # fmt: skip
+_on(
+    "back", "own life not raised when the clock was set back", "identity",
+    "self._raise(record.life + 1)\n            elif record.key", "pass\n            elif record.key",
+    8, faults=2,
+)  # fmt: skip
+_on(
+    "killed", "suspicion never shortened", "suspicion",
+    "return max(least, most - (most - least) * part)", "return most", 2,
+)  # fmt: skip
+_on(
+    "slow", "incarnation not raised on a refutation", "identity",
+    "incarnation=record.incarnation + 1", "incarnation=record.incarnation", 2,
+)  # fmt: skip
+_on(
+    "forgotten", "tombstone forgotten", "table",
+    "self._graves[name] = Member(self.rows.pop(name).record, now)", "del self.rows[name]", 2,
+)  # fmt: skip
+_on(
+    "slow", "awareness ignored", "awareness",
+    "return 1.0 + self.score", "return 1.0", 3,
+)  # fmt: skip
+_on(
+    "old_answer", "an answer with an older number accepted", "probes",
+    "        probe = self._flying.get(seq)\n        if probe is None or life",
+    "        seq = next((s for s, p in self._flying.items() if p.record.name == sender), seq)\n"
+    "        probe = self._flying.get(seq)\n        if probe is None or life", 3,
+)  # fmt: skip
+_on(
+    "calm", "news passed on for ever", "gossip",
+    "self._put(slot, level + 1, entry)", "self._put(slot, level, entry)", 2,
+)  # fmt: skip
+_on(
+    "stood_still", "a late timer is no reason for doubt", "detector",
+    "self._probes.clear()\n        self._suspicions.again(now)\n", "pass\n", 20, faults=2,
+)  # fmt: skip
+_on(
+    "halves", "death believed by hearsay", "news",
+    "if not ripe:", "if False:", 4,
+)  # fmt: skip
+_on(
+    "halves", "dead members never called again", "repair",
+    "lost = dict.fromkeys([*self.seeds, *(record.address for record in roster.dead())])",
+    "lost = dict.fromkeys(self.seeds)", 6,
+)  # fmt: skip
+_on(
+    "cut_one_way", "what helpers hear does not count", "probes",
+    "(probe.record.name, *probe.asked)", "(probe.record.name,)", 4,
+)  # fmt: skip
+_on(
+    "two_of_a_name", "the lower life raises itself above the living higher one", "identity",
+    "self._contest(now, record)", "self._raise(record.life + 1)", 3,
+)  # fmt: skip
+_on(
+    "goodbye", "leaving told as a death", "identity",
+    "state=State.LEFT", "state=State.DEAD", 2,
+)  # fmt: skip
+_on(
+    "flooded", "a full table takes one more", "table",
+    "if not self._gone:\n            return False", "if not self._gone:\n            return True", 2,
+)  # fmt: skip
+_on(
+    "alone", "seeds called once only", "detector",
+    "self._call_at = self._now + (self._rules.join_every if alone else self._rules.rejoin_every)",
+    "self._call_at = math.inf", 4,
+)  # fmt: skip
+_on(
+    "killed", "no witnesses", "detector",
+    "self._dice.random() * living >= self._rules.witnesses", "living", 8,
+)  # fmt: skip
+_on(
+    "killed", "an accuser counts once for all", "suspicion",
+    "suspicion.accusers.add(by)", "pass", 4,
+)  # fmt: skip
+
+MUTANTS = [(day, mutant) for day, mutants in _DAYS.items() for mutant in mutants]
