--- /dev/null
+++ b/tests/test_peers_heirs.py
@@ -0,0 +1,379 @@
+"""Who inherits, when, what of a channel is taken, and where a session is: against slow models."""
+
+from __future__ import annotations
+
+import heapq
+import importlib
+from collections.abc import Callable
+from itertools import pairwise
+from random import Random
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fernweir.peers.base import rendezvous
+from fernweir.peers.channel.heirs import Candidate, assign, heirs, standbys, wait_ms
+from fernweir.peers.channel.reconcile import reconcile
+from fernweir.peers.channel.rules import DirectoryRules, HeirRules, SpreadRules
+from fernweir.peers.channel.spread import Loss, spread
+from fernweir.peers.port import Claimed, Standing
+
+DRAWN = settings(derandomize=True, deadline=None, max_examples=60)
+FRONTS = st.lists(
+    st.builds(
+        Candidate,
+        name=st.sampled_from([f"f{n}" for n in range(12)]),
+        load=st.integers(0, 400),
+        age_ms=st.floats(0.0, 90_000.0),
+        late=st.booleans(),
+        leaving=st.booleans(),
+        standby=st.booleans(),
+    ),
+    max_size=10,
+    unique_by=lambda front: front.name,
+)
+
+
+# --- heirs ---
+
+
+def slow_heirs(channel: str, fronts: list[Candidate], rules: HeirRules, sessions: int) -> list[str]:
+    """From the words of the rule: no late, no leaving; copies first; nobody beyond its share of the mean."""
+    fit = [front for front in fronts if not (front.late or front.leaving)]
+    shares = {front.name: min(1.0, max(rules.floor, front.age_ms / rules.ramp_ms)) for front in fit}
+    everything = sum(front.load for front in fit) + sessions
+    room, full = [], []
+    for name in rendezvous(channel, shares):
+        front = next(one for one in fit if one.name == name)
+        fair = everything * shares[name] / sum(shares.values())
+        (room if front.load + sessions <= fair * (1.0 + rules.slack) else full).append(front)
+    with_copy = [front.name for front in room if front.standby]
+    without = [front.name for front in room if not front.standby]
+    return with_copy + without + [front.name for front in full]
+
+
+@DRAWN
+@given(FRONTS, st.integers(0, 30), st.integers(1, 60), st.randoms(use_true_random=False))
+def test_heirs_are_as_the_rule_says_in_whatever_order_fronts_are_told(
+    fronts: list[Candidate], part: int, sessions: int, dice: Any
+) -> None:
+    rules = HeirRules()
+    order = heirs(f"a:1/{part}", fronts, rules, sessions)
+    assert order == slow_heirs(f"a:1/{part}", fronts, rules, sessions)
+    shuffled = list(fronts)
+    dice.shuffle(shuffled)
+    assert heirs(f"a:1/{part}", shuffled, rules, sessions) == order
+
+
+def heir_day(seed: int) -> list[str]:
+    """A front of 30 is lost with its channels: nobody who is not fit inherits, nor more than it bears."""
+    module: Any = importlib.import_module("fernweir.peers.channel.heirs")
+    rules_of: Any = importlib.import_module("fernweir.peers.channel.rules")
+    dice, rules = Random(f"heirs {seed}"), rules_of.HeirRules()
+    fronts = []
+    for n in range(30):
+        young = dice.random() < 0.15
+        load = dice.randrange(20) if young else dice.randrange(380, 620)
+        age = dice.uniform(0.0, 3_000.0) if young else 1e6
+        flags = dice.random() < 0.1, dice.random() < 0.1
+        fronts.append(module.Candidate(f"f{n}", load, age, *flags))
+    channels = {f"lost:1/{part}": dice.randrange(40, 85) for part in range(dice.choice([8, 64]))}
+    result = module.assign(channels, fronts, rules)
+    fit = {front.name: front for front in fronts if not front.late and not front.leaving}
+    gained = dict.fromkeys(fit, 0)
+    faults = []
+    for channel, order in result.items():
+        if set(order) != set(fit):
+            faults.append(f"{channel}: not exactly the fit ones")
+        else:
+            gained[order[0]] += channels[channel]
+    total = sum(front.load for front in fit.values()) + sum(channels.values())
+    grown = sum(max(min(front.age_ms / rules.ramp_ms, 1.0), rules.floor) for front in fit.values())
+    for name, front in fit.items():
+        share = max(min(front.age_ms / rules.ramp_ms, 1.0), rules.floor)
+        if gained[name] and front.load + gained[name] > (1.0 + rules.slack) * total * share / grown + 1e-6:
+            faults.append(f"{name} of age {front.age_ms:.0f} gets {gained[name]} to its {front.load}")
+    return faults
+
+
+def test_a_lost_front_s_channels_go_to_nobody_who_cannot_bear_them() -> None:
+    assert [heir_day(seed) for seed in range(20)] == [[]] * 20
+
+
+def test_few_channels_have_another_first_heir_when_a_front_goes() -> None:
+    """Of 30 fronts one goes: about a thirtieth of all channels must move, and little more does."""
+    fronts = [Candidate(f"f{n}", 500, 1e6) for n in range(30)]
+    channels = {f"lost:{n}/{part}": 1 for n in range(150) for part in range(8)}
+    before = assign(channels, fronts)
+    after = assign(channels, [front for front in fronts if front.name != "f7"])
+    moved = [channel for channel in channels if before[channel][0] != after[channel][0]]
+    must = [channel for channel in channels if before[channel][0] == "f7"]
+    assert set(must) <= set(moved) and len(moved) < len(channels) * 0.06
+    assert standbys("a:1/0", fronts) == heirs("a:1/0", fronts)[:2] and wait_ms(2) == 2 * wait_ms(1) > 0.0
+
+
+# --- spread ---
+
+LOSSES = st.lists(
+    st.builds(
+        Loss,
+        channel=st.integers(0, 99).map("a:1/{}".format),
+        sessions=st.integers(0, 200),
+        boxes=st.lists(st.integers(0, 9), max_size=6, unique=True).map(tuple),
+        age_ms=st.floats(0.0, 1e5),
+        doubtful=st.integers(0, 50),
+    ),
+    max_size=12,
+    unique_by=lambda loss: loss.channel,
+)
+
+
+@DRAWN
+@given(LOSSES, st.integers(0, 5), st.integers(1, 4), st.floats(0.0, 1e7))
+def test_channels_are_taken_over_within_the_bound_and_paced_where_it_allows(
+    losses: list[Loss], seed: int, count: int, now: float
+) -> None:
+    rules = SpreadRules()
+    turns = spread(now, losses, rules, seed, count)
+    assert sorted(turn.channel for turn in turns) == sorted(loss.channel for loss in losses)
+    assert all(now <= turn.at <= now + rules.within_ms + 1e-6 for turn in turns)
+    assert spread(now, losses[::-1], rules, seed, count) == turns
+    by_channel = {loss.channel: loss for loss in losses}
+    loose = spread(now, losses, SpreadRules(within_ms=1e9), seed, count)
+    for box in range(10):
+        claims = [turn.at for turn in loose if box in by_channel[turn.channel].boxes]
+        gaps = [later - earlier for earlier, later in pairwise(claims)]
+        assert all(gap >= 1_000.0 * count / rules.claims_a_second - 1e-3 for gap in gaps)
+    sizes = [by_channel[turn.channel].sessions for turn in loose]
+    assert sizes == sorted(sizes, reverse=True) or any(gap.boxes or gap.doubtful for gap in losses)
+
+
+# --- reconcile ---
+
+
+def slow_reconcile(copy: dict[str, Standing], told: list[Claimed]) -> dict[str, set[Any]]:
+    """The table's rows, one session and one place at a time."""
+    answers: dict[int, Claimed] = {}
+    for claimed in told:
+        if claimed.reached:
+            answers[claimed.box] = claimed
+    result: dict[str, set[Any]] = {"take": set(), "over": set(), "give_up": set(), "unknown": set()}
+    if any(not claimed.accepted for claimed in answers.values()):
+        return result
+    places = {
+        (session, box, attempt, rung)
+        for box, claimed in answers.items()
+        for session, attempt, rung in claimed.sessions
+    }
+    for session in set(copy) | {place[0] for place in places}:
+        mine = [place for place in places if place[0] == session]
+        known = copy.get(session)
+        right = None
+        if known is not None:
+            later = [place for place in mine if place[2] > known.attempt]
+            top = max((place[2] for place in later), default=-1)
+            same = sorted((place for place in later if place[2] == top), key=lambda place: place[1])
+            at_home = [place for place in same if place[1] == known.box]
+            exact = [place for place in mine if place[1:3] == (known.box, known.attempt)]
+            right = (at_home + same + exact + [None])[0]
+            if right is not None:
+                result["take"].add((session, *right[1:]))
+            else:
+                result["over" if known.box in answers else "unknown"].add(session)
+        result["give_up"] |= {(place[1], session, place[2]) for place in mine if place != right}
+    return result
+
+
+CLAIMS = st.lists(
+    st.tuples(
+        st.integers(0, 3),
+        st.sampled_from([True, True, True, False]),
+        st.lists(
+            st.tuples(st.sampled_from("pqrs"), st.integers(0, 3), st.integers(0, 2)),
+            max_size=4,
+            unique_by=lambda one: one[0],
+        ),
+        st.sampled_from([True] * 9 + [False]),
+    ),
+    max_size=5,
+)
+
+
+@settings(DRAWN, max_examples=200)
+@given(st.dictionaries(st.sampled_from("pqrs"), st.tuples(st.integers(0, 3), st.integers(0, 2))), CLAIMS)
+def test_what_copy_and_boxes_say_together_is_as_the_table_has_it(
+    copy: dict[str, tuple[int, int]], claims: list[Any]
+) -> None:
+    standings = {
+        session: Standing(session, "v", "w", "t", "c", 3, "x", 1, box, attempt, 0)
+        for session, (box, attempt) in copy.items()
+    }
+    told = [
+        Claimed(box, reached, accepted, 5 if accepted else 9, tuple(sessions))
+        for box, reached, sessions, accepted in claims
+    ]
+    result, slow = reconcile(standings, told), slow_reconcile(standings, told)
+    assert {(one.session, one.box, one.attempt, one.rung) for one in result.take} == slow["take"]
+    assert set(result.over) == slow["over"] and set(result.give_up) == slow["give_up"]
+    assert {one.session for one in result.unknown} == slow["unknown"]
+    assert len(result.give_up) == len(set(result.give_up)) and (result.outdone in (0, 9))
+
+
+# --- directory ---
+
+
+class DirectoryDay:
+    """Fronts that have sessions, give them on, die and come back under their name, while others ask."""
+
+    NAMES = "abcde"
+
+    def __init__(self, seed: int) -> None:
+        self.module: Any = importlib.import_module("fernweir.peers.channel.directory")
+        self.base: Any = importlib.import_module("fernweir.peers.base")
+        messages: Any = importlib.import_module("fernweir.peers.channel.messages")
+        rules: Any = importlib.import_module("fernweir.peers.channel.rules")
+        kinds = messages.Registered | messages.Unregistered | messages.Where | messages.There
+        self.decoder = msgspec.msgpack.Decoder(kinds)
+        self.rules = rules.DirectoryRules(refresh_ms=2_000.0, keep_ms=6_000.0, entries_most=60)
+        self.dice, self.now, self.count = Random(f"directory {seed}"), 0.0, 0
+        self.loss = self.dice.choice([0.0, 0.2])
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.lives = dict.fromkeys(self.NAMES, 1)
+        self.parts = {name: self.module.Directory(name, 1, self.rules, seed) for name in self.NAMES}
+        self.has: dict[str, tuple[str, int]] = {}  # session: owner, fence
+        self.finds: dict[tuple[str, str], tuple[float, str | None]] = {}
+        self.faults: list[str] = []
+        self.quiet = False
+        self.members()
+
+    def members(self) -> None:
+        for part in self.parts.values():
+            part.members(self.now, {name: self.lives[name] for name in self.parts})
+
+    def act(self) -> None:
+        what, name = self.dice.random(), self.dice.choice(sorted(self.parts))
+        session = f"s{self.dice.randrange(30)}"
+        if what < 0.4:
+            if session not in self.has:
+                self.has[session] = (name, 1)
+                self.parts[name].register(self.now, session, 1)
+        elif what < 0.5 and session in self.has:
+            owner, _ = self.has.pop(session)
+            self.parts[owner].unregister(self.now, session)
+        elif what < 0.7 and session in self.has:  # handed on: both tell, in either order
+            owner, fence = self.has[session]
+            self.has[session] = (name, fence + 1)
+            if name != owner:
+                self.parts[owner].unregister(self.now, session)
+            self.parts[name].register(self.now, session, fence + 1)
+        elif what < 0.73 and len(self.parts) > 3:
+            del self.parts[name]
+            self.has = {one: held for one, held in self.has.items() if held[0] != name}
+            self.finds = {key: find for key, find in self.finds.items() if key[0] != name}
+            self.members()
+        elif what < 0.77:
+            gone = [one for one in self.NAMES if one not in self.parts]
+            if gone:
+                self.lives[gone[0]] += 1
+                self.parts[gone[0]] = self.module.Directory(gone[0], self.lives[gone[0]], self.rules, 0)
+                self.members()
+        else:
+            self.find(name, session)
+
+    def find(self, name: str, session: str) -> None:
+        if (name, session) not in self.finds:
+            held = self.has.get(session)
+            self.finds[(name, session)] = (self.now, held[0] if held is not None else None)
+            self.parts[name].find(self.now, session)
+
+    def send(self, sender: str, effect: Any) -> None:
+        data = msgspec.msgpack.encode(effect.message)
+        if self.dice.random() < self.loss * (0.3 if effect.whole else 1.0) or effect.to not in self.parts:
+            return
+        way = self.dice.uniform(0.2, 4.0) + (2_000.0 if self.dice.random() < self.loss / 8.0 else 0.0)
+        to, life = effect.to, self.lives[effect.to]
+
+        def deliver() -> None:
+            if to in self.parts and self.lives[to] == life:
+                self.parts[to].heard(self.now, sender, self.decoder.decode(data))
+
+        self.count += 1
+        heapq.heappush(self.queue, (self.now + way, self.count, deliver))
+
+    def found(self, name: str, found: Any) -> None:
+        asked = self.finds.pop((name, found.session), None)
+        if asked is None:
+            self.faults.append(f"{name} found {found.session} twice")
+            return
+        if self.now - asked[0] > self.rules.find_ms + 2.0:
+            self.faults.append(f"{name} waited {self.now - asked[0]:.0f} ms for {found.session}")
+        if found.owner is not None and found.owner not in self.parts:
+            self.faults.append(f"{name} found {found.session} at {found.owner}, which is dead")
+        if self.quiet and found.owner != asked[1]:
+            self.faults.append(f"{found.session} is at {asked[1]}, {name} found {found.owner} in quiet")
+
+    def run(self, ms: float, act: Callable[[], None]) -> None:
+        until = self.now + ms
+        while self.now < until and not self.faults:
+            if self.dice.random() < 0.1:
+                act()
+            while self.queue and self.queue[0][0] <= self.now:
+                heapq.heappop(self.queue)[2]()
+            for name, part in list(self.parts.items()):
+                due = part.next_due()
+                if due is not None and due <= self.now:
+                    part.tick(self.now)
+                for effect in part.take():
+                    if isinstance(effect, self.base.Send):
+                        self.send(name, effect)
+                    else:
+                        self.found(name, effect)
+                if len(part._registrar) > self.rules.entries_most:
+                    self.faults.append(f"{name} keeps {len(part._registrar)} entries")
+            self.now += 2.0
+
+    def end(self) -> None:
+        """Once all is told anew, and what was not is forgotten, every find of every front is right."""
+        self.loss = 0.0
+        self.run(self.rules.keep_ms + 500.0, lambda: None)
+        self.quiet, self.finds = True, {}
+        for name in sorted(self.parts):
+            for n in range(30):
+                self.find(name, f"s{n}")
+        self.run(200.0, lambda: None)
+        if self.finds and not self.faults:
+            self.faults.append(f"never found: {sorted(self.finds)}")
+
+
+def directory_day(seed: int) -> list[str]:
+    day = DirectoryDay(seed)
+    day.run(6_000.0, day.act)
+    if not day.faults:
+        day.end()
+    return day.faults
+
+
+def test_sessions_are_found_in_time_and_after_quiet_where_they_are() -> None:
+    assert [directory_day(seed) for seed in range(10)] == [[]] * 10
+
+
+def test_finds_and_entries_are_bounded_whatever_peers_say() -> None:
+    rules = DirectoryRules(finds_most=3, entries_most=4, message_entries=3)
+    module: Any = importlib.import_module("fernweir.peers.channel.directory")
+    messages: Any = importlib.import_module("fernweir.peers.channel.messages")
+    part = module.Directory("a", 1, rules)
+    part.members(0.0, {"b": 7, "c": 1})
+    for n in range(9):
+        part.heard(0.0, "b", messages.Registered(7, [(f"x{n}.{m}", 1) for m in range(50)]))
+    part.heard(0.0, "b", messages.Registered(7, [("", 1), ("y" * 9_000, 1), ("z", -1)]))
+    assert len(part._registrar) == 4
+    for n in range(9):
+        part.find(0.0, f"s{n}")
+    effects = part.take()
+    found = [effect for effect in effects if isinstance(effect, module.Found)]
+    assert len(found) >= 6 and all(one.owner is None for one in found)
+    part.tick(60.0)
+    found += [effect for effect in part.take() if isinstance(effect, module.Found)]
+    assert sorted(one.session for one in found) == [f"s{n}" for n in range(9)]
