--- a/bench/peers_load.py
+++ b/bench/peers_load.py
@@ -257,4 +257,6 @@
         until = since + length
     elif kind < 0.6:
         since = scene.end - length
+        if dice.random() < 0.3:
+            until = scene.end + 10_000.0
     return Query(ACTS, fronts, since, until, **values)
--- a/fernweir/peers/estimate/catalogue.py
+++ b/fernweir/peers/estimate/catalogue.py
@@ -13,7 +13,7 @@
 @dataclass(frozen=True, slots=True)
 class CatalogueRules:
     most_fronts: int = 1024
-    most_shards: int = 96  # of one front
+    most_shards: int = 32  # of one front
 
 
 class Catalogue:
--- a/fernweir/peers/estimate/estimator.py
+++ b/fernweir/peers/estimate/estimator.py
@@ -26,6 +26,7 @@
     shards: Bound
     found: Bound
     doubt: float  # above 0: that anything is found rests on a filter
+    alone: bool  # all else is satisfied by every row, so that the filter's yes, if true, means one
     grown: Bound  # of `found`, what came since the summary
     row_bytes: float
 
@@ -151,7 +152,8 @@
         )
         shards = self._new_shards(known, growth, now) if grows and last else exactly(1.0)
         doubt = found.doubt if found is not None else 0.0
-        return _Part(planned, shards, there, doubt, grown, row_bytes)
+        alone = len(wanted) == 1 and before[0] == summary.rows
+        return _Part(planned, shards, there, doubt, alone, grown, row_bytes)
 
     def _older(self, query: Query, wanted: tuple[Asked, ...], last: Known) -> _Part | None:
         """Shards that are only counted: read by their time, in proportion to it, as far as can be told."""
@@ -180,7 +182,7 @@
             rows,
             size,
         )
-        return _Part(planned, shards, found, 0.0, _NONE, older.size / older.rows)
+        return _Part(planned, shards, found, 0.0, False, _NONE, older.size / older.rows)
 
     def _lost(self, query: Query, known: Sequence[Known], last: Known) -> Iterator[_Part]:
         """Shards whose summaries should be here and are not: anything may be in them, up to a whole shard's.
@@ -206,7 +208,7 @@
                 rows,
                 size,
             )
-            yield _Part(planned, exactly(1.0), Bound(), 0.0, Bound(0.0, 0.0, most), row_bytes)
+            yield _Part(planned, exactly(1.0), _NONE, 0.0, False, Bound(0.0, 0.0, most), row_bytes)
 
     def _reading(
         self, query: Query, known: Known, low: tuple[float, float, float, float, float, float]
@@ -220,7 +222,8 @@
         return Bound(low[0], guess[1], high[2]), Bound(low[3], guess[4], high[5])
 
     def _growth(self, query: Query, known: Known, now: float) -> Bound:
-        """Rows since the summary was cut that lie in the span, by the front's rate and its peak.
+        """Rows since the summary was cut that lie in the span, by the front's rate, which settles to its
+        mean, and at most by its peak.
 
         How much time has passed is counted by our own clock, from when the summary was heard.
         """
@@ -230,9 +233,13 @@
         longest = min(query.until, summary.taken + passed + self._rules.lag_ms) - begin
         if longest <= 0:
             return _NONE
-        likely = max(0.0, min(query.until, summary.taken + passed) - begin)
+        start = begin - summary.taken
+        end = max(start, min(query.until - summary.taken, passed))
+        settle = self._rules.settle_ms
+        away = settle * (exp(-start / settle) - exp(-end / settle))
+        likely = (end - start) / 1e3 * summary.mean + away / 1e3 * (summary.rate - summary.mean)
         high = longest / 1e3 * summary.peak * self._rules.peak_margin
-        return Bound(0.0, likely / 1e3 * summary.rate, high + 3 * sqrt(high) + self._rules.peak_rows)
+        return Bound(0.0, max(0.0, likely), high + 3 * sqrt(high) + self._rules.peak_rows)
 
     def _changes(self, known: Known, now: float) -> float:
         passed = max(0.0, now - known.heard) + self._rules.lag_ms
@@ -268,7 +275,7 @@
             guess = there.guess * (truth if part.doubt else 1.0) + grown.guess
             high = there.high + grown.high
             holding[0] += low >= 1.0
-            holding[1] += 1.0 - exp(-guess) if not part.doubt else truth
+            holding[1] += truth if part.doubt and part.alone else 1.0 - exp(-guess)
             holding[2] += part.shards.high
             for total, factor in ((found, (1.0, 1.0, 1.0)), (answer, (1 / margin, 1.0, margin))):
                 row = 1.0 if total is found else part.row_bytes
--- a/fernweir/peers/estimate/rules.py
+++ b/fernweir/peers/estimate/rules.py
@@ -19,6 +19,7 @@
     kept: int = 8  # sealed summaries that a front publishes; older shards are only counted
     bucket_ms: float = 5_000.0  # rates are counted in buckets
     buckets: int = 120
+    rate_ms: float = 15_000.0  # over which the rate of late is taken, or up to four times that
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,7 @@
 
     lag_ms: float = 3_000.0
     block_ms: float = 250.0
+    settle_ms: float = 40_000.0  # in which what a rate differs from its mean falls to 1/e
     peak_margin: float = 1.5
     peak_rows: float = 8.0  # that may come at any rate
     size_margin: float = 1.25  # a row's bytes against the mean
--- a/fernweir/peers/estimate/shards.py
+++ b/fernweir/peers/estimate/shards.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+from itertools import pairwise
 
 import msgspec
 
-from fernweir.peers.estimate.question import ACTS, MOST_TEXT, STANDING, Row, value_of
+from fernweir.peers.estimate.question import ACTS, MOST_TEXT, STANDING, Row
 from fernweir.peers.estimate.rules import ShardRules
-from fernweir.peers.estimate.sketches import cut, key, pack_filter, sample_places, steps
+from fernweir.peers.estimate.sketches import cut, key, pack_filter, steps, value_key
 from fernweir.peers.estimate.summary import COUNTED, FORMAT, REST, Older, Shard, Summary
 from fernweir.peers.port import Standing
 
+_MIX = 0x9E3779B97F4A7C15  # an odd number near 2**64 by the golden ratio (Knuth's multiplicative hashing)
+_ALL = (1 << 64) - 1
+
 
 class Rates:
-    """Rows a second, by buckets: over the last minute, and the highest in all that is kept."""
+    """Rows a second, by buckets: of late, on average over all that is kept, and the highest."""
 
     __slots__ = ("_buckets", "_rules", "_since")
 
@@ -30,69 +34,117 @@
         else:
             self._buckets.append([start, 1.0])
 
-    def told(self, now: float) -> tuple[float, float]:
-        """Rate and peak. A front that has just begun is measured over what there is, one bucket at least."""
-        span = max(self._rules.bucket_ms, min(60_000.0, now - self._since))
-        rows = sum(count for start, count in self._buckets if start + self._rules.bucket_ms > now - span)
-        peak = max((count for _, count in self._buckets), default=0.0) / self._rules.bucket_ms
-        rate = rows / span
-        return rate * 1e3, max(rate, peak) * 1e3
+    def told(self, now: float) -> tuple[float, float, float]:
+        """Rate, mean and peak. The rate is over the shortest span that has rows enough to say something."""
+        bucket = self._rules.bucket_ms
+        age = max(bucket, now - self._since)
+        kept = min(age, bucket * self._rules.buckets)
+        mean = sum(count for start, count in self._buckets if start + bucket > now - kept) / kept
+        span = min(age, 4 * self._rules.rate_ms, max(self._rules.rate_ms, 20.0 / mean if mean else 0.0))
+        # Whole buckets, so the span reaches back to the start of the one in which it begins.
+        first = (now - span) // bucket * bucket
+        rows = sum(count for start, count in self._buckets if start >= first)
+        rate = rows / max(bucket, now - max(first, self._since))
+        peak = max((count for _, count in self._buckets), default=0.0) / bucket
+        return rate * 1e3, mean * 1e3, max(rate, peak) * 1e3
 
 
 class Builder:
-    """One shard as it fills: exact counts, bounded by the rows after which it is sealed."""
+    """One shard as it fills: exact counts, bounded by whoever seals it. Rows may also leave it.
+
+    What a summary needs is kept as rows come and go, so that cutting one costs little more than a look at
+    each row's time: it is cut every few seconds, while viewers wait.
+    """
 
-    __slots__ = ("_counts", "_keys", "_rows", "name", "of", "since", "size")
+    __slots__ = (
+        "_counts", "_hashes", "_least", "_number", "_rows", "_rules", "_sample", "name", "of", "since",
+        "size",
+    )  # fmt: skip
 
-    def __init__(self, of: str, name: str, since: float) -> None:
+    def __init__(self, of: str, name: str, since: float, rules: ShardRules) -> None:
         self.of = of
         self.name = name
         self.since = since
         self.size = 0
-        self._rows: list[tuple[float, int, int, tuple[str, ...]]] = []  # at, bytes, sampling key, COUNTED
-        self._counts: dict[str, Counter[str]] = {field: Counter() for field in (*COUNTED, "session")}
-        self._keys: dict[str, int] = {}  # of sessions
+        self._rules = rules
+        self._number = 0
+        self._rows: dict[int, tuple[float, int, str, tuple[str, ...]]] = {}  # at, bytes, session, COUNTED
+        self._counts: tuple[Counter[str], ...] = tuple(Counter() for _ in COUNTED)
+        self._hashes: dict[str, list[int]] = {}  # by session: its key, its rows
+        self._sample: dict[int, int] = {}  # rows whose numbers hash below `_least`
+        self._least = _ALL
 
     def __len__(self) -> int:
         return len(self._rows)
 
-    def add(self, row: Row, size: int) -> None:
+    def add(self, row: Row, size: int) -> int:
+        """The number by which the row may be removed."""
+        number = self._number
+        self._number += 1
         session = row.session[:MOST_TEXT]
-        hashed = self._keys.get(session)
-        if hashed is None:
-            hashed = self._keys[session] = key("session", session)
-        values = tuple(value_of(row, field)[:MOST_TEXT] for field in COUNTED)
-        for field, value in zip(COUNTED, values, strict=True):
-            self._counts[field][value] += 1
-        self._counts["session"][session] += 1
-        # A session's rows must not all be sampled or none: its key is mixed with their number.
-        number = len(self._rows)
-        self._rows.append((row.at, size, (hashed ^ (number * 0x9E3779B97F4A7C15)) % (1 << 61), values))
+        known = self._hashes.get(session)
+        if known is None:
+            known = self._hashes[session] = [key("session", session), 0]
+        known[1] += 1
+        values = (
+            row.deed,
+            row.title[:MOST_TEXT],
+            str(row.box),
+            row.tenant[:MOST_TEXT],
+            row.version[:MOST_TEXT],
+            row.outcome[:MOST_TEXT],
+        )
+        for counter, value in zip(self._counts, values, strict=True):
+            counter[value] += 1
+        self._rows[number] = (row.at, size, session, values)
         self.size += size
-
-    def summary(self, now: float, front: str, life: int, sealed: bool, rules: ShardRules) -> Summary:
-        rows = sorted(self._rows, key=lambda entry: entry[0])
-        times = [(at, size) for at, size, _, _ in rows]
-        fields = tuple(cut(self._counts[field], rules.frequent) for field in COUNTED)
-        keys = list(self._keys.values())
-        for field, frequent in zip(COUNTED, fields, strict=True):
+        # Rows of one session must not all be sampled or none, so the row's number is hashed with it.
+        hashed = ((known[0] ^ (number * _MIX)) * _MIX & _ALL) >> 3
+        if hashed < self._least:
+            self._sample[number] = hashed
+            if len(self._sample) > 4 * self._rules.sample:
+                self._least //= 2
+                self._sample = {n: one for n, one in self._sample.items() if one < self._least}
+        return number
+
+    def remove(self, number: int) -> None:
+        _, size, session, values = self._rows.pop(number)
+        known = self._hashes[session]
+        known[1] -= 1
+        if not known[1]:
+            del self._hashes[session]
+        for counter, value in zip(self._counts, values, strict=True):
+            counter[value] -= 1
+            if not counter[value]:
+                del counter[value]
+        self.size -= size
+        self._sample.pop(number, None)
+
+    def summary(self, now: float, front: str, life: int, sealed: bool) -> Summary:
+        rules = self._rules
+        times = [(row[0], row[1]) for row in self._rows.values()]
+        if any(later < earlier for earlier, later in pairwise(at for at, _ in times)):
+            times.sort()
+        fields = tuple(cut(counter, rules.frequent) for counter in self._counts)
+        keys = [known[0] for known in self._hashes.values()]
+        for field, counter, frequent in zip(COUNTED, self._counts, fields, strict=True):
             if frequent.rest_values:
                 top = set(frequent.values)
-                keys += [key(field, value) for value in self._counts[field] if value not in top]
+                keys += [value_key(field, value) for value in counter if value not in top]
         places = [{value: place for place, value in enumerate(frequent.values)} for frequent in fields]
-        sampled = [rows[place][3] for place in sample_places((row[2] for row in rows), rules.sample)]
+        chosen = sorted(self._sample, key=self._sample.__getitem__)[: rules.sample]
+        sampled = [self._rows[number][3] for number in chosen]
         since = min(self.since, times[0][0]) if times else self.since
-        until = max(since, times[-1][0]) if times else since
         return Summary(
             format=FORMAT,
             of=self.of,
-            shard=Shard(front, life, self.name, since, until),
+            shard=Shard(front, life, self.name, since, max(since, times[-1][0]) if times else since),
             sealed=sealed,
             taken=now,
-            rows=len(rows),
+            rows=len(times),
             size=self.size,
-            sessions=len(self._keys),
-            session_most=max(self._counts["session"].values(), default=0),
+            sessions=len(self._hashes),
+            session_most=max((known[1] for known in self._hashes.values()), default=0),
             fields=fields,
             filter=pack_filter(keys, rules.false_share, rules.filter_bytes),
             steps=steps(times, rules.bins),
@@ -115,8 +167,9 @@
         self._sealed: deque[Summary] = deque()
         self._older = Older()
         self._number = 0
-        self._open = Builder(ACTS, "0", now)
-        self._standing: dict[str, tuple[Row, int]] = {}
+        self._open = Builder(ACTS, "0", now, rules)
+        self._standing = Builder(STANDING, STANDING, now, rules)
+        self._stands: dict[str, tuple[int, Row]] = {}  # by session: its number there
         self._rates = Rates(now, rules)
         self._turnover = Rates(now, rules)
 
@@ -131,11 +184,11 @@
     def seal(self, now: float) -> None:
         """Ends the open shard; an empty one only moves its start."""
         if len(self._open):
-            self._sealed.append(self._open.summary(now, self._front, self._life, True, self._rules))
+            self._sealed.append(self._open.summary(now, self._front, self._life, True))
             self._number += 1
             if len(self._sealed) > self._rules.kept:
                 self._forget(self._sealed.popleft())
-        self._open = Builder(ACTS, str(self._number), now)
+        self._open = Builder(ACTS, str(self._number), now, self._rules)
 
     def _forget(self, summary: Summary) -> None:
         older, shard = self._older, summary.shard
@@ -148,29 +201,30 @@
         )
 
     def stands(self, now: float, standing: Standing, size: int) -> None:
-        known = self._standing.get(standing.session)
+        known = self._stands.get(standing.session)
         row = Row(now, STANDING, standing.session, standing.title, standing.box, standing.tenant)
-        if known is not None and msgspec.structs.replace(row, at=known[0].at) == known[0]:
-            return
-        # Stamped anew when what can be asked for changes: whatever a summary doesn't tell is later than it.
-        self._standing[standing.session] = (row, size)
+        if known is not None:
+            if msgspec.structs.replace(row, at=known[1].at) == known[1]:
+                return
+            # Stamped anew when what can be asked for changes: what a summary doesn't tell is later than it.
+            self._standing.remove(known[0])
+        self._stands[standing.session] = (self._standing.add(row, size), row)
         self._turnover.add(now)
 
     def over(self, now: float, session: str) -> None:
-        if self._standing.pop(session, None) is not None:
+        known = self._stands.pop(session, None)
+        if known is not None:
+            self._standing.remove(known[0])
             self._turnover.add(now)
 
     def summaries(self, now: float) -> list[Summary]:
         """All that is to be published: sealed shards, the open one, and what stands."""
-        opened = self._open.summary(now, self._front, self._life, False, self._rules)
-        rate, peak = self._rates.told(now)
-        builder = Builder(STANDING, STANDING, now)
-        for row, size in self._standing.values():
-            builder.add(row, size)
-        standing = builder.summary(now, self._front, self._life, False, self._rules)
-        change, most = self._turnover.told(now)
+        opened = self._open.summary(now, self._front, self._life, False)
+        rate, mean, peak = self._rates.told(now)
+        standing = self._standing.summary(now, self._front, self._life, False)
+        change, usual, most = self._turnover.told(now)
         return [
             *self._sealed,
-            msgspec.structs.replace(opened, rate=rate, peak=peak, older=self._older),
-            msgspec.structs.replace(standing, rate=change, peak=most),
+            msgspec.structs.replace(opened, rate=rate, mean=mean, peak=peak, older=self._older),
+            msgspec.structs.replace(standing, rate=change, mean=usual, peak=most),
         ]
--- a/fernweir/peers/estimate/sketches.py
+++ b/fernweir/peers/estimate/sketches.py
@@ -11,7 +11,8 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
+from functools import lru_cache
 from hashlib import blake2b
 from itertools import accumulate
 from math import exp, log
@@ -31,6 +32,12 @@
     return int.from_bytes(blake2b(text, digest_size=16, key=_SEED).digest(), "little", signed=True)
 
 
+@lru_cache(8192)
+def value_key(field: str, value: str) -> int:
+    """`key` for values that come again in every summary; sessions don't."""
+    return key(field, value)
+
+
 class Filter:
     """Which values a shard may hold. What it denies is not there; what it admits may be a false positive."""
 
@@ -142,7 +149,12 @@
         return Steps((), (), ())
     count = min(bins, len(rows))
     # Rows of one instant stay in one bin: an edge between them would belong to neither.
-    starts = {bisect_left(rows, (rows[place * len(rows) // count][0], -1)) for place in range(count)}
+    starts = set()
+    for number in range(count):
+        place = number * len(rows) // count
+        while place and rows[place - 1][0] == rows[place][0]:
+            place -= 1
+        starts.add(place)
     places = [*sorted(starts), len(rows)]
     sums = [0, *accumulate(size for _, size in rows)]
     return Steps(
@@ -150,9 +162,3 @@
         tuple(places),
         tuple(sums[place] for place in places),
     )
-
-
-def sample_places(keys: Iterable[int], most: int) -> list[int]:
-    """Which rows to sample: those with the least hashes, so that it needs no dice and comes out alike."""
-    ranked = sorted((key, place) for place, key in enumerate(keys))
-    return sorted(place for _, place in ranked[:most])
--- a/fernweir/peers/estimate/summary.py
+++ b/fernweir/peers/estimate/summary.py
@@ -51,7 +51,7 @@
 
     `taken`: when it was cut, on the same scale as the rows' times. `sealed`: no row comes any more, and what
     it counts is exact. `fields` and `sample` go by `COUNTED`; a sample has one byte a row, the place among
-    the frequent values, `REST` for none. Rates are rows a second: over the last minute, and the highest; they
+    the frequent values, `REST` for none. Rates are rows a second, of late, on average, and the highest; they
     and `older` are told by open shards.
     """
 
@@ -69,6 +69,7 @@
     steps: Steps
     sample: tuple[bytes, ...]
     rate: float = 0.0
+    mean: float = 0.0
     peak: float = 0.0
     older: Older = Older()
 
@@ -106,7 +107,7 @@
         raise ValueError("name")
     if not (isfinite(summary.taken) and -inf < shard.since <= shard.until < inf):
         raise ValueError("times")
-    if not (0 <= summary.rate <= MOST_RATE and 0 <= summary.peak <= MOST_RATE):
+    if not all(0 <= rate <= MOST_RATE for rate in (summary.rate, summary.mean, summary.peak)):
         raise ValueError("rates")
     if not (0 <= summary.rows <= MOST_ROWS and 0 <= summary.size <= summary.rows * MOST_ROW_BYTES):
         raise ValueError("counts")
