--- a/fernweir/__init__.py
+++ b/fernweir/__init__.py
@@ -3,4 +3,6 @@
 from fernweir.brain import Controller
 from fernweir.interface import Settings
 
-__all__ = ["Controller", "Settings"]
+__all__ = ["VERSION", "Controller", "Settings"]
+
+VERSION = "0.2.0"  # as pyproject.toml has it
--- a/fernweir/appliance/layout.py
+++ b/fernweir/appliance/layout.py
@@ -65,6 +65,11 @@
     def keys(self) -> Path:
         return self.root / "keys.json"
 
+    @property
+    def fleet_key(self) -> Path:
+        """What fronts of the unit that know one another seal their messages with."""
+        return self.root / "fleet.key"
+
     @property
     def state(self) -> Path:
         return self.root / "state"
--- a/fernweir/appliance/make.py
+++ b/fernweir/appliance/make.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import secrets
 import shutil
 import socket
 import sys
@@ -15,6 +16,8 @@
 from fernweir.config.ini import ConfigError
 from fernweir.tokens.newkeys import make_keys
 
+_KEEPERS_MOST = 5
+_SEEDS_MOST = 8
 _SERVICE = """[Unit]
 Description=fernweir unit {name}
 After=network.target
@@ -77,12 +80,16 @@
     front_ports = [ports.take() for _ in range(wish.fronts)]
     list_port = ports.take() if wish.boxes else 0
     box_ports = [ports.take() for _ in range(wish.boxes)]
+    peer_ports = [ports.take() for _ in range(wish.fronts)] if wish.fronts > 1 else []
     ports.close()
     _write(layout.keys, make_keys("k1") + "\n")
+    if peer_ports:
+        _write(layout.fleet_key, secrets.token_hex(32) + "\n")
     _write(layout.unit_ini, _unit_ini(wish, list_port, box_ports))
     list_url = wish.list_url or f"http://{wish.host}:{list_port}/boxes"
     for number, port in enumerate(front_ports, 1):
-        _write(layout.front_ini(number), _front_ini(wish, number, port, list_url))
+        text = _front_ini(wish, number, port, list_url) + _peers_ini(wish, number, peer_ports)
+        _write(layout.front_ini(number), text)
     if wish.boxes:
         _write(layout.trial_list, _trial_list(wish, box_ports))
     user = os.environ.get("USER", "fernweir")
@@ -208,6 +215,23 @@
 """
 
 
+def _peers_ini(wish: Wish, number: int, ports: list[int]) -> str:
+    """Fronts of one unit know one another; a front that is alone knows nobody."""
+    if not ports:
+        return ""
+    # Odd, and no more than a majority of which survives most losses; of two fronts only one can keep.
+    keepers = min((wish.fronts - 1) // 2 * 2 + 1, _KEEPERS_MOST)
+    seeds = [f"{wish.host}:{port}" for place, port in enumerate(ports, 1) if place != number]
+    return f"""
+; The other fronts of the unit: sessions of one that is gone go on at them. docs/peers-operating.md
+[peers]
+listen = {wish.host}:{ports[number - 1]}
+seeds = {", ".join(seeds[:_SEEDS_MOST])}
+key = fleet.key
+keepers = {", ".join(f"front-{one}" for one in range(1, keepers + 1))}
+"""
+
+
 def _trial_list(wish: Wish, box_ports: list[int]) -> str:
     boxes = [
         {"box": number, "host": wish.host, "port": port, "cell": number - 1}
--- a/fernweir/config/front.py
+++ b/fernweir/config/front.py
@@ -221,6 +221,7 @@
     plays_unanswered: frozenset[str]
     class_names: dict[str, int]
     settings: Settings
+    sections: dict[str, dict[str, str]]  # as they stand in the file
 
     def path(self, name: str) -> Path:
         return self.folder / name
@@ -290,6 +291,7 @@
         plays_unanswered=plays,
         class_names=numbers,
         settings=settings,
+        sections=file.sections,
     )
 
 
--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -20,6 +20,7 @@
 from fernweir.interface import Result
 
 MERGE_PATCH = "application/merge-patch+json"  # RFC 7396
+Under = tuple[str, int]  # the channel and the fence by which a session is steered
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +108,7 @@
 
     def release(self, command: Release) -> None:
         self._rungs.forget(command.jti, command.attempt)
-        self._delete(command, again=True)
+        self._delete(command, self._under(command.jti), again=True)
 
     def probe(self, command: SendProbe) -> None:
         core, sent_at = self.core, self.core.now()
@@ -133,9 +134,9 @@
         target = f"/channels?channel={quote(channel, safe='')}"
         self._call(origin, "PUT", target, done, json.dumps({"fence": fence}).encode())
 
-    def drop(self, box: int, session: str, attempt: int, why: str) -> None:
+    def drop(self, box: int, session: str, attempt: int, why: str, under: Under) -> None:
         """Takes back what runs at a box and is no session of this front's."""
-        self._delete(Release(session, attempt, box, why), again=True)
+        self._delete(Release(session, attempt, box, why), under, again=True)
 
     def listen(self, server: int) -> None:
         """Hears a box's notes, as for sessions that were taken over there."""
@@ -171,7 +172,7 @@
             self._rungs.forget(send.jti, send.attempt)
             return
         body = json.dumps({"rung": send.rung}).encode()
-        self._call(origin, "PATCH", _session(send.jti, send.attempt), done, body, session=send.jti)
+        self._call(origin, "PATCH", _session(send.jti, send.attempt), done, body, self._under(send.jti))
 
     def _rungs_later(self) -> None:
         due = self._rungs.next_due()
@@ -185,35 +186,37 @@
             self._send_rung(send)
         self._rungs_later()
 
-    def _delete(self, command: Release, again: bool) -> None:
+    def _delete(self, command: Release, under: Under | None, again: bool) -> None:
         def done(reply: Reply) -> None:
             # Once more, for an answer that was lost; after that the box's own idle limit must do.
             if again and reply.outcome is not Outcome.ANSWERED and not self.closed:
-                self.core.loop.call_later(self.times.call_s, self._delete, command, False)
+                self.core.loop.call_later(self.times.call_s, self._delete, command, under, False)
 
         origin, target = self.boxes.address(command.server), _session(command.jti, command.attempt)
         if origin is None:
             return
         if command.after_segment and again:
             body = json.dumps({"end": command.why}).encode()
-            self._call(origin, "PATCH", target, done, body, session=command.jti)
+            self._call(origin, "PATCH", target, done, body, under)
         else:
-            self._call(origin, "DELETE", target, done, session=command.jti)
+            self._call(origin, "DELETE", target, done, under=under)
 
     def _call(
         self, origin: Origin, method: str, target: str, done: Callable[[Reply], None], body: bytes = b"",
-        session: str = "",
+        under: Under | None = None,
     ) -> None:  # fmt: skip
         headers = [("authorization", f"Bearer {self._token()}")]
         if body:
             headers.append(("content-type", MERGE_PATCH))
-        under = self.core.owner.fence(session) if self.core.owner is not None and session else None
         if under is not None:
             headers.append(("fernweir-fence", f"{under[0]};{under[1]}"))
         self.pool.request(
             origin, method, target, done, headers=headers, body=body, timeout_s=self.times.call_s
         )
 
+    def _under(self, jti: str) -> Under | None:
+        return self.core.owner.fence(jti) if self.core.owner is not None else None
+
     def _listen(self, server: int) -> None:
         if server not in self._streams and not self.closed:
             self._streams[server] = _NotesStream(self, server)
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -126,6 +126,7 @@
     answer_by: float = 0.0
     moved: bool = False
     told: int = 0  # viewers who heard that it plays
+    answerable: bool = True
 
     @property
     def attempt(self) -> int:
@@ -237,10 +238,11 @@
             why = "session id is in use for another title or class"
             self._answer(Answer(ask.ticket, Kind.CONFLICT, why), ask)
             return
-        if held.phase is Phase.PLAYING and held.server in self._doubtful:
+        if held.phase is Phase.PLAYING and (held.server in self._doubtful or not held.answerable):
             # It comes again while its box says nothing: it does not play there, whatever the account says.
-            self._release(held, "its box fell silent")
-            self._end(held, Result.RESET, "its box fell silent")
+            why = "its box fell silent" if held.answerable else "what it was answered from is lost"
+            self._release(held, why)
+            self._end(held, Result.RESET, why)
             self._begin(now, ask)
             return
         self.counts.joined += 1
@@ -252,18 +254,19 @@
 
     def take_over(
         self, now: float, ask: Ask, server: int, *, attempt: int = 0, rung: int | None = None,
-        payload: object = None, told: int = 1,
+        payload: object = None, told: int = 1, answerable: bool = True,
     ) -> bool:  # fmt: skip
         """A session that plays there, placed by another front or before this one's start.
 
         `attempt` is the one that set it up, `rung` what it plays where that is known, `payload` what its
-        viewers are answered from. False if it is held, or its box is gone.
+        viewers are answered from; where that was lost, it is not `answerable`: it plays on, and begins anew
+        if its viewer asks again. False if it is held, or its box is gone.
         """
         if ask.jti in self._held or self._states.get(server, ServerState.GONE) is ServerState.GONE:
             return False
         held = self._hold(now, ask)
         held.phase, held.server, held.attempts, held.told = Phase.PLAYING, server, attempt + 1, told
-        held.payload = payload
+        held.payload, held.answerable = payload, answerable
         self._at_server.setdefault(server, {})[ask.jti] = held
         self._events.append(TakenOver(self._viewer(now, held), server))
         if rung is not None:
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -8,7 +8,6 @@
 import json
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from hashlib import blake2b
 from typing import Any
 
 from fernweir.front.boxes import BoxClient
@@ -22,7 +21,6 @@
 from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing
 
 _PAYLOADS_KEPT = 4_096
-_ROWS_MOST = 100_000
 
 
 class Peering:
@@ -52,6 +50,12 @@
     def load(self) -> int:
         return self._core.host.sessions
 
+    def out(self) -> list[str]:
+        return [jti for jti, held in self._core.host.held().items() if held.phase is Phase.OUT]
+
+    def holds(self, session: str) -> bool:
+        return self._core.host.session(session) is not None
+
     def payload(self, digest: bytes) -> bytes | None:
         return self._payloads.get(digest)
 
@@ -79,7 +83,7 @@
         )  # fmt: skip
         taken = core.host.take_over(
             now, ask, standing.box, attempt=standing.attempt, rung=standing.rung, payload=unpacked,
-            told=max(standing.answers, 1),
+            told=max(standing.answers, 1), answerable=unpacked is not None,
         )  # fmt: skip
         if taken:
             self._client.listen(standing.box)
@@ -94,29 +98,31 @@
             self._core.kick()
         return gone
 
-    def release(self, now: float, box: int, session: str, attempt: int, why: str) -> None:
-        self._client.drop(box, session, attempt, why)
+    def release(
+        self, now: float, box: int, session: str, attempt: int, why: str, under: tuple[str, int]
+    ) -> None:
+        self._client.drop(box, session, attempt, why, under)
 
     def hold_back(self, why: str, wait_ms: float) -> None:
         self._core.host.held_back = (why, wait_ms) if why else None
 
-    def claim(self, box: int, channel: str, fence: int, then: Callable[[Claimed], None]) -> None:
+    def claim(self, box: int, channel: str, fence: int, then: Callable[[float, Claimed], None]) -> None:
         def done(reply: Reply) -> None:
-            then(_claimed(box, reply))
+            then(self._core.now(), _claimed(box, reply))
 
         self._client.claim(box, channel, fence, done)
 
-    def carry(self, request: Carry, then: Callable[[Carried], None]) -> None:
+    def carry(self, request: Carry, then: Callable[[float, Carried], None]) -> None:
         core, number = self._core, request.number
         held = core.host.session(request.session)
         if held is None:
-            then(Carried(number, "none"))
+            then(core.now(), Carried(number, "none"))
         elif request.what == "look":
-            then(Carried(number, "done" if held.told else "none"))
+            then(core.now(), Carried(number, "done" if held.told else "none"))
         elif request.what == "end":
             ended = core.host.release(core.now(), request.session)
             core.kick()
-            then(Carried(number, "done" if ended else "none"))
+            then(core.now(), Carried(number, "done" if ended else "none"))
         else:
             self._ask(request, then)
 
@@ -162,33 +168,35 @@
     def listed(self, now: float, update: ListUpdate) -> None:
         draining = {box for box, line in self._boxes.boxes.items() if line.state == "draining"}
         if self._listener is not None:
-            self._listener.list_told(now, self.list_digest(), self._wall_ms())
+            self._listener.list_told(now, self.list_rows(), self._wall_ms())
             for box in sorted(draining - self._draining):
                 self._listener.acted(Act(now, Deed.DRAIN, box=box, outcome="heard"))
         self._draining = draining
 
-    def list_digest(self) -> bytes:
-        """Of the list's content, alike at every front that was told the same: no feed's number is in it."""
-        rows: list[Any] = [
-            [box, line.state, line.boot, line.host, line.port, line.cell, line.kind, line.weight]
-            for box, line in sorted(self._boxes.boxes.items())[:_ROWS_MOST]
+    def list_rows(self) -> list[tuple[int, Any]]:
+        """The list's content, alike at every front that was told the same: no feed's number is in it."""
+        boxes = [
+            (box, [line.state, line.boot, line.host, line.port, line.cell, line.kind, line.weight])
+            for box, line in self._boxes.boxes.items()
             if line.state != "gone"
         ]
-        rows += [[title, one.first_cell, one.copies] for title, one in sorted(self._boxes.lessons.items())]
-        return blake2b(json.dumps(rows).encode(), digest_size=16).digest()
+        lessons = [(title, [one.first_cell, one.copies]) for title, one in self._boxes.lessons.items()]
+        return [*boxes, (-1, sorted(lessons))]
 
     # --- pieces ---
 
-    def _ask(self, request: Carry, then: Callable[[Carried], None]) -> None:
+    def _ask(self, request: Carry, then: Callable[[float, Carried], None]) -> None:
         core, lesson = self._core, self._boxes.lessons.get(request.title)
         cls, carrier = self._classes.get(request.cls), core.carriers.get(request.via)
         if lesson is None or cls is None or carrier is None:
-            then(Carried(request.number, "failed", "lesson or class is not known to the session's front"))
+            why = "lesson or class is not known to the session's front"
+            then(core.now(), Carried(request.number, "failed", why))
             return
 
         def answered(answer: Answer) -> None:
             digest, data = carrier.pack(answer.payload) if answer.kind is Kind.PLAYS else (b"", b"")
             then(
+                core.now(),
                 Carried(
                     request.number,
                     answer.kind.value,
@@ -200,7 +208,7 @@
                     answer.rung,
                     digest,
                     data,
-                )
+                ),
             )
 
         ask = Ask(
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import IO
+from typing import IO, TYPE_CHECKING
 
 import structlog
 
@@ -46,6 +46,9 @@
 from fernweir.seats.records import RecordError, fold_all
 from fernweir.tokens import Keyring, KeyringError
 
+if TYPE_CHECKING:  # loaded only where the settings ask for it
+    from fernweir.peers.program import Peers
+
 _GIVE_BACK_S = 2.0
 
 
@@ -64,6 +67,7 @@
     desk: TokenDesk | None = None
     use: UseCheck | None = None
     control: _Control | None = None
+    peers: Peers | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -75,6 +79,10 @@
         if self.desk is not None:
             self.desk.give_up()
         whole = await self.core.drained(within_s)
+        if self.peers is not None:
+            handed = await self.peers.leave(within_s)
+            self.core.log.info("sessions handed on", whole=handed, left=self.core.host.sessions)
+            await self.peers.stop()
         self.server.close_when_done()
         if self.gate is not None:
             left = await self.gate.give_back(min(within_s, _GIVE_BACK_S))
@@ -86,6 +94,8 @@
     def kill(self) -> None:
         """Ends at once: connections break, nothing more is said."""
         self.list.stop()
+        if self.peers is not None:
+            self.peers.cut()
         if self.control is not None:
             self.control.stop()
         if self.desk is not None:
@@ -222,13 +232,32 @@
             wall_s=wall_s,
         )
         keys.start()
+    peers = None
+    if config.peers is not None:
+        peers = await _start_peers(config, core, boxes, client, keyring, wall_s)
     server = Server(service.handle, _server_limits(config.http))
     await server.listen(*section.listen)
     if section.public_url is None:
         service.public_url = f"http://{server.address[0]}:{server.address[1]}"
     follower.start()
     log.info("front listens", host=server.address[0], port=server.address[1])
-    return Front(core, server, client, follower, (pool, streams), record, gate, keyring, desk, use, control)
+    return Front(
+        core, server, client, follower, (pool, streams), record, gate, keyring, desk, use, control, peers
+    )
+
+
+async def _start_peers(
+    config: FrontConfig, core: Core, boxes: BoxList, client: BoxClient, keyring: Keyring,
+    wall_s: Callable[[], float],
+) -> Peers:  # fmt: skip
+    from fernweir.front.peering import Peering
+    from fernweir.peers.program import Peers
+
+    def wall_ms() -> float:
+        return wall_s() * 1000.0
+
+    port = Peering(core, boxes, client, config.class_names, wall_ms)
+    return await Peers.start(core, port, config, keyring, wall_ms)
 
 
 class _Control:
--- /dev/null
+++ b/fernweir/peers/owning.py
@@ -0,0 +1,557 @@
+"""The channels at one front: which it owns under which lease, whose copies it keeps, what it inherits.
+
+Joins leases, copies, hand-off and taking over to the front's port. It decides nothing of its own: who
+inherits is `channel.heirs`, what a box's list proves `channel.reconcile`, who owns the keepers' majority. No
+I/O and no clock; the port's answers come back with the time.
+
+A session is in a channel if it was set up under that channel's lease, or came with it. What was set up while
+there was no lease is in none, and ends with this front.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from fernweir.peers.base import Effect, Event, Message, Outbox
+from fernweir.peers.channel.copies import Outdated, Replica
+from fernweir.peers.channel.cut import channel_of, parse
+from fernweir.peers.channel.giving import (
+    Freeze,
+    HandedOn,
+    HandedOver,
+    Lapsed,
+    LeaveLease,
+    NoHeir,
+    OverlapOver,
+    ReleaseLease,
+    TakenBack,
+    WantLease,
+)
+from fernweir.peers.channel.handoff import Handoff
+from fernweir.peers.channel.heirs import Candidate, heirs, standbys, wait_ms
+from fernweir.peers.channel.payloads import NeedPayload
+from fernweir.peers.channel.rules import HandoffRules, HeirRules, ReplicaRules, SpreadRules, TakeoverRules
+from fernweir.peers.channel.spread import Loss, spread
+from fernweir.peers.channel.standby import Copied, Copy
+from fernweir.peers.channel.takeover import Claim, Finished, Inherited, Outdone, Settled, Takeover
+from fernweir.peers.lease.events import Got, Lost, Renewed, Taken
+from fernweir.peers.lease.holder import Holder
+from fernweir.peers.port import Claimed, Port, Standing
+
+
+@dataclass(frozen=True, slots=True)
+class OwningRules:
+    """`parts` channels a front, `copies` standbys each. Times in ms.
+
+    A copy older than `stale_ms` is tried for though its owner is not known to be dead: it may be cut off, or
+    stand still. `look_ms` is how often that, and who the standbys are, is looked at. What another front
+    took is remembered for `gone_ms`, for viewers who come here still; the channel of what is over for
+    `release_ms`, in which a release that was lost is said again.
+    """
+
+    parts: int = 8
+    copies: int = 2
+    look_ms: float = 500.0
+    stale_ms: float = 8_000.0
+    retry_ms: float = 2_000.0
+    release_ms: float = 5_000.0
+    gone_ms: float = 60_000.0
+    gone_most: int = 65_536
+    replica: ReplicaRules = field(default_factory=ReplicaRules)
+    takeover: TakeoverRules = field(default_factory=TakeoverRules)
+    handoff: HandoffRules = field(default_factory=HandoffRules)
+    heirs: HeirRules = field(default_factory=HeirRules)
+    spread: SpreadRules = field(default_factory=SpreadRules)
+
+
+@dataclass(frozen=True, slots=True)
+class Steers(Event):
+    """This front steers a session from now on."""
+
+    session: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Yields(Event):
+    """It is another's from now on, whose name is empty where it is not known; or it is over."""
+
+    session: str
+    to: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Changed(Event):
+    """A channel has changed hands here: `what` is inherited, handed, lost."""
+
+    channel: str
+    fence: int
+    what: str
+    sessions: int
+    other: str = ""
+
+
+@dataclass(slots=True)
+class _Try:
+    """A channel whose lease is asked for from `due` on, to be acted on `after_ms` after it is got."""
+
+    owner: str
+    due: float
+    after_ms: float = 0.0
+    asked: bool = False
+
+
+class Owning:
+    """`now` is ms throughout. `heard` takes the messages of `channel` but for the directory's."""
+
+    def __init__(
+        self, me: str, life: int, rules: OwningRules, holder: Holder, port: Port, seed: int,
+        changed: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.me, self.life, self.rules = me, life, rules
+        self._holder, self._port, self._wake = holder, port, changed
+        self._out = Outbox()
+        self.replica = Replica(me, rules.replica, seed)
+        self.handoff = Handoff(me, rules.handoff, seed, Takeover(rules.takeover), port.boxes)
+        self._sessions: dict[str, dict[str, Standing]] = {}  # of each channel held
+        self._channel: dict[str, str] = {}  # of each session, also of one whose attempt is out
+        self._last: OrderedDict[str, tuple[str, float]] = OrderedDict()  # of what is over, to release it by
+        self._fences: dict[str, int] = {}  # under which each channel is held, or was until it was handed on
+        self._tries: dict[str, _Try] = {}
+        self._turns: dict[str, tuple[float, int]] = {}  # when a channel that was got is acted for, its fence
+        self._seed = seed
+        self._new: set[str] = set()  # inherited, and nothing settled of them yet
+        self._gone: dict[str, tuple[str, float]] = {}
+        self._dead: set[str] = set()
+        self._fronts: dict[str, Candidate] = {}
+        self._leaving = False
+        self._look_at = 0.0
+
+    # --- what the front asks ---
+
+    def start(self, now: float) -> None:
+        """Asks for the leases of this life's own channels."""
+        for part in range(self.rules.parts):
+            self._holder.want(now, f"{self.me}:{self.life}/{part}")
+
+    def fence(self, now: float, session: str) -> tuple[str, int] | None:
+        """The channel and fence under which a session may be steered now; None for none."""
+        channel = self._channel.get(session)
+        if channel is None and session in self._last:
+            channel = self._last[session][0]
+        if channel is None:
+            return None
+        lease = self._holder.holds(now, channel)
+        if lease is not None and self.handoff.may_steer(channel):
+            return channel, lease.fence
+        if self.handoff.may_finish(now, channel):
+            return channel, self._fences.get(channel, 0)
+        return None
+
+    def owned(self) -> Mapping[str, Mapping[str, Standing]]:
+        """Channels held, with what stands in each."""
+        return self._sessions
+
+    def whereabouts(self, now: float, session: str) -> str | None:
+        """A front that is likely to hold a session which is not held here; None if nothing is known."""
+        if (gone := self._gone.get(session)) is not None:
+            return gone[0]
+        copy = self._copy_with(session)
+        return copy.owner if copy is not None else None
+
+    def between(self, session: str) -> bool:
+        """Whether it is known to stand, and nobody owns it just now: it must not begin anew."""
+        copy = self._copy_with(session)
+        if copy is None:
+            return False
+        return copy.channel in self._tries or copy.channel in self._turns or copy.owner in self._dead
+
+    # --- what happens at the front ---
+
+    def placed(self, now: float, session: str) -> None:
+        """An attempt is about to leave: from here on it is in this front's channel, or in none."""
+        if session in self._channel:
+            return
+        channel = channel_of(self.me, self.life, session, self.rules.parts)
+        if self._holder.holds(now, channel) is not None and self.handoff.may_steer(channel):
+            self._channel[session] = channel
+
+    def stands(self, now: float, standing: Standing) -> None:
+        channel = self._channel.get(standing.session)
+        if channel is None:
+            return
+        held = self._sessions.get(channel)
+        if held is None and not self.handoff.may_finish(now, channel):
+            # Its lease was lost while the attempt was out: the heir finds it at its box, and decides.
+            self._port.let_go(now, standing.session)
+            self._forget(standing.session)
+            return
+        new = held is None or standing.session not in held
+        if held is not None:
+            held[standing.session] = standing
+        self.replica.change(now, channel, standing)
+        self.handoff.change(now, channel, standing)
+        if new:
+            self._out.add(Steers(standing.session, self._fences.get(channel, 0)))
+
+    def over(self, now: float, session: str) -> None:
+        """A session, or the attempt to begin one, has ended here."""
+        channel = self._forget(session)
+        if channel is None:
+            return
+        self._release_by(now, session, channel)
+        if self._sessions.get(channel, {}).pop(session, None) is not None:
+            self._out.add(Yields(session))
+        self.replica.end(now, channel, session)
+        self.handoff.end(now, channel, session)
+
+    # --- what is known of other fronts ---
+
+    def fronts(self, now: float, candidates: Iterable[Candidate]) -> None:
+        """All fronts believed alive, this one included, with what heirs are chosen by."""
+        self._fronts = {one.name: one for one in candidates}
+        self._dead -= set(self._fronts)
+        closed = "" if self.me in self._fronts and not self._fronts[self.me].late else "late"
+        self.handoff.room(self.rules.handoff.sessions_most, "leaving" if self._leaving else closed)
+
+    def died(self, now: float, name: str) -> None:
+        """A front is believed dead, or has left: what is copied here of its channels is tried for."""
+        self._dead.add(name)
+        self._fronts.pop(name, None)
+        self.handoff.died(now, name)
+        copies = (self.replica.copy(channel) for channel in self.replica.copies())
+        self._try(now, [copy for copy in copies if copy is not None and copy.owner == name])
+
+    def leave(self, now: float) -> None:
+        """Hands on all that is held; see `left`."""
+        self._leaving = True
+        self.fronts(now, self._fronts.values())
+        for channel in list(self._tries):
+            self._drop_try(now, channel)
+        for channel, standings in list(self._sessions.items()):
+            lease = self._holder.holds(now, channel)
+            order = self._heirs(channel, len(standings))
+            if lease is None or not standings or not order:
+                self._holder.release(now, channel)
+                self._sessions.pop(channel, None)
+            else:
+                self.handoff.offer(now, channel, lease.fence, standings, order)
+        for part in range(self.rules.parts):  # asked for and not granted yet
+            channel = f"{self.me}:{self.life}/{part}"
+            if channel not in self._sessions:
+                self._holder.release(now, channel)
+
+    @property
+    def left(self) -> bool:
+        """Whether nothing is on its way to an heir any more."""
+        return self._leaving and not self.handoff.giving()
+
+    # --- leases ---
+
+    def lease(self, now: float, event: Got | Renewed | Lost | Taken) -> None:
+        if isinstance(event, Got):
+            self._got(now, event.lease.channel, event.lease.fence)
+        elif isinstance(event, Lost):
+            self._lost(now, event.channel, event.fence, event.why)
+        elif isinstance(event, Taken):
+            self.handoff.taken(now, event.channel, event.by, event.fence)
+            self._taken(now, event.channel, event.by)
+
+    def _taken(self, now: float, channel: str, by: str) -> None:
+        """Another has, or waits for, a lease that is asked for here."""
+        tried = self._tries.get(channel)
+        if tried is not None and by not in (tried.owner, self.me, ""):
+            self._drop_try(now, channel)  # another heir was first
+        elif channel in self._sessions and by not in (self.me, "") and not self._holder.holds(now, channel):
+            self._holder.release(now, channel)
+            self._let_go(now, channel, by)
+
+    # --- base.Part ---
+
+    def heard(self, now: float, sender: str, message: Message) -> None:
+        self.replica.heard(now, sender, message)
+        self.handoff.heard(now, sender, message)
+        self._run(now)
+
+    def tick(self, now: float) -> None:
+        if now >= self._look_at:
+            self._look_at = now + self.rules.look_ms
+            self._look(now)
+        for channel, tried in list(self._tries.items()):
+            if not tried.asked and now >= tried.due:
+                tried.asked = True
+                self._holder.want(now, channel, self.replica.fence(channel))
+        for channel, (due, fence) in list(self._turns.items()):
+            if now >= due:
+                del self._turns[channel]
+                self._turn(now, channel, fence)
+        self.replica.tick(now)
+        self.handoff.tick(now)
+        self._run(now)
+
+    def next_due(self) -> float | None:
+        dues = [self._look_at, self.replica.next_due(), self.handoff.next_due()]
+        dues += [tried.due for tried in self._tries.values() if not tried.asked]
+        dues += [due for due, _ in self._turns.values()]
+        return min(due for due in dues if due is not None)
+
+    def take(self) -> list[Effect]:
+        return self._out.take()
+
+    # --- pieces: own events of the parts ---
+
+    def run(self, now: float) -> None:
+        """Carries out what the parts said since the last call."""
+        self._run(now)
+
+    def _run(self, now: float) -> None:
+        while effects := self.replica.take() + self.handoff.take():
+            for effect in effects:
+                if isinstance(effect, Event):
+                    self._do(now, effect)
+                else:
+                    self._out.add(effect)
+
+    def _do(self, now: float, event: Event) -> None:
+        if isinstance(event, Claim):
+            for box in event.boxes:
+                self._claim(event.channel, event.fence, box)
+        elif isinstance(event, Inherited):
+            self._inherited(now, event)
+        elif isinstance(event, Settled):
+            self._settled(now, event)
+        elif isinstance(event, Outdone):
+            # Keepers that all forgot may have granted too low a fence; if another holds it, they say so.
+            self._holder.want(now, event.channel, event.fence)
+        elif isinstance(event, Outdated):
+            self._let_go(now, event.channel, "")
+        elif isinstance(event, NeedPayload):
+            self.replica.payload(now, event.digest, self._port.payload(event.digest))
+        elif isinstance(event, Freeze):
+            out = [one for one in self._port.out() if self._channel.get(one) == event.channel]
+            self.handoff.frozen(now, event.channel, out)
+        elif isinstance(event, ReleaseLease):
+            self._holder.release(now, event.channel)
+        elif isinstance(event, WantLease):
+            self._holder.want(now, event.channel, event.floor)
+        elif isinstance(event, LeaveLease):
+            self._holder.release(now, event.channel)
+        elif isinstance(event, HandedOn):
+            sessions = len(self._sessions.get(event.channel, ()))
+            self._out.add(Changed(event.channel, event.fence, "handed", sessions, event.heir))
+            self._let_go(now, event.channel, event.heir)
+        elif isinstance(event, TakenBack):
+            standings = {one.session: one for one in event.standings}
+            self._let_go(now, event.channel, "")
+            self._begin(now, event.channel, event.fence, standings, 0.0)
+        else:
+            assert isinstance(event, Copied | Finished | OverlapOver | HandedOver | NoHeir | Lapsed)
+
+    def _claim(self, channel: str, fence: int, box: int) -> None:
+        def then(now: float, claimed: Claimed) -> None:
+            self.handoff.claimed(now, channel, claimed)
+            self._run(now)
+            self._wake()
+
+        self._port.claim(box, channel, fence, then)
+
+    # --- pieces: leases that come and go ---
+
+    def _got(self, now: float, channel: str, fence: int) -> None:
+        tried = self._tries.pop(channel, None)
+        self._fences[channel] = fence
+        if self.handoff.leased(now, channel, fence):
+            self._run(now)
+            return
+        if channel in self._sessions:  # held already: a box knew a higher fence
+            self.replica.own(now, channel, fence, self._sessions[channel].values())
+            self._begin(now, channel, fence, self._sessions[channel], 0.0)
+            return
+        copy = self.replica.copy(channel) if tried is not None else None
+        if copy is not None and tried is not None:
+            self._turns[channel] = (now + tried.after_ms, fence)
+        elif self._mine(channel) and not self._leaving:
+            self._own(now, channel, fence)
+        else:
+            self._holder.release(now, channel)
+
+    def _turn(self, now: float, channel: str, fence: int) -> None:
+        """The lease has been here for a while, so that not all channels are claimed in one moment."""
+        lease, copy = self._holder.holds(now, channel), self.replica.copy(channel)
+        if lease is not None and lease.fence == fence and copy is not None:
+            self._begin(now, channel, fence, dict(copy.standings), copy.age_ms(now))
+
+    def _begin(
+        self, now: float, channel: str, fence: int, standings: Mapping[str, Standing], age_ms: float
+    ) -> None:
+        self.handoff.takeover.begin(now, channel, fence, standings, listed=self._port.boxes(), age_ms=age_ms)
+        self._run(now)
+
+    def _own(self, now: float, channel: str, fence: int) -> None:
+        self._sessions.setdefault(channel, {})
+        self._fences[channel] = fence
+        self.replica.own(now, channel, fence, self._sessions[channel].values())
+        self.replica.standbys(now, channel, self._standbys(channel))
+
+    def _lost(self, now: float, channel: str, fence: int, why: str) -> None:
+        if why in ("released", "handed"):
+            return
+        self.handoff.lost(now, channel)
+        self._turns.pop(channel, None)
+        standings = self._sessions.get(channel)
+        if standings is None:
+            return
+        self._out.add(Changed(channel, fence, "lost", len(standings), why))
+        if why == "taken" or self._leaving:
+            self._let_go(now, channel, "")
+            return
+        # Lapsed, and perhaps nobody else's, as when no keeper can be reached: what stands is kept and its
+        # viewers are answered, but nothing is steered until the lease is back, or another has it.
+        self.replica.cede(now, channel)
+        if standings or self._mine(channel):
+            self._holder.want(now, channel, fence)
+        else:
+            del self._sessions[channel]
+
+    def _let_go(self, now: float, channel: str, to: str) -> None:
+        """All of a channel is another's, or nobody's: neither boxes nor viewers are told anything."""
+        self._new.discard(channel)
+        for session in list(self._sessions.pop(channel, {})):
+            self._port.let_go(now, session)
+            self._forget(session)
+            if to:
+                self._gone[session] = (to, now + self.rules.gone_ms)
+                if len(self._gone) > self.rules.gone_most:
+                    del self._gone[next(iter(self._gone))]
+            self._out.add(Yields(session, to))
+        self.replica.cede(now, channel)
+
+    # --- pieces: what is inherited ---
+
+    def _inherited(self, now: float, event: Inherited) -> None:
+        self._own(now, event.channel, event.fence)
+        self._new.add(event.channel)
+
+    def _settled(self, now: float, event: Settled) -> None:
+        held = self._sessions.get(event.channel)
+        if held is None:
+            return
+        for standing in event.take:
+            self._take(now, event.channel, held, standing)
+        if event.channel in self._new:
+            self._new.discard(event.channel)
+            self._out.add(Changed(event.channel, event.fence, "inherited", len(event.take)))
+        for session in event.over:
+            self.replica.end(now, event.channel, session)
+        for box, session, attempt in event.give_up:
+            under = (event.channel, event.fence)
+            self._port.release(now, box, session, attempt, "nobody can prove that it is wanted", under)
+
+    def _take(self, now: float, channel: str, held: dict[str, Standing], standing: Standing) -> None:
+        session = standing.session
+        self._gone.pop(session, None)
+        if self._port.holds(session):
+            if self._channel.get(session) == channel:
+                held[session] = standing
+                return
+            # Its viewer came here meanwhile and it began anew: one of the two is too many.
+            under = (channel, self._fences.get(channel, 0))
+            self._port.release(now, standing.box, session, standing.attempt, "began anew", under)
+            self.replica.end(now, channel, session)
+            return
+        payload = self._port.payload(standing.payload) or self.replica.payload_of(standing.payload)
+        self._channel[session] = channel
+        held[session] = standing
+        if self._port.take_over(now, standing, payload):
+            self.replica.change(now, channel, standing)
+            self._out.add(Steers(session, self._fences.get(channel, 0)))
+        else:  # its box or its lesson is gone
+            self._forget(session)
+            held.pop(session, None)
+            self.replica.end(now, channel, session)
+
+    # --- pieces: looking around ---
+
+    def _look(self, now: float) -> None:
+        for channel in self._sessions:
+            self.replica.standbys(now, channel, self._standbys(channel))
+        lost = []
+        for channel in self.replica.copies():
+            copy = self.replica.copy(channel)
+            if copy is None or channel in self._tries or channel in self._turns:
+                continue
+            dead = copy.owner in self._dead and copy.owner not in self._fronts
+            if dead or copy.age_ms(now) > self.rules.stale_ms:
+                lost.append(copy)
+        self._try(now, lost)
+        for session in [one for one, (_, until) in self._gone.items() if until <= now]:
+            del self._gone[session]
+        # An inherited channel in which nothing stands any more is let go; the own ones are used again.
+        for channel, standings in list(self._sessions.items()):
+            busy = self.handoff.takeover.begun(channel) or channel in self._channel.values()
+            if not standings and not self._mine(channel) and not busy:
+                self._sessions.pop(channel)
+                self.replica.over(now, channel)
+                self._holder.release(now, channel)
+
+    def _try(self, now: float, lost: Iterable[Copy]) -> None:
+        """Asks for what these are copies of, where this front may inherit it; who is first asks first."""
+        ranks: dict[str, int] = {}
+        mine: dict[str, Copy] = {}
+        for copy in lost:
+            order = self._heirs(copy.channel, len(copy.standings))
+            if not self._leaving and copy.channel not in self._tries and copy.standings and self.me in order:
+                ranks[copy.channel], mine[copy.channel] = order.index(self.me), copy
+        losses = [
+            Loss(
+                channel, len(copy.standings), tuple({one.box for one in copy.standings.values()}),
+                copy.age_ms(now),
+            )
+            for channel, copy in mine.items()
+        ]  # fmt: skip
+        for turn in spread(0.0, losses, self.rules.spread, self._seed, max(len(self._fronts), 1)):
+            wait = wait_ms(ranks[turn.channel], self.rules.heirs)
+            self._tries[turn.channel] = _Try(mine[turn.channel].owner, now + wait, turn.at)
+
+    def _drop_try(self, now: float, channel: str) -> None:
+        tried = self._tries.pop(channel, None)
+        if tried is not None and tried.asked:
+            self._holder.release(now, channel)
+
+    def _heirs(self, channel: str, sessions: int) -> list[str]:
+        fit = [one for one in self._fronts.values() if one.name != self.me or not self._leaving]
+        keepers = set(self._standbys(channel))
+        named = [
+            Candidate(one.name, one.load, one.age_ms, one.late, one.leaving, one.name in keepers)
+            for one in fit
+        ]
+        return heirs(channel, named, self.rules.heirs, max(sessions, 1))
+
+    def _standbys(self, channel: str) -> list[str]:
+        others = [one for one in self._fronts.values() if one.name != self.me]
+        return standbys(channel, others, self.rules.copies)
+
+    def _mine(self, channel: str) -> bool:
+        cut = parse(channel)
+        return cut is not None and (cut.front, cut.life) == (self.me, self.life)
+
+    def _forget(self, session: str) -> str | None:
+        return self._channel.pop(session, None)
+
+    def _release_by(self, now: float, session: str, channel: str) -> None:
+        """For a while what is over here may still be released at its box, under this channel's fence."""
+        self._last[session] = (channel, now + self.rules.release_ms)
+        self._last.move_to_end(session)
+        while self._last and next(iter(self._last.values()))[1] <= now:
+            self._last.popitem(last=False)
+        if len(self._last) > self.rules.gone_most:
+            self._last.popitem(last=False)
+
+    def _copy_with(self, session: str) -> Copy | None:
+        for channel in self.replica.copies():
+            copy = self.replica.copy(channel)
+            if copy is not None and session in copy.standings:
+                return copy
+        return None
--- /dev/null
+++ b/fernweir/peers/peer.py
@@ -0,0 +1,363 @@
+"""One front among its peers: joins the parts, and is itself a state machine without I/O or clock.
+
+Messages go to the part whose kind they are, events from one part to those that need them. What is decided
+is decided in the parts; what is done to the front goes through its port. `take` gives what is to be sent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from fernweir.peers.acts.messages import KINDS as ACT_KINDS
+from fernweir.peers.acts.rules import ActRules
+from fernweir.peers.acts.versions import Versions
+from fernweir.peers.base import Address, Effect, Event, Message, Part
+from fernweir.peers.channel.directory import Directory, Found
+from fernweir.peers.channel.heirs import Candidate
+from fernweir.peers.channel.messages import KINDS as CHANNEL_KINDS
+from fernweir.peers.channel.messages import Registered, There, Unregistered, Where
+from fernweir.peers.channel.rules import DirectoryRules
+from fernweir.peers.facts.messages import KINDS as FACT_KINDS
+from fernweir.peers.facts.rules import FactRules
+from fernweir.peers.facts.store import Facts
+from fernweir.peers.facts.table import Changed as FactChanged
+from fernweir.peers.finding import FindRules, Seeking, between_owners, place, unreachable
+from fernweir.peers.forward.desk import Answered, Forward, ForwardRules, Wanted
+from fernweir.peers.forward.messages import KINDS as FORWARD_KINDS
+from fernweir.peers.forward.messages import Carried, Carry
+from fernweir.peers.lease.events import Got, Lost, Renewed, Taken
+from fernweir.peers.lease.holder import Holder
+from fernweir.peers.lease.keeper import Keeper
+from fernweir.peers.lease.messages import KINDS as LEASE_KINDS
+from fernweir.peers.lease.rules import KeeperSet, LeaseRules
+from fernweir.peers.members.detector import Members
+from fernweir.peers.members.events import Clash, Cleared, Died, Joined, Left, Me, Suspected
+from fernweir.peers.members.messages import KINDS as MEMBER_KINDS
+from fernweir.peers.members.rules import MemberRules
+from fernweir.peers.owning import Changed, Owning, OwningRules, Steers, Yields
+from fernweir.peers.port import Act, Deed, Port, Standing
+from fernweir.peers.recording import Recording, Trouble
+
+KINDS = (MEMBER_KINDS, FACT_KINDS, LEASE_KINDS, CHANNEL_KINDS, FORWARD_KINDS, ACT_KINDS)
+_DIRECTORY = (Registered, Unregistered, Where, There)
+_LOAD, _HEAD = "load", "acts.head"
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """What a front says of itself for the choice of heirs: sessions held, ms since start, if it leaves."""
+
+    sessions: int
+    age_ms: float
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRules:
+    """Times in ms. `load_ms` is how often a front says how loaded it is."""
+
+    keepers: tuple[str, ...]
+    load_ms: float = 1_000.0
+    members: MemberRules = field(default_factory=MemberRules)
+    facts: FactRules = field(default_factory=FactRules)
+    lease: LeaseRules = field(default_factory=LeaseRules)
+    owning: OwningRules = field(default_factory=OwningRules)
+    directory: DirectoryRules = field(default_factory=DirectoryRules)
+    forward: ForwardRules = field(default_factory=ForwardRules)
+    finding: FindRules = field(default_factory=FindRules)
+    acts: ActRules = field(default_factory=ActRules)
+
+
+@dataclass(frozen=True, slots=True)
+class Told(Event):
+    """Something for the log of the front: what happened, and its figures."""
+
+    text: str
+    fields: Mapping[str, object] = field(default_factory=dict)
+
+
+class Peer:
+    """`changed` is called when there is something to take though the driver did not call.
+
+    `versions` are those this front begins with, `wall_ms` how far the wall clock is ahead of `now`.
+    """
+
+    def __init__(
+        self, me: Me, rules: PeerRules, port: Port, seed: int, now: float, changed: Callable[[], None],
+        versions: Versions, wall_ms: Callable[[], float],
+    ) -> None:  # fmt: skip
+        self.me, self.rules, self._port = me, rules, port
+        self._born = now
+        self._now = now
+        self._out: list[Effect] = []
+        sets = (KeeperSet(1, rules.keepers),)
+        self.members = Members(me, rules.members, seed)
+        self.facts = Facts(me.name, me.life, rules.facts, seed)
+        self.holder = Holder(me.name, me.life, rules.lease, seed, sets)
+        self.keeper = Keeper(me.name, me.life, rules.lease, now, sets) if me.name in rules.keepers else None
+        self.owning = Owning(me.name, me.life, rules.owning, self.holder, port, seed, changed)
+        self.directory = Directory(me.name, me.life, rules.directory, seed)
+        self.forward = Forward(rules.forward)
+        self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms)
+        self._seeking: dict[str, list[Seeking]] = {}
+        self._carried: dict[int, Seeking] = {}
+        self._load_at = now
+        self._started = self._leaving = False
+        self._changed = changed
+        port.listen(self)
+
+    # --- the front's program ---
+
+    def start(self, now: float, seeds: Sequence[Address]) -> None:
+        self.members.join(now, seeds)
+        self.owning.start(now)
+        self._started = True
+        self._settle(now)
+
+    def stood(self, now: float, late_ms: float) -> None:
+        """The driver's timer came this late: this front stood still, or is slow."""
+        self.members.stood(now, late_ms)
+
+    def leave(self, now: float) -> None:
+        """Hands on what stands here; `left` says when that is done, `go` ends."""
+        self._leaving = True
+        self._say_load(now)
+        self.owning.leave(now)
+        self._settle(now)
+
+    @property
+    def left(self) -> bool:
+        return self.owning.left
+
+    def go(self, now: float) -> None:
+        self.recording.close(now)
+        self.members.leave(now)
+        self._settle(now)
+
+    def fence(self, now: float, session: str) -> tuple[str, int] | None:
+        return self.owning.fence(now, session)
+
+    def find(self, now: float, request: Carry, then: Callable[[float, Carried | None], None]) -> None:
+        """Answers a request for a session not held here; `then` is called once: None if it may begin here."""
+        seeking = Seeking(request, now, then)
+        if not self._place(now, seeking, None, asked=False):
+            waiting = self._seeking.setdefault(request.session, [])
+            waiting.append(seeking)
+            if len(waiting) == 1:
+                self.directory.find(now, request.session)
+        self._settle(now)
+
+    # --- the driver ---
+
+    def heard(self, now: float, sender: str, life: int, message: Message) -> None:
+        self._route(now, sender, message)
+        self._settle(now)
+
+    def tick(self, now: float) -> None:
+        if now >= self._load_at:
+            self._load_at = now + self.rules.load_ms
+            self._say_load(now)
+            self._look(now)
+        for part in self._parts():
+            part.tick(now)
+        self._settle(now)
+
+    def next_due(self) -> float | None:
+        dues = [self._load_at, *(part.next_due() for part in self._parts())]
+        return min((due for due in dues if due is not None), default=None)
+
+    def take(self) -> list[Effect]:
+        """What is to be sent, and what is to be logged."""
+        self._settle(self._now)
+        out, self._out = self._out, []
+        return out
+
+    # --- the front's listener ---
+
+    def stands(self, now: float, standing: Standing) -> None:
+        self.owning.stands(now, standing)
+        under = self.owning.fence(now, standing.session)
+        self.directory.register(now, standing.session, under[1] if under is not None else 0)
+        self._changed()
+
+    def over(self, now: float, session: str) -> None:
+        self.owning.over(now, session)
+        self.directory.unregister(now, session)
+        self._changed()
+
+    def acted(self, act: Act) -> None:
+        self.recording.add(act)
+        if act.deed is Deed.SETUP:
+            # From here on nobody else may set it up: told before the first byte leaves.
+            self.owning.placed(act.at, act.session)
+            self.directory.register(act.at, act.session)
+            self._changed()
+
+    def list_told(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
+        self.recording.list_told(rows, told_at)
+
+    # --- pieces ---
+
+    def _parts(self) -> list[Part]:
+        parts: list[Part] = [
+            self.members, self.facts, self.holder, self.owning, self.directory, self.forward, self.recording,
+        ]  # fmt: skip
+        return parts if self.keeper is None else [*parts, self.keeper]
+
+    def _route(self, now: float, sender: str, message: Message) -> None:
+        kind = type(message)
+        if kind in MEMBER_KINDS:
+            self.members.heard(now, sender, message)
+        elif kind in FACT_KINDS:
+            self.facts.heard(now, sender, message)
+        elif kind in LEASE_KINDS:
+            self.holder.heard(now, sender, message)
+            if self.keeper is not None:
+                self.keeper.heard(now, sender, message)
+        elif kind in _DIRECTORY:
+            self.directory.heard(now, sender, message)
+        elif kind in CHANNEL_KINDS:
+            self.owning.heard(now, sender, message)
+        elif kind in FORWARD_KINDS:
+            self.forward.heard(now, sender, message)
+        elif kind in ACT_KINDS:
+            self.recording.heard(now, sender, message)
+
+    def _settle(self, now: float) -> None:
+        """Carries events from part to part until none is left; what is for oneself is heard at once."""
+        self._now = max(self._now, now)
+        while True:
+            self.owning.run(now)
+            effects = [effect for part in self._parts() for effect in part.take()]
+            head = self.recording.new_head(now)
+            if head is not None:
+                self.facts.put(now, _HEAD, head)
+            if not effects:
+                return
+            for effect in effects:
+                if isinstance(effect, Event):
+                    self._do(now, effect)
+                elif effect.to == self.me.name:
+                    self._route(now, self.me.name, effect.message)
+                else:
+                    self._out.append(effect)
+
+    def _do(self, now: float, event: Event) -> None:
+        if isinstance(event, Got | Renewed | Lost | Taken):
+            self.owning.lease(now, event)
+        elif isinstance(event, Joined):
+            self._members_changed(now)
+            self._tell("peer joined", name=event.name)
+        elif isinstance(event, Died | Left):
+            self._gone(now, event.name, event.life, isinstance(event, Died))
+        elif isinstance(event, Clash):
+            self._tell("another front has this name", address=f"{event.address[0]}:{event.address[1]}")
+        elif isinstance(event, Steers):
+            self.directory.register(now, event.session, event.fence)
+        elif isinstance(event, Yields):
+            self.directory.unregister(now, event.session)
+        elif isinstance(event, Changed):
+            self._tell(
+                f"channel {event.what}", channel=event.channel, fence=event.fence, sessions=event.sessions,
+                other=event.other,
+            )  # fmt: skip
+        elif isinstance(event, Found):
+            for seeking in self._seeking.pop(event.session, []):
+                self._place(now, seeking, event.owner, asked=True)
+        elif isinstance(event, Wanted):
+            self._carry_out(event)
+        elif isinstance(event, Answered):
+            carried = self._carried.pop(event.number, None)
+            if carried is not None:
+                self._answer(now, carried, event)
+        elif isinstance(event, FactChanged):
+            if event.fact.key == _HEAD:
+                self.recording.heard_head(now, event.owner, event.life, event.fact.value)
+        elif isinstance(event, Trouble):
+            text = f"record of acts {type(event).__name__.lower()}"
+            self._tell(text, owner=event.owner, life=event.life)
+        elif isinstance(event, Suspected | Cleared):
+            self._tell("peer suspected" if isinstance(event, Suspected) else "peer cleared", name=event.name)
+
+    def _tell(self, text: str, **fields: object) -> None:
+        self._out.append(Told(text, fields))
+
+    # --- pieces: members ---
+
+    def _members_changed(self, now: float) -> None:
+        alive = self.members.alive()
+        others = [name for name in alive if name != self.me.name]
+        self.facts.peers(now, others)
+        lives = {name: self.members.life(name) for name in alive}
+        self.directory.members(now, lives)
+        self.recording.members(now, lives)
+        self._look(now)
+
+    def _gone(self, now: float, name: str, life: int, died: bool) -> None:
+        if name in self.members.alive() and self.members.life(name) != life:
+            return  # an earlier life, after the present one was known
+        self._members_changed(now)
+        self.owning.died(now, name)
+        self.forward.gone(now, name)
+        self.recording.gone(now, name)
+        self._tell("peer died" if died else "peer left", name=name)
+
+    def _look(self, now: float) -> None:
+        self.owning.fronts(now, [self._candidate(now, name) for name in self.members.alive()])
+
+    def _candidate(self, now: float, name: str) -> Candidate:
+        if name == self.me.name:
+            return Candidate(name, self._port.load(), now - self._born, leaving=self._leaving)
+        fact = self.facts.get(name, _LOAD)
+        if fact is None:
+            return Candidate(name, 0, 0.0)
+        try:
+            load = msgspec.msgpack.decode(fact.value, type=Load)
+        except msgspec.DecodeError:
+            return Candidate(name, 0, 0.0)
+        age = load.age_ms + max(now - fact.at, 0.0)
+        return Candidate(name, max(load.sessions, 0), max(age, 0.0), leaving=load.leaving)
+
+    def _say_load(self, now: float) -> None:
+        load = Load(self._port.load(), now - self._born, self._leaving)
+        self.facts.put(now, _LOAD, msgspec.msgpack.encode(load), urgent=self._leaving)
+
+    # --- pieces: requests for sessions held elsewhere ---
+
+    def _place(self, now: float, seeking: Seeking, registered: str | None, *, asked: bool) -> bool:
+        """Whether the request's place is known; it is on its way there, or answered, then."""
+        session, rules = seeking.request.session, self.rules.finding
+        alive = self.members.alive()
+        to = place(
+            rules, me=self.me.name, alive=alive.__contains__, hint=self.owning.whereabouts(now, session),
+            between=self.owning.between(session), registered=registered, asked=asked,
+        )  # fmt: skip
+        if to is None:
+            return False
+        number = seeking.request.number
+        if to.front:
+            wait = seeking.request.wait_ms - (now - seeking.since)
+            request = msgspec.structs.replace(seeking.request, wait_ms=max(wait, 0.0))
+            if self.forward.ask(now, to.front, request):
+                self._carried[number] = seeking
+            else:
+                seeking.then(now, unreachable(rules, number))
+        else:
+            seeking.then(now, between_owners(rules, number) if to.wait_ms else None)
+        return True
+
+    def _answer(self, now: float, seeking: Seeking, event: Answered) -> None:
+        answer = event.answer
+        if answer is None:
+            answer = unreachable(self.rules.finding, event.number)
+        seeking.then(now, None if answer.kind == "none" else answer)
+
+    def _carry_out(self, event: Wanted) -> None:
+        def then(now: float, carried: Carried) -> None:
+            self.forward.answer(now, event.sender, event.request.number, carried)
+            self._changed()
+
+        self._port.carry(event.request, then)
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
@@ -72,8 +72,11 @@
 
     def acted(self, act: Act) -> None: ...
 
-    def list_told(self, now: float, digest: bytes, told_at: float) -> None:
-        """The list of boxes now has this content; `told_at` is wall ms."""
+    def list_told(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
+        """The list of boxes now has this content: each box's number, and what is said of it, as plain values.
+
+        Lessons stand under numbers of their own, below 0. `told_at` is wall ms.
+        """
 
 
 class Port(Protocol):
@@ -87,6 +90,12 @@
     def load(self) -> int:
         """Sessions held."""
 
+    def out(self) -> list[str]:
+        """Sessions of which an attempt is out."""
+
+    def holds(self, session: str) -> bool:
+        """Whether it is held here, in whatever phase."""
+
     def boxes(self) -> list[int]:
         """All boxes that the list names now."""
 
@@ -99,16 +108,18 @@
     def let_go(self, now: float, session: str) -> bool:
         """The session is another's from now on: nothing is said to its box or its viewers."""
 
-    def release(self, now: float, box: int, session: str, attempt: int, why: str) -> None:
-        """Takes back what runs at a box, which no front can prove to be wanted."""
+    def release(
+        self, now: float, box: int, session: str, attempt: int, why: str, under: tuple[str, int]
+    ) -> None:
+        """Takes back what runs at a box and is no session of this front's, by its channel and fence."""
 
     def hold_back(self, why: str, wait_ms: float) -> None:
         """No new session is taken, each refused with that reason and wait; an empty reason ends it."""
 
-    def carry(self, request: Carry, then: Callable[[Carried], None]) -> None:
+    def carry(self, request: Carry, then: Callable[[float, Carried], None]) -> None:
         """A request that came to another front, for a session that is held here; `then` is called once."""
 
-    def claim(self, box: int, channel: str, fence: int, then: Callable[[Claimed], None]) -> None:
+    def claim(self, box: int, channel: str, fence: int, then: Callable[[float, Claimed], None]) -> None:
         """Tells a box that this front owns a channel under a fence; `then` is called once, later."""
 
 
--- /dev/null
+++ b/fernweir/peers/program.py
@@ -0,0 +1,185 @@
+"""The shell of a front's peers: links, one timer, and the way between the front's core and `Peer`."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from fernweir.config.front import FrontConfig
+from fernweir.config.ini import ConfigError, Problem
+from fernweir.config.peers import PeersSection
+from fernweir.front.commands import Answer, Ask
+from fernweir.front.core import Core
+from fernweir.front.peering import Peering
+from fernweir.interface import Settings
+from fernweir.peers.base import Address, Message, Send
+from fernweir.peers.forward.messages import Carried, Carry
+from fernweir.peers.link.links import Links
+from fernweir.peers.link.rules import Identity
+from fernweir.peers.members.events import Me
+from fernweir.peers.peer import KINDS, Peer, Told
+from fernweir.peers.settings import first_versions, formats, link_rules, peer_rules
+from fernweir.peers.wire.codec import Codec, common
+from fernweir.peers.wire.keys import KeyFileError, read_key
+from fernweir.tokens import Keyring
+
+_LATE_MS = 50.0  # a timer's lateness below this is the loop's usual
+_LEAVE_POLL_S = 0.01
+
+
+def read_keys(section: PeersSection, folder: Path) -> list[bytes]:
+    """The fleet keys that the section names. ConfigError when they can't be had."""
+    keys = []
+    for key, name in (("key", section.key), ("old-key", section.old_key)):
+        if name is not None:
+            try:
+                keys.append(read_key(folder / name))
+            except KeyFileError as error:
+                raise ConfigError(str(folder / name), [Problem("peers", key, 0, str(error))]) from None
+    return keys
+
+
+class Peers:
+    """A running front's peers. Also who finds sessions for it, and under which fence it steers."""
+
+    def __init__(self, core: Core, port: Peering, settings: Settings) -> None:
+        self._core, self._port, self._settings = core, port, settings
+        self.links: Links
+        self.peer: Peer
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._pumping = self._stopped = False
+
+    @classmethod
+    async def start(
+        cls, core: Core, port: Peering, config: FrontConfig, keyring: Keyring,
+        wall_ms: Callable[[], float], nonce: Callable[[int], bytes] = os.urandom,
+    ) -> Peers:  # fmt: skip
+        """Listens and joins. ConfigError if the key can't be read, OSError if the address can't be had."""
+        section, name, seed = config.peers, config.front.name, config.front.seed
+        assert section is not None
+        peers = cls(core, port, config.settings)
+        spoken, life = formats(section), int(wall_ms())
+        identity = Identity(name, life, read_keys(section, config.folder), nonce, spoken)
+        peers.links = await Links.start(
+            section.listen, identity, Codec(KINDS, spoken), peers._address, peers._heard,
+            rules=link_rules(section), seed=seed, format_of=peers._format, on_stale=peers._stale,
+        )  # fmt: skip
+        host, number = section.advertised
+        me = Me(name, (host, number or peers.links.address[1]), life, spoken)
+        peers.peer = Peer(
+            me, peer_rules(section), port, seed, core.now(), peers.kick, first_versions(config, keyring),
+            lambda: wall_ms() - core.now(),
+        )  # fmt: skip
+        core.owner = core.finder = peers
+        seeds: list[Address] = [seed for seed in section.seeds if seed != me.address]
+        peers.peer.start(core.now(), seeds)
+        peers.kick()
+        return peers
+
+    async def leave(self, within_s: float) -> bool:
+        """Hands on what stands here, then tells the others; False if some of it found no heir in time."""
+        self.peer.leave(self._core.now())
+        self.kick()
+        end = self._core.loop.time() + within_s
+        while not self.peer.left and self._core.loop.time() < end:
+            await asyncio.sleep(_LEAVE_POLL_S)
+        left = self.peer.left
+        self.peer.go(self._core.now())
+        self._pump()
+        return left
+
+    async def stop(self) -> None:
+        self.cut()
+        await self.links.stop()
+
+    def cut(self) -> None:
+        """Ends at once; what was to be sent may not be."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    # --- core.Owner, core.Finder ---
+
+    def fence(self, jti: str) -> tuple[str, int] | None:
+        return self.peer.fence(self._core.now(), jti)
+
+    def ask(self, ask: Ask, then: Callable[[Answer | None], None]) -> None:
+        def end(now: float, carried: Carried | None) -> None:
+            then(None if carried is None else self._port.answer(ask, carried))
+
+        request = Carry(
+            self.peer.forward.number(), "ask", ask.jti, ask.via, ask.who, ask.title_name,
+            self._settings.classes[ask.cls].name, ask.top_rung, ask.tenant, ask.wait_ms,
+        )  # fmt: skip
+        self.peer.find(self._core.now(), request, end)
+        self.kick()
+
+    def tell(self, jti: str, what: str, then: Callable[[bool], None]) -> None:
+        def end(now: float, carried: Carried | None) -> None:
+            then(carried is not None and carried.kind == "done")
+
+        request = Carry(
+            self.peer.forward.number(), what, jti, "", "", "", "", 0, "", self._core.host.limits.held_retry_ms
+        )
+        self.peer.find(self._core.now(), request, end)
+        self.kick()
+
+    # --- the links ---
+
+    def _address(self, name: str) -> Address | None:
+        return self.peer.members.address(name)
+
+    def _format(self, name: str) -> int | None:
+        member = self.peer.members.table().get(name)
+        mine = self.peer.me.formats
+        return mine[0] if member is None else common(mine, member.formats)
+
+    def _heard(self, sender: str, life: int, message: Message) -> None:
+        self.peer.heard(self._core.now(), sender, life, message)
+        self.kick()
+
+    def _stale(self, sender: str, life: int, newest: int) -> None:
+        self._core.log.info("peer sends under an old life", name=sender, life=life, newest=newest)
+
+    # --- time ---
+
+    def kick(self) -> None:
+        """Something may be there to be sent: once for all that happens in this turn of the loop."""
+        if not self._pumping and not self._stopped:
+            self._pumping = True
+            self._core.loop.call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self._pumping = False
+        if self._stopped:
+            return
+        now = self._core.now()
+        due = self.peer.next_due()
+        if due is not None and due <= now:
+            self.peer.tick(now)
+        for effect in self.peer.take():
+            if isinstance(effect, Send):
+                self.links.send(effect)
+            elif isinstance(effect, Told):
+                self._core.log.info(effect.text, **effect.fields)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        due = self.peer.next_due()
+        if due is None or self._stopped or (self._timer is not None and self._timer_at <= due):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = max(due, self._core.now())
+        # As in `Core`: a microsecond late, so that it never wakes just before what is due.
+        self._timer = self._core.loop.call_at(self._timer_at / 1000.0 + 1e-6, self._due)
+
+    def _due(self) -> None:
+        self._timer = None
+        now = self._core.now()
+        if now - self._timer_at > _LATE_MS:
+            self.peer.stood(now, now - self._timer_at)
+        self._pump()
--- /dev/null
+++ b/fernweir/peers/recording.py
@@ -0,0 +1,119 @@
+"""The record of a front among its peers: its acts with the versions they rested on, copies, and questions.
+
+Joins the parts of `acts`: what is added to the chain, who holds copies, what heads are spread. Nothing is
+decided here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from msgspec.structs import replace
+
+from fernweir.peers.acts.chain import Chain
+from fernweir.peers.acts.clock import Clocks
+from fernweir.peers.acts.copies import Copies
+from fernweir.peers.acts.heads import Missing, Shortened, Tampered
+from fernweir.peers.acts.merge import Answer, Answered
+from fernweir.peers.acts.messages import Ask, Keep, Kept, Piece, Ping, Pong
+from fernweir.peers.acts.plan import Question
+from fernweir.peers.acts.questions import Questions
+from fernweir.peers.acts.rules import ActRules
+from fernweir.peers.acts.store import Store
+from fernweir.peers.acts.versions import Versions, boxes_digest
+from fernweir.peers.base import Effect, Event, Message, Outbox
+from fernweir.peers.port import Act
+
+Trouble = Missing | Shortened | Tampered
+
+
+class Recording:
+    """`wall_ms` gives how far the wall clock is ahead. Events: `Missing`, `Shortened`, `Tampered`."""
+
+    def __init__(
+        self, me: str, life: int, rules: ActRules, seed: int, versions: Versions, wall_ms: Callable[[], float]
+    ) -> None:
+        self.versions = versions
+        self._wall_ms = wall_ms
+        self._out = Outbox()
+        self.chain = Chain(me, life, rules)
+        self.store = Store(me, rules)
+        self.copies = Copies(me, life, rules, self.chain, self.store)
+        self.clocks = Clocks(me, life, rules, seed)
+        self.questions = Questions(me, life, rules, seed, self.copies, self.clocks)
+        self._asked: dict[int, Callable[[Answer], None]] = {}
+        self._head = b""
+
+    def add(self, act: Act) -> None:
+        self.chain.add(act, self.versions)
+
+    def list_told(self, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
+        """The list of boxes has this content from now on."""
+        self.versions = replace(self.versions, boxes=boxes_digest(rows), boxes_told_at=max(int(told_at), 0))
+
+    def members(self, now: float, lives: Mapping[str, int]) -> None:
+        self.copies.members(now, lives)
+        self.clocks.peers(now, lives)
+
+    def gone(self, now: float, name: str) -> None:
+        self.questions.gone(now, name)
+
+    def ask(
+        self, now: float, question: Question, fronts: Mapping[str, int], then: Callable[[Answer], None]
+    ) -> bool:
+        """`then` is called once, at the question's deadline at the latest. False if too many run."""
+        number = self.questions.ask(now, question, fronts, self._wall_ms())
+        if number is not None:
+            self._asked[number] = then
+        return number is not None
+
+    def new_head(self, now: float) -> bytes | None:
+        """What is to be spread of the chain's end, if that has changed."""
+        if (self.chain.digest, self.chain.final) == (self._head, False):
+            return None
+        self._head = self.chain.digest
+        return self.copies.head(now)
+
+    def heard_head(self, now: float, owner: str, life: int, data: bytes) -> None:
+        self.copies.heard_head(now, owner, life, data)
+
+    def close(self, now: float) -> None:
+        """The front ends in order: its last block says so."""
+        self.copies.flush(now, final=True)
+
+    # --- base.Part ---
+
+    def heard(self, now: float, sender: str, message: Message) -> None:
+        if isinstance(message, Keep | Kept):
+            self.copies.heard(now, sender, message)
+        elif isinstance(message, Ping | Pong):
+            self.clocks.heard(now, sender, message)
+        elif isinstance(message, Ask | Piece):
+            self.questions.heard(now, sender, message)
+
+    def tick(self, now: float) -> None:
+        self.chain.wall(now, round(self._wall_ms()), _WALL_DOUBT_MS)
+        self.copies.tick(now)
+        self.clocks.tick(now)
+        self.questions.tick(now)
+
+    def next_due(self) -> float | None:
+        dues = (self.copies.next_due(), self.clocks.next_due(), self.questions.next_due())
+        return min((due for due in dues if due is not None), default=None)
+
+    def take(self) -> list[Effect]:
+        effects = self.copies.take() + self.clocks.take() + self.questions.take()
+        for effect in effects:
+            if not isinstance(effect, Event):
+                self._out.add(effect)
+            elif isinstance(effect, Answered):
+                then = self._asked.pop(effect.id, None)
+                if then is not None:
+                    then(effect.answer)
+            else:
+                self._out.add(effect)
+        return self._out.take()
+
+
+_WALL_DOUBT_MS = 1.0  # between two readings of the clocks; what the wall clock is worth is not known here
--- /dev/null
+++ b/fernweir/peers/settings.py
@@ -0,0 +1,68 @@
+"""The parts' rules from the `[peers]` section: nothing is decided here that the section does not say."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from fernweir import VERSION
+from fernweir.config.front import FrontConfig
+from fernweir.config.peers import PeersSection
+from fernweir.peers.acts.versions import Versions, keys_digest, settings_digest
+from fernweir.peers.channel.rules import HandoffRules, ReplicaRules, TakeoverRules
+from fernweir.peers.facts.rules import FactRules
+from fernweir.peers.lease.rules import LeaseRules
+from fernweir.peers.link.rules import LinkRules
+from fernweir.peers.owning import OwningRules
+from fernweir.peers.peer import PeerRules
+from fernweir.tokens import Keyring
+
+# What differs from front to front in settings that are otherwise the same.
+_OWN = (
+    "front.name", "front.listen", "front.public-url", "front.ordinal", "front.seed", "front.record",
+    "list.cache", "control.socket", "control.orders", "control.journal", "entitlement.ledger",
+    "peers.listen", "peers.advertise", "peers.seeds", "peers.epoch",
+)  # fmt: skip
+FORMATS = (1, 1)  # of messages, that this version speaks
+_FACTS_SHARE = 0.25  # of the bytes a second that all peers together are sent
+
+
+def formats(section: PeersSection) -> tuple[int, int]:
+    """Those that this front speaks, within what its version can."""
+    lowest = max(section.format_lowest or FORMATS[0], FORMATS[0])
+    return lowest, max(min(section.format_highest or FORMATS[1], FORMATS[1]), lowest)
+
+
+def first_versions(config: FrontConfig, keyring: Keyring) -> Versions:
+    """What a front acts on as it starts; it has been told no list yet."""
+    assert config.peers is not None
+    return Versions(
+        program=VERSION,
+        settings=settings_digest(config.sections, _OWN),
+        epoch=config.peers.epoch,
+        boxes=b"",
+        boxes_told_at=0,
+        keys=keys_digest(keyring.thumbprints()),
+        format=formats(config.peers)[1],
+    )
+
+
+def link_rules(section: PeersSection) -> LinkRules:
+    rate = section.bytes * 1_000.0
+    return replace(LinkRules(), rate=rate, burst=max(rate / 2.0, LinkRules().burst / 8.0))
+
+
+def peer_rules(section: PeersSection) -> PeerRules:
+    """A lease is renewed at a third of its span; a copy that is older than a lease is tried for."""
+    lease = LeaseRules(
+        lease_ms=section.lease, longest_ms=section.lease, drift=section.drift, renew_ms=section.lease / 3.0
+    )
+    owning = OwningRules(
+        parts=section.parts,
+        copies=section.standbys,
+        stale_ms=section.lease,
+        replica=replace(ReplicaRules(), drift=section.drift),
+        takeover=TakeoverRules(),
+        handoff=replace(HandoffRules(), overlap_ms=section.overlap, drift=section.drift),
+    )
+    facts = replace(FactRules(), rate=section.bytes * 1_000.0 * _FACTS_SHARE)
+    return PeerRules(keepers=tuple(section.keepers), lease=lease, owning=owning, facts=facts)
--- a/fernweir/tokens/keyring.py
+++ b/fernweir/tokens/keyring.py
@@ -98,6 +98,10 @@
     def ids(self) -> list[str]:
         return list(self._keys)
 
+    def thumbprints(self) -> list[tuple[str, bytes]]:
+        """Each key's id and thumbprint (RFC 7638)."""
+        return [(kid, key.thumbprint().encode()) for kid, (key, _) in self._keys.items()]
+
     @staticmethod
     def _import(member: Any, index: int) -> tuple[str, Key, str]:
         if not isinstance(member, dict) or not isinstance(member.get("kid"), str):
--- a/tests/test_peers_boxes.py
+++ b/tests/test_peers_boxes.py
@@ -56,7 +56,7 @@
         self.standings: dict[str, Standing] = {}
         self.ends: list[str] = []
         self.acts: list[object] = []
-        self.lists: list[bytes] = []
+        self.lists: list[object] = []
 
     def stands(self, now: float, standing: Standing) -> None:
         self.standings[standing.session] = standing
@@ -67,8 +67,8 @@
     def acted(self, act: object) -> None:
         self.acts.append(act)
 
-    def list_told(self, now: float, digest: bytes, told_at: float) -> None:
-        self.lists.append(digest)
+    def list_told(self, now: float, rows: object, told_at: float) -> None:
+        self.lists.append(rows)
 
 
 def test_a_session_goes_on_at_another_front_that_took_its_channel() -> None:
@@ -83,7 +83,7 @@
             told.append(_Told())
             port.listen(told[-1])
             ports.append(port)
-        assert ports[0].list_digest() == ports[1].list_digest()
+        assert ports[0].list_rows() == ports[1].list_rows() != []
         wish = scene.wish(play_s=30.0)
         path = "/lessons/lesson-0/manifest.mpd"
         reply = await scene.http("GET", path, wish)
@@ -94,7 +94,7 @@
         assert [str(act.deed) for act in told[0].acts] == ["setup"]  # type: ignore[attr-defined]
 
         claims: list[Claimed] = []
-        ports[1].claim(standing.box, "front-0:1/0", 6, claims.append)
+        ports[1].claim(standing.box, "front-0:1/0", 6, lambda now, claimed: claims.append(claimed))
         await until(lambda: bool(claims))
         assert claims[0].accepted and claims[0].sessions == ((wish.session, 0, standing.rung),)
         now = scene.fronts[1].core.now()
@@ -106,7 +106,9 @@
         again = await scene.http("GET", path, wish, front=1)
         assert again.status == 200 and len(scene.of("box.setup")) == 1
         claims.clear()
-        ports[0].claim(standing.box, "front-0:1/0", 5, claims.append)  # woken, and none the wiser
+        ports[0].claim(
+            standing.box, "front-0:1/0", 5, lambda now, claimed: claims.append(claimed)
+        )  # woken, and none the wiser
         await until(lambda: bool(claims))
         assert not claims[0].accepted and claims[0].fence == 6 and claims[0].sessions == ()
         assert scene.fronts[1].core.host.sessions == 1  # its stream of notes did not take it for lost
@@ -144,7 +146,7 @@
         assert (wish.session, 0) in box.sessions
         owner.under = None  # steering without a fence is refused as well
         host.session_over(front.core.now(), wish.session, 0, Result.OK)
-        client.drop(box.spec.number, wish.session, 0, "no fence")
+        client.drop(box.spec.number, wish.session, 0, "another's", ("front-0:1/0", 5))
         front.kill()
         began = box._loop.time()
         await until(lambda: box._loop.time() - began > 0.8)  # more than `orphan`: an heir may still come
