Claims say how long an old owner may still steer: none after an unplanned loss

Need: taking over as built asks boxes for no overlap where the old owner has no lease, so that what it had on its way changes nothing once a box has told its list. Boxes take the lesser of that and their own bound. Ruled out: the box's bound alone (a set-up of a dead owner that was on its way would begin a session nobody knows).

--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -125,14 +125,17 @@
         else:
             self.pool.request(origin, "GET", "/probe", done, timeout_s=self.times.probe_s)
 
-    def claim(self, box: int, channel: str, fence: int, done: Callable[[Reply], None]) -> None:
+    def claim(
+        self, box: int, channel: str, fence: int, overlap_ms: float, done: Callable[[Reply], None]
+    ) -> None:
         """Tells a box that this front owns a channel under a fence; `done` is called once, never at once."""
         origin = self.boxes.address(box)
         if origin is None:
             self.core.loop.call_soon(done, Reply(Outcome.REFUSED, detail="no address"))
             return
         target = f"/channels?channel={quote(channel, safe='')}"
-        self._call(origin, "PUT", target, done, json.dumps({"fence": fence}).encode())
+        body = json.dumps({"fence": fence, "overlap_ms": overlap_ms}).encode()
+        self._call(origin, "PUT", target, done, body)
 
     def drop(self, box: int, session: str, attempt: int, why: str, under: Under) -> None:
         """Takes back what runs at a box and is no session of this front's."""
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -106,11 +106,13 @@
     def hold_back(self, why: str, wait_ms: float) -> None:
         self._core.host.held_back = (why, wait_ms) if why else None
 
-    def claim(self, box: int, channel: str, fence: int, then: Callable[[float, Claimed], None]) -> None:
+    def claim(
+        self, box: int, channel: str, fence: int, overlap_ms: float, then: Callable[[float, Claimed], None]
+    ) -> None:
         def done(reply: Reply) -> None:
             then(self._core.now(), _claimed(box, reply))
 
-        self._client.claim(box, channel, fence, done)
+        self._client.claim(box, channel, fence, overlap_ms, done)
 
     def carry(self, request: Carry, then: Callable[[float, Carried], None]) -> None:
         core, number = self._core, request.number
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -114,7 +114,8 @@
         self._holder, self._port, self._wake = holder, port, changed
         self._out = Outbox()
         self.replica = Replica(me, rules.replica, seed)
-        self.handoff = Handoff(me, rules.handoff, seed, Takeover(rules.takeover), port.boxes)
+        takeover = Takeover(rules.takeover)
+        self.handoff = Handoff(me, rules.handoff, seed, takeover, port.boxes, self.replica.fence)
         self._sessions: dict[str, dict[str, Standing]] = {}  # of each channel held
         self._channel: dict[str, str] = {}  # of each session, also of one whose attempt is out
         self._last: OrderedDict[str, tuple[str, float]] = OrderedDict()  # of what is over, to release it by
@@ -170,13 +171,16 @@
 
     # --- what happens at the front ---
 
-    def placed(self, now: float, session: str) -> None:
+    def placed(self, now: float, session: str, box: int) -> None:
         """An attempt is about to leave: from here on it is in this front's channel, or in none."""
-        if session in self._channel:
+        known = self._channel.get(session)
+        if known is not None:
+            self.handoff.takeover.attempted(known, session, box)
             return
         channel = channel_of(self.me, self.life, session, self.rules.parts)
         if self._holder.holds(now, channel) is not None and self.handoff.may_steer(channel):
             self._channel[session] = channel
+            self.handoff.takeover.attempted(channel, session, box)
 
     def stands(self, now: float, standing: Standing) -> None:
         channel = self._channel.get(standing.session)
@@ -317,7 +321,7 @@
     def _do(self, now: float, event: Event) -> None:
         if isinstance(event, Claim):
             for box in event.boxes:
-                self._claim(event.channel, event.fence, box)
+                self._claim(event, box)
         elif isinstance(event, Inherited):
             self._inherited(now, event)
         elif isinstance(event, Settled):
@@ -345,17 +349,17 @@
         elif isinstance(event, TakenBack):
             standings = {one.session: one for one in event.standings}
             self._let_go(now, event.channel, "")
-            self._begin(now, event.channel, event.fence, standings, 0.0)
+            self._begin(now, event.channel, event.fence, standings)
         else:
             assert isinstance(event, Copied | Finished | OverlapOver | HandedOver | NoHeir | Lapsed)
 
-    def _claim(self, channel: str, fence: int, box: int) -> None:
+    def _claim(self, event: Claim, box: int) -> None:
         def then(now: float, claimed: Claimed) -> None:
-            self.handoff.claimed(now, channel, claimed)
+            self.handoff.claimed(now, event.channel, claimed)
             self._run(now)
             self._wake()
 
-        self._port.claim(box, channel, fence, then)
+        self._port.claim(box, event.channel, event.fence, event.overlap_ms, then)
 
     # --- pieces: leases that come and go ---
 
@@ -367,7 +371,7 @@
             return
         if channel in self._sessions:  # held already: a box knew a higher fence
             self.replica.own(now, channel, fence, self._sessions[channel].values())
-            self._begin(now, channel, fence, self._sessions[channel], 0.0)
+            self._begin(now, channel, fence, self._sessions[channel])
             return
         copy = self.replica.copy(channel) if tried is not None else None
         if copy is not None and tried is not None:
@@ -381,18 +385,17 @@
         """The lease has been here for a while, so that not all channels are claimed in one moment."""
         lease, copy = self._holder.holds(now, channel), self.replica.copy(channel)
         if lease is not None and lease.fence == fence and copy is not None:
-            self._begin(now, channel, fence, dict(copy.standings), copy.age_ms(now))
+            self._begin(now, channel, fence, dict(copy.standings))
 
-    def _begin(
-        self, now: float, channel: str, fence: int, standings: Mapping[str, Standing], age_ms: float
-    ) -> None:
-        self.handoff.takeover.begin(now, channel, fence, standings, listed=self._port.boxes(), age_ms=age_ms)
+    def _begin(self, now: float, channel: str, fence: int, standings: Mapping[str, Standing]) -> None:
+        self.handoff.takeover.begin(now, channel, fence, standings, listed=self._port.boxes())
         self._run(now)
 
-    def _own(self, now: float, channel: str, fence: int) -> None:
+    def _own(self, now: float, channel: str, fence: int, standings: Iterable[Standing] = ()) -> None:
+        """`standings` are in doubt or not: what standbys are to know until it is settled."""
         self._sessions.setdefault(channel, {})
         self._fences[channel] = fence
-        self.replica.own(now, channel, fence, self._sessions[channel].values())
+        self.replica.own(now, channel, fence, standings)
         self.replica.standbys(now, channel, self._standbys(channel))
 
     def _lost(self, now: float, channel: str, fence: int, why: str) -> None:
@@ -431,7 +434,7 @@
     # --- pieces: what is inherited ---
 
     def _inherited(self, now: float, event: Inherited) -> None:
-        self._own(now, event.channel, event.fence)
+        self._own(now, event.channel, event.fence, event.standings)
         self._new.add(event.channel)
 
     def _settled(self, now: float, event: Settled) -> None:
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -192,7 +192,7 @@
         self.recording.add(act)
         if act.deed is Deed.SETUP:
             # From here on nobody else may set it up: told before the first byte leaves.
-            self.owning.placed(act.at, act.session)
+            self.owning.placed(act.at, act.session, act.box)
             self.directory.register(act.at, act.session)
             self._changed()
 
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -119,8 +119,13 @@
     def carry(self, request: Carry, then: Callable[[float, Carried], None]) -> None:
         """A request that came to another front, for a session that is held here; `then` is called once."""
 
-    def claim(self, box: int, channel: str, fence: int, then: Callable[[float, Claimed], None]) -> None:
-        """Tells a box that this front owns a channel under a fence; `then` is called once, later."""
+    def claim(
+        self, box: int, channel: str, fence: int, overlap_ms: float, then: Callable[[float, Claimed], None]
+    ) -> None:
+        """Tells a box that this front owns a channel; `then` is called once, later.
+
+        The box accepts a lower fence for `overlap_ms` more, or for as long as it does anyway if that is less.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -344,16 +344,19 @@
             front = self.site.keyring.verify(
                 token, ControlClaims, audience=self.site.audience, now_s=now + self.site.wall_offset_s
             ).front
-            fence = json.loads(exchange.body)["fence"]
+            body = json.loads(exchange.body)
+            fence, overlap_ms = body["fence"], body.get("overlap_ms", self.site.times.overlap)
             if not channel or not isinstance(fence, int) or not 0 < fence < 1 << 63:
                 raise ValueError("no channel, or no fence")
+            if not isinstance(overlap_ms, int | float) or not 0 <= overlap_ms <= 60_000:
+                raise ValueError("no overlap in ms")
         except TokenError as error:
             self._problem(exchange, 401, str(error))
             return
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._problem(exchange, 422, str(error))
             return
-        accepted = self._fences.claim(now, channel, front, fence)
+        accepted = self._fences.claim(now, channel, front, fence, overlap_ms / 1000.0)
         highest = self._fences.highest(channel)
         self.trace.write(
             "box.claim", box=self.spec.number, channel=channel, front=front, fence=fence, accepted=accepted,
@@ -362,8 +365,8 @@
         if accepted:
             self._hand_over(channel)
         held = [[one.jti, one.attempt, one.rung] for one in self.sessions.values() if one.channel == channel]
-        body = json.dumps({"fence": highest, "sessions": held if accepted else []}).encode()
-        exchange.respond(200 if accepted else 409, [("content-type", "application/json")], body)
+        answer = json.dumps({"fence": highest, "sessions": held if accepted else []}).encode()
+        exchange.respond(200 if accepted else 409, [("content-type", "application/json")], answer)
 
     def _hand_over(self, channel: str) -> None:
         """From now on its sessions' notes go to its owner."""
--- a/fernweir/standin/fences.py
+++ b/fernweir/standin/fences.py
@@ -1,7 +1,8 @@
 """Which front may steer a channel's sessions at a box: the highest fence, and lower ones for a bounded while.
 
 Free of I/O; times are seconds of one clock. A fence is taken over by a higher one at the moment when the box
-first accepts that; from then on steering under it is accepted for `overlap_s` and refused after.
+first accepts that; from then on steering under it is accepted for `overlap_s`, or less if the new owner asks
+for less, and refused after.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 @dataclass(slots=True)
 class _Channel:
     front: str = ""
-    rises: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=_RISES_KEPT))
+    rises: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=_RISES_KEPT))  # until when
 
     @property
     def highest(self) -> int:
@@ -38,12 +39,15 @@
         known = self._channels.get(channel)
         return known.front if known is not None else ""
 
-    def claim(self, now: float, channel: str, front: str, fence: int) -> bool:
+    def claim(self, now: float, channel: str, front: str, fence: int, overlap_s: float | None = None) -> bool:
         """A front says that it owns the channel. Of two that show one fence the first has it."""
         known = self._known(channel)
         if fence < known.highest or (fence == known.highest and known.front not in ("", front)):
             return False
-        self._raise(now, known, front, fence)
+        overlap_s = self._overlap_s if overlap_s is None else min(overlap_s, self._overlap_s)
+        if fence > known.highest:
+            known.rises.append((fence, now + overlap_s))
+        known.front = front
         return True
 
     def accepts(self, now: float, channel: str, front: str, fence: int) -> bool:
@@ -51,12 +55,10 @@
         known = self._known(channel)
         if fence >= known.highest:
             return self.claim(now, channel, front, fence)
-        # Overtaken when the first higher fence came; where that is no longer known, long ago.
-        for higher, at in known.rises:
-            if higher > fence:
-                oldest_kept = higher == known.rises[0][0] and len(known.rises) == _RISES_KEPT
-                return not oldest_kept and now - at <= self._overlap_s
-        return False
+        higher = [until for above, until in known.rises if above > fence]
+        # Where the first that was higher may be forgotten, it came long ago.
+        forgotten = len(known.rises) == _RISES_KEPT and known.rises[0][0] > fence
+        return not forgotten and now <= min(higher)
 
     def _known(self, channel: str) -> _Channel:
         known = self._channels.setdefault(channel, _Channel())
@@ -64,10 +66,3 @@
         if len(self._channels) > self._most:
             self._channels.popitem(last=False)
         return known
-
-    def _raise(self, now: float, known: _Channel, front: str, fence: int) -> None:
-        if fence > known.highest:
-            known.rises.append((fence, now))
-            known.front = front
-        elif not known.front:
-            known.front = front
--- a/tests/test_peers_boxes.py
+++ b/tests/test_peers_boxes.py
@@ -33,6 +33,11 @@
         assert fences.accepts(11.3, "c", "d", number)
     assert not fences.accepts(11.3, "c", "b", 6)
     assert fences.owner("c") == "d" and fences.highest("c") == 29
+    unplanned = Fences(overlap_s=1.0)
+    assert unplanned.claim(0.0, "c", "a", 5) and unplanned.claim(1.0, "c", "b", 6, overlap_s=0.0)
+    assert not unplanned.accepts(1.1, "c", "a", 5)  # whoever has no lease has nothing to finish
+    assert unplanned.claim(2.0, "c", "c", 7, overlap_s=9.0)
+    assert not unplanned.accepts(3.1, "c", "b", 6)  # the box's own bound is the longest
     small = Fences(1.0, most=2)
     for name in "xyz":
         assert small.claim(0.0, name, "a", 1)
@@ -94,7 +99,7 @@
         assert [str(act.deed) for act in told[0].acts] == ["setup"]  # type: ignore[attr-defined]
 
         claims: list[Claimed] = []
-        ports[1].claim(standing.box, "front-0:1/0", 6, lambda now, claimed: claims.append(claimed))
+        ports[1].claim(standing.box, "front-0:1/0", 6, 400.0, lambda now, claimed: claims.append(claimed))
         await until(lambda: bool(claims))
         assert claims[0].accepted and claims[0].sessions == ((wish.session, 0, standing.rung),)
         now = scene.fronts[1].core.now()
@@ -107,7 +112,7 @@
         assert again.status == 200 and len(scene.of("box.setup")) == 1
         claims.clear()
         ports[0].claim(
-            standing.box, "front-0:1/0", 5, lambda now, claimed: claims.append(claimed)
+            standing.box, "front-0:1/0", 5, 400.0, lambda now, claimed: claims.append(claimed)
         )  # woken, and none the wiser
         await until(lambda: bool(claims))
         assert not claims[0].accepted and claims[0].fence == 6 and claims[0].sessions == ()
@@ -135,7 +140,7 @@
         claims: list[object] = []
         heir = scene.fronts[1].core.doer
         assert isinstance(heir, BoxClient)
-        heir.claim(box.spec.number, "front-0:1/0", 9, claims.append)
+        heir.claim(box.spec.number, "front-0:1/0", 9, 400.0, claims.append)
         await until(lambda: bool(claims))
         began = box._loop.time()
         await until(lambda: box._loop.time() - began > 0.45)
