--- a/fernweir/rehearsal/fleet/rig.py
+++ b/fernweir/rehearsal/fleet/rig.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
+from typing import IO
 
 from fernweir.audit import Auditor, audit_lines
 from fernweir.audit.gaps import Loss
@@ -28,6 +29,8 @@
 from fernweir.standin.viewer import Habits, Shown, Wish
 
 _CROWD_S = 60.0
+_OWNING_S = 60.0
+_ASK_AGAIN_S = 0.25
 
 
 @dataclass(slots=True)
@@ -47,6 +50,19 @@
         return not self.auditor.findings and not self.problems
 
 
+class FleetTrace(Trace):
+    """Also knows which fronts set sessions up in channels: they have leases."""
+
+    def __init__(self, file: IO[str] | None, clock: Callable[[], float]) -> None:
+        super().__init__(file, clock)
+        self.owning: set[str] = set()
+
+    def write(self, kind: str, **fields: object) -> None:
+        super().write(kind, **fields)
+        if kind == "box.setup" and fields.get("channel"):
+            self.owning.add(str(fields["front"]))
+
+
 class Fleet:
     """`run` plays the whole day; whatever happens, no child is left when it returns."""
 
@@ -66,8 +82,10 @@
 
     async def run(self) -> FleetResult:
         self.folder.mkdir(parents=True, exist_ok=True)
+        for left in (*self.folder.glob("boxes-*.json"), *self.folder.glob("node-*.log")):
+            left.unlink()  # an earlier day's list would be taken for this one's
         with open(self.folder / "trace.jsonl", "w", encoding="utf-8") as file:
-            self.trace = Trace(file, self._loop.time)
+            self.trace = FleetTrace(file, self._loop.time)
             self.relay = Relay(self.plan.seed)
             self.site = RehearsalSite(self.plan.site(), self.folder, self.trace, self.plan.seed)
             self.site.site.segment_s = self.plan.segment_s
@@ -126,6 +144,8 @@
         names = {front.name: front.origin for front in self.fronts.values()}
         habits = Habits(asks_while_playing=plan.asks_while_playing, tries=6)
         viewers = RoamingViewers(names, self.trace, plan.seed, habits, self.site.wall_offset_s)
+        if plan.peers is not None:
+            await self._until_all_own(viewers)
         self.begun = self._loop.time()
         tasks = [asyncio.ensure_future(self._play(fault)) for fault in self.faults]
         watched: list[asyncio.Task[Shown]] = []
@@ -146,6 +166,21 @@
             viewers.close()
         return shown
 
+    async def _until_all_own(self, viewers: RoamingViewers) -> None:
+        """Keepers that just started keep silent for a lease: until then sessions belong to no channel."""
+        async with asyncio.timeout(_OWNING_S):
+            number = 0
+            while missing := [
+                front.name for front in self.fronts.values() if front.name not in self.trace.owning
+            ]:
+                for name in missing:
+                    number += 1
+                    wish = self.site.wish(f"first-{number}", str(self.site.lessons[0]["title"]), play_s=0.0)
+                    reply = await viewers.ask(name, wish)
+                    if reply.status == 200:
+                        await viewers.leave(wish, reply)
+                await asyncio.sleep(_ASK_AGAIN_S)
+
     def _wish(self, number: int) -> Wish:
         lesson = self.dice.choice(self.site.lessons)
         return self.site.wish(
--- a/fernweir/rehearsal/fleet/roaming.py
+++ b/fernweir/rehearsal/fleet/roaming.py
@@ -4,8 +4,9 @@
 
 from random import Random
 
+from fernweir.dash.mpd import read_mpd
 from fernweir.http.client import Outcome, Reply
-from fernweir.standin.viewer import Shown, Viewers, Wish
+from fernweir.standin.viewer import Player, Shown, Viewers, Wish, fetch
 
 
 class RoamingViewers(Viewers):
@@ -19,3 +20,8 @@
                 break
             reply = await super().ask(other, wish, shown)
         return reply
+
+    async def leave(self, wish: Wish, reply: Reply) -> None:
+        """Ends at its box what a front's answer began."""
+        player = Player(read_mpd(reply.body))
+        await fetch(self.boxes, player.origin, "DELETE", player.end_target(wish.session), 1.0)
