--- a/bench/peers_wire.py
+++ b/bench/peers_wire.py
@@ -186,6 +186,41 @@
     print(f"a window of 1,024 counters: {used / 1_000:.0f} bytes a sender, measured over 1,000 of them")
 
 
+async def peers_memory(peers: int) -> None:
+    """What a front's links take when it has a connection with each of its peers."""
+    loop, codec, addresses = asyncio.get_running_loop(), Codec([(Probe,)]), dict[str, tuple[str, int]]()
+    heard: list[str] = []
+    links = {}
+
+    async def start(name: str) -> None:
+        me = Identity(name, 1, [b"k" * 32], secrets.token_bytes)
+        links[name] = await Links.start(
+            ("127.0.0.1", 0), me, codec, addresses.get, lambda sender, life, message: heard.append(sender)
+        )
+        addresses[name] = links[name].address
+
+    for number in range(peers):
+        await start(f"peer-{number}")
+    tracemalloc.start()
+    await start("here")
+    alone = tracemalloc.get_traced_memory()[0]
+    for number in range(peers):
+        links["here"].send(Send(f"peer-{number}", Probe(number, ""), whole=True))
+        links[f"peer-{number}"].send(Send("here", Probe(number, "")))
+    end = loop.time() + 10.0
+    while len(heard) < 2 * peers and loop.time() < end:
+        await asyncio.sleep(0.01)
+    # Both ends of each connection are in this process, and so are the peers' ends of what was sent.
+    grown = (tracemalloc.get_traced_memory()[0] - alone) / 2
+    tracemalloc.stop()
+    print(
+        f"links alone {alone / 1e3:.0f} kB; a connection with each of {peers} peers and their windows "
+        f"{grown / 1e3:.0f} kB more at each end; {len(heard)} of {2 * peers} messages heard"
+    )
+    for one in links.values():
+        await one.stop()
+
+
 _FLOOD = """
 import socket, sys, time
 s = socket.socket(type=socket.SOCK_DGRAM)
@@ -254,6 +289,7 @@
     for size in (200, 65_536):
         connection(plays, size)
     memory()
+    asyncio.run(peers_memory(50))
     for flood, most in ((0, 2_000), (20_000, 2_000), (20_000, 10**9), (100_000, 2_000), (100_000, 10**9)):
         asyncio.run(flooded(3.0, flood, GateRules(bad=most)))
 
