--- a/fernweir/peers/estimate/question.py
+++ b/fernweir/peers/estimate/question.py
@@ -57,20 +57,22 @@
         return "not a span of time"
     if len(query.fronts) > MOST_FRONTS or any(len(name) > MOST_TEXT for name in query.fronts):
         return "too many or too long names of fronts"
-    if any(len(value) > MOST_TEXT for _, value in equalities(query)):
+    if any(len(str(getattr(query, field))) > MOST_TEXT for field in FIELDS):
         return "a value is too long"
     return ""
 
 
-def value_of(row: Row, field: str) -> str:
-    """A row's value in the form that summaries hold."""
-    return str(getattr(row, field))
+def clean(text: str) -> str:
+    """Text as summaries hold it: bounded, and without the lone surrogates that a token can bring."""
+    if not text.isascii():
+        text = text.encode("utf-8", "backslashreplace").decode()
+    return text[:MOST_TEXT]
 
 
 def equalities(query: Query) -> tuple[tuple[str, str], ...]:
     """What is asked for, as (field, value), values as text."""
     asked = ((field, getattr(query, field)) for field in FIELDS)
-    return tuple((field, str(value)) for field, value in asked if value is not None)
+    return tuple((field, clean(str(value))) for field, value in asked if value is not None)
 
 
 def matcher(query: Query) -> Callable[[Row], bool]:
--- a/fernweir/peers/estimate/shards.py
+++ b/fernweir/peers/estimate/shards.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from fernweir.peers.estimate.question import ACTS, MOST_TEXT, STANDING, Row
+from fernweir.peers.estimate.question import ACTS, STANDING, Row, clean
 from fernweir.peers.estimate.rules import ShardRules
 from fernweir.peers.estimate.sketches import cut, key, pack_filter, steps, value_key
 from fernweir.peers.estimate.summary import COUNTED, FORMAT, REST, Older, Shard, Summary
@@ -81,18 +81,18 @@
         """The number by which the row may be removed."""
         number = self._number
         self._number += 1
-        session = row.session[:MOST_TEXT]
+        session = clean(row.session)
         known = self._hashes.get(session)
         if known is None:
             known = self._hashes[session] = [key("session", session), 0]
         known[1] += 1
         values = (
-            row.deed,
-            row.title[:MOST_TEXT],
+            clean(row.deed),
+            clean(row.title),
             str(row.box),
-            row.tenant[:MOST_TEXT],
-            row.version[:MOST_TEXT],
-            row.outcome[:MOST_TEXT],
+            clean(row.tenant),
+            clean(row.version),
+            clean(row.outcome),
         )
         for counter, value in zip(self._counts, values, strict=True):
             counter[value] += 1
--- a/tests/peers_estimate_day.py
+++ b/tests/peers_estimate_day.py
@@ -21,11 +21,14 @@
 from fernweir.peers.estimate.limits import Granted, LimitRules, Limits
 from fernweir.peers.estimate.narrow import narrower
 from fernweir.peers.estimate.orders import DrainRack, MoveChannels, OrderRules, RestartFront, weigh
-from fernweir.peers.estimate.question import Query, within
+from fernweir.peers.estimate.question import STANDING, Query, within
 from fernweir.peers.estimate.rules import EstimateRules, ShardRules
 from fernweir.peers.estimate.runner import Caught, Read, Result, Run, RunRules, Spend
+from fernweir.peers.estimate.shards import Summarizer
+from fernweir.peers.estimate.summary import encode
 from fernweir.peers.estimate.waves import QUANTITIES as COSTS
 from fernweir.peers.estimate.waves import Cost, CostBound, Phase, WaveRules, Waves
+from fernweir.peers.port import Standing
 
 SHARDS = ShardRules(most_rows=120, most_span_ms=150_000.0, kept=3, frequent=8, sample=48, false_share=0.05)
 ESTIMATES = EstimateRules(most_rows=120, most_span_ms=150_000.0)
@@ -189,6 +192,55 @@
     return wrong
 
 
+def standing_day(seed: int) -> list[str]:
+    """What stands, told up to 60 s ago and changed since: bounds hold, and reading by the plan finds all."""
+    dice = Random(f"standing/{seed}")
+    summaries = Catalogue(CatalogueRules())
+    now, fronts = 200_000.0, [f"front-{n}" for n in range(dice.randint(1, 6))]
+    here: dict[str, dict[str, tuple[float, Standing]]] = {front: {} for front in fronts}
+    for front in fronts:
+        told = now - dice.uniform(0.0, 60_000.0)
+        summarizer = Summarizer(front, 1, SHARDS, 0.0)
+        there = here[front]
+        at = 0.0
+        while (at := at + dice.expovariate(1 / 500.0)) < now:
+            if at >= told > 0.0:
+                for summary in summarizer.summaries(told):
+                    summaries.told(told + 9e6, front, 1, PREFIX + summary.shard.name, encode(summary))
+                told = 0.0
+            session = f"{front}-{dice.randrange(300)}"
+            if session in there and dice.random() < 0.7:
+                summarizer.over(at, session)
+                del there[session]
+            else:
+                title, box = f"t{int(dice.paretovariate(0.8)) % 60}", dice.randrange(12)
+                one = Standing(session, "v", "w", title, "c", 3, f"x{box % 3}", 0, box, 0, dice.randrange(4))
+                summarizer.stands(at, one, 60)
+                there[session] = (at, one)
+    wrong = []
+    estimator = Estimator(ESTIMATES, Feedback(FeedbackRules()))
+    everything = [one for there in here.values() for _, one in there.values()]
+    for _ in range(12):
+        like = dice.choice(everything)
+        names = dice.choice((("title",), ("box",), ("session",), ("title", "box"), ("tenant",), ()))
+        query = Query(STANDING, **{name: getattr(like, name) for name in names})
+        told_ = estimator.estimate(query, summaries, fronts, now + 9e6)
+        found = rows = 0
+        plan = {planned.shard.front: planned for planned in told_.plan}
+        for front, there in here.items():
+            for at, one in there.values():
+                matches = all(getattr(one, name) == getattr(like, name) for name in names)
+                read = front in plan and at >= plan[front].since
+                rows += read
+                found += matches
+                if matches and not read:
+                    wrong.append(f"{query} of {one.session} stands and would not be read")
+        for what, bound, value in (("rows", told_.rows, rows), ("found", told_.found, found)):
+            if not bound.holds(value):
+                wrong.append(f"{query}: {what} {value} not within {bound}")
+    return wrong
+
+
 def limits_day(seed: int) -> list[str]:
     """Questions at once on one account, against a ledger of what was granted; pressure comes and goes."""
     dice = Random(f"limits/{seed}")
--- a/tests/peers_mutants/estimate.py
+++ b/tests/peers_mutants/estimate.py
@@ -178,3 +178,19 @@
     "                record.factor = min(self._rules.most, max(1.0, record.factor))",
     2,
 )
+_add(
+    "standing_day",
+    "what stood a minute ago stands for certain",
+    "estimator.py",
+    "                left = self._changes(known, now)",
+    "                left = 0.0",
+    20,
+)
+_add(
+    "standing_day",
+    "a session that moved keeps the time at which it first stood",
+    "shards.py",
+    "        row = Row(now, STANDING, standing.session,",
+    "        row = Row(known[1].at if known else now, STANDING, standing.session,",
+    20,
+)
