--- a/bench/peers_estimate.py
+++ b/bench/peers_estimate.py
@@ -38,7 +38,7 @@
 
 PLANS = {
     "5 fronts": LoadPlan(fronts=5, rows=150_000),
-    "20 fronts": LoadPlan(fronts=20, rows=150_000),
+    "20 fronts": LoadPlan(fronts=20, rows=400_000),
     "60 fronts": LoadPlan(fronts=60, rows=300_000, span_ms=600_000.0),
     "200 fronts": LoadPlan(fronts=200, rows=600_000, span_ms=600_000.0),
 }
--- a/fernweir/peers/estimate/shards.py
+++ b/fernweir/peers/estimate/shards.py
@@ -217,6 +217,10 @@
             self._standing.remove(known[0])
             self._turnover.add(now)
 
+    def standing(self) -> list[Row]:
+        """What stands, as questions see it: what the front answers such a question from."""
+        return [row for _, row in self._stands.values()]
+
     def summaries(self, now: float) -> list[Summary]:
         """All that is to be published: sealed shards, the open one, and what stands."""
         opened = self._open.summary(now, self._front, self._life, False)
--- a/tests/peers_estimate_day.py
+++ b/tests/peers_estimate_day.py
@@ -197,7 +197,8 @@
     dice = Random(f"standing/{seed}")
     summaries = Catalogue(CatalogueRules())
     now, fronts = 200_000.0, [f"front-{n}" for n in range(dice.randint(1, 6))]
-    here: dict[str, dict[str, tuple[float, Standing]]] = {front: {} for front in fronts}
+    here: dict[str, dict[str, Standing]] = {front: {} for front in fronts}
+    own: dict[str, dict[str, float]] = {}  # by front, when what stands was stamped
     for front in fronts:
         told = now - dice.uniform(0.0, 60_000.0)
         summarizer = Summarizer(front, 1, SHARDS, 0.0)
@@ -208,18 +209,19 @@
                 for summary in summarizer.summaries(told):
                     summaries.told(told + 9e6, front, 1, PREFIX + summary.shard.name, encode(summary))
                 told = 0.0
-            session = f"{front}-{dice.randrange(300)}"
-            if session in there and dice.random() < 0.7:
+            session = f"{front}-{dice.randrange(80)}"
+            if session in there and dice.random() < 0.5:
                 summarizer.over(at, session)
                 del there[session]
             else:
-                title, box = f"t{int(dice.paretovariate(0.8)) % 60}", dice.randrange(12)
+                title, box = f"t{int(dice.paretovariate(0.8)) % 60}", dice.randrange(90)
                 one = Standing(session, "v", "w", title, "c", 3, f"x{box % 3}", 0, box, 0, dice.randrange(4))
                 summarizer.stands(at, one, 60)
-                there[session] = (at, one)
+                there[session] = one
+        own[front] = {row.session: row.at for row in summarizer.standing()}
     wrong = []
     estimator = Estimator(ESTIMATES, Feedback(FeedbackRules()))
-    everything = [one for there in here.values() for _, one in there.values()]
+    everything = [one for there in here.values() for one in there.values()]
     for _ in range(12):
         like = dice.choice(everything)
         names = dice.choice((("title",), ("box",), ("session",), ("title", "box"), ("tenant",), ()))
@@ -228,9 +230,9 @@
         found = rows = 0
         plan = {planned.shard.front: planned for planned in told_.plan}
         for front, there in here.items():
-            for at, one in there.values():
+            for one in there.values():
                 matches = all(getattr(one, name) == getattr(like, name) for name in names)
-                read = front in plan and at >= plan[front].since
+                read = front in plan and own[front][one.session] >= plan[front].since
                 rows += read
                 found += matches
                 if matches and not read:
