--- a/fernweir/audit/gaps.py
+++ b/fernweir/audit/gaps.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -16,6 +16,7 @@
     AnyRecord,
     BoxEnd,
     BoxRuns,
+    BoxSegment,
     BoxSetup,
     BoxSteer,
     BoxStop,
@@ -70,8 +71,10 @@
     def __init__(self) -> None:
         self.costs: dict[Loss, Cost] = {loss: Cost() for loss in Loss}
         self.anew = 0  # set up by one front while it ran under another
+        self.broke_off: Counter[str] = Counter()  # by why they ended, of those whose viewer went on asking
         self._standing: dict[_Key, _Standing] = {}
         self._by_place: dict[tuple[int, str], set[_Key]] = defaultdict(set)
+        self._ended: dict[_Key, str] = {}
 
     def take(self, record: AnyRecord) -> None:
         if isinstance(record, BoxSetup):
@@ -83,6 +86,9 @@
             self._runs(record)
         elif isinstance(record, BoxEnd):
             self._end((record.session, record.attempt, record.box), record.why)
+        elif isinstance(record, BoxSegment):
+            why = self._ended.pop((record.session, record.attempt, record.box), "")
+            self.broke_off.update([why] if why and record.status == 404 else [])
         elif isinstance(record, BoxStop):
             for key in [key for key in self._standing if key[2] == record.box]:
                 self._end(key, "died")
@@ -109,6 +115,8 @@
 
     def _runs(self, record: BoxRuns) -> None:
         key = (record.session, record.attempt, record.box)
+        if key in self._standing:  # set up once more where it runs, perhaps by another front
+            self._by_place[record.box, self._standing[key].channel].discard(key)
         self._standing[key] = _Standing(record.channel, record.front, record.fence)
         if record.channel:
             self._by_place[record.box, record.channel].add(key)
@@ -153,6 +161,7 @@
         if one is None:
             return
         self._by_place[key[2], one.channel].discard(key)
+        self._ended[key] = why
         moved = any(other[0] == key[0] for other in self._standing)
         if one.loss is not None:
             cost = self.costs[one.loss]
--- a/fernweir/rehearsal/fleet/link.py
+++ b/fernweir/rehearsal/fleet/link.py
@@ -108,6 +108,8 @@
                 return
             self._pieces.popleft()
             self._held -= len(data)
+            if self._end.transport.is_closing():
+                continue
             if data:
                 self._end.transport.write(data)
             else:
--- a/fernweir/rehearsal/fleet/report.py
+++ b/fernweir/rehearsal/fleet/report.py
@@ -24,6 +24,8 @@
         if cost.sessions:
             out.append(_line(loss, cost))
     out.append(f"sessions set up anew while they ran under another front: {auditor.gaps.anew}")
+    broke = ", ".join(f"{why} {count}" for why, count in sorted(auditor.gaps.broke_off.items()))
+    out.append(f"sessions that broke off under their viewers, by their box's reason: {broke or 'none'}")
     out.append(planned(auditor.gaps.costs[Loss.PLANNED]))
     passed, faults = result.passed, result.faults
     out.append(
--- a/tests/test_audit_owners.py
+++ b/tests/test_audit_owners.py
@@ -293,6 +293,26 @@
     assert judged(still).gaps.anew == 1
 
 
+def segment(at: float, session: str, number: int, status: int) -> dict[str, Any]:
+    return box("segment", at, number, session=session, attempt=0, cls="free", rung=1, status=status)
+
+
+def test_what_breaks_off_under_its_viewer_counts_once_and_what_moved_or_left_does_not() -> None:
+    trace = good()
+    trace += [*runs(3_000.0, "s3", 3), *runs(3_010.0, "s4", 3), *runs(3_020.0, "s5", 3)]
+    trace += [
+        ends(7_000.0, "s3", 3, "front is gone"),
+        segment(7_500.0, "s3", 3, 404), segment(8_500.0, "s3", 3, 404),
+        ends(7_000.0, "s4", 3, "released"), ends(7_000.0, "s5", 3, "left"), segment(7_100.0, "s2", 2, 200),
+    ]  # fmt: skip
+    assert judged(trace).gaps.broke_off == {"front is gone": 1}
+
+
+def test_a_session_set_up_again_at_its_box_in_another_channel_ends_once() -> None:
+    trace = [*good(), *runs(9_000.0, "s1", 1, "c", 1, channel="c:1/0"), claim(12_070.0, 1, "c", 30)]
+    assert judged(trace).gaps.costs[Loss.PLANNED].sessions == 1
+
+
 # --- the six rules over owners ---
 
 
