--- a/tests/test_peers_facts.py
+++ b/tests/test_peers_facts.py
@@ -368,6 +368,25 @@
     assert world.check() == []
 
 
+def test_halves_that_are_joined_again_know_all_for_about_the_bytes_of_what_differs() -> None:
+    world = whole_world(8)
+    half = set(world.names[:4])
+    world.cut = {(a, b) for a in world.names for b in world.names if (a in half) != (b in half)}
+    for _ in range(10):
+        for name in world.names:
+            world.put(name, world.dice.choice(KEYS), world.dice.randbytes(400))
+            world.drop(name, world.dice.choice(KEYS))
+        world.run(1_000.0)
+    world.run(15_000.0)
+    assert len(world.unequal()) == 2 * 4 * 4  # of each half, by each of the other
+    world.cut.clear()
+    world.sent = {name: [] for name in world.names}
+    world.run(15_000.0)
+    assert world.unequal() == [] and world.check() == []
+    differs = 4 * sum(len(fact[1]) for _, facts in world.model.values() for fact in facts.values())
+    assert sum(size for sent in world.sent.values() for _, size in sent) < 2 * differs + 8 * 15 * 200
+
+
 def test_a_front_back_under_its_old_life_with_lower_versions_is_heard_again() -> None:
     world = whole_world()
     back = world.names[0]
