--- a/fernweir/peers/estimate/rules.py
+++ b/fernweir/peers/estimate/rules.py
@@ -33,6 +33,7 @@
     lag_ms: float = 3_000.0
     block_ms: float = 250.0
     settle_ms: float = 40_000.0  # in which what a rate differs from its mean falls to 1/e
+    recent_ms: float = 15_000.0  # a version seen no later than that before the end is over
     peak_margin: float = 1.5
     peak_rows: float = 8.0  # that may come at any rate
     size_margin: float = 1.25  # a row's bytes against the mean
--- a/fernweir/peers/estimate/selectivity.py
+++ b/fernweir/peers/estimate/selectivity.py
@@ -56,14 +56,15 @@
         marginals.append(counted)
         if not counted.low and known.filter is not None:
             doubt = max(doubt, known.filter.false_share)
+    if len(marginals) == 1:
+        return Match(marginals[0], doubt)
     high = min(bound.high for bound in marginals)
     low = max(0.0, sum(bound.low for bound in marginals) - (len(marginals) - 1) * rows)
     guess, exponent = float(rows), 1.0
     for bound in sorted(marginals, key=lambda bound: bound.guess):
         guess *= (bound.guess / rows) ** exponent
         exponent /= 2
-    if len(marginals) > 1:
-        guess = _sampled(summary.sample, summary.fields, equalities, guess / rows, rules) * rows
+    guess = _sampled(summary.sample, summary.fields, equalities, guess / rows, rules) * rows
     return Match(Bound(low, min(max(guess, low), high), high), doubt)
 
 
--- a/fernweir/peers/estimate/shards.py
+++ b/fernweir/peers/estimate/shards.py
@@ -10,7 +10,7 @@
 from fernweir.peers.estimate.question import ACTS, STANDING, Row, clean
 from fernweir.peers.estimate.rules import ShardRules
 from fernweir.peers.estimate.sketches import cut, key, pack_filter, steps, value_key
-from fernweir.peers.estimate.summary import COUNTED, FORMAT, REST, Older, Shard, Summary
+from fernweir.peers.estimate.summary import COUNTED, FORMAT, REST, VERSION, Older, Shard, Summary
 from fernweir.peers.port import Standing
 
 _MIX = 0x9E3779B97F4A7C15  # an odd number near 2**64 by the golden ratio (Knuth's multiplicative hashing)
@@ -57,8 +57,8 @@
     """
 
     __slots__ = (
-        "_counts", "_hashes", "_least", "_number", "_rows", "_rules", "_sample", "name", "of", "since",
-        "size",
+        "_counts", "_hashes", "_least", "_number", "_rows", "_rules", "_sample", "_versions", "name", "of",
+        "since", "size",
     )  # fmt: skip
 
     def __init__(self, of: str, name: str, since: float, rules: ShardRules) -> None:
@@ -70,6 +70,7 @@
         self._number = 0
         self._rows: dict[int, tuple[float, int, str, tuple[str, ...]]] = {}  # at, bytes, session, COUNTED
         self._counts: tuple[Counter[str], ...] = tuple(Counter() for _ in COUNTED)
+        self._versions: dict[str, list[float]] = {}  # times of the first row and of the last
         self._hashes: dict[str, list[int]] = {}  # by session: its key, its rows
         self._sample: dict[int, int] = {}  # rows whose numbers hash below `_least`
         self._least = _ALL
@@ -96,6 +97,8 @@
         )
         for counter, value in zip(self._counts, values, strict=True):
             counter[value] += 1
+        seen = self._versions.setdefault(values[VERSION], [row.at, row.at])
+        seen[0], seen[1] = min(seen[0], row.at), max(seen[1], row.at)
         self._rows[number] = (row.at, size, session, values)
         self.size += size
         # Rows of one session must not all be sampled or none, so the row's number is hashed with it.
@@ -117,6 +120,8 @@
             counter[value] -= 1
             if not counter[value]:
                 del counter[value]
+        if not self._counts[VERSION][values[VERSION]]:
+            del self._versions[values[VERSION]]
         self.size -= size
         self._sample.pop(number, None)
 
@@ -135,10 +140,11 @@
         chosen = sorted(self._sample, key=self._sample.__getitem__)[: rules.sample]
         sampled = [self._rows[number][3] for number in chosen]
         since = min(self.since, times[0][0]) if times else self.since
+        until = max(since, times[-1][0]) if times else since
         return Summary(
             format=FORMAT,
             of=self.of,
-            shard=Shard(front, life, self.name, since, max(since, times[-1][0]) if times else since),
+            shard=Shard(front, life, self.name, since, until),
             sealed=sealed,
             taken=now,
             rows=len(times),
@@ -152,6 +158,10 @@
                 bytes(place.get(values[number], REST) for values in sampled)
                 for number, place in enumerate(places)
             ),
+            versions=tuple(
+                (max(since, first), min(until, last))
+                for first, last in (self._versions[value] for value in fields[VERSION].values)
+            ),
         )
 
 
--- a/fernweir/peers/estimate/sketches.py
+++ b/fernweir/peers/estimate/sketches.py
@@ -100,6 +100,9 @@
     )
 
 
+Span = tuple[float, float, float, float, float, float]  # rows low, guess, high; bytes low, guess, high
+
+
 class Steps(msgspec.Struct, frozen=True, array_like=True):
     """How rows and bytes came in over time: equally many rows a bin, so that bursts get fine bins.
 
@@ -111,7 +114,7 @@
     rows: tuple[int, ...]
     sizes: tuple[int, ...]
 
-    def between(self, since: float, until: float) -> tuple[float, float, float, float, float, float]:
+    def between(self, since: float, until: float) -> Span:
         """Rows and bytes with since <= at < until: low, guess, high of each, in that order."""
         edges, rows, sizes = self.edges, self.rows, self.sizes
         if not edges or since >= until or since > edges[-1] or until <= edges[0]:
--- a/fernweir/peers/estimate/summary.py
+++ b/fernweir/peers/estimate/summary.py
@@ -20,6 +20,7 @@
 MOST_RATE = 100_000.0  # rows a second that any front may claim
 
 COUNTED = tuple(field for field in FIELDS if field != "session")  # those with frequent values
+VERSION = COUNTED.index("version")
 
 
 class Shard(msgspec.Struct, frozen=True, array_like=True):
@@ -68,6 +69,7 @@
     filter: bytes
     steps: Steps
     sample: tuple[bytes, ...]
+    versions: tuple[tuple[float, float], ...]  # first and last row of each frequent version: they come and go
     rate: float = 0.0
     mean: float = 0.0
     peak: float = 0.0
@@ -120,6 +122,10 @@
         if len(sampled) != len(summary.sample[0]) or len(sampled) > min(MOST_LIST, summary.rows):
             raise ValueError("sample")
     _check_steps(summary)
+    if len(summary.versions) != len(summary.fields[VERSION].values):
+        raise ValueError("versions")
+    if not all(shard.since <= first <= last <= shard.until for first, last in summary.versions):
+        raise ValueError("versions")
     older = summary.older
     if not (-inf < older.since <= older.until < inf and 0 <= older.shards <= older.rows <= MOST_OLDER):
         raise ValueError("older shards")
--- a/tests/peers_mutants/estimate.py
+++ b/tests/peers_mutants/estimate.py
@@ -34,7 +34,7 @@
 _add(
     "questions_day",
     "an open shard skipped because its summary has nothing",
-    "estimator.py",
+    "parts.py",
     "        if found is None and not grows:",
     "        if found is None:",
     10,
@@ -42,7 +42,7 @@
 _add(
     "questions_day",
     "the age of a summary counted from when it was cut, by another's clock",
-    "estimator.py",
+    "parts.py",
     """        longest = min(query.until, summary.taken + passed + self._rules.lag_ms) - begin""",
     """        longest = min(query.until, now) - begin - (now - summary.taken - passed)""",
     20,
@@ -50,7 +50,7 @@
 _add(
     "questions_day",
     "only the named shard of a front that went on to others",
-    "estimator.py",
+    "parts.py",
     "            grows and last,\n            rows,",
     "            False,\n            rows,",
     20,
@@ -58,7 +58,7 @@
 _add(
     "questions_day",
     "a summary that was lost taken for a shard that never was",
-    "estimator.py",
+    "parts.py",
     "        begin, end = last.summary.older.shards, int(last.summary.shard.name)",
     "        begin = end = int(last.summary.shard.name)",
     40,
@@ -66,7 +66,7 @@
 _add(
     "questions_day",
     "shards no longer published left out",
-    "estimator.py",
+    "parts.py",
     "        if older is not None:",
     "        if older is not None and not wanted:",
     20,
@@ -181,7 +181,7 @@
 _add(
     "standing_day",
     "what stood a minute ago stands for certain",
-    "estimator.py",
+    "parts.py",
     "                left = self._changes(known, now)",
     "                left = 0.0",
     20,
