Seats move with sessions; a session between two owners begins nowhere anew

Need: the entitlement's leases move with the session, never doubled, and a viewer who comes anywhere while its session changes hands must not be set up a second time. An heir asks for the seat of what it took; the old owner gives its own back only after a grace. Registrars keep what stood in a channel whose front is gone until its heir speaks. Ruled out: asking the entitlement server to hand a seat over (no such call). A front whose clock was set back lives on above its earlier life.

--- a/fernweir/front/commands.py
+++ b/fernweir/front/commands.py
@@ -143,9 +143,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Left:
-    """A session that was asked to be admitted is over, however it ended."""
+    """A session that was asked to be admitted is over, however it ended; or `moved`, and another front's."""
 
     jti: str
+    moved: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -93,8 +93,9 @@
         """`then` is called exactly once, within the request's time: with the answer of the front that holds
         the session, or a refusal where nobody can tell, or None if it may begin here."""
 
-    def tell(self, jti: str, what: str, then: Callable[[bool], None]) -> None:
-        """`what` is `look` or `end`; `then` is told exactly once whether such a session plays elsewhere."""
+    def tell(self, jti: str, what: str, then: Callable[[bool | None], None]) -> None:
+        """`what` is `look` or `end`; `then` is told exactly once whether such a session plays elsewhere, or
+        None where nobody can say just now."""
 
 
 class Core:
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -206,10 +206,13 @@
         else:
             self._take(exchange, claims, in_query, spent_ms)
 
-    def _say(self, exchange: Exchange, plays: bool) -> None:
-        """Answers a request to look for a session, or to end it."""
+    def _say(self, exchange: Exchange, plays: bool | None) -> None:
+        """Answers a request to look for a session, or to end it; None where nobody can say just now."""
         if exchange.gone:
             return
+        if plays is None:
+            why = "the session is between two fronts"
+            raise _RefusedError(503, "refused", why, (("retry-after", "1"),))
         if not plays:
             raise _RefusedError(404, "no-session", "no such session plays here")
         if exchange.method == "DELETE":
--- a/fernweir/front/gate.py
+++ b/fernweir/front/gate.py
@@ -12,6 +12,8 @@
 from fernweir.seats.log import LogError, SeatLog
 from fernweir.seats.records import encode_table
 
+_MOVED_S = 2.0
+
 
 class Gate:
     """`plays_unanswered` names the classes whose sessions play when the server says nothing."""
@@ -23,6 +25,7 @@
         self._sync_s = sync_s
         self._syncing = self._kicked = self._stopped = False
         self._wake: asyncio.TimerHandle | None = None
+        self._moved: set[str] = set()  # sessions that another front has taken over, lately
         self.on_lead: Callable[[float], None] | None = None  # of each renewal, for measurements
 
     def append(self, body: bytes) -> int:
@@ -40,9 +43,21 @@
         self.kick()
 
     def left(self, command: Left) -> None:
+        """The seat of a session that is another front's now is that front's to ask for: it is given back
+        only when that had its time, or a third viewer could have it in between."""
+        if command.moved:
+            self._moved.add(command.jti)
+            self.core.loop.call_later(_MOVED_S, self._moved_on, command.jti)
+            return
         self.book.unwant(self.core.now(), command.jti)
         self.kick()
 
+    def _moved_on(self, jti: str) -> None:
+        self._moved.discard(jti)
+        if not self._stopped and self.core.host.session(jti) is None:
+            self.book.unwant(self.core.now(), jti)
+            self.kick()
+
     def covers(self, jti: str) -> bool:
         return self.book.covers(self.core.now(), jti)
 
@@ -52,14 +67,17 @@
             self.core.loop.call_soon(self._run)
 
     async def give_back(self, within_s: float) -> int:
-        """Releases every seat and waits for it; tells how many are left to lapse."""
-        for session in list(self.book.seats):
+        """Releases every seat and waits for it; tells how many are left to lapse.
+
+        What moved a moment ago is its heir's to ask for, and lapses if that never does.
+        """
+        for session in [one for one in self.book.seats if one not in self._moved]:
             self.book.unwant(self.core.now(), session)
         self.kick()
         end = self.core.loop.time() + within_s
-        while self.book.seats and self.core.loop.time() < end:
+        while self.book.seats.keys() - self._moved and self.core.loop.time() < end:
             await asyncio.sleep(0.01)
-        return len(self.book.seats)
+        return len(self.book.seats.keys() - self._moved)
 
     def stop(self) -> None:
         """What is written down is released by the next life, or lapses."""
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -274,6 +274,8 @@
             self._events.append(Note(held.number, server, attempt, NoteKind.RUNG, float(rung)))
         if not told:
             self._linger(now, held)
+        if self._gated:  # its seat is to move here; it plays on until that is refused
+            self._out.append(Admit(ask, now + self.settings.classes[ask.cls].deadline_ms))
         return True
 
     def let_go(self, now: float, jti: str) -> bool:
@@ -285,7 +287,7 @@
         if held is None or held.phase is not Phase.PLAYING:
             return False
         self._now = now
-        self._close(held, Result.CANCELLED, "another front's now")
+        self._close(held, Result.CANCELLED, "another front's now", let_go=True)
         return True
 
     def withdraw(self, now: float, ticket: int) -> None:
@@ -340,6 +342,9 @@
     def admitted(self, now: float, jti: str, plays: bool, why: str = "", retry_after_ms: float = 0.0) -> None:
         """The verdict on a session that was to be admitted."""
         held = self._held.get(jti)
+        if held is not None and held.phase is Phase.PLAYING and not plays:  # taken over without a seat
+            self.revoke(now, jti, why)
+            return
         if held is None or held.phase is not Phase.GATED:
             return
         self._now = now
@@ -726,10 +731,10 @@
         self._out.append(Over(held.ask, result, why, moved, by_viewer))
         self._close(held, result, why, moved)
 
-    def _close(self, held: Held, result: Result, why: str, moved: bool = False) -> None:
+    def _close(self, held: Held, result: Result, why: str, moved: bool = False, let_go: bool = False) -> None:
         self._events.append(Ended(held.number, held.server, held.attempt, result, True, 0.0, ()))
         self._leave_server(held)
-        self._forget(held, why, moved)
+        self._forget(held, why, moved, let_go)
 
     def _leave_server(self, held: Held) -> None:
         there = self._at_server.get(held.server)
@@ -738,14 +743,14 @@
             if not there:
                 del self._at_server[held.server]
 
-    def _forget(self, held: Held, why: str, moved: bool = False) -> None:
+    def _forget(self, held: Held, why: str, moved: bool = False, let_go: bool = False) -> None:
         self._write_down(What.ENDED, held, why=why)
         if self.observer is not None:
             self.observer.over(self._now, held, why)
         self._held.pop(held.ask.jti, None)
         self._by_number.pop(held.number, None)
         if self._gated:
-            self._out.append(Left(held.ask.jti))
+            self._out.append(Left(held.ask.jti, let_go))
         # A viewer who comes again is known to the module by its key; one that brings it, only if moved.
         if held.ask.key and not moved:
             return
--- a/fernweir/peers/channel/directory.py
+++ b/fernweir/peers/channel/directory.py
@@ -22,12 +22,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Found(Event):
-    """`owner` is None if no registrar that answered knows one; `silent` are those that did not answer."""
+    """`owner` is None if no registrar that answered knows one; `silent` are those that did not answer.
+
+    `lost`: its owner is gone, and nobody has said yet that it has the session.
+    """
 
     session: str
     owner: str | None
     asked: tuple[str, ...]
     silent: tuple[str, ...]
+    lost: bool = False
 
 
 @dataclass(slots=True)
@@ -38,6 +42,7 @@
     waiting: set[str]
     until: float
     again_at: float
+    lost: bool = False
 
 
 @dataclass(slots=True)
@@ -62,7 +67,7 @@
         self._out = Outbox()
         self._alive: dict[str, int] = {me: life}
         self._registrar = Registrar(self.rules)
-        self._registrar.members(self._alive)
+        self._registrar.members(0.0, self._alive)
         self._own: dict[str, _Own] = {}
         self._batches: dict[str, _Batch] = {}
         self._flush_at: float | None = None
@@ -78,7 +83,7 @@
     def members(self, now: float, alive: Mapping[str, int]) -> None:
         """Fronts believed alive with their lives; sessions whose registrars changed are told to the new."""
         was, self._alive = self._alive, {**alive, self.me: self.life}
-        self._registrar.members(self._alive)
+        self._registrar.members(now, self._alive)
         self._batches = {name: batch for name, batch in self._batches.items() if name in self._alive}
         anew = {name for name, life in self._alive.items() if was.get(name) != life}
         for own in self._own.values():  # a new life knows nothing
@@ -107,6 +112,10 @@
             batch.registered.pop(session, None)
             batch.unregistered[session] = None
 
+    def cede(self, session: str) -> None:
+        """The session is another's by now, who says so itself: until then registrars name this front."""
+        self._own.pop(session, None)
+
     def find(self, now: float, session: str) -> None:
         """Asks; `Found` comes at once or within `find_ms`, once for all who asked meanwhile."""
         if session in self._finding:
@@ -120,7 +129,8 @@
         full = len(self._finds) >= self.rules.finds_most
         if self._believed(entry) or not others or full or len(session) > NAME_MOST:
             owner = entry.owner if entry is not None and self._believed(entry) else None
-            self._out.add(Found(session, owner, asked, tuple(sorted(others)) if full else ()))
+            lost = entry is not None and owner is None
+            self._out.add(Found(session, owner, asked, tuple(sorted(others)) if full else (), lost))
             return
         number = self._dice.getrandbits(52)
         self._finds[number] = _Find(
@@ -244,7 +254,9 @@
         entry = Entry(message.owner, message.life, message.fence, 0.0) if message.owner else None
         if entry is not None and self._believed(entry):
             self._end(find, entry.owner)
-        elif not find.waiting:
+            return
+        find.lost = find.lost or entry is not None
+        if not find.waiting:
             self._end(find, None)
 
     def _believed(self, entry: Entry | None) -> bool:
@@ -254,4 +266,5 @@
     def _end(self, find: _Find, owner: str | None) -> None:
         del self._finds[find.number]
         del self._finding[find.session]
-        self._out.add(Found(find.session, owner, find.asked, tuple(sorted(find.waiting))))
+        lost = find.lost and owner is None
+        self._out.add(Found(find.session, owner, find.asked, tuple(sorted(find.waiting)), lost))
--- a/fernweir/peers/channel/registrar.py
+++ b/fernweir/peers/channel/registrar.py
@@ -1,4 +1,8 @@
-"""What a registrar keeps: which front said that it has a session. Bounded; dies with who said it."""
+"""What a registrar keeps: which front said that it has a session. Bounded; dies soon after who said it.
+
+What stood in a channel when its front went is kept for a while without an owner: an heir may be on its way to
+take it, and until it says so the session must not begin a second time.
+"""
 
 from __future__ import annotations
 
@@ -26,15 +30,19 @@
     _entries: dict[str, Entry] = field(default_factory=dict)
     _of: dict[str, dict[str, None]] = field(default_factory=dict)  # sessions by owner
     _lives: dict[str, int] = field(default_factory=dict)
+    _orphans: dict[str, float] = field(default_factory=dict)  # until when each is kept without an owner
 
-    def members(self, alive: Mapping[str, int]) -> None:
-        """Entries of who is gone, or of an earlier life of who is there, go."""
+    def members(self, now: float, alive: Mapping[str, int]) -> None:
+        """Entries of who is gone, or of an earlier life of who is there, go; those in channels later."""
         self._lives = dict(alive)
         for owner in list(self._of):
             life = alive.get(owner)
             for session in list(self._of[owner]):
                 if life is None or self._entries[session].life < life:
-                    self._remove(session)
+                    if self._entries[session].fence:
+                        self._orphans.setdefault(session, now + self.rules.orphan_ms)
+                    else:
+                        self._remove(session)
 
     def register(self, now: float, owner: str, life: int, sessions: Sequence[tuple[str, int]]) -> None:
         known = self._lives.get(owner)
@@ -52,13 +60,16 @@
 
     def find(self, now: float, session: str) -> Entry | None:
         entry = self._entries.get(session)
-        return entry if entry is not None and now < entry.at + self.rules.keep_ms else None
+        return entry if entry is not None and now < self._until(session, entry) else None
 
     def sweep(self, now: float) -> None:
         for session, entry in list(self._entries.items()):
-            if now >= entry.at + self.rules.keep_ms:
+            if now >= self._until(session, entry):
                 self._remove(session)
 
+    def _until(self, session: str, entry: Entry) -> float:
+        return min(entry.at + self.rules.keep_ms, self._orphans.get(session, float("inf")))
+
     def __len__(self) -> int:
         return len(self._entries)
 
@@ -78,6 +89,7 @@
 
     def _remove(self, session: str) -> None:
         entry = self._entries.pop(session)
+        self._orphans.pop(session, None)
         theirs = self._of[entry.owner]
         del theirs[session]
         if not theirs:
--- a/fernweir/peers/channel/rules.py
+++ b/fernweir/peers/channel/rules.py
@@ -103,6 +103,7 @@
     flush_ms: float = 50.0
     refresh_ms: float = 20_000.0
     keep_ms: float = 60_000.0  # an entry that nobody refreshed is gone
+    orphan_ms: float = 12_000.0  # what stood in a channel whose owner is gone waits so long for its heir
     find_ms: float = 60.0
     again_ms: float = 25.0  # a registrar that said nothing is asked once more
     own_most: int = 65_536
--- a/fernweir/peers/finding.py
+++ b/fernweir/peers/finding.py
@@ -17,9 +17,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FindRules:
-    """`again_ms` is when a viewer comes again whose session is between two owners."""
+    """`again_ms` is when a viewer comes again whose session is between two owners; a request is carried on
+    `hops` times at the most."""
 
     again_ms: float = 1_000.0
+    hops: int = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,11 +34,12 @@
 
 def place(
     rules: FindRules, *, me: str, alive: Callable[[str], bool], hint: str | None, between: bool,
-    registered: str | None, asked: bool,
+    registered: str | None, lost: bool, asked: bool,
 ) -> To | None:  # fmt: skip
     """What becomes of a request; None while the registrars have not been `asked`.
 
-    `hint` is the owner by what this front knows itself, `registered` by what registrars said.
+    `hint` is the owner by what this front knows itself, `registered` by what registrars said, who know it
+    as `lost` if its owner is gone and no heir has spoken yet.
     """
     if between:
         return To(wait_ms=rules.again_ms)
@@ -44,6 +47,8 @@
         return To(hint)
     if not asked:
         return None
+    if lost:
+        return To(wait_ms=rules.again_ms)
     if registered is None or registered == me:
         return To()
     return To(registered) if alive(registered) else To(wait_ms=rules.again_ms)
@@ -65,3 +70,4 @@
     request: Carry
     since: float
     then: Callable[[float, Carried | None], None]
+    hops: int = 0
--- a/fernweir/peers/forward/messages.py
+++ b/fernweir/peers/forward/messages.py
@@ -30,13 +30,14 @@
 
 
 class Carried(Message, frozen=True, tag="carried"):
-    """Its answer. `kind` is one of the host's kinds of answers, `none` where the session is not held there.
+    """Its answer. `kind` is one of the host's kinds of answers; `done` for `look` and `end`; `none` where the
+    session is not held there, and `elsewhere` where it was, and `why` names the front that has it since.
 
     `data` is what the viewer is answered from, left out where `digest` alone will do.
     """
 
     number: Number
-    kind: Annotated[str, Meta(pattern="^(plays|refused|failed|conflict|none|done)$")]
+    kind: Annotated[str, Meta(pattern="^(plays|refused|failed|conflict|none|elsewhere|done)$")]
     why: Annotated[str, Meta(max_length=1_000)] = ""
     retry_ms: Annotated[float, Meta(ge=0.0, le=3_600_000.0)] = 0.0
     timed_out: bool = False
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -151,6 +151,9 @@
             return channel, self._fences.get(channel, 0)
         return None
 
+    def in_channel(self, session: str) -> bool:
+        return session in self._channel
+
     def owned(self) -> Mapping[str, Mapping[str, Standing]]:
         """Channels held, with what stands in each."""
         return self._sessions
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -15,7 +15,7 @@
 from fernweir.peers.acts.messages import KINDS as ACT_KINDS
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.versions import Versions
-from fernweir.peers.base import Address, Effect, Event, Message, Part
+from fernweir.peers.base import Address, Effect, Event, Message, Part, Send
 from fernweir.peers.channel.directory import Directory, Found
 from fernweir.peers.channel.heirs import Candidate
 from fernweir.peers.channel.messages import KINDS as CHANNEL_KINDS
@@ -37,6 +37,7 @@
 from fernweir.peers.members.detector import Members
 from fernweir.peers.members.events import Clash, Cleared, Died, Joined, Left, Me, Suspected
 from fernweir.peers.members.messages import KINDS as MEMBER_KINDS
+from fernweir.peers.members.messages import Gossip
 from fernweir.peers.members.rules import MemberRules
 from fernweir.peers.owning import Changed, Owning, OwningRules, Steers, Yields
 from fernweir.peers.port import Act, Deed, Port, Standing
@@ -45,6 +46,7 @@
 KINDS = (MEMBER_KINDS, FACT_KINDS, LEASE_KINDS, CHANNEL_KINDS, FORWARD_KINDS, ACT_KINDS)
 _DIRECTORY = (Registered, Unregistered, Where, There)
 _LOAD, _HEAD = "load", "acts.head"
+_STALE_MS = 1_000.0
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -71,6 +73,20 @@
     acts: ActRules = field(default_factory=ActRules)
 
 
+@dataclass(frozen=True, slots=True)
+class Relived(Event):
+    """This front must live on under a later life: an earlier process of its name is known in a higher one."""
+
+    life: int
+
+
+@dataclass(frozen=True, slots=True)
+class Forgotten(Event):
+    """A peer is gone: nothing is to wait for it on the links."""
+
+    name: str
+
+
 @dataclass(frozen=True, slots=True)
 class Told(Event):
     """Something for the log of the front: what happened, and its figures."""
@@ -105,7 +121,8 @@
         self._seeking: dict[str, list[Seeking]] = {}
         self._carried: dict[int, Seeking] = {}
         self._load_at = now
-        self._started = self._leaving = False
+        self._stale: dict[str, float] = {}
+        self._started = self._leaving = self._displaced = False
         self._changed = changed
         port.listen(self)
 
@@ -137,6 +154,19 @@
         self.members.leave(now)
         self._settle(now)
 
+    def stale(self, now: float, name: str) -> None:
+        """A front sends under an earlier life than its name is known in, as after a clock was set back.
+
+        Nothing of it is taken until it lives on above that life; it is told, once a second at the most.
+        """
+        member = self.members.table().get(name)
+        if member is None or now < self._stale.get(name, 0.0):
+            return
+        if len(self._stale) >= self.rules.members.most:
+            self._stale.clear()
+        self._stale[name] = now + _STALE_MS
+        self._out.append(Send(member.address, Gossip((member.record,))))
+
     def fence(self, now: float, session: str) -> tuple[str, int] | None:
         return self.owning.fence(now, session)
 
@@ -179,8 +209,8 @@
 
     def stands(self, now: float, standing: Standing) -> None:
         self.owning.stands(now, standing)
-        under = self.owning.fence(now, standing.session)
-        self.directory.register(now, standing.session, under[1] if under is not None else 0)
+        if not self.owning.in_channel(standing.session):  # of the others it tells by `Steers`
+            self.directory.register(now, standing.session)
         self._changed()
 
     def over(self, now: float, session: str) -> None:
@@ -248,6 +278,8 @@
     def _do(self, now: float, event: Event) -> None:
         if isinstance(event, Got | Renewed | Lost | Taken):
             self.owning.lease(now, event)
+        elif isinstance(event, Joined) and event.name == self.me.name:
+            self._out.append(Relived(event.life))
         elif isinstance(event, Joined):
             self._members_changed(now)
             self._tell("peer joined", name=event.name)
@@ -258,7 +290,7 @@
         elif isinstance(event, Steers):
             self.directory.register(now, event.session, event.fence)
         elif isinstance(event, Yields):
-            self.directory.unregister(now, event.session)
+            self.directory.cede(event.session)
         elif isinstance(event, Changed):
             self._tell(
                 f"channel {event.what}", channel=event.channel, fence=event.fence, sessions=event.sessions,
@@ -266,7 +298,7 @@
             )  # fmt: skip
         elif isinstance(event, Found):
             for seeking in self._seeking.pop(event.session, []):
-                self._place(now, seeking, event.owner, asked=True)
+                self._place(now, seeking, event.owner, lost=event.lost, asked=True)
         elif isinstance(event, Wanted):
             self._carry_out(event)
         elif isinstance(event, Answered):
@@ -300,12 +332,17 @@
         if name in self.members.alive() and self.members.life(name) != life:
             return  # an earlier life, after the present one was known
         self._members_changed(now)
+        self._out.append(Forgotten(name))
         self.owning.died(now, name)
         self.forward.gone(now, name)
         self.recording.gone(now, name)
         self._tell("peer died" if died else "peer left", name=name)
 
     def _look(self, now: float) -> None:
+        if self.members.displaced != self._displaced:
+            # Two fronts with one name: the one with the lower life takes nothing new until the other is gone.
+            self._displaced = self.members.displaced
+            self._port.hold_back("another front has this name" if self._displaced else "", _STALE_MS)
         self.owning.fronts(now, [self._candidate(now, name) for name in self.members.alive()])
 
     def _candidate(self, now: float, name: str) -> Candidate:
@@ -327,37 +364,58 @@
 
     # --- pieces: requests for sessions held elsewhere ---
 
-    def _place(self, now: float, seeking: Seeking, registered: str | None, *, asked: bool) -> bool:
+    def _place(
+        self, now: float, seeking: Seeking, registered: str | None, *, lost: bool = False, asked: bool
+    ) -> bool:
         """Whether the request's place is known; it is on its way there, or answered, then."""
         session, rules = seeking.request.session, self.rules.finding
         alive = self.members.alive()
         to = place(
             rules, me=self.me.name, alive=alive.__contains__, hint=self.owning.whereabouts(now, session),
-            between=self.owning.between(session), registered=registered, asked=asked,
+            between=self.owning.between(session), registered=registered, lost=lost, asked=asked,
         )  # fmt: skip
         if to is None:
             return False
-        number = seeking.request.number
         if to.front:
-            wait = seeking.request.wait_ms - (now - seeking.since)
-            request = msgspec.structs.replace(seeking.request, wait_ms=max(wait, 0.0))
-            if self.forward.ask(now, to.front, request):
-                self._carried[number] = seeking
-            else:
-                seeking.then(now, unreachable(rules, number))
+            self._carry(now, seeking, to.front)
         else:
+            number = seeking.request.number
             seeking.then(now, between_owners(rules, number) if to.wait_ms else None)
         return True
 
+    def _carry(self, now: float, seeking: Seeking, front: str) -> None:
+        seeking.hops += 1
+        number = self.forward.number()
+        wait = max(seeking.request.wait_ms - (now - seeking.since), 0.0)
+        request = msgspec.structs.replace(seeking.request, number=number, wait_ms=wait)
+        if seeking.hops <= self.rules.finding.hops and self.forward.ask(now, front, request):
+            self._carried[number] = seeking
+        else:
+            seeking.then(now, unreachable(self.rules.finding, number))
+
     def _answer(self, now: float, seeking: Seeking, event: Answered) -> None:
         answer = event.answer
         if answer is None:
             answer = unreachable(self.rules.finding, event.number)
+        elif answer.kind == "elsewhere":
+            if answer.why in self.members.alive() and answer.why != self.me.name:
+                self._carry(now, seeking, answer.why)
+                return
+            answer = between_owners(self.rules.finding, event.number)
         seeking.then(now, None if answer.kind == "none" else answer)
 
     def _carry_out(self, event: Wanted) -> None:
         def then(now: float, carried: Carried) -> None:
+            if carried.kind == "none":
+                carried = self._not_here(now, carried, event.request.session)
             self.forward.answer(now, event.sender, event.request.number, carried)
             self._changed()
 
         self._port.carry(event.request, then)
+
+    def _not_here(self, now: float, carried: Carried, session: str) -> Carried:
+        """A request that was carried to this front, which does not hold its session, or no more."""
+        if self.owning.between(session):
+            return between_owners(self.rules.finding, carried.number)
+        hint = self.owning.whereabouts(now, session)
+        return carried if hint is None else msgspec.structs.replace(carried, kind="elsewhere", why=hint)
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -19,7 +19,7 @@
 from fernweir.peers.link.links import Links
 from fernweir.peers.link.rules import Identity
 from fernweir.peers.members.events import Me
-from fernweir.peers.peer import KINDS, Peer, Told
+from fernweir.peers.peer import KINDS, Forgotten, Peer, Relived, Told
 from fernweir.peers.settings import first_versions, formats, link_rules, peer_rules
 from fernweir.peers.wire.codec import Codec, common
 from fernweir.peers.wire.keys import KeyFileError, read_key
@@ -48,6 +48,8 @@
         self._core, self._port, self._settings = core, port, settings
         self.links: Links
         self.peer: Peer
+        self._make: Callable[[int], Peer]
+        self._seeds: list[Address] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._pumping = self._stopped = False
@@ -68,14 +70,20 @@
             rules=link_rules(section), seed=seed, format_of=peers._format, on_stale=peers._stale,
         )  # fmt: skip
         host, number = section.advertised
-        me = Me(name, (host, number or peers.links.address[1]), life, spoken)
-        peers.peer = Peer(
-            me, peer_rules(section), port, seed, core.now(), peers.kick, first_versions(config, keyring),
-            lambda: wall_ms() - core.now(),
-        )  # fmt: skip
+        address = (host, number or peers.links.address[1])
+        rules, versions = peer_rules(section), first_versions(config, keyring)
+
+        def make(life: int) -> Peer:
+            return Peer(
+                Me(name, address, life, spoken), rules, port, seed, core.now(), peers.kick, versions,
+                lambda: wall_ms() - core.now(),
+            )  # fmt: skip
+
+        peers._make = make
+        peers._seeds = [seed for seed in section.seeds if seed != address]
+        peers.peer = make(life)
         core.owner = core.finder = peers
-        seeds: list[Address] = [seed for seed in section.seeds if seed != me.address]
-        peers.peer.start(core.now(), seeds)
+        peers.peer.start(core.now(), peers._seeds)
         peers.kick()
         return peers
 
@@ -117,9 +125,9 @@
         self.peer.find(self._core.now(), request, end)
         self.kick()
 
-    def tell(self, jti: str, what: str, then: Callable[[bool], None]) -> None:
+    def tell(self, jti: str, what: str, then: Callable[[bool | None], None]) -> None:
         def end(now: float, carried: Carried | None) -> None:
-            then(carried is not None and carried.kind == "done")
+            then(None if carried is not None and carried.kind == "refused" else carried is not None)
 
         request = Carry(
             self.peer.forward.number(), what, jti, "", "", "", "", 0, "", self._core.host.limits.held_retry_ms
@@ -142,7 +150,8 @@
         self.kick()
 
     def _stale(self, sender: str, life: int, newest: int) -> None:
-        self._core.log.info("peer sends under an old life", name=sender, life=life, newest=newest)
+        self.peer.stale(self._core.now(), sender)
+        self.kick()
 
     # --- time ---
 
@@ -165,8 +174,27 @@
                 self.links.send(effect)
             elif isinstance(effect, Told):
                 self._core.log.info(effect.text, **effect.fields)
+            elif isinstance(effect, Forgotten):
+                self.links.forget(effect.name)
+            elif isinstance(effect, Relived):
+                self._relive(effect.life)
+                return
         self._set_timer()
 
+    def _relive(self, life: int) -> None:
+        """All of this front's state among its peers is of its life, so that it begins again in the new one.
+
+        It happens as it joins. What stood before stays with this front, in no channel that it has.
+        """
+        self._core.log.info("lives on under a later life", life=life, before=self.peer.me.life)
+        self.links.relive(life)
+        self.peer = self._make(life)
+        self.peer.start(self._core.now(), self._seeds)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.kick()
+
     def _set_timer(self) -> None:
         due = self.peer.next_due()
         if due is None or self._stopped or (self._timer is not None and self._timer_at <= due):
