--- a/fernweir/peers/lease/keeper.py
+++ b/fernweir/peers/lease/keeper.py
@@ -139,8 +139,8 @@
     def _recalled(self, now: float, sender: str, message: Recalled) -> None:
         if sender not in everyone(self._sets) and sender not in self._overlap.asks():
             return
+        self.know(message.floor)  # also what an older set granted alone, before the newer stands alone
         if self.silent(now):
-            self.know(message.floor)
             self._overlap.learn(message.sets)
             self._unheard.discard(sender)
         self._overlap.told(now, sender, message.sets)
--- a/tests/test_peers_lease.py
+++ b/tests/test_peers_lease.py
@@ -9,12 +9,17 @@
 import heapq
 import importlib
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from types import SimpleNamespace
 from typing import Any
 
 import msgspec
+import pytest
+
+from tests.peers_mutants import Mutant, broken
+from tests.peers_mutants.lease import MUTANTS, SCENE_OF
 
 LEASE = "fernweir.peers.lease"
 
@@ -95,9 +100,10 @@
         self.highest: dict[str, int] = {}
         self.boxes: dict[str, int] = {}  # a box's highest fence by channel
         self.acting: dict[tuple[int, str], int] = {}
+        self.out: list[str] = []
+        self.strikes = 0.0  # how often an owner, or a keeper of its, is struck just after it got or renewed
         self.refusals = 0
         self.got = 0
-        self.events: list[tuple[float, str, Any]] = []
         self._heap: list[tuple[float, int, Any]] = []
         self._count = itertools.count()
 
@@ -114,6 +120,7 @@
         now = process.clock(self.at)
         if keeper:
             process.keeper = self.code.Keeper(name, life, self.rules, now, sets)
+            process.keeper.shut_out(self.out)
         if holder:
             process.holder = self.code.Holder(
                 name, process.life, self.rules, self.dice.randrange(2**32), sets
@@ -172,6 +179,8 @@
         if (sender, to) in weather.cuts:
             return
         data = msgspec.msgpack.encode(message)
+        if type(message).__name__ == "Renew" and dice.random() < 0.04 * self.strikes:
+            self.plan(0.0, lambda: self.strike_between(sender))
         for _ in range(2 if dice.random() < weather.doubled else 1):
             if sender != to and dice.random() < weather.lost:
                 continue
@@ -224,11 +233,70 @@
                 process.wake = wake
                 self.plan(wake - self.at, lambda: self.timer(process))
 
+    def change(self, name: str, sets: Any) -> None:
+        """Each front is told until it takes it: its holder, its keeper, and its next life."""
+        self.sets[name] = sets
+        for process in self.named(name):
+            now = process.clock(self.at)
+            if process.holder is not None:
+                process.holder.change(now, sets)
+            if process.keeper is not None and not process.keeper.change(now, sets):
+                self.plan(200, lambda: self.change(name, self.sets[name]))
+            self.settle(process)
+
+    def shut_out(self, names: list[str]) -> None:
+        """By all keepers; after two leases these hold nothing, if it is still so."""
+        self.out = names
+        for each in self.living("keeper"):
+            each.keeper.shut_out(names)
+        self.plan(2 * self.rules.lease_ms, lambda: self.kept_out(names))
+
+    def kept_out(self, names: list[str]) -> None:
+        if (
+            names
+            and self.out is names
+            and any(self.owners(channel)[:1] == names for channel in self.channels)
+        ):
+            raise Wrong(f"{names} hold what they are refused")
+
+    def cut(self, ways: list[tuple[str, str]], for_ms: float) -> None:
+        """Nothing passes these ways, but from a process to itself."""
+        some = {(one, other) for one, other in ways if one != other}
+        self.weather.cuts.update(some)
+        self.plan(for_ms, lambda: self.weather.cuts.difference_update(some))
+
+    def strike(self, process: Process) -> None:
+        """A fault at the moment that matters: whoever just got or renewed a lease can't renew it in time."""
+        keepers = self.living("keeper")
+        match self.dice.randrange(6):
+            case 0 | 1 | 2:
+                self.stop(process, self.dice.uniform(200, 1_300))
+            case 3 | 4 as way:
+                ends = [
+                    (process.name, each.name) if way == 3 else (each.name, process.name) for each in keepers
+                ]
+                self.cut(ends, self.dice.uniform(300, 1_300))
+            case 5:
+                for each in self.dice.sample(keepers, self.dice.choice((1, len(keepers) // 2 + 1))):
+                    self.restart(each)
+
+    def strike_between(self, name: str) -> None:
+        """Between a question and its answer: the asker stands still, or what it repeats is lost."""
+        if self.dice.random() < 0.5:
+            ways = [(name, each.name) for each in self.living("keeper")]
+            self.cut(ways, self.dice.uniform(500, 1_000))
+            return
+        for process in self.named(name):
+            if not process.stopped:
+                self.stop(process, self.dice.uniform(0.6, 1.0) * self.rules.lease_ms)
+
     # --- what a front does with a lease ---
 
     def told(self, process: Process, event: Any) -> None:
         kind = type(event).__name__
-        self.events.append((self.at, process.name, event))
+        if self.dice.random() < self.strikes * (kind == "Got" or 0.2 * (kind == "Renewed")):
+            in_ms = self.dice.choice((0.0, self.dice.uniform(0, 200)))
+            self.plan(in_ms, lambda: process.alive and self.strike(process))
         if kind == "Got":
             self.got += 1
             channel, fence = event.lease.channel, event.lease.fence
@@ -309,6 +377,8 @@
     """A drawn day: faults one after another and at once, then calm in which each channel finds an owner."""
     site = Site(code, seed, quick(code), grows=not walls_jump)
     dice = site.dice
+    site.weather.delay_ms = dice.choice((0.4, 4.0))
+    site.strikes = dice.choice((0.3, 0.6, 0.9))
     keepers = [f"k{number}" for number in range(dice.choice((3, 3, 5)))]
     first = code.rules.KeeperSet(1, tuple(keepers))
     site.channels = ["a:1/0", "b:1/0"][: dice.choice((1, 2))]
@@ -317,12 +387,14 @@
     for name in ("a", "b", "c")[: dice.choice((2, 3))]:
         site.start(name, (first,), holder=True)
     site.run(1_200)
-    for _ in range(dice.randrange(4, 9)):
+    for _ in range(dice.randrange(6, 16)):
         _fault(site, dice, walls_jump)
-        site.run(dice.choice((0, 5, 50, 300, 700)))
+        site.run(dice.choice((0, 50, 200, 400)))
     site.weather = Weather()
-    for process in site.living("keeper"):
-        process.keeper.shut_out(())
+    site.strikes = 0.0
+    if site.out:
+        site.run(2 * site.rules.lease_ms)
+    site.shut_out([])
     site.run(3_000)
     site.all_owned()
     return site
@@ -332,56 +404,230 @@
     weather = site.weather
     holders = site.living("holder")
     keepers = site.living("keeper")
-    match dice.randrange(11):
-        case 0:
+    match dice.randrange(12):
+        case 0 | 1:
             weather.lost = dice.choice((0.0, 0.2, 0.5))
             weather.late = dice.choice((0.0, 0.1, 0.3))
+            weather.late_ms = dice.choice((100.0, 250.0, 2_000.0))
             weather.doubled = dice.choice((0.0, 0.3))
-        case 1:
-            some = dice.choice(keepers)
-            for other in site.processes:
-                cut = (some.name, other.name) if dice.random() < 0.5 else (other.name, some.name)
-                weather.cuts.add(cut)
         case 2:
-            for one in holders:
-                weather.cuts.update((one.name, each.name) for each in keepers if each is not one)
+            some = dice.choice(keepers)
+            ways = [(some.name, each.name) for each in site.processes]
+            site.cut([way if dice.random() < 0.5 else way[::-1] for way in ways], dice.uniform(100, 900))
         case 3:
-            weather.cuts.clear()
+            site.cut([(one.name, each.name) for one in holders for each in keepers], dice.uniform(100, 900))
         case 4 | 5:
             if walls_jump:
                 site.wall += dice.choice((-10_000_000, -5_000, 0, 5_000))
             site.restart(dice.choice(keepers))
         case 6:
             if walls_jump:
-                site.wall += dice.choice((-10_000_000, -5_000, 0, 5_000))
-            for each in keepers:
-                site.restart(each)
-        case 7:
-            site.stop(dice.choice(holders), dice.choice((100.0, 590.0, 610.0, 1_500.0)))
-        case 8:
+                site.wall += dice.choice((-10_000_000, -5_000, 5_000))
+            if walls_jump or dice.random() < 0.3:
+                for each in keepers:
+                    site.restart(each)
+        case 7 | 8:
+            site.stop(dice.choice(holders), dice.uniform(50, 1_200))
+        case 9:
             one = dice.choice(holders)
             if not one.stopped:
-                to = dice.choice(holders).name if dice.random() < 0.5 else ""
                 channel = dice.choice(site.channels)
-                now = one.clock(site.at)
-                if to:
-                    one.holder.hand(now, channel, to)
+                if dice.random() < 0.5:
+                    one.holder.hand(one.clock(site.at), channel, dice.choice(holders).name)
                 else:
-                    one.holder.release(now, channel)
+                    one.holder.release(one.clock(site.at), channel)
                 site.settle(one)
                 site.again(one, channel, 0)
-        case 9:
-            out = [dice.choice(holders).name] if dice.random() < 0.7 else []
-            for each in keepers:
-                each.keeper.shut_out(out)
         case 10:
+            site.shut_out([dice.choice(holders).name] if dice.random() < 0.7 else [])
+        case 11:
             one = dice.choice(holders)
             if one.keeper is None and dice.random() < 0.5:
                 site.kill(one)
             site.start(one.name, site.sets[one.name], holder=True)
 
 
-def test_drawn_days_have_one_owner_at_every_moment_and_growing_fences() -> None:
+def new_keepers(code: SimpleNamespace, seed: int) -> Site:
+    """A set of keepers is replaced under loss and restarts; each process hears of it at its own time."""
+    site = Site(code, seed, quick(code))
+    dice = site.dice
+    old = code.rules.KeeperSet(1, ("k0", "k1", "k2"))
+    new = code.rules.KeeperSet(2, dice.choice((("k2", "k3", "k4"), ("k3", "k4", "k5"), ("k1", "k2", "k3"))))
+    site.channels = ["a:1/0"]
+    for name in dict.fromkeys(old.names + new.names):
+        site.start(name, (old,), keeper=True)
+    for name in ("a", "b", "c"):
+        site.start(name, (old,), holder=True)
+    site.run(1_200)
+    site.weather.lost = dice.choice((0.0, 0.2, 0.4))
+    site.weather.late = dice.choice((0.0, 0.1, 0.3))
+    site.strikes = dice.choice((0.0, 0.3))
+    slow, both = dice.choice((50.0, 300.0, 900.0)), dice.choice((50.0, 300.0, 900.0))
+    for process in list(site.processes):
+        joint = dice.uniform(0, slow if process.keeper else 900.0)
+        site.plan(joint, lambda name=process.name: site.change(name, (old, new)))
+        site.plan(joint + dice.uniform(0, both), lambda name=process.name: site.change(name, (new,)))
+    for _ in range(dice.randrange(2, 6)):
+        site.run(dice.uniform(50, 500))
+        match dice.randrange(5):
+            case 0:
+                site.restart(dice.choice(site.living("keeper")))
+            case 1:
+                site.stop(dice.choice(site.living("holder")), dice.uniform(100, 1_200))
+            case 2:
+                one = dice.choice(site.living("holder"))
+                if not one.stopped:
+                    one.holder.release(one.clock(site.at), "a:1/0")
+                    site.settle(one)
+                    site.again(one, "a:1/0", 0)
+            case _:
+                some = dice.choice(site.living("holder"))
+                keeper = dice.choice(site.living("keeper"))
+                site.weather.cuts.add((keeper.name, some.name))
+    site.weather = Weather()
+    site.strikes = 0.0
+    site.run(3_500)
+    site.all_owned()
+    return site
+
+
+def idle(code: SimpleNamespace, seed: int) -> Site:
+    """A channel that nobody wants for so long that keepers forget it, and a box that knows a higher fence."""
+    site = Site(code, seed, quick(code))
+    dice = site.dice
+    keepers = code.rules.KeeperSet(1, ("k0", "k1", "k2"))
+    site.channels = ["a:1/0", "b:1/0"]
+    for name in keepers.names:
+        site.start(name, (keepers,), keeper=True)
+    owners = [site.start(name, (keepers,), holder=True) for name in ("a", "b")]
+    site.run(1_100)
+    site.eager = False
+    for owner in owners:
+        for channel in site.channels:
+            owner.holder.release(owner.clock(site.at), channel)
+        site.settle(owner)
+    site.run(dice.uniform(1_000, 3_500))
+    if any(next(each.keeper.granted(each.clock(site.at)), None) for each in site.living("keeper")):
+        raise Wrong("a released channel is still granted")
+    site.eager = True
+    for owner in dice.sample(owners, 2):
+        for channel in site.channels:
+            site.again(owner, channel, 0)
+    site.run(300)
+    told = {}
+    for channel in site.channels:
+        told[channel] = site.boxes[channel] = site.highest[channel] + dice.choice((0, 0, 1, 1 << 30))
+        for owner in owners:
+            if owner.holder.holds(owner.clock(site.at), channel) is not None:
+                site.again(owner, channel, told[channel])
+    site.weather.lost = dice.choice((0.0, 0.3, 0.6))
+    site.weather.late = dice.choice((0.0, 0.3))
+    site.run(1_500)
+    site.weather = Weather()
+    site.run(1_500)
+    site.all_owned()
+    for channel, known in told.items():
+        if not known < site.boxes[channel] == site.highest[channel]:
+            raise Wrong(f"a box refuses the owner of {channel}")
+    return site
+
+
+def scramble(code: SimpleNamespace, seed: int) -> Site:
+    """Owners that let go all the time, or are told of higher fences, while most messages are lost or late."""
+    site = Site(code, seed, quick(code))
+    dice = site.dice
+    keepers = code.rules.KeeperSet(1, ("k0", "k1", "k2"))
+    site.channels = ["a:1/0"]
+    for name in keepers.names:
+        site.start(name, (keepers,), keeper=True)
+    for name in ("a", "b", "c"):
+        site.start(name, (keepers,), holder=True)
+    site.run(850)
+    site.weather = Weather(
+        dice.choice((0.0, 0.2, 0.4)), 0.2, dice.choice((0.2, 0.4)), dice.choice((100.0, 300.0))
+    )
+    site.strikes = dice.choice((0.0, 0.6))
+    for _ in range(30):
+        site.run(dice.uniform(20, 150))
+        for one in site.living("holder"):
+            now = one.clock(site.at)
+            lease = one.holder.holds(now, "a:1/0")
+            if lease is None or one.stopped or dice.random() < 0.5:
+                continue
+            if dice.random() < 0.5:
+                one.holder.release(now, "a:1/0")
+                site.settle(one)
+                site.again(one, "a:1/0", 0)
+            else:
+                site.again(one, "a:1/0", lease.fence)
+                if dice.random() < 0.5:
+                    ways = [(name, one.name) for name in keepers.names]
+                    site.plan(dice.uniform(2, 10), lambda ways=ways: site.cut(ways, dice.uniform(300, 500)))
+    site.weather = Weather()
+    site.strikes = 0.0
+    site.run(2_500)
+    site.all_owned()
+    return site
+
+
+def rolling(code: SimpleNamespace, seed: int) -> Site:
+    """Keepers restart one after another, with walls anywhere: owners that are let alone keep their leases."""
+    site = Site(code, seed, quick(code))
+    dice = site.dice
+    keepers = code.rules.KeeperSet(1, tuple(f"k{number}" for number in range(dice.choice((3, 5)))))
+    site.channels = ["a:1/0", "b:1/0"]
+    for name in keepers.names:
+        site.start(name, (keepers,), keeper=True)
+    for name in ("a", "b"):
+        site.start(name, (keepers,), holder=True)
+    site.run(1_100)
+    site.weather = Weather(0.0, 0.3, dice.choice((0.0, 0.2)), 100.0)
+    before = [site.owners(channel) for channel in site.channels]
+    for keeper in site.living("keeper"):
+        site.wall += dice.choice((-10_000_000, -5_000, 0, 5_000))
+        site.restart(keeper)
+        site.run(dice.uniform(1_100, 1_500))
+    if before != [site.owners(channel) for channel in site.channels]:
+        raise Wrong("an owner lost its lease to a restart of single keepers")
+    for one in site.living("holder"):
+        for channel in site.channels:
+            one.holder.release(one.clock(site.at), channel)
+        site.settle(one)
+        for channel in site.channels:
+            site.again(one, channel, 0)
+    site.run(1_500)
+    site.all_owned()
+    return site
+
+
+SCENES: dict[str, Callable[[SimpleNamespace, int], Site]] = {
+    "day": day,
+    "day with walls that jump": lambda code, seed: day(code, seed, walls_jump=True),
+    "new keepers": new_keepers,
+    "idle": idle,
+    "scramble": scramble,
+    "rolling": rolling,
+}
+
+
+@pytest.mark.parametrize("scene", SCENES)
+def test_drawn_scenes_have_one_owner_at_every_moment_and_growing_fences(scene: str) -> None:
     code = load()
-    got = sum(day(code, seed).got for seed in range(25))
-    assert got > 50  # the days had something to judge
+    sites = [SCENES[scene](code, seed) for seed in range(20)]
+    assert sum(site.got for site in sites) > 40  # there was something to judge
+    assert sum(site.refusals for site in sites) > 3 or scene != "day with walls that jump"
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_each_mistake_is_found(mutant: Mutant) -> None:
+    with broken(mutant, LEASE):
+        code = load()
+        assert any(_wrong(code, mutant, seed) for seed in range(mutant.seeds)), mutant.name
+
+
+def _wrong(code: SimpleNamespace, mutant: Mutant, seed: int) -> bool:
+    try:
+        SCENES[SCENE_OF[mutant.name]](code, seed)
+    except Wrong:
+        return True
+    return False
