--- a/fernweir/peers/acts/answers.py
+++ b/fernweir/peers/acts/answers.py
@@ -116,15 +116,15 @@
             last = self.copies.chain.number if own else 0
             cover = self._empty(now) if own and not last else None
             return Piece(
-                ask.id, ask.owner, ask.life, ask.number, ask.row, ask.last + 1, 0, False, cover, held=held,
-                my_life=self.copies.life,
+                ask.id, ask.owner, ask.life, ask.number, ask.row, _behind(ask.last), 0, False, cover,
+                held=held, my_life=self.copies.life,
             )  # fmt: skip
         work = _Work(
             self.rules, min(ask.rows, self.rules.piece_rows), min(ask.bytes, self.rules.piece_bytes),
             self.rules.piece_segments,
         )  # fmt: skip
         stopped = self._walk(shelf, ask, work)
-        number, row = stopped if stopped is not None else (ask.last + 1, 0)
+        number, row = stopped if stopped is not None else (_behind(ask.last), 0)
         relation = None if own else self.clocks.relation(ask.owner, ask.life)
         samples = tuple(relation.some(_SAMPLES)) if relation is not None else ()
         return Piece(
@@ -239,7 +239,7 @@
     def _cover(self, shelf: Shelf) -> Cover:
         spans = tuple(shelf.numbers)[-_SPANS:]
         last = shelf.block(shelf.numbers.last)
-        first = next(shelf.units(1), None)
+        first = next(shelf.units(spans[0][0]), None) if spans else None
         since = (first.since if isinstance(first, Segment) else first.block.since) if first is not None else 0
         head = self.copies.heads.newest(shelf.owner, shelf.life)
         known = max(head.number if head is not None else 0, shelf.numbers.last)
@@ -270,6 +270,10 @@
         return tuple(held[:_HELD])
 
 
+def _behind(number: int) -> int:
+    return min(number + 1, (1 << 53) - 1)
+
+
 def _first(unit: Segment | Sealed) -> int:
     return unit.first if isinstance(unit, Segment) else unit.block.number
 
--- a/fernweir/peers/acts/chain.py
+++ b/fernweir/peers/acts/chain.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from fernweir.peers.acts.block import Sealed, seal
+from fernweir.peers.acts.block import TICK_MS, Sealed, seal
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.versions import Versions
 from fernweir.peers.port import Act
@@ -80,6 +80,8 @@
             self.seal(now)
 
     def next_due(self) -> float | None:
+        if self._sealed:  # sealed as it was full, or as the wall clock jumped
+            return self._sealed[0].block.until * TICK_MS
         return self._open[0][0].at + self.rules.block_ms if self._open else None
 
     def take(self) -> list[Sealed]:
--- a/fernweir/peers/acts/questions.py
+++ b/fernweir/peers/acts/questions.py
@@ -239,8 +239,10 @@
     def _matters(self, run: _Running, shard: Shard, span: Span) -> bool:
         """Blocks from before all that the question wants of the shard don't."""
         since = self._select(run, shard).since
-        before = bool(shard.answered) and span.last < shard.answered.first
-        return not (before and since is not None and shard.oldest is not None and shard.oldest <= since)
+        if since is None or shard.oldest is None:
+            return True
+        number, oldest = shard.oldest
+        return not (span.last < number and oldest <= since)
 
     def _begin(self, now: float, run: _Running, shard: Shard, source: str) -> None:
         shard.begin(source)
@@ -425,7 +427,7 @@
             places = [span.number for span in (*shard.todo, *shard.left)] or [shard.upto + 1]
             return [Gap(owner, life, Why(shard.why), min(places), 0)]
         for span in shard.todo:
-            old = bool(shard.answered) and span.last < shard.answered.first
+            old = shard.oldest is not None and span.last < shard.oldest[0]
             gaps.append(Gap(owner, life, Why.DROPPED if old else Why.LOST, span.number, span.last))
         ended = shard.final and shard.final in shard.answered
         if not shard.whole_from_owner and not ended:
--- a/fernweir/peers/acts/shard.py
+++ b/fernweir/peers/acts/shard.py
@@ -47,8 +47,10 @@
     by: list[str] = field(default_factory=list)  # who answered
     whole_from_owner: bool = False
     final: int = 0  # the last block of a front that ended in order
-    oldest: float | None = None  # owner's clock: its oldest kept act
-    newest: float | None = None  # its last sealed block
+    oldest: tuple[int, float] | None = (
+        None  # the oldest block that is kept, and its time on the owner's clock
+    )
+    newest: float | None = None  # up to when, on the owner's clock, its acts are in the answer
     through: dict[str, tuple[int, Relation]] = field(default_factory=dict)
     wall: tuple[float, float] = (0.0, 1e16)
     wrong: bool = False
@@ -125,8 +127,10 @@
             if max(low, start) <= min(high, until):
                 self.answered.add(max(low, start), min(high, until))
         self.upto = max(self.upto, until)
-        self.oldest = cover.since if self.oldest is None else min(self.oldest, cover.since)
-        self.newest = cover.until if self.newest is None else max(self.newest, cover.until)
+        if held:
+            self.oldest = min(self.oldest or (held.first, cover.since), (held.first, cover.since))
+        if until >= last and (self.newest is None or cover.until > self.newest):
+            self.newest = cover.until
         self.final = last if cover.final else self.final
         self.wall = cover.wall, cover.doubt
         if piece.samples and self.source not in self.through:
