--- a/fernweir/peers/estimate/orders.py
+++ b/fernweir/peers/estimate/orders.py
@@ -27,18 +27,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RaiseEpoch:
-    """Fronts on settings of a lower epoch are late: each is brought up, or handed off and shut out."""
+    """Fronts on settings of a lower epoch are late: each is brought up, or handed off and shut out; or only
+    these of them."""
 
     least: int
     over_ms: float
+    fronts: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class RestartFront:
-    """Its channels are handed to heirs, spread over `over_ms`."""
+    """Its channels are handed to heirs, or these of them, spread over `over_ms`."""
 
     front: str
     over_ms: float
+    channels: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,12 +92,19 @@
     match order:
         case DrainRack():
             return _drain(order, fleet, rules)
-        case RaiseEpoch(least, over_ms):
+        case RaiseEpoch(least, over_ms, chosen):
             late = [front for front in fleet.fronts if front.epoch < least]
-            return _hand_off(order, late, over_ms, fleet, rules, unknown=len(fleet.missing()))
-        case RestartFront(name, over_ms):
+            unknown = fleet.missing()
+            if chosen:
+                late = [front for front in late if front.front in chosen]
+                unknown = tuple(name for name in unknown if name in chosen)
+            return _hand_off(order, late, over_ms, fleet, rules, unknown=len(unknown))
+        case RestartFront(name, over_ms, chosen):
             those = [front for front in fleet.fronts if front.front == name]
-            return _hand_off(order, those, over_ms, fleet, rules, unknown=0 if those else 1)
+            unknown_fronts = 0 if those else 1
+            if chosen:
+                those = [_only(front, chosen) for front in those]
+            return _hand_off(order, those, over_ms, fleet, rules, unknown=unknown_fronts)
         case MoveChannels(channels, heirs, over_ms):
             wanted = frozenset(channels)
             those = [_only(front, wanted) for front in fleet.fronts]
--- a/fernweir/peers/estimate/rules.py
+++ b/fernweir/peers/estimate/rules.py
@@ -16,7 +16,7 @@
     frequent: int = 24
     bins: int = 32
     sample: int = 96
-    kept: int = 8  # sealed summaries that a front publishes; older shards are only counted
+    kept: int = 4  # sealed summaries that a front publishes; older shards are only counted
     bucket_ms: float = 5_000.0  # rates are counted in buckets
     buckets: int = 120
     rate_ms: float = 15_000.0  # over which the rate of late is taken, or up to four times that
--- a/fernweir/peers/estimate/shards.py
+++ b/fernweir/peers/estimate/shards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from array import array
 from collections import Counter, deque
 from itertools import pairwise
 
@@ -53,12 +54,13 @@
     """One shard as it fills: exact counts, bounded by whoever seals it. Rows may also leave it.
 
     What a summary needs is kept as rows come and go, so that cutting one costs little more than a look at
-    each row's time: it is cut every few seconds, while viewers wait.
+    each row's time: it is cut every few seconds, while viewers wait. Of a row there remain 12 bytes and its
+    session's hash; the sampled ones are kept.
     """
 
     __slots__ = (
-        "_counts", "_hashes", "_least", "_number", "_rows", "_rules", "_sample", "_versions", "name", "of",
-        "since", "size",
+        "_counts", "_dead", "_first", "_least", "_rules", "_sample", "_sessions", "_sizes", "_times",
+        "_versions", "name", "of", "since", "size",
     )  # fmt: skip
 
     def __init__(self, of: str, name: str, since: float, rules: ShardRules) -> None:
@@ -67,78 +69,78 @@
         self.since = since
         self.size = 0
         self._rules = rules
-        self._number = 0
-        self._rows: dict[int, tuple[float, int, str, tuple[str, ...]]] = {}  # at, bytes, session, COUNTED
+        self._first = 0  # the number of the first row below
+        self._times = array("d")
+        self._sizes = array("l")  # -1 for a row that has left
+        self._dead = 0
         self._counts: tuple[Counter[str], ...] = tuple(Counter() for _ in COUNTED)
         self._versions: dict[str, list[float]] = {}  # times of the first row and of the last
-        self._hashes: dict[str, list[int]] = {}  # by session: its key, its rows
-        self._sample: dict[int, int] = {}  # rows whose numbers hash below `_least`
+        self._sessions: dict[int, int] = {}  # by the key, rows
+        self._sample: dict[int, tuple[int, tuple[str, ...]]] = {}  # rows whose numbers hash below `_least`
         self._least = _ALL
 
     def __len__(self) -> int:
-        return len(self._rows)
+        return len(self._times) - self._dead
 
     def add(self, row: Row, size: int) -> int:
         """The number by which the row may be removed."""
-        number = self._number
-        self._number += 1
-        session = clean(row.session)
-        known = self._hashes.get(session)
-        if known is None:
-            known = self._hashes[session] = [key("session", session), 0]
-        known[1] += 1
-        values = (
-            clean(row.deed),
-            clean(row.title),
-            str(row.box),
-            clean(row.tenant),
-            clean(row.version),
-            clean(row.outcome),
-        )
+        number = self._first + len(self._times)
+        session = key("session", clean(row.session))
+        self._sessions[session] = self._sessions.get(session, 0) + 1
+        values = _values(row)
         for counter, value in zip(self._counts, values, strict=True):
             counter[value] += 1
         seen = self._versions.setdefault(values[VERSION], [row.at, row.at])
         seen[0], seen[1] = min(seen[0], row.at), max(seen[1], row.at)
-        self._rows[number] = (row.at, size, session, values)
+        self._times.append(row.at)
+        self._sizes.append(size)
         self.size += size
         # Rows of one session must not all be sampled or none, so the row's number is hashed with it.
-        hashed = ((known[0] ^ (number * _MIX)) * _MIX & _ALL) >> 3
+        hashed = ((session ^ (number * _MIX)) * _MIX & _ALL) >> 3
         if hashed < self._least:
-            self._sample[number] = hashed
+            self._sample[number] = (hashed, values)
             if len(self._sample) > 4 * self._rules.sample:
                 self._least //= 2
-                self._sample = {n: one for n, one in self._sample.items() if one < self._least}
+                self._sample = {n: one for n, one in self._sample.items() if one[0] < self._least}
         return number
 
-    def remove(self, number: int) -> None:
-        _, size, session, values = self._rows.pop(number)
-        known = self._hashes[session]
-        known[1] -= 1
-        if not known[1]:
-            del self._hashes[session]
+    def remove(self, number: int, row: Row) -> None:
+        """Takes out what was added as that row."""
+        place = number - self._first
+        self.size -= self._sizes[place]
+        self._sizes[place] = -1
+        self._dead += 1
+        session = key("session", clean(row.session))
+        self._sessions[session] -= 1
+        if not self._sessions[session]:
+            del self._sessions[session]
+        values = _values(row)
         for counter, value in zip(self._counts, values, strict=True):
             counter[value] -= 1
             if not counter[value]:
                 del counter[value]
         if not self._counts[VERSION][values[VERSION]]:
             del self._versions[values[VERSION]]
-        self.size -= size
         self._sample.pop(number, None)
 
+    @property
+    def wasted(self) -> bool:
+        """More has left than is here: it is worth building anew."""
+        return self._dead > len(self) + self._rules.sample
+
     def summary(self, now: float, front: str, life: int, sealed: bool) -> Summary:
         rules = self._rules
-        times = [(row[0], row[1]) for row in self._rows.values()]
-        if any(later < earlier for earlier, later in pairwise(at for at, _ in times)):
+        times = [pair for pair in zip(self._times, self._sizes, strict=True) if pair[1] >= 0]
+        if any(later < earlier for earlier, later in pairwise(self._times)):
             times.sort()
         fields = tuple(cut(counter, rules.frequent) for counter in self._counts)
-        keys = [known[0] for known in self._hashes.values()]
+        keys = list(self._sessions)
         for field, counter, frequent in zip(COUNTED, self._counts, fields, strict=True):
             if frequent.rest_values:
                 top = set(frequent.values)
                 keys += [value_key(field, value) for value in counter if value not in top]
         places = [{value: place for place, value in enumerate(frequent.values)} for frequent in fields]
-        chosen = sorted(self._sample, key=self._sample.__getitem__)[: rules.sample]
-        sampled = [self._rows[number][3] for number in chosen]
+        sampled = [values for _, values in sorted(self._sample.values())[: rules.sample]]
         since = min(self.since, times[0][0]) if times else self.since
         until = max(since, times[-1][0]) if times else since
         return Summary(
@@ -149,8 +151,8 @@
             taken=now,
             rows=len(times),
             size=self.size,
-            sessions=len(self._hashes),
-            session_most=max((known[1] for known in self._hashes.values()), default=0),
+            sessions=len(self._sessions),
+            session_most=max(self._sessions.values(), default=0),
             fields=fields,
             filter=pack_filter(keys, rules.false_share, rules.filter_bytes),
             steps=steps(times, rules.bins),
@@ -165,6 +167,12 @@
         )
 
 
+def _values(row: Row) -> tuple[str, ...]:
+    """A row's values by `COUNTED`, as summaries hold them."""
+    texts = (row.deed, row.title, str(row.box), row.tenant, row.version, row.outcome)
+    return tuple(clean(text) for text in texts)
+
+
 class Summarizer:
     """All shards of one front in one life; times are ms on the scale in which its rows are stamped.
 
@@ -179,7 +187,7 @@
         self._number = 0
         self._open = Builder(ACTS, "0", now, rules)
         self._standing = Builder(STANDING, STANDING, now, rules)
-        self._stands: dict[str, tuple[int, Row]] = {}  # by session: its number there
+        self._stands: dict[str, tuple[int, Row, int]] = {}  # by session: its number there, bytes
         self._rates = Rates(now, rules)
         self._turnover = Rates(now, rules)
 
@@ -217,19 +225,25 @@
             if msgspec.structs.replace(row, at=known[1].at) == known[1]:
                 return
             # Stamped anew when what can be asked for changes: what a summary doesn't tell is later than it.
-            self._standing.remove(known[0])
-        self._stands[standing.session] = (self._standing.add(row, size), row)
+            self._standing.remove(known[0], known[1])
+            del self._stands[standing.session]
+        self._stands[standing.session] = (self._standing.add(row, size), row, size)
         self._turnover.add(now)
 
     def over(self, now: float, session: str) -> None:
         known = self._stands.pop(session, None)
-        if known is not None:
-            self._standing.remove(known[0])
-            self._turnover.add(now)
+        if known is None:
+            return
+        self._standing.remove(known[0], known[1])
+        self._turnover.add(now)
+        if self._standing.wasted:
+            self._standing = Builder(STANDING, STANDING, self._standing.since, self._rules)
+            for name, (_, row, size) in self._stands.items():
+                self._stands[name] = (self._standing.add(row, size), row, size)
 
     def standing(self) -> list[Row]:
         """What stands, as questions see it: what the front answers such a question from."""
-        return [row for _, row in self._stands.values()]
+        return [row for _, row, _ in self._stands.values()]
 
     def summaries(self, now: float) -> list[Summary]:
         """All that is to be published: sealed shards, the open one, and what stands."""
--- a/fernweir/peers/estimate/summary.py
+++ b/fernweir/peers/estimate/summary.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from math import inf, isfinite
+from sys import intern
 
 import msgspec
 
@@ -131,7 +132,13 @@
         raise ValueError("older shards")
     if not 0 <= older.size <= older.rows * MOST_ROW_BYTES:
         raise ValueError("older shards")
-    return Known(summary, read_filter(summary.filter), heard)
+    # Values recur in all summaries of a fleet, and the filter has its bytes: neither is kept twice.
+    fields = tuple(
+        msgspec.structs.replace(frequent, values=tuple(intern(value) for value in frequent.values))
+        for frequent in summary.fields
+    )
+    told = msgspec.structs.replace(summary, fields=fields, filter=b"")
+    return Known(told, read_filter(summary.filter), heard)
 
 
 def _number(name: str) -> str:
--- a/tests/test_peers_estimate.py
+++ b/tests/test_peers_estimate.py
@@ -16,17 +16,29 @@
 from bench.peers_load import LoadPlan, Scene, drawn_rows, scene
 from fernweir.peers.estimate.bounds import Bound, Estimate
 from fernweir.peers.estimate.catalogue import PREFIX, Catalogue, CatalogueRules
+from fernweir.peers.estimate.cutting import in_waves, part, units
 from fernweir.peers.estimate.estimator import Estimator
 from fernweir.peers.estimate.feedback import Feedback, FeedbackRules
+from fernweir.peers.estimate.fleet import BoxLoad, ChannelLoad, FleetView, FrontLoad, RackView, Ration
 from fernweir.peers.estimate.limits import Granted, LimitRules, Limits, Refused
 from fernweir.peers.estimate.loads import Load, Tally, read_load
 from fernweir.peers.estimate.narrow import narrower
+from fernweir.peers.estimate.orders import (
+    DrainRack,
+    MoveChannels,
+    Order,
+    OrderRules,
+    RaiseEpoch,
+    RestartFront,
+    weigh,
+)
 from fernweir.peers.estimate.question import ACTS, STANDING, Query, Row
 from fernweir.peers.estimate.rules import EstimateRules, ShardRules
 from fernweir.peers.estimate.runner import Answered, Caught, Read, Run, RunRules, Spend
 from fernweir.peers.estimate.shards import Summarizer
 from fernweir.peers.estimate.sketches import cut, pack_filter, read_filter, steps
 from fernweir.peers.estimate.summary import COUNTED, Summary, encode, read
+from fernweir.peers.estimate.waves import Cost, Phase, Wave, WaveRules
 from fernweir.peers.port import Standing
 from tests import peers_estimate_day as days
 from tests.peers_mutants import Mutant, broken
@@ -458,3 +470,105 @@
     assert (stands.of, stands.rows, stands.size) == (STANDING, len(standing), 40 * len(standing))
     assert stands.fields[COUNTED.index("box")] == cut(Counter(str(one.box) for one in standing.values()), 3)
     assert all(summary.of == ACTS for summary in told[:-1])
+
+
+# --- orders in waves ---
+
+
+class _Rack:
+    """A rack of ten boxes, drained in waves; `told` lags behind `here` until `hear`."""
+
+    def __init__(self, sessions: int) -> None:
+        self.here = dict.fromkeys(range(10), sessions)
+        self.elsewhere = 0
+        self.hear()
+
+    def hear(self) -> None:
+        self.told = dict(self.here)
+
+    def fleet(self) -> FleetView:
+        loads = tuple(BoxLoad(box, count, count * 500.0) for box, count in self.told.items() if count)
+        loads += (BoxLoad(20, self.elsewhere, self.elsewhere * 500.0),) if self.elsewhere else ()
+        front = FrontLoad(
+            "a", 1, 5_000.0, 0.0, 0.0, loads, (ChannelLoad("a:1/0", 1), ChannelLoad("a:1/1", 2))
+        )
+        racks = (
+            RackView("old", frozenset(range(10)), 90_000.0, 0.0),
+            RackView("new", frozenset({20}), 900_000.0, self.elsewhere * 500.0),
+        )
+        return FleetView((front,), racks, Ration(10_000.0, 1_000.0, 0.1), ("a",))
+
+    def drain(self, wave: Wave) -> Cost:
+        moved = sum(self.here[int(unit)] for unit in wave.units)
+        for unit in wave.units:
+            self.here[int(unit)] = 0
+        self.elsewhere += moved
+        return Cost(moved, moved / 60.0, moved / 6 / 1_000.0, moved * 500.0 / 900_000.0)
+
+
+_MOST = WaveRules(Cost(sessions=120.0, setups_s=5.0, ration=0.5, uplink=0.9))
+_DRAIN = DrainRack("old", 60_000.0)
+
+
+def test_a_rack_over_the_limit_is_drained_in_waves_each_estimated_anew() -> None:
+    rack = _Rack(30)
+    waves = in_waves(_DRAIN, rack.fleet, OrderRules(), _MOST)
+    sizes = []
+    now = 0.0
+    while wave := waves.next(now):
+        rack.hear()
+        did = rack.drain(wave)
+        assert did.sessions <= wave.cost.sessions.high <= 120.0
+        sizes.append(did.sessions)
+        now += 60_000.0
+        rack.hear()
+        waves.done(now, wave.number, did)
+    assert waves.phase is Phase.OVER
+    assert sum(sizes) == 300 and len(sizes) >= 3 and sizes[0] < max(sizes)
+
+
+def test_a_wave_that_did_more_than_was_estimated_pauses_the_order() -> None:
+    rack = _Rack(30)
+    waves = in_waves(_DRAIN, rack.fleet, OrderRules(), _MOST)
+    wave = waves.next(0.0)
+    assert wave is not None
+    for unit in wave.units:
+        rack.here[int(unit)] = 70  # a crowd, since the last summary
+    waves.done(60_000.0, wave.number, rack.drain(wave))
+    assert waves.phase is Phase.PAUSED
+    assert waves.next(60_001.0) is None
+    rack.hear()
+    again = waves.next(waves.next_due() or 0.0)
+    assert again is not None and again.cost.sessions.high > wave.cost.sessions.high
+    for unit in again.units:
+        rack.here[int(unit)] = 900
+    waves.done(120_000.0, again.number, rack.drain(again))
+    assert waves.phase is Phase.ABORTED and "times its upper bound" in waves.why
+
+
+def test_a_unit_that_is_over_the_limit_alone_ends_the_order() -> None:
+    rack = _Rack(400)
+    waves = in_waves(_DRAIN, rack.fleet, OrderRules(), _MOST)
+    assert waves.next(0.0) is None
+    assert waves.phase is Phase.ABORTED and waves.why == "0 alone is over the limit"
+
+
+@pytest.mark.parametrize(
+    ("order", "expected"),
+    [
+        (_DRAIN, [str(box) for box in range(10)]),
+        (RaiseEpoch(2, 1_000.0), ["a"]),
+        (RaiseEpoch(1, 1_000.0), []),
+        (RestartFront("a", 1_000.0), ["a:1/0", "a:1/1"]),
+        (MoveChannels(("x", "a:1/1"), ("b",), 1_000.0), ["a:1/1", "x"]),
+    ],
+    ids=repr,
+)
+def test_orders_are_cut_into_their_units(order: Order, expected: list[str]) -> None:
+    fleet = _Rack(30).fleet()
+    assert units(order, fleet) == expected
+    whole = weigh(order, fleet, OrderRules())
+    parts = [weigh(part(order, [unit]), fleet, OrderRules()) for unit in expected]
+    assert sum(one.sessions.guess for one in parts) == pytest.approx(whole.sessions.guess)
+    assert sum(one.channels.guess for one in parts) == pytest.approx(whole.channels.guess)
+    assert all(one.sessions.high <= whole.sessions.high for one in parts)
