Stragglers: judged by content and acts, brought up by peers, shut out by keepers' votes

Fronts of a fleet act on what they hold; one that misses a list, an epoch or retired keys goes on with old ones. fernweir/peers/late is a pure machine that finds such a front by contents and own clock ages (numbers of feeds prove nothing between fronts), has one peer at a time bring it up, and has it shut out by a majority of the named keepers if that fails. Weighed: a majority of the fronts believed alive (in a cut each side has one) and a decree by one coordinator (needs a log). Votes that lapse, with few places a keeper, keep the cap by counting alone.

--- /dev/null
+++ b/bench/late_day.py
@@ -0,0 +1,574 @@
+"""A fleet of stragglers' machines for a day: drawn news, faults and liars, and an oracle that knows all.
+
+All is simulated, with no sockets and no wall clock: the source of the list, membership, facts, messages and
+the record of acts are a few lines each. The oracle numbers every content as it is made, which no front can,
+and knows what each front really holds.
+"""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+from types import ModuleType
+from typing import Any
+
+import msgspec
+
+from fernweir.peers.acts.versions import Versions
+
+STEP = 250.0
+KINDS = ("boxes", "settings", "keys")
+
+
+@dataclass(frozen=True, slots=True)
+class Kit:
+    """The modules of the part; tests give ones with a mistake in them."""
+
+    stragglers: ModuleType
+    rules: ModuleType
+    events: ModuleType
+    messages: ModuleType
+    judge: ModuleType
+    lease: ModuleType
+
+
+def load() -> Kit:
+    at = "fernweir.peers.late."
+    return Kit(
+        *(
+            importlib.import_module(at + name)
+            for name in ("stragglers", "rules", "events", "messages", "judge")
+        ),
+        importlib.import_module("fernweir.peers.lease.rules"),
+    )
+
+
+def content(kind: str, number: int) -> bytes:
+    """Of a kind's news by its true number, which it does not show (but for the epoch)."""
+    if kind == "settings":
+        return number.to_bytes(8, "big")
+    return Random(f"{kind} {number}").randbytes(16) if number else b""
+
+
+@dataclass(slots=True, eq=False)
+class Front:
+    """`holds`: the true number of each kind's content, of which a liar says that it is the newest."""
+
+    name: str
+    machine: Any
+    clock: float
+    life: int
+    holds: dict[str, int]
+    up: bool = True
+    stopped: bool = False
+    deaf: bool = False  # hears no news from its sources
+    numb: bool = False  # can't take what peers bring
+    side: int = 0  # of a cut
+    liar: bool = False
+    format: int = 1
+    told: int = 0  # how often its facts changed
+    plea: bytes = b""
+    got: dict[str, int] = field(default_factory=dict)  # of whom which facts, as `told`
+    pleas: dict[str, bytes] = field(default_factory=dict)
+    refrains: str = ""
+    out: set[str] = field(default_factory=set)  # by its events
+    suspects: dict[str, str] = field(default_factory=dict)
+    since: dict[str, float] = field(default_factory=dict)  # when it was told what it holds, if in this life
+    acts_at: float = 0.0
+
+
+class Day:
+    """`n` fronts `f0`.., the first `k` are keepers. `broken`: what the oracle found, as text."""
+
+    def __init__(
+        self, seed: int, kit: Kit, n: int = 5, k: int = 3, loss: float = 0.1, rules: Any = None
+    ) -> None:
+        self.dice, self.kit, self.now, self.loss = Random(seed), kit, 0.0, loss
+        self.rules = rules or kit.rules.LateRules()
+        self.keepers = kit.lease.KeeperSet(1, tuple(f"f{i}" for i in range(k)))
+        self.number = dict.fromkeys(KINDS, 1)
+        self.fronts: dict[str, Front] = {}
+        self.at: list[tuple[float, int, Any]] = []  # what is to happen, by time
+        self.order = 0
+        self.broken: list[str] = []
+        self.log: list[tuple[float, str, Any]] = []
+        self.seen_alive: dict[tuple[str, str], float] = {}
+        self.odd: dict[str, float] = {}  # since when each front is truly behind
+        self.good: dict[str, float] = {}  # since when each is truly up to date, and connected
+        self.calm = 0.0  # since when nothing but news and one front's own trouble has happened
+        self.back: dict[tuple[str, str], float] = {}
+        self.outs = 0
+        self.sent = 0
+        for i in range(n):
+            self.start(f"f{i}", dict.fromkeys(KINDS, 1))
+
+    # --- the fleet ---
+
+    def start(self, name: str, holds: dict[str, int]) -> Front:
+        old = self.fronts.get(name)
+        life = 1 if old is None else old.life + 1
+        clock = self.dice.uniform(0.0, 1e7)  # hours apart
+        machine = self.kit.stragglers.Stragglers(name, life, self.rules, clock + self.now, self.keepers)
+        front = Front(name, machine, clock, life, dict(holds), format=old.format if old else 1)
+        if old is not None:
+            front.side, front.liar, front.deaf, front.numb = old.side, old.liar, old.deaf, old.numb
+        self.fronts[name] = front
+        for key in [key for key in self.seen_alive if name in key]:
+            del self.seen_alive[key]
+        for key in [key for key in self.back if name in key]:
+            del self.back[key]
+        self.good.pop(name, None)
+        self.disturbed()
+        self.say(front)
+        return front
+
+    def disturbed(self) -> None:
+        self.calm = self.now
+
+    def kill(self, name: str) -> None:
+        self.fronts[name].up = False
+        self.disturbed()
+
+    def stop(self, name: str, span: float) -> None:
+        front = self.fronts[name]
+        front.stopped = True
+        self.disturbed()
+
+        def wake() -> None:
+            if self.fronts[name] is front:
+                front.stopped = False
+                self.disturbed()
+
+        self.after(span, wake)
+
+    def after(self, ms: float, what: Any) -> None:
+        self.order += 1
+        self.at.append((self.now + ms, self.order, what))
+
+    def runs(self, front: Front) -> bool:
+        return front.up and not front.stopped
+
+    def linked(self, a: Front, b: Front) -> bool:
+        return self.runs(a) and self.runs(b) and a.side == b.side
+
+    def versions(self, front: Front, *, true: bool = False) -> Versions:
+        holds = dict(front.holds)
+        if front.liar and not true:
+            holds = dict(self.number)
+        return Versions(
+            f"0.{front.format}", content("settings", holds["settings"])[-4:], holds["settings"],
+            content("boxes", holds["boxes"]), int(front.clock + self.now), content("keys", holds["keys"]),
+            front.format,
+        )  # fmt: skip
+
+    def say(self, front: Front, urgent: bool = False) -> None:
+        """Its own versions changed: its machine is told, and its fact is a new one."""
+        front.told += 1
+        front.machine.versions(front.clock + self.now, front.name, self.versions(front), urgent)
+
+    # --- news ---
+
+    def news(self, kind: str, to: Iterable[str] | None = None, urgent: bool = False) -> None:
+        """A new content, told to all that are not deaf within a second, or to these only."""
+        self.number[kind] += 1
+        number = self.number[kind]
+        names = list(self.fronts if to is None else to)
+        for name in names:
+            self.after(
+                self.dice.uniform(0.0, 1_000.0), lambda name=name: self.tell(name, kind, number, urgent)
+            )
+
+    def tell(self, name: str, kind: str, number: int, urgent: bool = False) -> None:
+        front = self.fronts[name]
+        if not self.runs(front) or (front.deaf and number > 1):
+            return
+        if front.holds[kind] < number:
+            front.holds[kind] = number
+            front.since[kind] = self.now
+            self.say(front, urgent)
+
+    def refresh(self, name: str) -> None:
+        """Its sources tell it all there is: it is deaf no more."""
+        front = self.fronts[name]
+        front.deaf = front.numb = False
+        for kind in KINDS:
+            self.tell(name, kind, self.number[kind])
+
+    # --- time ---
+
+    def run(self, span: float) -> list[str]:
+        """Until the oracle finds something, or the span is over."""
+        end = self.now + span
+        while self.now < end and not self.broken:
+            self.step()
+        return self.broken
+
+    def step(self) -> None:
+        self.now += STEP
+        due = sorted(item for item in self.at if item[0] <= self.now)
+        self.at = [item for item in self.at if item[0] > self.now]
+        for _, _, what in due:
+            what()
+        for front in self.fronts.values():
+            if not self.runs(front):
+                continue
+            self.membership(front)
+            self.facts(front)
+            self.act(front)
+            at = front.machine.next_due()
+            if at is not None and at <= front.clock + self.now:
+                front.machine.tick(front.clock + self.now)
+            self.carry(front)
+        self.check()
+
+    def membership(self, front: Front) -> None:
+        """Who is not reached for 4 s is dead, who is reached again joins after 1 s."""
+        lives = {front.name: front.life}
+        for other in self.fronts.values():
+            if other is front:
+                continue
+            key = (front.name, other.name)
+            if self.linked(front, other):
+                self.seen_alive.setdefault(key, self.now)
+                self.seen_alive[key] = min(self.seen_alive[key], self.now)
+                if self.now - self.seen_alive[key] >= 1_000.0:
+                    lives[other.name] = other.life
+                    self.seen_alive[key] = -1e12
+            elif key in self.seen_alive:
+                if self.seen_alive[key] <= 0.0:
+                    self.seen_alive[key] = self.now + 4_000.0
+                if self.now < self.seen_alive[key]:
+                    lives[other.name] = other.life
+                else:
+                    del self.seen_alive[key]
+        known = front.machine.states()
+        if set(known) != set(lives) or any(
+            front.got.get(f"{name} life") != life for name, life in lives.items()
+        ):
+            for name, life in lives.items():
+                if front.got.get(f"{name} life") != life or name not in known:
+                    front.got.pop(name, None)
+                    front.pleas.pop(name, None)
+                front.got[f"{name} life"] = life
+            front.machine.fleet(front.clock + self.now, lives)
+
+    def facts(self, front: Front) -> None:
+        now = front.clock + self.now
+        for other in self.fronts.values():
+            if other is front or not self.linked(front, other) or front.machine.state(other.name) is None:
+                continue
+            if self.dice.random() > 0.25:
+                continue
+            if other.plea != front.pleas.get(other.name, b""):
+                front.pleas[other.name] = other.plea
+                if other.plea:
+                    versions = msgspec.msgpack.decode(other.plea, type=Versions)
+                    front.machine.versions(now, other.name, versions)
+            if other.name in front.machine.shut_out():
+                continue
+            if front.got.get(other.name) != other.told:
+                front.got[other.name] = other.told
+                front.machine.versions(now, other.name, self.versions(other))
+
+    def act(self, front: Front) -> None:
+        """An act a second, on what it truly holds; two peers get the record of it."""
+        if self.now < front.acts_at:
+            return
+        front.acts_at = self.now + self.dice.uniform(600.0, 1_400.0)
+        versions, life, began = self.versions(front, true=True), front.life, self.now
+        others = sorted(other.name for other in self.fronts.values() if other is not front)
+        copies = others[hash_of(front.name) % len(others) :] + others[: hash_of(front.name) % len(others)]
+        for name in copies[:2]:
+
+            def arrive(name: str = name) -> None:
+                at = self.fronts[name]
+                if self.linked(front, at) and self.fronts[front.name].life == life:
+                    at.machine.evidence(at.clock + self.now, front.name, versions, self.now - began)
+
+            self.after(self.dice.uniform(50.0, 1_500.0), arrive)
+
+    def carry(self, front: Front) -> None:
+        for effect in front.machine.take():
+            if hasattr(effect, "message"):
+                self.sent += 1
+                times = 0 if self.dice.random() < self.loss and not effect.whole else 1
+                times += self.dice.random() < 0.05 and not effect.whole
+                for _ in range(times):
+                    late = 2_000.0 if self.dice.random() < 0.05 else 0.0
+                    self.after(self.dice.uniform(1.0, 100.0) + late, self.hearing(front, effect))
+            else:
+                self.log.append((self.now, front.name, effect))
+                self.event(front, effect)
+
+    def hearing(self, front: Front, effect: Any) -> Any:
+        def arrive() -> None:
+            to = self.fronts[effect.to]
+            if self.linked(front, to) and self.fronts[front.name].life == front.life:
+                to.machine.heard(to.clock + self.now, front.name, effect.message)
+
+        return arrive
+
+    def event(self, front: Front, event: Any) -> None:
+        events = self.kit.events
+        now = front.clock + self.now
+        if isinstance(event, events.BringUp):
+            if content(event.what, front.holds[event.what]) == event.content and not front.liar:
+                data = str(front.holds[event.what]).encode()
+                self.after(
+                    100.0,
+                    lambda: front.machine.supply(now + 100.0, event.name, event.what, event.content, data),
+                )
+        elif isinstance(event, events.Apply):
+            number = int(event.data)
+            if not front.numb:
+                self.after(300.0, lambda: self.applied(front, str(event.what), number))
+        elif isinstance(event, events.ShutOut):
+            self.shut_out(front, event.name)
+        elif isinstance(event, events.Back):
+            if event.name not in front.out:
+                self.fail(f"{front.name} has {event.name} back that was not out")
+            front.out.discard(event.name)
+            self.back[front.name, event.name] = self.now
+        elif isinstance(event, events.Refrain):
+            if bool(event.why) == bool(front.refrains) and event.why == front.refrains:
+                self.fail(f"{front.name} refrains twice")
+            front.refrains = event.why
+        elif isinstance(event, events.Plead):
+            front.plea = event.data
+        elif isinstance(event, events.NewsSuspect):
+            if bool(event.why) == (event.what in front.suspects):
+                self.fail(f"{front.name} says twice that news of {event.what} is suspect, or not")
+            front.suspects.pop(event.what, None)
+            if event.why:
+                front.suspects[event.what] = event.why
+
+    def applied(self, front: Front, kind: str, number: int) -> None:
+        if self.runs(front) and front.holds[kind] != number and not front.numb:
+            front.holds[kind] = number
+            front.since.pop(kind, None)
+            self.say(front)
+
+    # --- the oracle ---
+
+    def fail(self, text: str) -> None:
+        self.broken.append(f"{self.now / 1000.0:.2f} s: {text}")
+
+    def behind(self, front: Front) -> bool:
+        """In truth: it holds what is older than what at least three in four of the others hold, or stands on
+        another content than most without having been told it in this life, or acts so."""
+        others = [other for other in self.fronts.values() if other is not front and self.linked(front, other)]
+        if not others:
+            return False
+        for kind in KINDS:
+            newer = sum(other.holds[kind] > front.holds[kind] for other in others)
+            share = self.rules.epoch_share - 0.15 if kind == "settings" else self.rules.left_share
+            if newer >= share * len(others) - 1e-9:
+                return True
+            holds = [other.holds[kind] for other in others]
+            most = max(holds, key=lambda number: (holds.count(number), number))
+            if kind != "settings" and front.holds[kind] < most:
+                return True
+            same = holds.count(front.holds[kind])
+            if kind != "settings" and kind not in front.since and 2 * same <= len(others):
+                return True
+        return False
+
+    def shut_out(self, front: Front, name: str) -> None:
+        """Only who has truly been behind for as long as it takes to be late and to be brought up."""
+        if name in front.out:
+            self.fail(f"{front.name} shuts {name} out twice")
+        known = any(name in other.out for other in self.fronts.values())
+        front.out.add(name)
+        self.outs += 1
+        if known:
+            return
+        # What keepers saw is older by their vote's way, and news takes its time until a front has moved on.
+        least = self.rules.urgent_ms + self.rules.bring_ms - 6_000.0
+        since = self.odd.get(name)
+        if since is None or self.now - since < least:
+            grace = self.good.get(name, self.now)
+            # It may have caught up while the vote was under way.
+            if since is None and self.now - grace < self.rules.vote_ms + 6_000.0:
+                return
+            self.fail(
+                f"{front.name} shuts {name} out, which has been behind for {since and self.now - since}"
+            )
+        last = self.back.get((front.name, name))
+        if last is not None and self.now - last < self.rules.late_ms and self.now - self.calm > 60_000.0:
+            self.fail(f"{name} is out again at {front.name} {self.now - last} ms after it came back")
+
+    def check(self) -> None:
+        rules = self.rules
+        whole = len({front.side for front in self.fronts.values()}) == 1
+        for front in self.fronts.values():
+            if not self.runs(front):
+                self.odd.pop(front.name, None)
+                self.good.pop(front.name, None)
+                continue
+            behind = self.behind(front)
+            if behind:
+                self.odd.setdefault(front.name, self.now)
+            else:
+                self.odd.pop(front.name, None)
+            wrong = behind or any(
+                front.holds[kind] != max(other.holds[kind] for other in self.fronts.values())
+                for kind in KINDS
+            )
+            if wrong or front.liar or not whole:
+                self.good.pop(front.name, None)
+            else:
+                self.good.setdefault(front.name, self.now)
+            out = set(front.machine.shut_out())
+            if out != front.out:
+                self.fail(f"{front.name}: events say {sorted(front.out)}, states {sorted(out)}")
+        running = [front for front in self.fronts.values() if self.runs(front)]
+        everyone = {name for front in running for name in front.out}
+        most = self.kit.rules.cap(rules, len(self.fronts))
+        if len(everyone) > most and self.now - self.calm > rules.settle_ms:
+            self.fail(f"{sorted(everyone)} are out at once, {most} may be")
+        if any(len(front.out) > most for front in running):
+            self.fail("more are out at one front than may be")
+        longest = max(rules.stay_ms, rules.clean_for(6)) + rules.vote_ms + 20_000.0
+        for name in everyone & self.good.keys():
+            outs = max(
+                (
+                    front.machine._table.peers[name].outs
+                    for front in running
+                    if name in front.machine.states()
+                ),
+                default=1,
+            )
+            longest = max(rules.stay_ms, rules.clean_for(outs) + rules.late_ms) + rules.vote_ms + 15_000.0
+            if self.now - max(self.good[name], self.calm) > longest:
+                self.fail(f"{name} has caught up for {self.now - self.good[name]} ms and is still out")
+        self.must(running)
+
+    def must(self, running: list[Front]) -> None:
+        """One front alone in trouble for long, nothing else: it is out at all. Nobody else is."""
+        rules = self.rules
+        long = rules.split_ms + rules.bring_ms + rules.vote_ms + 15_000.0
+        calm = self.now - self.calm > long and len(running) == len(self.fronts)
+        if calm and len(self.odd) == 1 and len({front.side for front in running}) == 1:
+            ((name, since),) = self.odd.items()
+            others = [front for front in running if front.name != name]
+            same = all(len({front.holds[kind] for front in others}) == 1 for kind in KINDS)
+            if (
+                same
+                and self.now - since > long
+                and all(self.now - front.acts_at < 5_000.0 for front in running)
+            ):
+                missing = [front.name for front in running if name not in front.out]
+                if missing and not any(front.suspects for front in running):
+                    self.fail(f"{name} has been behind for {self.now - since} ms and is not out at {missing}")
+
+
+def hash_of(name: str) -> int:
+    return Random(name).getrandbits(16)
+
+
+# --- drawn days ---
+
+
+def day(seed: int, kit: Kit, span: float = 240_000.0, most: int = 4) -> Day:
+    """A drawn day: some faults, news all the while."""
+    dice = Random(f"day {seed}")
+    n = dice.choice((3, 5, 6, 9))
+    drawn = Day(seed, kit, n, 5 if n >= 9 else 3, dice.choice((0.0, 0.1, 0.25)))
+    every = dice.choice((4_000.0, 15_000.0, 50_000.0))
+
+    def more() -> None:
+        kind = dice.choices(KINDS, (8, 1, 1))[0]
+        drawn.news(kind, urgent=dice.random() < 0.5)
+        drawn.after(dice.expovariate(1.0 / every), more)
+
+    drawn.after(8_000.0, more)
+    for _ in range(dice.randint(1, most)):
+        fault = dice.choice(FAULTS)
+        drawn.after(dice.uniform(8_000.0, span * 0.6), lambda fault=fault: fault(drawn, dice))
+    drawn.run(span)
+    return drawn
+
+
+def _pick(day: Day, dice: Random, many: int = 1) -> list[str]:
+    return dice.sample(sorted(day.fronts), many)
+
+
+def deaf(day: Day, dice: Random) -> None:
+    (name,) = _pick(day, dice)
+    day.fronts[name].deaf, day.fronts[name].numb = True, dice.random() < 0.6
+    day.after(dice.uniform(500.0, 120_000.0), lambda: day.refresh(name))
+
+
+def many_deaf(day: Day, dice: Random) -> None:
+    names = _pick(day, dice, dice.randint(2, len(day.fronts) - 1))
+    span = dice.uniform(20_000.0, 100_000.0)
+    for name in names:
+        day.fronts[name].deaf = day.fronts[name].numb = True
+        day.after(span, lambda name=name: day.refresh(name))
+
+
+def lie(day: Day, dice: Random) -> None:
+    (name,) = _pick(day, dice)
+    front = day.fronts[name]
+    front.deaf = front.numb = front.liar = True
+    day.say(front)
+
+    def reform() -> None:
+        day.fronts[name].liar = False
+        day.refresh(name)
+        day.say(day.fronts[name])
+
+    day.after(dice.uniform(60_000.0, 120_000.0), reform)
+
+
+def stand(day: Day, dice: Random) -> None:
+    day.stop(_pick(day, dice)[0], dice.uniform(500.0, 40_000.0))
+
+
+def restart(day: Day, dice: Random) -> None:
+    """Killed, and back with the list that it had once."""
+    (name,) = _pick(day, dice)
+    front = day.fronts[name]
+    if not front.up:
+        return
+    holds = {kind: max(1, number - dice.choice((0, 0, 1, 3))) for kind, number in front.holds.items()}
+    day.kill(name)
+
+    def back() -> None:
+        day.start(name, holds)
+        if not day.fronts[name].deaf:
+            day.after(dice.uniform(100.0, 3_000.0), lambda: day.refresh(name))
+
+    day.after(dice.uniform(100.0, 10_000.0), back)
+
+
+def halves(day: Day, dice: Random) -> None:
+    """Each half hears its own news; then the cut is gone, and each hears all news again later."""
+    names = _pick(day, dice, len(day.fronts) // 2)
+    for name in names:
+        day.fronts[name].side = 1
+    day.disturbed()
+    day.news("boxes", names)
+    day.news("boxes", [name for name in day.fronts if name not in names])
+
+    def join() -> None:
+        for front in day.fronts.values():
+            front.side = 0
+        day.disturbed()
+
+    day.after(dice.uniform(5_000.0, 40_000.0), join)
+
+
+def few(day: Day, dice: Random) -> None:
+    """A drain, or an epoch, that one front alone is told."""
+    (name,) = _pick(day, dice)
+    kind = dice.choice(("boxes", "settings"))
+    day.news(kind, [name], urgent=True)
+    number = day.number[kind]
+    for other in sorted(day.fronts):
+        day.after(50_000.0, lambda other=other: day.tell(other, kind, number))
+
+
+FAULTS = (deaf, deaf, many_deaf, lie, stand, restart, halves, few)
--- /dev/null
+++ b/fernweir/peers/late/messages.py
@@ -0,0 +1,79 @@
+"""What fronts say to one another about who is behind."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from fernweir.peers.acts.versions import Versions
+from fernweir.peers.base import Message
+
+DATA_MOST = 900_000  # bytes of a part, so that it fits one frame
+NAMES_MOST = 64
+EPOCH_BYTES = 8
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Life = Annotated[int, Meta(ge=0, lt=1 << 62)]
+Content = Annotated[bytes, Meta(max_length=16)]
+
+
+class Kind(StrEnum):
+    """What a front may be behind in. The program and the format of messages make nobody late."""
+
+    BOXES = "boxes"
+    SETTINGS = "settings"
+    KEYS = "keys"
+
+
+def content_of(versions: Versions, kind: Kind) -> bytes:
+    """What tells one state from another: a digest, or the epoch in 8 bytes, big endian; b"" for none yet."""
+    if kind is Kind.SETTINGS:
+        return versions.epoch.to_bytes(EPOCH_BYTES, "big")
+    return versions.boxes if kind is Kind.BOXES else versions.keys
+
+
+class Part(Message, frozen=True, array_like=True, tag="late.part"):
+    """What the receiver lacks. `data` is the joiner's own format; empty for notices of settings and keys."""
+
+    life: Life  # of the receiver
+    kind: Kind
+    content: Content
+    data: Annotated[bytes, Meta(max_length=DATA_MOST)] = b""
+
+
+class Brought(Message, frozen=True, array_like=True, tag="late.brought"):
+    """To who sent a part: this is what the front has now."""
+
+    kind: Kind
+    content: Content
+
+
+class Against(msgspec.Struct, frozen=True, array_like=True):
+    """One front, in one life, and what it is behind in."""
+
+    name: Name
+    life: Life
+    kinds: Annotated[tuple[Kind, ...], Meta(min_length=1, max_length=len(Kind))]
+
+
+class Votes(Message, frozen=True, array_like=True, tag="late.votes"):
+    """All whom a keeper votes against now. The highest (life, number) counts, whatever comes later."""
+
+    life: Life  # of the keeper
+    number: Annotated[int, Meta(ge=0, lt=1 << 62)]
+    against: Annotated[tuple[Against, ...], Meta(max_length=NAMES_MOST)]
+
+
+class Seen(Message, frozen=True, array_like=True, tag="late.seen"):
+    """To keepers: a front acted on this, at most `age_ms` ago, though it says it is further."""
+
+    name: Name
+    life: Life
+    versions: Versions
+    age_ms: Annotated[float, Meta(ge=0, le=600_000.0)]
+
+
+KINDS = (Part, Brought, Votes, Seen)
