Estimates: a run ends whatever its answers claim

Answers that cost less than nothing gave a question more than its budget, and ones cut short after next to nothing kept it reading until its time was over: costs are taken as at least what was given, and a shard is read in 32 parts at most.

--- a/fernweir/peers/estimate/runner.py
+++ b/fernweir/peers/estimate/runner.py
@@ -31,6 +31,7 @@
     at_once: int = 16  # reads that are out at a time
     answer_ms: float = 2_000.0
     whole_ms: float = 15_000.0
+    most_parts: int = 32  # in which one planned shard is read, as its answers are cut short
     margin: float = 1.25  # a read is given so many times its upper bound, if the budget has it
 
 
@@ -87,6 +88,7 @@
     most: Spend
     due: float
     tried: frozenset[str]
+    parts: int  # read of it before
 
 
 class Run:
@@ -106,8 +108,8 @@
         self._left = most
         self._rules = rules
         self._end = now + rules.whole_ms
-        self._waiting: deque[tuple[Planned, frozenset[str]]] = deque(
-            (planned, frozenset()) for planned in estimate.plan
+        self._waiting: deque[tuple[Planned, frozenset[str], int]] = deque(
+            (planned, frozenset(), 0) for planned in estimate.plan
         )
         self._outs: dict[int, _Out] = {}
         self._number = 0
@@ -129,17 +131,19 @@
         if out is None:
             return
         self._left = Spend(self._left.rows + out.most.rows, self._left.bytes + out.most.bytes)
-        self._left = Spend(self._left.rows - answer.touched, self._left.bytes - answer.bytes)
+        # No answer costs less than nothing, or has more rows than were touched.
+        touched, size = max(answer.touched, len(answer.rows)), max(0, answer.bytes)
+        self._left = Spend(self._left.rows - touched, self._left.bytes - size)
         front = out.planned.shard.front
         self._fronts.add(front)
         if out.whom != front:
             self._by_copy[front] = None
         self._rows += [(front, row) for row in answer.rows if self._matches(row)]
-        self._shards += answer.shards
-        self._touched += answer.touched
-        self._bytes += answer.bytes
-        self._holding += answer.holding
-        self._answer += answer.answer
+        self._shards += max(0, answer.shards)
+        self._touched += touched
+        self._bytes += size
+        self._holding += max(0, answer.holding)
+        self._answer += max(0, answer.answer)
         if answer.upto is not None:
             self._rest(out, answer.upto)
         elif self._differs(out, answer):
@@ -207,7 +211,7 @@
                     return
                 self._stop("budget")
                 return
-            planned, tried = self._waiting.popleft()
+            planned, tried, parts = self._waiting.popleft()
             front = planned.shard.front
             holders = [front, *self._copies.get(front, ())]
             whom = next((name for name in holders if name not in tried and name not in self._gone), None)
@@ -221,19 +225,21 @@
             self._left = Spend(self._left.rows - most.rows, self._left.bytes - most.bytes)
             self._number += 1
             due = now + self._rules.answer_ms
-            self._outs[self._number] = _Out(planned, whom, most, due, tried | {whom})
+            self._outs[self._number] = _Out(planned, whom, most, due, tried | {whom}, parts)
             self._effects.add(Read(self._number, whom, planned, most))
 
     def _rest(self, out: _Out, upto: float) -> None:
         """A read that was cut short goes on from there; one that came no further never will."""
-        if not out.planned.since < upto < out.planned.until:
+        if not out.planned.since < upto < out.planned.until or out.parts >= self._rules.most_parts:
             self._unreached[out.planned.shard.front] = None
             return
-        self._waiting.append((msgspec.structs.replace(out.planned, since=upto), out.tried - {out.whom}))
+        self._waiting.append(
+            (msgspec.structs.replace(out.planned, since=upto), out.tried - {out.whom}, out.parts + 1)
+        )
 
     def _elsewhere(self, out: _Out) -> None:
         self._left = Spend(self._left.rows + out.most.rows, self._left.bytes + out.most.bytes)
-        self._waiting.appendleft((out.planned, out.tried))
+        self._waiting.appendleft((out.planned, out.tried, out.parts))
 
     def _differs(self, out: _Out, answer: Answered) -> bool:
         planned = out.planned
@@ -243,7 +249,7 @@
 
     def _stop(self, why: str) -> None:
         self._stopped = why
-        for planned in [out.planned for out in self._outs.values()] + [one for one, _ in self._waiting]:
+        for planned in [out.planned for out in self._outs.values()] + [one for one, _, _ in self._waiting]:
             self._unreached[planned.shard.front] = None
         self._outs.clear()
         self._waiting.clear()
--- a/tests/test_peers_estimate.py
+++ b/tests/test_peers_estimate.py
@@ -225,6 +225,21 @@
         assert summaries.told(0.0, front, life, PREFIX + summary.shard.name, encode(summary))
 
 
+def test_answers_that_creep_or_cost_less_than_nothing_end_a_run() -> None:
+    told, _ = _one_planned()
+    run = Run(told, {}, Spend(10.0, 1_000.0), RunRules(), 0.0)
+    reads = 0
+    while not run.done:
+        (one,) = _reads(run)
+        reads += 1
+        answer = Answered((), -1, -50, -5_000, -1, -1, upto=max(0.0, one.planned.since) + 1e-6)
+        run.answered(float(reads), one.number, answer)
+    assert reads <= RunRules().most_parts + 1
+    result = run.result()
+    assert result.unreached == ("a",)
+    assert result.actual.rows == result.actual.bytes == 0
+
+
 def test_a_run_that_is_held_reads_nothing_new_and_ends_by_its_time() -> None:
     at = fresh_scene(8, 2_000, 6, ShardRules())
     told = estimator().estimate(Query(), at.catalogue, at.fronts, at.now)
