--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -124,11 +124,13 @@
 
 
 async def start_front(
-    config: FrontConfig, *, wall_offset_s: float | None = None, files: Files | None = None
-) -> Front:
+    config: FrontConfig, *, wall_offset_s: float | None = None, files: Files | None = None,
+    nonce: Callable[[int], bytes] = os.urandom, peers_apart_s: float = 0.0,
+) -> Front:  # fmt: skip
     """Listens and follows the list. ConfigError or OSError when it can't.
 
-    `files` stand in for the seat log's folder, as in a rehearsal on a virtual disk.
+    For rehearsals: `files` stand in for the seat log's folder, `nonce` for the system's random bytes, and
+    peers are told a wall clock that is `peers_apart_s` ahead.
     """
     loop = asyncio.get_running_loop()
     # Wall time crosses the wire only; between its readings the loop's clock carries it on.
@@ -234,7 +236,9 @@
         keys.start()
     peers = None
     if config.peers is not None:
-        peers = await _start_peers(config, core, boxes, client, keyring, wall_s)
+        peers = await _start_peers(
+            config, core, boxes, client, keyring, lambda: wall_s() + peers_apart_s, nonce
+        )
     server = Server(service.handle, _server_limits(config.http))
     await server.listen(*section.listen)
     if section.public_url is None:
@@ -248,7 +252,7 @@
 
 async def _start_peers(
     config: FrontConfig, core: Core, boxes: BoxList, client: BoxClient, keyring: Keyring,
-    wall_s: Callable[[], float],
+    wall_s: Callable[[], float], nonce: Callable[[int], bytes],
 ) -> Peers:  # fmt: skip
     from fernweir.front.peering import Peering
     from fernweir.peers.program import Peers
@@ -257,7 +261,7 @@
         return wall_s() * 1000.0
 
     port = Peering(core, boxes, client, config.class_names, wall_ms)
-    return await Peers.start(core, port, config, keyring, wall_ms)
+    return await Peers.start(core, port, config, keyring, wall_ms, nonce)
 
 
 class _Control:
