--- a/bench/peers_members.py
+++ b/bench/peers_members.py
@@ -85,13 +85,20 @@
         kinds = kit.messages.KINDS
         self._decode = msgspec.msgpack.Decoder(kinds[0] if len(kinds) == 1 else _union(kinds)).decode
 
-    def start(self, name: str, number: int, seeds: list[tuple[str, int]], life: int | None = None) -> Front:
+    def start(
+        self,
+        name: str,
+        number: int,
+        seeds: list[tuple[str, int]],
+        life: int | None = None,
+        formats: tuple[int, int] = (1, 1),
+    ) -> Front:
         """A process at address `number`; one that was there is gone. Its life is the time, unless given."""
         address = (f"127.0.{number // 250}.{number % 250 + 1}", 7000)
         if address in self.at:
             self.kill(self.at[address])
         life = 1_700_000_000_000 + int(self.now) if life is None else life
-        me = self.kit.events.Me(name, address, life)
+        me = self.kit.events.Me(name, address, life, formats)
         front = Front(name, address, life, None)
         front.machine = self.kit.detector.Members(me, self.rules, self.dice.getrandbits(32))
         self.at[address] = front
--- a/tests/test_peers_members.py
+++ b/tests/test_peers_members.py
@@ -195,11 +195,12 @@
 
 
 def halves(seed: int, kit: Kit) -> list[str]:
-    """Cut until each half declared the other dead, then joined: all are found, none is killed by hearsay."""
+    """Cut in halves, or one off, until each side is dead to the other, then joined: all are found, and a side
+    is not killed by the hearsay of the other."""
     net = Net(seed, kit, Paths(loss=0.05))
     fleet = formed(net, 8)
     net.run(2_000.0)
-    left = {front.address for front in fleet[:4]}
+    left = {front.address for front in fleet[: net.dice.choice([1, 4])]}
     net.blocked = lambda front, to: (front.address in left) != (to in left)
     net.run(net.now + net.dice.choice([9_000.0, 40_000.0]))
     net.blocked = lambda front, to: False
@@ -314,6 +315,24 @@
     return [f"{left} of 6 heard it leave"] * (left != 6) + ["died"] * count(net, "Died") + sees(net)
 
 
+def rolled(seed: int, kit: Kit) -> list[str]:
+    """A release of all fronts, two at a time, to one that reads two formats: nobody dies by it."""
+    net = Net(seed, kit, Paths(loss=0.1, double=0.1))
+    fleet = formed(net, 10)
+    seeds = [front.address for front in fleet[:3]]
+    for first in range(0, 10, 2):
+        for number in (first, first + 1):
+            fleet[number].machine.leave(net.now)
+            net.settle(fleet[number])
+        net.run(net.now + 1_000.0)
+        for number in (first, first + 1):
+            fleet[number] = net.start(f"front-{number}", number, seeds, formats=(1, 2))
+        net.run(net.now + net.dice.uniform(100.0, 4_000.0))
+    net.run(net.now + 10_000.0)
+    known = {member.formats for front in fleet for member in front.machine.table().values()}
+    return ["died"] * count(net, "Died") + ([] if known == {(1, 2)} else [f"formats {known}"]) + sees(net)
+
+
 def old_answer(seed: int, kit: Kit) -> list[str]:
     """Answers to earlier probes, doubled and late, keep no dead front alive; those of strangers neither."""
     net = Net(seed, kit, Paths())
@@ -331,7 +350,7 @@
 
 DAYS: list[Callable[[int, Kit], list[str]]] = [
     *(mess, killed, cut_one_way, stood_still, two_of_a_name, back, halves, alone, flooded, forgotten),
-    *(slow, calm, goodbye, old_answer),
+    *(slow, calm, goodbye, rolled, old_answer),
 ]
 
 
@@ -516,21 +535,6 @@
             msgspec.msgpack.decode(msgspec.msgpack.encode(["m.sync", row, []]), type=Sync)
 
 
-def test_formats_of_all_are_known() -> None:
-    kit = load()
-    net = Net(1, kit, Paths())
-    fleet = formed(net, 2)
-    newer = kit.events.Me("newer", ("127.0.0.9", 7000), 5, (1, 2))
-    front = Front("newer", newer.address, 5, kit.detector.Members(newer, net.rules, 1))
-    net.at[newer.address] = front
-    net.fronts.append(front)
-    front.machine.join(net.now, [fleet[0].address])
-    net.settle(front)
-    net.run(3_000.0)
-    assert [each.machine.table()["newer"].formats for each in fleet] == [(1, 2), (1, 2)]
-    assert front.machine.table()["front-1"].formats == (1, 1)
-
-
 def found(day: str, mutant: Mutant) -> int | None:
     """The first seed at which the day sees the mistake; a crash is seen too."""
     with broken(mutant, PART):
