--- a/fernweir/rehearsal/fleet/plan.py
+++ b/fernweir/rehearsal/fleet/plan.py
@@ -12,6 +12,7 @@
 KEY_FILE = "fleet.key"
 _KEEPERS = 5
 _LESSONS = 8
+_STOP_MS = 3_000.0
 _WAY_MS = 100.0  # by how much a busy machine may delay what a process hears
 
 
@@ -75,4 +76,5 @@
             boxes=self.boxes, racks=2, fronts=self.fronts, lessons=_LESSONS, classes=classes, times=times,
             streams=max(30, round(standing / self.boxes)),
             link_kb=4_000_000.0, uplink_kb=40_000_000.0, way_ms=_WAY_MS,
+            front_extra=f"stop-within = {_STOP_MS + peers.overlap} ms",
         )  # fmt: skip
--- a/tests/test_peers_rig.py
+++ b/tests/test_peers_rig.py
@@ -16,9 +16,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fernweir.audit.gaps import Loss
 from fernweir.rehearsal.faults import ScheduleError
 from fernweir.rehearsal.fleet.paths import Manner, PathFaults
-from fernweir.rehearsal.fleet.plan import FleetPlan
+from fernweir.rehearsal.fleet.plan import FleetPlan, PeerPlan
+from fernweir.rehearsal.fleet.report import render_fleet
 from fernweir.rehearsal.fleet.rig import Fleet, FleetResult
 from fernweir.rehearsal.fleet.schedule import ON_FRONT, draw, manner, read_schedule
 from fernweir.rehearsal.relay import Relay, free_pair
@@ -325,8 +327,6 @@
 
 # --- processes ---
 
-DAY = ["at 1.0 for 1.5 kill 1", "at 3.0 for 1.0 stop 2", "at 4.5 for 0.2 term 3"]
-
 
 def play(plan: FleetPlan, folder: Path) -> tuple[FleetResult, list[dict[str, Any]]]:
     async def day() -> FleetResult:
@@ -337,24 +337,60 @@
     return result, [json.loads(line) for line in lines]
 
 
-def test_a_day_of_three_fronts_that_are_killed_halted_and_told_to_stop(tmp_path: Path) -> None:
+def no_process_has(folder: Path) -> bool:
+    """No process was started with settings of this folder and still runs."""
+    commands = []
+    for one in Path("/proc").glob("[0-9]*/cmdline"):
+        with contextlib.suppress(OSError):
+            commands.append(one.read_bytes())
+    return not any(str(folder).encode() in command for command in commands)
+
+
+def test_fronts_that_know_each_other_are_killed_halted_and_told_to_stop(tmp_path: Path) -> None:
+    """One of three keepers stands still beside the kill; it wakes after its heirs have acted."""
+    day = [
+        "at 1.5 for 0.5 kill 4", "at 1.5 for 3.6 stop 3", "at 5.4 for 0.1 term 2",
+        "at 0.5 for 5.0 loss *>* strength 0.05", "at 3.0 for 0.6 cut 4>1",
+    ]  # fmt: skip
+    plan = FleetPlan(
+        seed=3, fronts=4, seconds=5.5, rate=10.0, play_s=(4.0, 5.0), settle_s=0.1,
+        peers=PeerPlan(lease=1_500.0, overlap=500.0), faults=tuple(read_schedule(day)),
+    )  # fmt: skip
+    result, trace = play(plan, tmp_path)
+    assert result.problems == [] and [str(one) for one in result.auditor.findings] == []
+    assert result.exits == [0] * 5 and not result.passed_over and no_process_has(tmp_path)
+    costs = result.auditor.gaps.costs
+    for loss in Loss:
+        assert costs[loss].gaps, f"heirs took sessions of the {loss} front"
+        assert costs[loss].ended == 0
+    assert result.passed.lost > 0 and result.passed.bytes > 0, "fronts talk through the relay"
+    woke = next(one["t"] for one in trace if one["kind"] == "front.cont")
+    claims = [one for one in trace if one["kind"] == "box.claim" and one["channel"].startswith("front-3:")]
+    assert any(one["accepted"] and one["front"] != "front-3" and one["t"] < woke for one in claims)
+    text = render_fleet(result)
+    assert "no session ended" in text and text.endswith("every rule held")
+
+
+def test_viewers_of_a_killed_front_go_to_another_and_no_process_is_left_when_the_rig_fails(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Fronts that don't know each other: the rig as it is without peers, and its end by an error."""
     plan = FleetPlan(
-        seed=3, seconds=5.0, rate=8.0, play_s=(1.0, 3.0), settle_s=0.2, peers=None,
-        faults=tuple(read_schedule(DAY)),
+        seed=3, fronts=2, seconds=3.0, rate=8.0, play_s=(0.5, 1.0), settle_s=0.1, peers=None,
+        faults=tuple(read_schedule(["at 0.5 for 1.0 kill 1"])),
     )  # fmt: skip
     result, trace = play(plan, tmp_path)
     assert result.problems == [] and [str(one) for one in result.auditor.findings] == []
-    assert result.exits == [0] * 4 and not result.passed_over
-    done = [(one["kind"], one["front"]) for one in trace if one["kind"] in ("front.down", "front.cont")]
-    assert done[:3] == [("front.down", "front-1"), ("front.cont", "front-2"), ("front.down", "front-3")]
-    killed = next(index for index, one in enumerate(trace) if one["kind"] == "front.down")
-    refused = {one["req"] for one in trace[killed:] if one.get("outcome") == "refused"}
-    asked = {one["req"]: one for one in trace if one["kind"] == "viewer.ask"}
-    went_on = [
-        one["req"]
-        for one in trace
-        if one["kind"] == "viewer.answer"
-        and any(asked[req]["session"] == asked[one["req"]]["session"] for req in refused)
-    ]
-    assert refused and went_on, "viewers of the killed front were answered by another"
-    assert all(one.played_s > 0.0 for one in result.shown)
+    refused = {one["req"] for one in trace if one.get("outcome") == "refused"}
+    asked = {one["req"]: one["session"] for one in trace if one["kind"] == "viewer.ask"}
+    answered = {asked[one["req"]] for one in trace if one["kind"] == "viewer.answer"}
+    assert refused and {asked[req] for req in refused} <= answered
+
+    async def fails(self: Fleet) -> list[Any]:
+        assert not no_process_has(tmp_path)
+        raise RuntimeError("the rig's own mistake")
+
+    monkeypatch.setattr(Fleet, "_day", fails)
+    with pytest.raises(RuntimeError, match="own mistake"):
+        play(plan, tmp_path)
+    assert no_process_has(tmp_path)
