Estimates: a desk joins estimates, limits, runs and what is learned from them

What a peer must hold to let questions be asked is one pure machine now: summaries, the fleet, pressure and answers go in, reads and results come out.

--- a/fernweir/peers/estimate/parts.py
+++ b/fernweir/peers/estimate/parts.py
@@ -88,9 +88,13 @@
         row_bytes = summary.size / summary.rows if summary.rows else rules.row_bytes
         rows = size = there = _NONE
         if found is not None:
-            end = query.until if grows else until  # one read goes on to what is new
-            rows, size = self._reading(since, end, known)
-            there = _clip(found.rows, before, summary.steps.between(*lived))
+            if grows and until < query.until:  # one read goes on to what is new
+                rows, size = self._reading(since, query.until, known, None)
+            else:
+                rows, size = self._reading(since, until, known, before)
+            there = found.rows
+            if before[0] < summary.rows:
+                there = _clip(there, before, summary.steps.between(*lived))
             if summary.of == STANDING:  # what stood may be over
                 left = self._changes(known, now)
                 rows = Bound(max(0.0, rows.low - left), rows.guess, rows.high)
@@ -102,7 +106,8 @@
             size = size + Bound(0.0, growth.guess * row_bytes, growth.high * row_bytes * rules.size_margin)
             share = 0.0 if wanted else 1.0
             if wanted and like is not None and lived[1] > summary.taken - rules.recent_ms:
-                share = like.rows.guess / max(1.0, summary.steps.between(*lived)[1])
+                there_lived = summary.rows if lived[1] == inf else summary.steps.between(*lived)[1]
+                share = like.rows.guess / max(1.0, there_lived)
             grown = Bound(0.0, growth.guess * share, growth.high)
         planned = Planned(
             summary.shard,
@@ -176,10 +181,10 @@
             )
             yield Part(planned, exactly(1.0), _NONE, 0.0, False, Bound(0.0, 0.0, most), row_bytes)
 
-    def _reading(self, since: float, until: float, known: Known) -> tuple[Bound, Bound]:
+    def _reading(self, since: float, until: float, known: Known, told: Span | None) -> tuple[Bound, Bound]:
         """Rows and bytes read in the span: whole blocks, so that both ends reach out by up to one."""
         steps, block = known.summary.steps, self._rules.block_ms
-        low = steps.between(since, until)
+        low = told or steps.between(since, until)
         if low[0] == known.summary.rows:
             return exactly(low[0]), exactly(low[3])
         guess = steps.between(since - block / 2, until + block / 2)
--- a/fernweir/peers/estimate/rules.py
+++ b/fernweir/peers/estimate/rules.py
@@ -19,6 +19,8 @@
     kept: int = 4  # sealed summaries that a front publishes; older shards are only counted
     bucket_ms: float = 5_000.0  # rates are counted in buckets
     buckets: int = 120
+    publish_ms: float = 20_000.0  # between two publications, or more: see `publish_after`
+    heard_bytes_s: float = 20_000.0  # that all fronts' summaries may cost each of them
     rate_ms: float = 15_000.0  # over which the rate of late is taken, or up to four times that
 
 
@@ -47,3 +49,12 @@
     stale_ms: float = 120_000.0  # an older summary counts as none
     most_rows: int = 8192  # of a shard, as all fronts seal them
     most_span_ms: float = 600_000.0
+
+
+def publish_after(fronts: int, size: int, rules: ShardRules) -> float:
+    """When to publish again (ms): each front hears all others, so the more there are the rarer it is.
+
+    `size`: bytes of the summaries that have changed. Estimates take their summaries' age into account, but
+    `EstimateRules.stale_ms` must be some three times this.
+    """
+    return max(rules.publish_ms, fronts * size / rules.heard_bytes_s * 1e3)
--- a/tests/peers_estimate_day.py
+++ b/tests/peers_estimate_day.py
@@ -15,10 +15,11 @@
 from bench.peers_load import LoadPlan, Scene, drawn_query, drawn_rows, scene
 from fernweir.peers.estimate.bounds import Bound, Estimate
 from fernweir.peers.estimate.catalogue import PREFIX, Catalogue, CatalogueRules
+from fernweir.peers.estimate.desk import Desk, DeskRules, Done, ReadFor
 from fernweir.peers.estimate.estimator import Estimator
 from fernweir.peers.estimate.feedback import QUANTITIES, Actual, Feedback, FeedbackRules, q_error
 from fernweir.peers.estimate.fleet import BoxLoad, ChannelLoad, FleetView, FrontLoad, RackView, Ration
-from fernweir.peers.estimate.limits import Granted, LimitRules, Limits
+from fernweir.peers.estimate.limits import Granted, LimitRules, Limits, Refused
 from fernweir.peers.estimate.narrow import narrower
 from fernweir.peers.estimate.orders import DrainRack, MoveChannels, OrderRules, RestartFront, weigh
 from fernweir.peers.estimate.question import STANDING, Query, within
@@ -322,6 +323,93 @@
     return wrong
 
 
+def desk_day(seed: int) -> list[str]:
+    """Many questions at once at one desk, while fronts die, answers are lost, and viewers press."""
+    dice = Random(f"desk/{seed}")
+    at = small_scene(seed % 7, fronts=(5,))
+    oracle = Oracle(at.rows)
+    rules = DeskRules(
+        estimate=ESTIMATES,
+        limits=LimitRules(rows_s=2_000.0, bytes_s=200_000.0, most_running=5),
+        run=RunRules(at_once=3),
+    )
+    now = at.now
+    desk = Desk(rules, now)
+    desk.catalogue = at.catalogue
+    names = at.fronts
+    desk.fleet(names, {name: [names[n - 1], names[n - 2]] for n, name in enumerate(names)})
+    wrong: list[str] = []
+    asked: dict[int, Query] = {}
+    ended: set[int] = set()
+    out: list[ReadFor] = []
+    dead: set[str] = set()
+    held = False
+    for step in range(400):
+        now += dice.choice((0.0, 1.0, 20.0))
+        deed = dice.random()
+        if deed < 0.15 and step < 250:
+            query = drawn_query(at, dice)
+            said = desk.ask(now, query)
+            if isinstance(said, Refused):
+                if said.narrower is not None and not within(said.narrower, query):
+                    wrong.append(f"{said.narrower} is not within {query}")
+            else:
+                asked[said] = query
+                if held:
+                    wrong.append("let through while viewers need everything")
+        elif deed < 0.2:
+            held = dice.random() < 0.3
+            desk.pressed(now, 1.0 if held else dice.choice((0.0, 0.5)))
+        elif deed < 0.21 and len(dead) < 2:
+            dead.add(dice.choice(names))
+            for front in sorted(dead):
+                desk.gone(now, front)
+        elif out:
+            one = out.pop(dice.randrange(len(out)))
+            if one.read.whom in dead or dice.random() < 0.05:
+                desk.failed(now, one.ticket, one.read.number)
+            elif dice.random() < 0.95:  # else it is never heard of again
+                answer = at.store.read(one.query, one.read)
+                desk.answered(now, one.ticket, one.read.number, answer)
+                if dice.random() < 0.1:
+                    desk.answered(now, one.ticket, one.read.number, answer)
+        due = desk.next_due()
+        if step > 300 and not out and due is not None:
+            now = max(now, due)
+        if due is not None and due <= now:
+            desk.tick(now)
+        for effect in desk.take():
+            if isinstance(effect, ReadFor):
+                if held:
+                    wrong.append("read while viewers need everything")
+                out.append(effect)
+            elif isinstance(effect, Done):
+                if effect.ticket in ended:
+                    wrong.append("ended twice")
+                ended.add(effect.ticket)
+                wrong += _ended(effect, oracle, asked[effect.ticket])
+            else:
+                wrong.append(f"{effect} though all are honest")
+        if held and step > 300:
+            held = False
+            desk.pressed(now, 0.0)
+    if ended != set(asked):
+        wrong.append(f"{len(asked) - len(ended)} questions never ended")
+    return wrong
+
+
+def _ended(done: Done, oracle: Oracle, query: Query) -> list[str]:
+    expected, result = oracle.found(query), done.result
+    wrong = []
+    if result.actual.rows > max(1.0, done.estimate.rows.high):
+        wrong.append(f"{result.actual.rows} rows touched of {done.estimate.rows.high} that were set aside")
+    if len(result.rows) > len(expected):
+        wrong.append(f"{len(result.rows)} rows of {len(expected)}")
+    if len(result.rows) < len(expected) and not result.unreached:
+        wrong.append(f"{query}: {len(result.rows)} rows of {len(expected)}, and nothing said to be unreached")
+    return wrong
+
+
 def waves_day(seed: int) -> list[str]:
     """An order of units with drawn costs, whose estimates are off by a drawn factor."""
     dice = Random(f"waves/{seed}")
--- a/tests/peers_mutants/estimate.py
+++ b/tests/peers_mutants/estimate.py
@@ -194,3 +194,20 @@
     "        row = Row(known[1].at if known else now, STANDING, standing.session,",
     20,
 )
+_add(
+    "desk_day",
+    "what runs goes on reading while viewers need everything",
+    "desk.py",
+    "            running.run.hold(now, self._held)\n",
+    "            pass\n",
+    10,
+)
+_add(
+    "questions_day",
+    "a run that stops keeps what still waits",
+    "runner.py",
+    "        self._outs.clear()\n        self._waiting.clear()\n",
+    "        self._outs.clear()\n",
+    10,
+    2,
+)
--- a/tests/test_peers_estimate.py
+++ b/tests/test_peers_estimate.py
@@ -33,7 +33,7 @@
     weigh,
 )
 from fernweir.peers.estimate.question import ACTS, STANDING, Query, Row
-from fernweir.peers.estimate.rules import EstimateRules, ShardRules
+from fernweir.peers.estimate.rules import EstimateRules, ShardRules, publish_after
 from fernweir.peers.estimate.runner import Answered, Caught, Read, Run, RunRules, Spend
 from fernweir.peers.estimate.shards import Summarizer
 from fernweir.peers.estimate.sketches import cut, pack_filter, read_filter, steps
@@ -65,6 +65,7 @@
     "limits_day": 8,
     "feedback_day": 1,
     "standing_day": 12,
+    "desk_day": 6,
     "waves_day": 60,
     "orders_day": 60,
 }
@@ -356,6 +357,15 @@
         assert estimator().estimate(query, summaries, ["a"], 0.0).found.guess > 0.5
 
 
+def test_hearing_all_summaries_costs_the_same_in_any_fleet() -> None:
+    rules = ShardRules()
+    assert publish_after(5, 9_000, rules) == rules.publish_ms
+    for fronts in (60, 200, 1_000):
+        assert fronts * 9_000 / publish_after(fronts, 9_000, rules) * 1e3 == pytest.approx(
+            rules.heard_bytes_s
+        )
+
+
 def test_a_table_of_summaries_is_bounded() -> None:
     summaries = Catalogue(CatalogueRules(most_fronts=3, most_shards=2))
     data = _summary()
