--- a/fernweir/peers/acts/block.py
+++ b/fernweir/peers/acts/block.py
@@ -155,6 +155,11 @@
     return Sealed(block, data, digest_of(data))
 
 
+def block_of(data: bytes) -> Block:
+    """Of bytes that `seal` or `read` gave."""
+    return _decoder.decode(data)
+
+
 def digest_of(data: bytes) -> bytes:
     return blake2b(data, digest_size=DIGEST_BYTES, person=b"fw block").digest()
 
--- a/fernweir/peers/acts/chain.py
+++ b/fernweir/peers/acts/chain.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 
 from fernweir.peers.acts.block import TICK_MS, Sealed, seal
 from fernweir.peers.acts.rules import ActRules
@@ -75,14 +76,16 @@
         self._sealed.append(sealed)
 
     def tick(self, now: float) -> None:
-        due = self.next_due()
-        if due is not None and now >= due:
+        if now >= self._full_at():
             self.seal(now)
 
     def next_due(self) -> float | None:
         if self._sealed:  # sealed as it was full, or as the wall clock jumped
             return self._sealed[0].block.until * TICK_MS
-        return self._open[0][0].at + self.rules.block_ms if self._open else None
+        return self._full_at() if self._open else None
+
+    def _full_at(self) -> float:
+        return self._open[0][0].at + self.rules.block_ms if self._open else inf
 
     def take(self) -> list[Sealed]:
         sealed, self._sealed = self._sealed, []
--- a/fernweir/peers/acts/clock.py
+++ b/fernweir/peers/acts/clock.py
@@ -21,7 +21,7 @@
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.base import Effect, Message, Outbox, Send
 
-_NEAR = 4  # samples on each side that are asked for a moment
+_NEAR = 2  # samples on each side that are asked for a moment
 _FIRST_MS = 200.0  # the first exchanges with a peer follow one another at this pace
 _FIRST = 3
 _LIVES = 4
--- a/fernweir/peers/acts/rules.py
+++ b/fernweir/peers/acts/rules.py
@@ -18,9 +18,9 @@
     block_bytes: int = 65_536
     segment_acts: int = 512
     segment_blocks: int = 256
-    own_bytes: int = 8 << 20
-    peer_bytes: int = 8 << 20
-    copies_bytes: int = 24 << 20
+    own_bytes: int = 3 << 20
+    peer_bytes: int = 3 << 19
+    copies_bytes: int = 3 << 20
     lives: int = 4
     owners: int = 512
     holders: int = 2
--- a/fernweir/peers/acts/segment.py
+++ b/fernweir/peers/acts/segment.py
@@ -15,7 +15,17 @@
 import msgspec
 
 from fernweir.journal.segment import Index
-from fernweir.peers.acts.block import Block, BlockError, Record, Sealed, read, record, records, ticks_of
+from fernweir.peers.acts.block import (
+    Block,
+    BlockError,
+    Record,
+    Sealed,
+    block_of,
+    read,
+    record,
+    records,
+    ticks_of,
+)
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.versions import DIGEST_BYTES, Versions
 
@@ -85,17 +95,25 @@
     )  # fmt: skip
 
 
-def index(blocks: Sequence[Sealed]) -> Index:
-    return Index([one for sealed in blocks for one in records(sealed.block)], FIELDS)
+def index(blocks: Sequence[Block]) -> Index:
+    return Index([one for block in blocks for one in records(block)], FIELDS)
 
 
-def unpack(data: bytes, rules: ActRules) -> list[Sealed]:
-    """The blocks of a segment. BlockError if they are none, or don't follow one another."""
-    unzip = zlib.decompressobj()
+def trusted(data: bytes) -> list[Block]:
+    """The blocks of a segment that was made here and never left memory: nothing has to be proved again."""
+    return [block_of(one) for one in _open(data)[2]]
+
+
+def _open(data: bytes) -> tuple[str, int, list[bytes]]:
     try:
-        front, life, kept = _decoder.decode(unzip.decompress(data, _MOST_BYTES))
+        return _decoder.decode(zlib.decompressobj().decompress(data, _MOST_BYTES))
     except (zlib.error, msgspec.MsgspecError) as error:
         raise BlockError(f"segment: {error}") from None
+
+
+def unpack(data: bytes, rules: ActRules) -> list[Sealed]:
+    """The blocks of a segment from a disk. BlockError if they are none, or don't follow one another."""
+    front, life, kept = _open(data)
     blocks = [read(one, 4 * rules.block_bytes, rules.block_acts) for one in kept]
     if not blocks:
         raise BlockError("a segment without blocks")
--- a/fernweir/peers/acts/store.py
+++ b/fernweir/peers/acts/store.py
@@ -81,7 +81,7 @@
         """Made anew if memory had no room for it. None: the segment can't be read."""
         if one.index is not None:
             return one.index
-        blocks = shelf.read(one)
+        blocks = shelf.blocks(one)
         if not blocks:
             return None
         made = segments.index(blocks)
@@ -94,10 +94,10 @@
         key = shelf.owner, shelf.life, one.first
         found = self._decoded.get(key)
         if found is None:
-            blocks = shelf.read(one)
+            blocks = shelf.blocks(one)
             if not blocks:
                 return None
-            found = self._decoded[key] = Decoded([sealed.block for sealed in blocks])
+            found = self._decoded[key] = Decoded(blocks)
             if len(self._decoded) > _DECODED:
                 self._decoded.popitem(last=False)
         else:
