--- a/fernweir/peers/acts/desk.py
+++ b/fernweir/peers/acts/desk.py
@@ -91,8 +91,8 @@
 def _found(one: Found, wall: float) -> dict[str, Any]:
     plain: dict[str, Any] = {
         "front": one.owner, "life": one.life, "when": _span(one.when, wall), "deed": str(one.deed),
-        "session": one.session, "title": one.title, "tenant": one.tenant, "box": one.box, "outcome": one.outcome,
-        "sure": one.sure is one.sure.YES, "versions": _versions(one.versions),
+        "session": one.session, "title": one.title, "tenant": one.tenant, "box": one.box,
+        "outcome": one.outcome, "sure": one.sure is one.sure.YES, "versions": _versions(one.versions),
     }  # fmt: skip
     if one.knew:
         plain["knew"] = True
