--- a/bench/late_day.py
+++ b/bench/late_day.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import importlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from types import ModuleType
@@ -31,7 +31,6 @@
     events: ModuleType
     messages: ModuleType
     judge: ModuleType
-    lease: ModuleType
 
 
 def load() -> Kit:
@@ -41,7 +40,6 @@
             importlib.import_module(at + name)
             for name in ("stragglers", "rules", "events", "messages", "judge")
         ),
-        importlib.import_module("fernweir.peers.lease.rules"),
     )
 
 
@@ -59,6 +57,7 @@
     name: str
     machine: Any
     clock: float
+    rate: float
     life: int
     holds: dict[str, int]
     up: bool = True
@@ -66,6 +65,8 @@
     deaf: bool = False  # hears no news from its sources
     numb: bool = False  # can't take what peers bring
     side: int = 0  # of a cut
+    born: float = 0.0
+    slanders: str = ""  # of whose acts it makes up what it tells
     liar: bool = False
     format: int = 1
     told: int = 0  # how often its facts changed
@@ -87,7 +88,7 @@
     ) -> None:
         self.dice, self.kit, self.now, self.loss = Random(seed), kit, 0.0, loss
         self.rules = rules or kit.rules.LateRules()
-        self.keepers = kit.lease.KeeperSet(1, tuple(f"f{i}" for i in range(k)))
+        self.keepers = tuple(f"f{i}" for i in range(k))
         self.number = dict.fromkeys(KINDS, 1)
         self.fronts: dict[str, Front] = {}
         self.at: list[tuple[float, int, Any]] = []  # what is to happen, by time
@@ -97,8 +98,12 @@
         self.seen_alive: dict[tuple[str, str], float] = {}
         self.odd: dict[str, float] = {}  # since when each front is truly behind
         self.good: dict[str, float] = {}  # since when each is truly up to date, and connected
+        self.surely: dict[str, float] = {}
+        self.trouble: dict[str, float] = {}  # when each was last truly behind for longer than news takes
         self.calm = 0.0  # since when nothing but news and one front's own trouble has happened
         self.back: dict[tuple[str, str], float] = {}
+        self.out_at: dict[tuple[str, str], float] = {}
+        self.blocked: set[tuple[str, str]] = set()  # from whom to whom no fact and no message comes
         self.outs = 0
         self.sent = 0
         for i in range(n):
@@ -109,9 +114,11 @@
     def start(self, name: str, holds: dict[str, int]) -> Front:
         old = self.fronts.get(name)
         life = 1 if old is None else old.life + 1
-        clock = self.dice.uniform(0.0, 1e7)  # hours apart
-        machine = self.kit.stragglers.Stragglers(name, life, self.rules, clock + self.now, self.keepers)
-        front = Front(name, machine, clock, life, dict(holds), format=old.format if old else 1)
+        clock, rate = self.dice.uniform(0.0, 1e7), self.dice.uniform(0.99, 1.01)  # hours and 2% apart
+        began = clock + self.now * rate
+        machine = self.kit.stragglers.Stragglers(name, life, self.rules, began, self.keepers)
+        front = Front(name, machine, clock, rate, life, dict(holds), format=old.format if old else 1)
+        front.born = self.now
         if old is not None:
             front.side, front.liar, front.deaf, front.numb = old.side, old.liar, old.deaf, old.numb
         self.fronts[name] = front
@@ -120,10 +127,19 @@
         for key in [key for key in self.back if name in key]:
             del self.back[key]
         self.good.pop(name, None)
+        for at in [at for at in self.out_at if at[1] == name]:
+            del self.out_at[at]
         self.disturbed()
         self.say(front)
         return front
 
+    def time(self, front: Front) -> float:
+        return front.clock + self.now * front.rate
+
+    def wall(self, front: Front) -> int:
+        """Hours off, and jumping; it must not matter."""
+        return int(front.clock) * (1 + int(self.now / 10_000.0) % 3)
+
     def disturbed(self) -> None:
         self.calm = self.now
 
@@ -159,14 +175,14 @@
             holds = dict(self.number)
         return Versions(
             f"0.{front.format}", content("settings", holds["settings"])[-4:], holds["settings"],
-            content("boxes", holds["boxes"]), int(front.clock + self.now), content("keys", holds["keys"]),
+            content("boxes", holds["boxes"]), self.wall(front), content("keys", holds["keys"]),
             front.format,
         )  # fmt: skip
 
     def say(self, front: Front, urgent: bool = False) -> None:
         """Its own versions changed: its machine is told, and its fact is a new one."""
         front.told += 1
-        front.machine.versions(front.clock + self.now, front.name, self.versions(front), urgent)
+        front.machine.versions(self.time(front), front.name, self.versions(front), urgent)
 
     # --- news ---
 
@@ -218,8 +234,8 @@
             self.facts(front)
             self.act(front)
             at = front.machine.next_due()
-            if at is not None and at <= front.clock + self.now:
-                front.machine.tick(front.clock + self.now)
+            if at is not None and at <= self.time(front):
+                front.machine.tick(self.time(front))
             self.carry(front)
         self.check()
 
@@ -252,14 +268,14 @@
                     front.got.pop(name, None)
                     front.pleas.pop(name, None)
                 front.got[f"{name} life"] = life
-            front.machine.fleet(front.clock + self.now, lives)
+            front.machine.fleet(self.time(front), lives)
 
     def facts(self, front: Front) -> None:
-        now = front.clock + self.now
+        now = self.time(front)
         for other in self.fronts.values():
             if other is front or not self.linked(front, other) or front.machine.state(other.name) is None:
                 continue
-            if self.dice.random() > 0.25:
+            if self.dice.random() > 0.25 or (other.name, front.name) in self.blocked:
                 continue
             if other.plea != front.pleas.get(other.name, b""):
                 front.pleas[other.name] = other.plea
@@ -285,9 +301,15 @@
             def arrive(name: str = name) -> None:
                 at = self.fronts[name]
                 if self.linked(front, at) and self.fronts[front.name].life == life:
-                    at.machine.evidence(at.clock + self.now, front.name, versions, self.now - began)
+                    said = versions if at.slanders != front.name else self._made_up(front)
+                    at.machine.evidence(self.time(at), front.name, said, self.now - began)
 
-            self.after(self.dice.uniform(50.0, 1_500.0), arrive)
+            # Now and then a record is repaired, long after it was made.
+            late = 25_000.0 if self.dice.random() < 0.05 else 0.0
+            self.after(self.dice.uniform(50.0, 1_500.0) + late, arrive)
+
+    def _made_up(self, front: Front) -> Versions:
+        return msgspec.structs.replace(self.versions(front, true=True), boxes=content("boxes", 1))
 
     def carry(self, front: Front) -> None:
         for effect in front.machine.take():
@@ -305,20 +327,23 @@
     def hearing(self, front: Front, effect: Any) -> Any:
         def arrive() -> None:
             to = self.fronts[effect.to]
-            if self.linked(front, to) and self.fronts[front.name].life == front.life:
-                to.machine.heard(to.clock + self.now, front.name, effect.message)
+            blocked = (front.name, to.name) in self.blocked
+            if not blocked and self.linked(front, to) and self.fronts[front.name].life == front.life:
+                to.machine.heard(self.time(to), front.name, effect.message)
 
         return arrive
 
     def event(self, front: Front, event: Any) -> None:
         events = self.kit.events
-        now = front.clock + self.now
         if isinstance(event, events.BringUp):
+            self.bring_up(front, event.name, str(event.what), event.content)
             if content(event.what, front.holds[event.what]) == event.content and not front.liar:
                 data = str(front.holds[event.what]).encode()
                 self.after(
                     100.0,
-                    lambda: front.machine.supply(now + 100.0, event.name, event.what, event.content, data),
+                    lambda: front.machine.supply(
+                        self.time(front), event.name, event.what, event.content, data
+                    ),
                 )
         elif isinstance(event, events.Apply):
             number = int(event.data)
@@ -331,6 +356,7 @@
                 self.fail(f"{front.name} has {event.name} back that was not out")
             front.out.discard(event.name)
             self.back[front.name, event.name] = self.now
+            self.came_back(front, event.name)
         elif isinstance(event, events.Refrain):
             if bool(event.why) == bool(front.refrains) and event.why == front.refrains:
                 self.fail(f"{front.name} refrains twice")
@@ -355,6 +381,14 @@
     def fail(self, text: str) -> None:
         self.broken.append(f"{self.now / 1000.0:.2f} s: {text}")
 
+    def sure(self, front: Front) -> bool:
+        """In truth, beyond doubt: all others hold one content of each kind, and it an older one of some."""
+        others = [other for other in self.fronts.values() if other is not front]
+        if not all(self.linked(front, other) for other in others):
+            return False
+        same = all(len({other.holds[kind] for other in others}) == 1 for kind in KINDS)
+        return same and any(front.holds[kind] < others[0].holds[kind] for kind in KINDS)
+
     def behind(self, front: Front) -> bool:
         """In truth: it holds what is older than what at least three in four of the others hold, or stands on
         another content than most without having been told it in this life, or acts so."""
@@ -368,13 +402,49 @@
                 return True
             holds = [other.holds[kind] for other in others]
             most = max(holds, key=lambda number: (holds.count(number), number))
-            if kind != "settings" and front.holds[kind] < most:
+            if (
+                kind != "settings"
+                and front.holds[kind] < most
+                and holds.count(most) > 1 + holds.count(front.holds[kind])
+            ):
                 return True
             same = holds.count(front.holds[kind])
             if kind != "settings" and kind not in front.since and 2 * same <= len(others):
                 return True
         return False
 
+    def bring_up(self, front: Front, name: str, kind: str, target: bytes) -> None:
+        """Only who is late, which takes a while, and only to what is newer or what most hold."""
+        since = self.odd.get(name)
+        steady = (
+            self.now - self.calm > 20_000.0 and not front.slanders and (name, front.name) not in self.blocked
+        )
+        if not steady:
+            return
+        held = [content(kind, each.holds[kind]) for each in self.fronts.values() if self.runs(each)]
+        late = self.fronts[name]
+        ahead = late.since.get(kind, -1.0) > self.calm and self.now - late.since[kind] > 5_000.0
+        tie = held.count(target) >= held.count(content(kind, late.holds[kind])) and not ahead
+        if since is None and self.now - self.good.get(name, self.now) > 6_000.0 and not tie:
+            self.fail(f"{front.name} brings {name} up in {kind}, in which it is not behind")
+        if since is not None and self.now - since < self.rules.urgent_ms - 4_000.0:
+            self.fail(f"{front.name} brings {name} up, which has been behind for {self.now - since}")
+
+    def came_back(self, front: Front, name: str) -> None:
+        """Not before it was shut out for the least time, and clean for the least time."""
+        began = self.out_at.pop((front.name, name), None)
+        suspects = any(each.suspects for each in self.fronts.values())
+        steady = self.now - self.calm > 60_000.0 and not self.blocked and not suspects
+        if began is None or not steady or self.fronts[name].life != front.got.get(f"{name} life"):
+            return
+        if self.now - began < self.rules.stay_ms - 5_000.0:
+            self.fail(f"{name} is back at {front.name} after {self.now - began}")
+        if name in self.odd and self.now - self.odd[name] > 10_000.0:
+            self.fail(f"{name} is back at {front.name} and has been behind for {self.now - self.odd[name]}")
+        clean = self.now - self.trouble.get(name, -1e12)
+        if clean < self.rules.clean_ms - 5_000.0:
+            self.fail(f"{name} is back at {front.name}, clean for {clean} only")
+
     def shut_out(self, front: Front, name: str) -> None:
         """Only who has truly been behind for as long as it takes to be late and to be brought up."""
         if name in front.out:
@@ -382,6 +452,7 @@
         known = any(name in other.out for other in self.fronts.values())
         front.out.add(name)
         self.outs += 1
+        self.out_at[front.name, name] = self.now
         if known:
             return
         # What keepers saw is older by their vote's way, and news takes its time until a front has moved on.
@@ -404,12 +475,18 @@
         whole = len({front.side for front in self.fronts.values()}) == 1
         for front in self.fronts.values():
             if not self.runs(front):
-                self.odd.pop(front.name, None)
-                self.good.pop(front.name, None)
+                for known in (self.odd, self.good, self.surely):
+                    known.pop(front.name, None)
                 continue
+            if self.sure(front):
+                self.surely.setdefault(front.name, self.now)
+            else:
+                self.surely.pop(front.name, None)
             behind = self.behind(front)
             if behind:
                 self.odd.setdefault(front.name, self.now)
+                if self.now - self.odd[front.name] > 5_000.0:
+                    self.trouble[front.name] = self.now
             else:
                 self.odd.pop(front.name, None)
             wrong = behind or any(
@@ -425,12 +502,14 @@
                 self.fail(f"{front.name}: events say {sorted(front.out)}, states {sorted(out)}")
         running = [front for front in self.fronts.values() if self.runs(front)]
         everyone = {name for front in running for name in front.out}
-        most = self.kit.rules.cap(rules, len(self.fronts))
-        if len(everyone) > most and self.now - self.calm > rules.settle_ms:
+        most = int(rules.shut_out_share * len(self.fronts))
+        if len(everyone) > most:
             self.fail(f"{sorted(everyone)} are out at once, {most} may be")
         if any(len(front.out) > most for front in running):
             self.fail("more are out at one front than may be")
-        longest = max(rules.stay_ms, rules.clean_for(6)) + rules.vote_ms + 20_000.0
+        for name in everyone:
+            if 6_000.0 < self.now - self.fronts[name].born < rules.bring_ms:
+                self.fail(f"{name} began {self.now - self.fronts[name].born} ms ago and is out")
         for name in everyone & self.good.keys():
             outs = max(
                 (
@@ -449,19 +528,12 @@
         """One front alone in trouble for long, nothing else: it is out at all. Nobody else is."""
         rules = self.rules
         long = rules.split_ms + rules.bring_ms + rules.vote_ms + 15_000.0
-        calm = self.now - self.calm > long and len(running) == len(self.fronts)
-        if calm and len(self.odd) == 1 and len({front.side for front in running}) == 1:
-            ((name, since),) = self.odd.items()
-            others = [front for front in running if front.name != name]
-            same = all(len({front.holds[kind] for front in others}) == 1 for kind in KINDS)
-            if (
-                same
-                and self.now - since > long
-                and all(self.now - front.acts_at < 5_000.0 for front in running)
-            ):
-                missing = [front.name for front in running if name not in front.out]
-                if missing and not any(front.suspects for front in running):
-                    self.fail(f"{name} has been behind for {self.now - since} ms and is not out at {missing}")
+        if self.now - self.calm < long or self.blocked or any(front.suspects for front in running):
+            return
+        for name, since in self.surely.items():
+            missing = [front.name for front in running if name not in front.out]
+            if self.now - since > long and missing:
+                self.fail(f"{name} has been behind for {self.now - since} ms and is not out at {missing}")
 
 
 def hash_of(name: str) -> int:
@@ -471,10 +543,12 @@
 # --- drawn days ---
 
 
-def day(seed: int, kit: Kit, span: float = 240_000.0, most: int = 4) -> Day:
-    """A drawn day: some faults, news all the while."""
+def day(
+    seed: int, kit: Kit, span: float = 240_000.0, most: int = 4, faults: Sequence[Any] = (), n: int = 0
+) -> Day:
+    """A drawn day: some faults, news all the while; with `faults` each of these once, in a fleet of `n`."""
     dice = Random(f"day {seed}")
-    n = dice.choice((3, 5, 6, 9))
+    n = n or dice.choice((3, 5, 6, 9))
     drawn = Day(seed, kit, n, 5 if n >= 9 else 3, dice.choice((0.0, 0.1, 0.25)))
     every = dice.choice((4_000.0, 15_000.0, 50_000.0))
 
@@ -484,8 +558,7 @@
         drawn.after(dice.expovariate(1.0 / every), more)
 
     drawn.after(8_000.0, more)
-    for _ in range(dice.randint(1, most)):
-        fault = dice.choice(FAULTS)
+    for fault in faults or dice.choices(FAULTS, k=dice.randint(1, most)):
         drawn.after(dice.uniform(8_000.0, span * 0.6), lambda fault=fault: fault(drawn, dice))
     drawn.run(span)
     return drawn
@@ -571,4 +644,52 @@
         day.after(50_000.0, lambda other=other: day.tell(other, kind, number))
 
 
-FAULTS = (deaf, deaf, many_deaf, lie, stand, restart, halves, few)
+def unheard(day: Day, dice: Random) -> None:
+    """A keeper doesn't hear one front, which others do hear."""
+    keeper = dice.choice(day.keepers)
+    name = dice.choice([name for name in sorted(day.fronts) if name != keeper])
+    day.blocked.add((name, keeper))
+
+    def heal() -> None:
+        day.blocked.discard((name, keeper))
+        day.disturbed()
+
+    day.after(dice.uniform(40_000.0, 90_000.0), heal)
+
+
+def slander(day: Day, dice: Random) -> None:
+    """A front tells of another that it acts on the first list of all."""
+    name, of = _pick(day, dice, 2)
+    day.fronts[name].slanders = of
+
+
+def relieved(day: Day, dice: Random) -> None:
+    """One front falls behind as another, which was shut out, has caught up."""
+    one, other = _pick(day, dice, 2)
+    day.fronts[one].deaf = day.fronts[one].numb = True
+    day.news("boxes")
+
+    def change() -> None:
+        day.refresh(one)
+        day.fronts[other].deaf = day.fronts[other].numb = True
+        day.news("boxes")
+
+    day.after(70_000.0, change)
+    day.after(190_000.0, lambda: day.refresh(other))
+
+
+def asleep(day: Day, dice: Random) -> None:
+    """A front misses some news, and two keepers stand still before it has caught up."""
+    name, *keepers = dice.sample(sorted(day.keepers), 3)
+    day.fronts[name].deaf = day.fronts[name].numb = True
+    day.news("boxes")
+
+    def sleep() -> None:
+        for keeper in keepers:
+            day.stop(keeper, 60_000.0)
+
+    day.after(3_000.0, sleep)
+    day.after(4_000.0, lambda: day.refresh(name))
+
+
+FAULTS = (deaf, deaf, many_deaf, lie, stand, restart, halves, few, unheard, slander, relieved, asleep)
--- a/fernweir/peers/late/judge.py
+++ b/fernweir/peers/late/judge.py
@@ -63,14 +63,16 @@
         groups.setdefault(view.content, _Group()).add(view)
     for group in groups.values():
         group.moves.sort()
+    ahead = _ahead(target, heard)
     left, split = set(), set()
     for view in views:
         others = len(heard) - (view.name in voices)
         passed = sum(_passed(view, content, group) for content, group in groups.items())
         if others and passed >= _least(rules.left_share, others):
             left.add(view.name)
-        elif view.content != target and target and 2 * _behind(view, groups[target]) < counts[target]:
-            split.add(view.name)
+        elif view.content != target and view.content not in ahead and target:
+            # Who came to something else later than most of them came to this is ahead, too.
+            split.update([view.name] if 2 * _behind(view, groups[target]) < counts[target] else [])
     rest = len(heard) - counts.get(target, 0)
     few = ""
     if rest and not left and not split:
@@ -115,6 +117,12 @@
     return sum(other.since < view.since for other in group.members)
 
 
+def _ahead(target: bytes, heard: Sequence[View]) -> set[bytes]:
+    """Contents to which somebody was seen to move on from what most hold, and nobody the other way."""
+    ahead = {view.content for view in heard if view.moved and target in view.left}
+    return ahead.difference(*(view.left for view in heard if view.content == target))
+
+
 def _least(share: float, of: int) -> int:
     """The least whole number that is this share of so many, whatever is lost in the last digits."""
     return -int(-(share * of - 1e-9) // 1)
--- a/fernweir/peers/late/messages.py
+++ b/fernweir/peers/late/messages.py
@@ -68,7 +68,7 @@
 
 
 class Seen(Message, frozen=True, array_like=True, tag="late.seen"):
-    """To keepers: a front acted on this, at most `age_ms` ago, though it says it is further."""
+    """To keepers: a front whose acts contradict its word acted on this, at most `age_ms` ago."""
 
     name: Name
     life: Life
--- a/fernweir/peers/late/peers.py
+++ b/fernweir/peers/late/peers.py
@@ -40,9 +40,11 @@
     late: frozenset[Kind] = frozenset()
     late_at: float | None = None
     tried: dict[Kind, int] = field(default_factory=dict)
+    given: dict[Kind, bytes] = field(default_factory=dict)  # by this front, and not answered yet
     clean_at: float | None = None  # since when it is late in nothing
     outs: int = 0
     out_at: float = 0.0
+    proved_at: float | None = None  # when its acts, seen here, last proved its word wrong
     seen_at: float | None = None  # when keepers were told of its acts
 
     @property
@@ -66,15 +68,23 @@
                     self.spells.pop(kind, None)
         return frozenset(new)
 
-    def acted(self, witness: str, versions: Versions, at: float, rules: LateRules) -> bool:
+    def acted(self, now: float, witness: str, versions: Versions, at: float, rules: LateRules) -> bool:
         """Whether acts that a witness saw prove its word wrong."""
         proofs = [
-            self.tracks[kind].acted(witness, content_of(versions, kind), at, rules.act_lag_ms)
+            self.tracks[kind].acted(now, witness, content_of(versions, kind), at, rules.act_lag_ms)
             for kind in Kind
             if kind in self.tracks
         ]
         return any(proofs)
 
+    def postpone(self, gap_ms: float) -> None:
+        """Counts a time in which the observer stood still for nothing."""
+        for spell in self.spells.values():
+            spell.since += gap_ms
+            spell.left = None if spell.left is None else spell.left + gap_ms
+        self.late_at = None if self.late_at is None else self.late_at + gap_ms
+        self.clean_at = None if self.clean_at is None else self.clean_at + gap_ms
+
     def slow(self, now: float, kind: Kind, rules: LateRules) -> bool:
         """Whether it is late, or has been behind for so long that it may soon be."""
         spell = self.spells.get(kind)
--- a/fernweir/peers/late/rules.py
+++ b/fernweir/peers/late/rules.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass
 
-from fernweir.peers.lease.rules import KeeperSet
-
 
 @dataclass(frozen=True, slots=True)
 class LateRules:
@@ -80,9 +78,13 @@
     return int(rules.shut_out_share * fronts)
 
 
-def places(keepers: KeeperSet, most: int) -> int:
+def majority(keepers: int) -> int:
+    return keepers // 2 + 1
+
+
+def places(keepers: int, most: int) -> int:
     """How many fronts one keeper may have a vote out against, so that no more than `most` get a majority.
 
     If each of K keepers votes against s at most, and q votes make a majority, K * s / q names can have one.
     """
-    return (most * keepers.majority + keepers.majority - 1) // len(keepers.names)
+    return (most * majority(keepers) + majority(keepers) - 1) // max(keepers, 1)
--- a/fernweir/peers/late/stragglers.py
+++ b/fernweir/peers/late/stragglers.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -23,17 +23,16 @@
 from fernweir.peers.late.suspects import Suspects
 from fernweir.peers.late.track import View
 from fernweir.peers.late.votes import Ballots, Tally, Vote
-from fernweir.peers.lease.rules import KeeperSet
 
 
 class Stragglers:
     """`life` orders a keeper's lives and their votes; `keepers` decide who is shut out."""
 
-    def __init__(self, me: str, life: int, rules: LateRules, now: float, keepers: KeeperSet) -> None:
+    def __init__(self, me: str, life: int, rules: LateRules, now: float, keepers: Iterable[str]) -> None:
         self.me, self.life, self.rules = me, life, rules
         self._out = Outbox()
         self._table = Table(me, life, rules)
-        self._tally = Tally(keepers, rules)
+        self._tally = Tally(frozenset(keepers), rules)
         self._ballots = Ballots(me, life, rules, now)
         self._suspects = Suspects(rules, self._out)
         self._judged: dict[Kind, Judged] = {}
@@ -47,6 +46,7 @@
         self._refrains = ""
         self._pleaded = b""
         self._look_at: float | None = None
+        self._looked_at = now
         self._quiet = True
 
     # --- what the front knows ---
@@ -67,11 +67,12 @@
         self._alone_at = None if len(peers) > 1 else now if self._alone_at is None else self._alone_at
         self._soon(now)
 
-    def keepers(self, now: float, keepers: KeeperSet) -> None:
+    def keepers(self, now: float, keepers: Iterable[str]) -> None:
         """These decide from now on. Votes under the former ones are given up first."""
-        if keepers == self._tally.keepers:
+        named = frozenset(keepers)
+        if named == self._tally.keepers:
             return
-        self._tally.change(keepers)
+        self._tally.change(named)
         self._ballots.keep(now, {})
         self._ballots.since = now
         self._soon(now)
@@ -100,12 +101,14 @@
         peer = self._table.get(name)
         if peer is None or name == self.me or not 0.0 <= age_ms <= self.rules.act_age_ms:
             return
-        if not peer.acted(self.me, versions, now - age_ms, self.rules):
-            return
-        self._soon(now)
-        if peer.seen_at is None or now >= peer.seen_at + self.rules.seen_ms:
+        if peer.acted(now, self.me, versions, now - age_ms, self.rules):
+            peer.proved_at = now
+            self._soon(now)
+        # For a while keepers are told of all its acts, so that they also hear when these agree again.
+        proved = peer.proved_at is not None and now < peer.proved_at + self.rules.acts_keep_ms
+        if proved and (peer.seen_at is None or now >= peer.seen_at + self.rules.seen_ms):
             peer.seen_at = now
-            for keeper in self._tally.keepers.names:
+            for keeper in sorted(self._tally.keepers):
                 if keeper not in (self.me, name):
                     self._out.add(Send(keeper, Seen(name, peer.life, versions, age_ms)))
 
@@ -119,6 +122,7 @@
         peer = self._table.get(name)
         if peer is None or what not in peer.late or len(data) > DATA_MOST:
             return False
+        peer.given[what] = content
         self._out.add(Send(name, Part(peer.life, what, content, data), whole=True))
         return True
 
@@ -177,6 +181,9 @@
 
     def _look(self, now: float) -> None:
         table, rules = self._table, self.rules
+        if not self._quiet and now > self._looked_at + 4 * rules.look_ms:
+            self._stood(now, now - self._looked_at)
+        self._looked_at = now
         voices = table.voices()
         views = {kind: table.views(now, kind) for kind in Kind}
         self._judged = {kind: judge(kind, views[kind], voices, rules) for kind in Kind}
@@ -202,23 +209,31 @@
             or (self._alone_at is not None and self._leaseless_at is not None)
         )
 
+    def _stood(self, now: float, gap_ms: float) -> None:
+        """This front stood still: what it knows is old, and nobody was late by it meanwhile."""
+        for peer in self._table:
+            peer.postpone(gap_ms)
+        if gap_ms > self.rules.vote_ms:
+            # Its votes have lapsed at the others, who may have let those fronts back.
+            self._ballots.keep(now, {})
+
     # --- pieces: who is shut out ---
 
     def _vote(self, now: float) -> None:
-        """A keeper's votes; one that is itself out, or late, has none."""
+        """A keeper's votes; one that is itself out, or late, begins none."""
         mine = self._table.peers[self.me]
-        if self.me not in self._tally.keepers.names or mine.out or mine.late:
+        if self.me not in self._tally.keepers:
             self._ballots.keep(now, {})
         else:
             new = {}
             for peer in self._table:
                 vote = self._ballots.cast.get(peer.name)
                 kinds = against(now, peer, vote, self._suspects.why.keys(), self._suspects.wait, self.rules)
-                if peer.name != self.me and kinds:
+                if peer.name != self.me and kinds and (vote is not None or not (mine.out or mine.late)):
                     new[peer.name] = Vote(peer.life, kinds, now)
             self._ballots.keep(now, {name: vote.life for name, vote in new.items()})
             ordered = order({name: vote.kinds for name, vote in new.items()})
-            room = places(self._tally.keepers, cap(self.rules, len(self._table)))
+            room = places(len(self._tally.keepers), cap(self.rules, len(self._table)))
             self._ballots.seek(now, ordered, new, room)
         votes = self._ballots.say(now)
         if votes is not None:
@@ -284,7 +299,7 @@
             self._out.add(Apply(kind, message.content, message.data, sender))
 
     def _brought(self, sender: str, message: Brought) -> None:
-        if message.kind in self._table.peers[sender].late:
+        if self._table.peers[sender].given.pop(message.kind, None) is not None:
             self._out.add(BroughtUp(sender, message.kind, message.content))
 
     # --- pieces: acts that others saw ---
@@ -294,7 +309,7 @@
         if peer is None or message.life != peer.life or message.name in (sender, self.me):
             return
         if message.age_ms <= self.rules.act_age_ms:
-            peer.acted(sender, message.versions, now - message.age_ms, self.rules)
+            peer.acted(now, sender, message.versions, now - message.age_ms, self.rules)
             self._soon(now)
 
     # --- pieces: this front itself ---
--- a/fernweir/peers/late/track.py
+++ b/fernweir/peers/late/track.py
@@ -52,11 +52,12 @@
         self.word, self.since, self.moved = content, now, True
         return True
 
-    def acted(self, witness: str, content: bytes, at: float, lag_ms: float) -> bool:
+    def acted(self, now: float, witness: str, content: bytes, at: float, lag_ms: float) -> bool:
         """An act that rested on this content, not before `at`. Whether it proves the word wrong.
 
         A word may be heard before the last acts under the former one, and after the first under the new one:
-        only what lies further apart than `lag_ms` proves something.
+        only what lies further apart than `lag_ms` proves something. What it never said here it may have
+        gone past unheard, so that then only fresh acts do.
         """
         mark = self.marks.get(witness)
         if mark is not None and mark.content != content and (not mark.proves or at > mark.last + lag_ms):
@@ -73,7 +74,7 @@
         if mark.content != content:
             return False
         mark.last = max(mark.last, at)
-        mark.proves = mark.proves or proves or (left_at is None and at > mark.first + lag_ms)
+        mark.proves = mark.proves or proves or (left_at is None and now - lag_ms <= at > mark.first + lag_ms)
         return mark.proves
 
     def believed(self, now: float, me: str, keep_ms: float) -> bytes:
--- a/fernweir/peers/late/votes.py
+++ b/fernweir/peers/late/votes.py
@@ -13,8 +13,7 @@
 from dataclasses import dataclass, field
 
 from fernweir.peers.late.messages import NAMES_MOST, Against, Kind, Votes
-from fernweir.peers.late.rules import LateRules
-from fernweir.peers.lease.rules import KeeperSet
+from fernweir.peers.late.rules import LateRules, majority
 
 
 @dataclass(slots=True)
@@ -100,17 +99,17 @@
 class Tally:
     """What each keeper said last; of a keeper one vote counts, while it is fresh."""
 
-    def __init__(self, keepers: KeeperSet, rules: LateRules) -> None:
+    def __init__(self, keepers: frozenset[str], rules: LateRules) -> None:
         self.keepers = keepers
         self._rules = rules
         self._heard: dict[str, _Heard] = {}
 
-    def change(self, keepers: KeeperSet) -> None:
+    def change(self, keepers: frozenset[str]) -> None:
         self.keepers = keepers
-        self._heard = {name: heard for name, heard in self._heard.items() if name in keepers.names}
+        self._heard = {name: heard for name, heard in self._heard.items() if name in keepers}
 
     def heard(self, now: float, keeper: str, votes: Votes) -> None:
-        if keeper not in self.keepers.names:
+        if keeper not in self.keepers:
             return
         held = self._heard.get(keeper)
         if held is not None and (held.life, held.number) >= (votes.life, votes.number):
@@ -127,7 +126,7 @@
                 if lives.get(name) == each.life:
                     count[name] = count.get(name, 0) + 1
                     kinds[name] = kinds.get(name, frozenset()) | frozenset(each.kinds)
-        return {name: kinds[name] for name in sorted(count) if count[name] >= self.keepers.majority}
+        return {name: kinds[name] for name in sorted(count) if count[name] >= majority(len(self.keepers))}
 
     def busy(self, now: float) -> bool:
         return any(heard.against for heard in self._fresh(now))
