A dead front's record is handed on when its holders go, too

Need: in a rolling release holders begin anew one after the other; the record of a front that had died was gone after two of them. Whoever has a chain whose owner is gone sends it to the two that rendezvous hashing names now: one block first, as the answer says what the other has already. Nobody is accused on such a copy's word. Ruled out: the whole chain sent by every holder (twice its bytes at each change of members).

--- a/bench/peers_acts.py
+++ b/bench/peers_acts.py
@@ -65,7 +65,7 @@
                 if isinstance(effect, Send):  # as if acknowledged at once
                     blocks += 1
                     assert isinstance(effect.message, Keep)
-                    copies._lines[str(effect.to)].kept((effect.message.number,), 1, chain.number)
+                    copies._own.lines[str(effect.to)].kept((effect.message.number,), (), 1, chain.number)
         chain.add(act, versions)
         due = chain.next_due() or float("inf")
     took = (time.process_time() - began) / len(acts) * 1e6
--- a/fernweir/peers/acts/copies.py
+++ b/fernweir/peers/acts/copies.py
@@ -1,7 +1,7 @@
 """Copies of chains: each block goes to two peers, and what comes from others is proved and kept.
 
-The two are chosen by rendezvous hashing of the chain's name, so that each front knows without being told
-who holds a dead front's record. When members change, a new holder gets what it lacks, oldest first.
+When members change, a new holder gets what it lacks, oldest first, from the owner, or if that is gone from
+whoever has it.
 """
 
 from __future__ import annotations
@@ -16,12 +16,13 @@
 from fernweir.peers.acts.line import Line
 from fernweir.peers.acts.messages import Keep, Kept
 from fernweir.peers.acts.rules import ActRules
+from fernweir.peers.acts.sending import Sending
 from fernweir.peers.acts.shelf import Put
 from fernweir.peers.acts.store import Store
-from fernweir.peers.base import Effect, Event, Message, Outbox, Send, rendezvous
+from fernweir.peers.base import Effect, Event, Message, Outbox, Send
 
 _PACK_BYTES = 300  # below this compressing gains less than it costs
-_FORMER = 8  # holders of before whose word is remembered, as they may be chosen again
+_SPANS = 16  # the newest ones are said to whoever sent a block
 _TOLD = 256
 
 
@@ -34,8 +35,8 @@
         self.refused = 0  # messages that were no block, or another's
         self.bytes_sent = 0
         self._names: dict[str, int] = {}
-        self._lines: dict[str, Line] = {}
-        self._former: dict[tuple[str, int], Line] = {}
+        self._own = Sending(me, life, rules, probe=False)
+        self._sending = {(me, life): self._own}
         self._progress: dict[tuple[str, int], float] = {}
         self._told: dict[Event, None] = {}
         self._accused: dict[tuple[str, int], None] = {}
@@ -46,30 +47,28 @@
 
     @property
     def holders(self) -> list[str]:
-        return list(self._lines)
+        return list(self._own.lines)
 
     def members(self, now: float, lives: Mapping[str, int]) -> None:
-        """Who is alive, in which life. A holder with a new life has nothing any more."""
+        """Who is alive, in which life. What is here of chains whose owner is gone is handed on."""
         self._names = {name: life for name, life in lives.items() if name != self.me}
-        chosen = rendezvous(f"{self.me}:{self.life}", self._names)[: self.rules.holders]
-        for name, line in self._lines.items():
-            self._former[name, line.life] = line
-        before, self._lines = self._lines, {}
-        for name in chosen:
-            life = self._names[name]
-            line = self._former.get((name, life)) or Line(name, life, self.rules)
-            self._former.pop((name, life), None)
-            if before.get(name) is not line:
-                line.expire(inf)
-            self._lines[name] = line
-        while len(self._former) > _FORMER:
-            del self._former[next(iter(self._former))]
+        everybody = {**self._names, self.me: self.life}
+        chains = {(shelf.owner, shelf.life) for shelf in self.store.shelves()}
+        gone = {(owner, life) for owner, life in chains if everybody.get(owner) != life}
+        for chain in [
+            chain for chain in self._sending if chain not in gone and chain != (self.me, self.life)
+        ]:
+            del self._sending[chain]
+        for owner, life in sorted(gone - set(self._sending)):
+            self._sending[owner, life] = Sending(owner, life, self.rules, probe=True)
+        for sending in self._sending.values():
+            sending.choose(self.me, everybody)
         self._flow(now)
 
     def kept_everywhere(self) -> bool:
         """Whether all holders said that they have all of the chain: then an orderly end loses nothing."""
         last = self.chain.number
-        lines = self._lines.values()
+        lines = self._own.lines.values()
         return all(next(line.acked.missing(line.asked_from, last), None) is None for line in lines)
 
     def flush(self, now: float, final: bool = False) -> None:
@@ -87,18 +86,16 @@
         self.chain.tick(now)
         for sealed in self.chain.take():
             self.store.put(sealed)
-            for line in self._lines.values():
+            for line in self._own.lines.values():
                 if line.has_room(live=True):
                     self._send(now, line, sealed)
-        for line in self._lines.values():
-            line.expire(now)
         self._flow(now)
         if now >= self._watch_at:
             self._watch_at = now + self.rules.gap_ms / 2
             self._watch(now)
 
     def next_due(self) -> float | None:
-        dues = [self.chain.next_due(), *(line.next_due() for line in self._lines.values())]
+        dues = [self.chain.next_due(), *(one.next_due() for one in self._sending.values())]
         if self._progress:
             dues.append(self._watch_at)
         return min((due for due in dues if due is not None), default=None)
@@ -107,19 +104,13 @@
         return self._out.take()
 
     def _flow(self, now: float) -> None:
-        """What holders lack follows, oldest first, as far as their windows go."""
-        own = self.store.shelf(self.me, self.life)
-        if own is None:
-            return
-        for line in self._lines.values():
-            for number in line.lacking(own.first_kept, own.numbers.last):
-                if not line.has_room(live=False):
-                    break
-                sealed = own.block(number)
-                if sealed is None:
-                    line.acked.add(number)  # it can't be read any more: nobody can have it from here
-                else:
+        for chain, sending in list(self._sending.items()):
+            shelf = self.store.shelf(*chain)
+            if shelf is not None:
+                for line, sealed in sending.flow(now, shelf):
                     self._send(now, line, sealed)
+            elif sending is not self._own:
+                del self._sending[chain]
 
     def _send(self, now: float, line: Line, sealed: Sealed) -> None:
         data, packed = sealed.data, False
@@ -129,15 +120,19 @@
                 data, packed = smaller, True
         line.sent(now, sealed.block.number, len(data))
         self.bytes_sent += len(data)
-        self._out.add(Send(line.name, Keep(self.life, sealed.block.number, packed, data), whole=True))
+        block = sealed.block
+        owner = "" if (block.front, block.life) == (self.me, self.life) else block.front
+        self._out.add(Send(line.name, Keep(block.life, block.number, packed, data, owner), whole=True))
 
     # --- the holder's side ---
 
     def heard(self, now: float, sender: str, message: Message) -> None:
         if isinstance(message, Kept):
-            line = self._lines.get(sender)
-            if line is not None and message.life == self.life:
-                line.kept(message.numbers, message.first, self.chain.number)
+            chain = message.owner or self.me, message.life
+            sending, shelf = self._sending.get(chain), self.store.shelf(*chain)
+            line = sending.lines.get(sender) if sending is not None else None
+            if line is not None and shelf is not None:
+                line.kept(message.numbers, message.spans, message.first, shelf.numbers.last)
                 self._flow(now)
         elif isinstance(message, Keep):
             self._keep(now, sender, message)
@@ -147,19 +142,21 @@
         if sealed is None:
             self.refused += 1
             return
-        number = message.number
+        owner, life, number = message.owner or sender, message.life, message.number
         put = self.store.put(sealed)
-        shelf = self.store.shelf(sender, message.life)
-        if put is Put.WRONG or not self.heads.same(sender, message.life, number, sealed.digest):
-            self._tell(Tampered(sender, message.life, number))
-        newest = self.heads.newest(sender, message.life)
-        if put is Put.NEW and newest is not None and number > newest.number:
-            self._compare(sender, message.life, newest)
+        shelf = self.store.shelf(owner, life)
+        if not message.owner:  # nobody is accused on another's word
+            if put is Put.WRONG or not self.heads.same(owner, life, number, sealed.digest):
+                self._tell(Tampered(owner, life, number))
+            newest = self.heads.newest(owner, life)
+            if put is Put.NEW and newest is not None and number > newest.number:
+                self._compare(owner, life, newest)
         if put is Put.NEW:
-            self._progress[sender, message.life] = now
+            self._progress[owner, life] = now
         first = shelf.first_kept if shelf is not None else number + 1
+        spans = tuple(shelf.numbers)[-_SPANS:] if shelf is not None else ()
         # What is wrong is acknowledged too: its like would only come again.
-        self._out.add(Send(sender, Kept(message.life, (number,), first), whole=True))
+        self._out.add(Send(sender, Kept(life, (number,), first, spans, message.owner), whole=True))
 
     def _read(self, sender: str, message: Keep) -> Sealed | None:
         data, most = message.data, 4 * self.rules.block_bytes
@@ -170,9 +167,10 @@
             sealed = read(data, most, self.rules.block_acts)
         except (zlib.error, BlockError):
             return None
-        block = sealed.block
-        named = (block.front, block.life, block.number) == (sender, message.life, message.number)
-        return sealed if named and sender != self.me else None
+        block, owner = sealed.block, message.owner or sender
+        named = (block.front, block.life, block.number) == (owner, message.life, message.number)
+        there = {**self._names, self.me: self.life}.get(owner) == message.life
+        return sealed if named and (sender == owner != self.me or (message.owner and not there)) else None
 
     # --- heads ---
 
--- a/fernweir/peers/acts/line.py
+++ b/fernweir/peers/acts/line.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.spans import Spans
@@ -13,10 +13,12 @@
 class Line:
     """To one life of one holder. New blocks go at once, older ones follow oldest first, within the window."""
 
-    __slots__ = ("_wait", "acked", "asked_from", "life", "name", "out", "out_bytes", "rules")
+    __slots__ = ("_heard", "_wait", "acked", "asked_from", "life", "name", "out", "out_bytes", "rules")
 
-    def __init__(self, name: str, life: int, rules: ActRules) -> None:
+    def __init__(self, name: str, life: int, rules: ActRules, *, probe: bool = False) -> None:
+        """`probe`: send one block first, as the holder's answer says what else it has already."""
         self.name, self.life, self.rules = name, life, rules
+        self._heard = not probe
         self.acked = Spans()
         self.out: dict[int, tuple[float, int]] = {}  # number: when it was sent, its size
         self.out_bytes = 0
@@ -24,6 +26,8 @@
         self._wait = rules.resend_ms
 
     def has_room(self, live: bool) -> bool:
+        if not self._heard:
+            return not self.out
         blocks = self.rules.window_blocks - (0 if live else _LIVE)
         return len(self.out) < blocks and self.out_bytes < self.rules.window_bytes
 
@@ -38,8 +42,12 @@
         self.out[number] = now, size
         self.out_bytes += size
 
-    def kept(self, numbers: tuple[int, ...], first: int, last: int) -> None:
+    def kept(self, numbers: Iterable[int], spans: Iterable[tuple[int, int]], first: int, last: int) -> None:
         """The holder's word; `last` is the chain's last block, as it can't have more."""
+        self._heard = True
+        for low, high in spans:
+            if 1 <= low <= min(high, last):
+                self.acked.add(low, min(high, last))
         for number in numbers:
             if 1 <= number <= last:
                 self.acked.add(number)
--- a/fernweir/peers/acts/messages.py
+++ b/fernweir/peers/acts/messages.py
@@ -35,20 +35,26 @@
 
 
 class Keep(Message, frozen=True, tag="acts.keep"):
-    """A block of the sender's chain of `life`, to be kept; zlib if `packed`."""
+    """A block of the chain of `life` of `owner`, to be kept; zlib if `packed`.
+
+    `owner` is empty for the sender's own chain; of others only chains whose owner is gone are handed on.
+    """
 
     life: Life
     number: Number
     packed: bool
     data: Annotated[bytes, msgspec.Meta(max_length=1 << 20)]
+    owner: Name = ""
 
 
 class Kept(Message, frozen=True, tag="acts.kept"):
-    """These blocks of the addressee's chain need not be sent again, nor any before `first`."""
+    """These blocks of a chain need not be sent again, nor any in `spans`, nor any before `first`."""
 
     life: Life
     numbers: Annotated[tuple[Number, ...], msgspec.Meta(max_length=64)]
     first: Number
+    spans: Annotated[tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=64)] = ()
+    owner: Name = ""
 
 
 class Select(msgspec.Struct, frozen=True, array_like=True):
