--- a/fernweir/http/sse.py
+++ b/fernweir/http/sse.py
@@ -30,13 +30,15 @@
 
 
 KEEP_ALIVE = b":\n\n"
+_LONGEST_RETRY_MS = 86_400_000
+_RETRY_DIGITS = 9  # more of them are longer than that
 
 
 class EventReader:
     """Turns the bytes of a stream, in any split, into events.
 
     `last_id` is what a reconnect sends as `Last-Event-ID`; `retry_ms` is the pause that the server asked
-    for, or None. An event of more than `limit` characters raises ValueError.
+    for, a day at most, or None. An event of more than `limit` characters raises ValueError.
     """
 
     def __init__(self, limit: int = 16_777_216) -> None:
@@ -83,5 +85,6 @@
         elif name == "id" and "\0" not in value:
             self.last_id = value
         elif name == "retry" and value.isascii() and value.isdigit():
-            self.retry_ms = int(value)
+            digits = value.lstrip("0")[:_RETRY_DIGITS]
+            self.retry_ms = min(int(digits or "0"), _LONGEST_RETRY_MS)
         return None
