Feed: a server's name that no bytes stand for is an endpoint that can't be read

Found by fuzzing against a model of the feed: a name with a lone surrogate ("\\ud800" in JSON) raised UnicodeEncodeError from the hash of the name, past the one error that the connection's shell catches. It is a FeedError now, as any other endpoint that can't be read; nothing else changed.

--- a/fernweir/node/feed.py
+++ b/fernweir/node/feed.py
@@ -85,9 +85,10 @@
             cell, weight, since = int(line["group"]), float(line["weight"]), float(line["since_ms"] or 0)
             kind = self._kinds.index(line["type"])
             there = address(line["address"], "address")
-        except (KeyError, TypeError, ValueError, OverflowError, ConfigError):
+            number = number_of(name)
+        except (AttributeError, KeyError, TypeError, ValueError, OverflowError, ConfigError):
             raise FeedError("an endpoint that can't be read") from None
-        if not isinstance(name, str) or not (math.isfinite(weight) and math.isfinite(since)):
+        if not (math.isfinite(weight) and math.isfinite(since)):
             raise FeedError("an endpoint that can't be read")
         started = max(since - self._offset, 0.0) if since > 0.0 else 0.0
-        return ServerEntry(number_of(name), state, started, cell, kind, weight), name, there
+        return ServerEntry(number, state, started, cell, kind, weight), name, there
