Lines: what was whole before an over-long line is heard in any split

Found by fuzzing against a cutter of one byte at a time: with a whole line and an over-long one in the same read, feed raised and the whole line was lost; cut otherwise it was heard. As the binary codec does, the lines before are in .read, and the viewers' shell takes them before it refuses and closes. Names of fields with a lone surrogate are refused as their values are: write has no bytes for them. Both only concern what no viewer of the platform sends.

--- a/fernweir/node/jsonl.py
+++ b/fernweir/node/jsonl.py
@@ -51,17 +51,22 @@
         return bool(self._rest)
 
     def feed(self, data: bytes | memoryview) -> list[bytes]:
-        """Whole lines without their ends. LineError once a line is longer than the bound."""
+        """Whole lines without their ends. LineError once a line is longer than the bound.
+
+        What was whole before it in the same bytes is in `.read`: the split must not decide what is heard.
+        """
         self._rest += data
+        self.read: list[bytes] = []
         if b"\n" not in self._rest:
             self._bound(len(self._rest))
             return []
         *lines, rest = bytes(self._rest).split(b"\n")
         for line in lines:
             self._bound(len(line) + 1)
+            self.read.append(line)
         self._rest = bytearray(rest)
         self._bound(len(rest))
-        return lines
+        return self.read
 
     def _bound(self, size: int) -> None:
         if size > self._most:
@@ -87,7 +92,9 @@
     kind, fields, cause, sdp = body.get("type"), body.get("fields", {}), body.get("cause"), body.get("sdp")
     if not isinstance(kind, str) or kind not in TYPES:
         raise LineError("no known type", id)
-    if not isinstance(fields, dict) or len(fields) > _MOST_FIELDS or not all(map(_is_value, fields.values())):
+    if not isinstance(fields, dict) or len(fields) > _MOST_FIELDS:
+        raise LineError("fields are no object, or too many", id)
+    if not all(map(_encodable, fields)) or not all(map(_is_value, fields.values())):
         raise LineError("fields are no object of strings and numbers", id)
     if cause is not None and (isinstance(cause, bool) or not isinstance(cause, int) or not 0 <= cause < 256):
         raise LineError("cause is no number under 256", id)
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -244,12 +244,11 @@
     def bytes_came(self, data: memoryview) -> None:
         viewers, now = self._viewers, self._viewers.core.now()
         self.began = True
+        spoilt: LineError | None = None
         try:
             lines = self._lines.feed(data)
         except LineError as error:
-            self.refuse(error)
-            self.end()
-            return
+            lines, spoilt = self._lines.read, error
         for line in lines:
             if not self.usable:
                 return
@@ -264,6 +263,10 @@
                 if nothing_to_lose or self.patience.wrong(len(self.requests)):
                     self.end()
                     return
+        if spoilt is not None:
+            self.refuse(spoilt)
+            self.end()
+            return
         viewers.door.half(self, now, self._lines.half)
 
     def refuse(self, error: LineError) -> None:
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -99,6 +99,16 @@
     assert not lines._rest
 
 
+def test_whole_lines_before_one_too_long_are_heard_however_they_are_cut() -> None:
+    data = b"first\n" + b"x" * jsonl.MOST_BYTES + b"\nlast\n"
+    for cuts in ([], [6], [3, 9000], list(range(0, len(data), 100))):
+        lines, found = Lines(), list[bytes]()
+        with pytest.raises(LineError):
+            for piece in pieces(data, cuts):
+                found += lines.feed(piece)
+        assert found + lines.read == [b"first"]
+
+
 @pytest.mark.parametrize(
     "data",
     [
