Settings: the parser itself says on which line each section and key stands

Found by fuzzing against a slow reader: a second scan of the text found other lines than the parser did. Form feeds and Unicode line separators in a value counted as lines, indented sections and keys and names with a bracket had none. Line numbers are now noted while the parser reads. A section named NUL was the parser's default one, whose keys held in all others; no section can have that name now.

--- a/fernweir/config/ini.py
+++ b/fernweir/config/ini.py
@@ -4,17 +4,14 @@
 
 import configparser
 import difflib
-import re
-from collections.abc import Iterable
+import io
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-_SECTION = re.compile(r"\[(?P<name>[^\]]+)\]")
-_KEY = re.compile(r"(?P<key>[^\s=:#;\[][^=:]*?)\s*[=:]")
-
 
 class Section(BaseModel):
     """One section; keys are written with dashes, fields with underscores."""
@@ -56,10 +53,9 @@
 
     def __init__(self, text: str, path: str = "settings") -> None:
         self.path = path
-        parser = configparser.ConfigParser(interpolation=None, strict=True, default_section="\0")
-        parser.optionxform = str  # type: ignore[assignment, method-assign]
+        parser = _Parser()
         try:
-            parser.read_string(text, path)
+            parser.read_file(parser.numbered(text), path)
         except configparser.DuplicateOptionError as error:
             problem = Problem(error.section, error.option, error.lineno or 0, "given twice")
             raise ConfigError(path, [problem]) from None
@@ -75,22 +71,38 @@
         self.sections: dict[str, dict[str, str]] = {
             name: dict(parser.items(name)) for name in parser.sections()
         }
-        self.lines = _number(text)
+        self.lines = parser.lines
 
     def line(self, section: str, key: str = "") -> int:
         return self.lines.get((section, key)) or self.lines.get((section, ""), 0)
 
 
-def _number(text: str) -> dict[tuple[str, str], int]:
-    lines: dict[tuple[str, str], int] = {}
-    section = ""
-    for number, line in enumerate(text.splitlines(), 1):
-        if match := _SECTION.match(line):
-            section = match["name"]
-            lines.setdefault((section, ""), number)
-        elif match := _KEY.match(line):
-            lines.setdefault((section, match["key"].strip()), number)
-    return lines
+class _Parser(configparser.ConfigParser):
+    """Notes where sections and keys stand as it reads them: a second reader might see it otherwise."""
+
+    def __init__(self) -> None:
+        # A section of that name, whose keys would hold in all others, can't be written.
+        super().__init__(interpolation=None, strict=True, default_section="\n")
+        self.lines: dict[tuple[str, str], int] = {}
+        self._at = 0
+
+    def numbered(self, text: str) -> Iterator[str]:
+        """The lines; what was made of each is looked at before the next."""
+        known = 0
+        for number, line in enumerate(io.StringIO(text), 1):
+            self._at = number
+            yield line
+            names = self.sections()
+            if len(names) > known:
+                known = len(names)
+                self.lines[names[-1], ""] = number
+        self._at = 0
+
+    def optionxform(self, optionstr: str) -> str:
+        """Called with each key as it is read; keys are taken as they are written."""
+        if self._at:
+            self.lines.setdefault((self.sections()[-1], optionstr), self._at)
+        return optionstr
 
 
 S = TypeVar("S", bound=Section)
