--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -1,99 +1,84 @@
-"""Mutates requests, responses, manifests, streams and tokens for as long as asked, from a seed.
+"""Fuzzing for as long as asked: the targets of `tests/fuzzing`, each against its oracle.
 
-    python -m bench.fuzz --seconds 60 --seed 1
+    python -m bench.fuzz requests --minutes 5 --seed 1
+    python -m bench.fuzz requests --minutes 5 --seed 1 --guided
 
-A parser must give the same for any split and raise nothing but its own error.
+Without `--guided` inputs are drawn from seeds, the same in every run. With it atheris (see
+`requirements-fuzz.txt`) mutates them towards code not reached before; it starts from drawn ones. A finding is
+shrunk and printed as a file for `tests/fuzz_kept`, which CI plays for ever.
 """
 
 from __future__ import annotations
 
 import json
+import sys
+import tempfile
 import time
-from contextlib import suppress
-from random import Random
+import traceback
+from pathlib import Path
 
 import click
 
-from fernweir.dash.build import Title, build_mpd
-from fernweir.dash.mpd import MpdError, read_mpd
-from fernweir.front.boxlist import ListError, read_document
-from fernweir.http.parse import Data, HttpEvent, Limits, RequestParser, ResponseParser
-from fernweir.http.sse import EventReader
-from fernweir.rehearsal.hostile import PAYLOADS
-from fernweir.tokens import Keyring, SessionClaims, TokenError
-from fernweir.tokens.newkeys import make_keys
+from tests.fuzzing import ALL, Target, drawn, load, shrink
 
-SMALL = Limits(line=200, head=400, fields=8, body=300)
+_FIRST = 200  # inputs to start a guided run from
 
 
-def mutate(dice: Random, data: bytes) -> bytes:
-    out = bytearray(data)
-    for _ in range(dice.randrange(1, 8)):
-        at = dice.randrange(len(out) + 1)
-        if dice.random() < 0.2 and len(out) > 4:
-            start = dice.randrange(len(out) - 2)
-            out[at:at] = out[start : start + dice.randrange(1, 40)]
-        else:
-            out[at : at + dice.randrange(3)] = bytes(
-                dice.choices(b"\r\n\0 :;0aA\xff,<>/\"'&=!-[]", k=dice.randrange(4))
-            )
-    return bytes(out)
+def _report(name: str, target: Target, data: bytes, error: Exception) -> None:
+    def fails(less: bytes) -> bool:
+        try:
+            target.check(less)
+        except Exception as other:
+            return type(other) is type(error)
+        return False
+
+    small = shrink(fails, data)
+    traceback.print_exception(error)
+    print(json.dumps({"target": name, "cause": str(error)[:300], "hex": small.hex()}, indent=1))
+
+
+def _drawn(name: str, seconds: float, seed: int) -> None:
+    target, end, at = load(name), time.monotonic() + seconds, seed * 1_000_000
+    while time.monotonic() < end:
+        data = drawn(name, target, at)
+        try:
+            target.check(data)
+        except Exception as error:
+            _report(name, target, data, error)
+            raise SystemExit(1) from None
+        at += 1
+    print(f"{name}: {at - seed * 1_000_000} inputs from seed {seed}, nothing found")
+
 
+def _guided(name: str, seconds: float, seed: int) -> None:
+    import atheris
 
-def merged(events: list[HttpEvent]) -> list[HttpEvent]:
-    out: list[HttpEvent] = []
-    for event in events:
-        if isinstance(event, Data) and out and isinstance(out[-1], Data):
-            out[-1] = Data(out[-1].body + event.body)
-        else:
-            out.append(event)
-    return out
+    with atheris.instrument_imports(include=["fernweir"]):
+        target = load(name)
 
+    def one(data: bytes) -> None:
+        try:
+            target.check(data)
+        except Exception as error:
+            _report(name, target, data, error)
+            raise
 
-def split_parse(parser: RequestParser | ResponseParser, data: bytes, cut: int) -> list[HttpEvent]:
-    return merged(parser.feed(data[:cut]) + parser.feed(data[cut:]) + parser.eof())
+    with tempfile.TemporaryDirectory() as folder:
+        for at in range(_FIRST):
+            (Path(folder) / f"{at:04d}").write_bytes(drawn(name, target, seed * 1_000_000 + at))
+        how = [f"-max_total_time={int(seconds)}", f"-seed={seed}", "-max_len=4096", "-print_final_stats=1"]
+        atheris.Setup([sys.argv[0], folder, *how], one)
+        atheris.Fuzz()
 
 
 @click.command()
-@click.option("--seconds", default=60.0, show_default=True)
+@click.argument("target", type=click.Choice(ALL))
+@click.option("--minutes", default=1.0, show_default=True)
 @click.option("--seed", default=1, show_default=True)
-def main(seconds: float, seed: int) -> None:
-    """Run until the time is over; a finding is raised with its bytes."""
-    dice, count, end = Random(seed), 0, time.monotonic() + seconds
-    requests = [data[:3000] for data in PAYLOADS.values()]
-    replies = [
-        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 204 No\r\n\r\n",
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n",
-    ]
-    mpd = build_mpd(Title("a & b", 10, 2, [100, 200])).write()
-    document = json.dumps({"epoch": "e", "version": 1, "boxes": [], "lessons": []}).encode()
-    ring = Keyring.read(make_keys("k"))
-    token = ring.sign({"iss": "i", "aud": "a", "exp": 2e9}).encode()
-    while time.monotonic() < end:
-        count += 1
-        data = mutate(dice, dice.choice(requests))
-        cut = dice.randrange(len(data) + 1)
-        if split_parse(RequestParser(SMALL), data, cut) != split_parse(RequestParser(SMALL), data, 0):
-            raise SystemExit(f"split {cut} of {data!r}")
-        data = mutate(dice, dice.choice(replies))
-        cut, parsers = dice.randrange(len(data) + 1), (ResponseParser(SMALL), ResponseParser(SMALL))
-        for parser in parsers:
-            parser.expect("GET")
-            parser.expect("GET")
-        if split_parse(parsers[0], data, cut) != split_parse(parsers[1], data, 0):
-            raise SystemExit(f"split {cut} of {data!r}")
-        with suppress(MpdError):
-            read_mpd(mutate(dice, mpd))
-        with suppress(ListError):
-            read_document(mutate(dice, document))
-        try:
-            text = mutate(dice, token).decode("latin-1")
-            ring.verify(text, SessionClaims, audience="a", now_s=1.0)
-            raise SystemExit(f"token taken: {text!r}")
-        except TokenError:
-            pass
-        EventReader().feed(mutate(dice, b"event: a\ndata: b\n\ndata: c\n\n"))
-    print(f"{count} rounds from seed {seed}, nothing found")
+@click.option("--guided", is_flag=True, help="by coverage")
+def main(target: str, minutes: float, seed: int, guided: bool) -> None:
+    """Run until the time is over, or something is found."""
+    (_guided if guided else _drawn)(target, minutes * 60.0, seed)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/peers_mutants/fuzz.py
@@ -0,0 +1,59 @@
+"""Mistakes in what `tests/fuzzing` compares with its oracles; each names the target that must find it."""
+
+from __future__ import annotations
+
+from tests.peers_mutants import Mutant
+
+_LINES, _FRAMES, _FEED = "fernweir/node/jsonl.py", "fernweir/node/frames.py", "fernweir/node/feed.py"
+_HTTP, _SSE, _INI = "fernweir/http/parse.py", "fernweir/http/sse.py", "fernweir/config/ini.py"
+_CODEC = "fernweir/peers/wire/codec.py"
+
+MUTANTS: dict[str, list[Mutant]] = {
+    "lines": [
+        Mutant("a key twice is taken", _LINES, "if len(found) != len(pairs):", "if not pairs:", 60),
+        Mutant("cause of 256", _LINES, "not 0 <= cause < 256", "not 0 <= cause <= 256", 120),
+        Mutant("line one byte too long", _LINES, "self._bound(len(line) + 1)", "self._bound(len(line))", 200),
+        Mutant("surrogates in names", _LINES, "if not all(map(_encodable, fields)) or ", "if ", 600),
+        Mutant("lines before a long one lost", _LINES, "self.read.append(line)", "self.read = lines", 200),
+    ],
+    "frames": [
+        Mutant("a parameter twice", _FRAMES, "if code in found:", "if code in found and not length:", 200),
+        Mutant("whole frame kept back", _FRAMES, "at < 2 + length:", "at <= 2 + length:", 20),
+        Mutant("report of 17", _FRAMES, "> _MOST_REPORT", "> _MOST_REPORT + 1", 60),
+    ],
+    "feed": [
+        Mutant("a gap of one", _FEED, "if n > self.last + 1 and", "if n > self.last + 2 and", 30),
+        Mutant("half an event applied", _FEED, "self.last = n\n", "self.last = self.last or n\n", 30),
+        Mutant(
+            "a name that no bytes stand for",
+            _FEED,
+            "AttributeError, KeyError, TypeError, ValueError",
+            "KeyError, ConfigError",
+            60,
+        ),
+    ],
+    "requests": [
+        Mutant("lengths that repeat", _HTTP, "if len(values) > 1 or not _LENGTH", "if not _LENGTH", 600),
+        Mutant("bare CR", _HTTP, 'if b"\\r" in line[:-1]:', "if not line:", 200),
+        Mutant("scan mark not moved", _HTTP, "self._scanned -= self._pos", "self._scanned -= 0", 30),
+        Mutant("chunked in HTTP/1.0", _HTTP, "if chunked and not minor:", "if chunked and minor > 9:", 60),
+        Mutant("length beside a coding", _HTTP, 'if "content-length" in headers:', "if not headers:", 600),
+    ],
+    "responses": [
+        Mutant("body after HEAD", _HTTP, 'bare = method == "HEAD" or status', "bare = status", 60),
+        Mutant("body of 304", _HTTP, "(204, 304)", "(204,)", 600),
+    ],
+    "events": [
+        Mutant("CR and LF apart", _SSE, 'False, text.removeprefix("\\n")', "False, text", 100),
+        Mutant("only one space cut", _SSE, 'value.removeprefix(" ")', "value.lstrip()", 300),
+        Mutant("a pause of many digits", _SSE, 'value.lstrip("0")[:_RETRY_DIGITS]', "value", 3_000),
+    ],
+    "ini": [
+        Mutant("lines as Unicode has them", _INI, "io.StringIO(text)", "text.splitlines(True)", 100),
+        Mutant("a default section", _INI, 'default_section="\\n"', 'default_section="s0"', 10),
+    ],
+    "bodies": [
+        Mutant("a bad message passed over", _CODEC, "in self.kinds:\n", "in ():\n", 400),
+        Mutant("sixteen messages", _CODEC, "if count < 16", "if count <= 16", 200),
+    ],
+}
