--- a/tests/fuzzing/events.py
+++ b/tests/fuzzing/events.py
@@ -11,7 +11,6 @@
 from fernweir.http.sse import EventReader, ServerEvent, encode_event
 from tests.fuzzing import Target, mutate, pieces, same
 
-
 DAY_MS = 86_400_000
 
 
--- a/tests/fuzzing/requests.py
+++ b/tests/fuzzing/requests.py
@@ -298,7 +298,8 @@
 
 _ODD = [
     b"Content-Length: 3", b"Transfer-Encoding: chunked", b"Host: a", b"Expect: 100-continue", b"X: a\rb",
-    b"X : y", b" folded", b"Connection: close", b"Connection: a, Keep-Alive", b"Expect: x", b"Transfer-Encoding: gzip",
+    b"X : y", b" folded", b"Connection: close", b"Connection: a, Keep-Alive", b"Expect: x",
+    b"Transfer-Encoding: gzip",
 ]  # fmt: skip
 
 
--- a/tests/peers_mutants/fuzz.py
+++ b/tests/peers_mutants/fuzz.py
@@ -8,7 +8,7 @@
 _HTTP, _SSE, _INI = "fernweir/http/parse.py", "fernweir/http/sse.py", "fernweir/config/ini.py"
 _CODEC = "fernweir/peers/wire/codec.py"
 
-MUTANTS: dict[str, list[Mutant]] = {
+BY_TARGET: dict[str, list[Mutant]] = {
     "lines": [
         Mutant("a key twice is taken", _LINES, "if len(found) != len(pairs):", "if not pairs:", 60),
         Mutant("cause of 256", _LINES, "not 0 <= cause < 256", "not 0 <= cause <= 256", 120),
@@ -57,3 +57,5 @@
         Mutant("sixteen messages", _CODEC, "if count < 16", "if count <= 16", 200),
     ],
 }
+
+MUTANTS: list[Mutant] = [one for mutants in BY_TARGET.values() for one in mutants]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -12,7 +12,7 @@
 
 from tests.fuzzing import ALL, Tape, drawn, found, load, shrink
 from tests.peers_mutants import Mutant, broken
-from tests.peers_mutants.fuzz import MUTANTS
+from tests.peers_mutants.fuzz import BY_TARGET
 
 KEPT = sorted((Path(__file__).parent / "fuzz_kept").glob("*.json"))
 SEEDS = {"bodies": 600}
@@ -33,7 +33,7 @@
     load(kept["target"]).check(bytes.fromhex(kept["hex"]))
 
 
-CASES = [(name, one) for name, mutants in MUTANTS.items() for one in mutants]
+CASES = [(name, one) for name, mutants in BY_TARGET.items() for one in mutants]
 
 
 @pytest.mark.parametrize(("name", "mutant"), CASES, ids=[f"{name}: {one.name}" for name, one in CASES])
