--- a/bench/peers_cost.py
+++ b/bench/peers_cost.py
@@ -34,7 +34,6 @@
 
 def run_cost(peers: int, seconds: float) -> Rows:
     """Figures by front and round; `seconds` is for all rounds together."""
-    pin(0)
     return asyncio.run(_measure(peers, max(seconds / _ROUNDS / 4.0, 1.0)))
 
 
@@ -55,6 +54,7 @@
             fronts = _fronts(site, folder, peers)
             for begin in range(0, len(fronts), _AT_ONCE):
                 await asyncio.gather(*(front.start() for front in fronts[begin : begin + _AT_ONCE]))
+            _place(fronts)
             await asyncio.sleep(max(3.0, peers * 0.1))  # until all know all
             alone, peered = fronts[:2]
             rows: Rows = {"without peers": [], f"with {peers} peers": []}
@@ -73,6 +73,15 @@
             site.list.stop()
 
 
+def _place(fronts: list[FrontProcess]) -> None:
+    """The driver has a processor of its own, and so has the front that is driven; the idle ones share."""
+    pin(0)
+    count = os.cpu_count() or 1
+    others = set(range(count)) - {0, _MEASURED % count, _ELSEWHERE % count} or {0}
+    for front in fronts[2:]:
+        os.sched_setaffinity(front.pid, others)
+
+
 async def _boxes(
     site: RehearsalSite, folder: Path, children: list[multiprocessing.process.BaseProcess]
 ) -> None:
