A front that was cut off begins in new channels; heirs agree who is first

Followed through the trace: after a cut longer than its lease the front's own channels are its heirs', so that what it set up was in no channel. Ruled out: too short a settling time (13 s later it was still so). Lines at fault: owning._taken let the channel go and asked for none in its place; the part now gets a number it never had. Second, gaps of 4.6 to 7.2 s at a lease of 3: each heir took the other for first, as it left itself out of the standbys, and two who ask at once keep each other from the lease. Now the order leaves out the owner alone, and the second waits for the lapse.

--- a/fernweir/peers/channel/rules.py
+++ b/fernweir/peers/channel/rules.py
@@ -84,7 +84,7 @@
     slack: float = 0.25
     ramp_ms: float = 30_000.0
     floor: float = 0.1  # of the bound, that the youngest front may have
-    stagger_ms: float = 150.0  # between the tries of one heir and the next
+    stagger_ms: float = 400.0  # between the tries of one heir and the next
 
 
 @dataclass(frozen=True, slots=True)
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -16,7 +16,7 @@
 
 from fernweir.peers.base import Effect, Event, Message, Outbox
 from fernweir.peers.channel.copies import Outdated, Replica
-from fernweir.peers.channel.cut import channel_of, parse
+from fernweir.peers.channel.cut import PARTS_MOST, channel_of, parse
 from fernweir.peers.channel.giving import (
     Freeze,
     HandedOn,
@@ -46,16 +46,17 @@
     """`parts` channels a front, `copies` standbys each. Times in ms.
 
     A copy older than `stale_ms` is tried for though its owner is not known to be dead: it may be cut off, or
-    stand still. `look_ms` is how often that, and who the standbys are, is looked at. What another front
-    took is remembered for `gone_ms`, for viewers who come here still; the channel of what is over for
-    `release_ms`, in which a release that was lost is said again.
+    stand still. Heirs that are not first leave it to the first for `patience_ms`, a lease, after the owner's
+    last word. `look_ms` is how often that, and who the standbys are, is looked at. What another front took is
+    remembered for `gone_ms`, for viewers who come here still; the channel of what is over for `release_ms`,
+    in which a release that was lost is said again.
     """
 
     parts: int = 8
     copies: int = 2
     look_ms: float = 500.0
     stale_ms: float = 8_000.0
-    retry_ms: float = 2_000.0
+    patience_ms: float = 6_000.0
     release_ms: float = 5_000.0
     gone_ms: float = 60_000.0
     gone_most: int = 65_536
@@ -117,6 +118,7 @@
         takeover = Takeover(rules.takeover)
         self.handoff = Handoff(me, rules.handoff, seed, takeover, port.boxes, self.replica.fence)
         self._sessions: dict[str, dict[str, Standing]] = {}  # of each channel held
+        self._owns: dict[int, str] = {}  # by part: the channels in which new sessions begin
         self._channel: dict[str, str] = {}  # of each session, also of one whose attempt is out
         self._last: OrderedDict[str, tuple[str, float]] = OrderedDict()  # of what is over, to release it by
         self._fences: dict[str, int] = {}  # under which each channel is held, or was until it was handed on
@@ -135,7 +137,7 @@
     def start(self, now: float) -> None:
         """Asks for the leases of this life's own channels."""
         for part in range(self.rules.parts):
-            self._holder.want(now, f"{self.me}:{self.life}/{part}")
+            self._own_anew(now, part)
 
     def fence(self, now: float, session: str) -> tuple[str, int] | None:
         """The channel and fence under which a session may be steered now; None for none."""
@@ -180,7 +182,8 @@
         if known is not None:
             self.handoff.takeover.attempted(known, session, box)
             return
-        channel = channel_of(self.me, self.life, session, self.rules.parts)
+        cut = parse(channel_of(self.me, self.life, session, self.rules.parts)) if self._owns else None
+        channel = self._owns.get(cut.part, "") if cut is not None else ""
         if self._holder.holds(now, channel) is not None and self.handoff.may_steer(channel):
             self._channel[session] = channel
             self.handoff.takeover.attempted(channel, session, box)
@@ -239,14 +242,13 @@
             self._drop_try(now, channel)
         for channel, standings in list(self._sessions.items()):
             lease = self._holder.holds(now, channel)
-            order = self._heirs(channel, len(standings))
+            order = self._heirs(channel, len(standings), self.me)
             if lease is None or not standings or not order:
                 self._holder.release(now, channel)
                 self._sessions.pop(channel, None)
             else:
                 self.handoff.offer(now, channel, lease.fence, standings, order)
-        for part in range(self.rules.parts):  # asked for and not granted yet
-            channel = f"{self.me}:{self.life}/{part}"
+        for channel in self._owns.values():  # asked for and not granted yet
             if channel not in self._sessions:
                 self._holder.release(now, channel)
 
@@ -287,7 +289,10 @@
             self._look_at = now + self.rules.look_ms
             self._look(now)
         for channel, tried in list(self._tries.items()):
-            if not tried.asked and now >= tried.due:
+            copy = self.replica.copy(channel)
+            if not tried.asked and (copy is None or copy.owner != tried.owner):
+                del self._tries[channel]  # another heir was first
+            elif not tried.asked and now >= tried.due:
                 tried.asked = True
                 self._holder.want(now, channel, self.replica.fence(channel))
         for channel, (due, fence) in list(self._turns.items()):
@@ -394,6 +399,15 @@
         self.handoff.takeover.begin(now, channel, fence, standings, listed=self._port.boxes())
         self._run(now)
 
+    def _own_anew(self, now: float, part: int, number: int | None = None) -> None:
+        """The channel of a part, under a number that it never had in this life; none once all are used."""
+        number = part if number is None else number
+        if number >= PARTS_MOST:
+            self._owns.pop(part, None)
+            return
+        self._owns[part] = f"{self.me}:{self.life}/{number}"
+        self._holder.want(now, self._owns[part])
+
     def _own(self, now: float, channel: str, fence: int, standings: Iterable[Standing] = ()) -> None:
         """`standings` are in doubt or not: what standbys are to know until it is settled."""
         self._sessions.setdefault(channel, {})
@@ -433,6 +447,10 @@
                     del self._gone[next(iter(self._gone))]
             self._out.add(Yields(session, to))
         self.replica.cede(now, channel)
+        cut = parse(channel)
+        if cut is not None and self._mine(channel) and not self._leaving:
+            # What was its own is its heir's until nothing stands in it: new sessions go into another.
+            self._own_anew(now, cut.part % self.rules.parts, cut.part + self.rules.parts)
 
     # --- pieces: what is inherited ---
 
@@ -507,7 +525,7 @@
         ranks: dict[str, int] = {}
         mine: dict[str, Copy] = {}
         for copy in lost:
-            order = self._heirs(copy.channel, len(copy.standings))
+            order = self._heirs(copy.channel, len(copy.standings), copy.owner)
             if not self._leaving and copy.channel not in self._tries and copy.standings and self.me in order:
                 ranks[copy.channel], mine[copy.channel] = order.index(self.me), copy
         losses = [
@@ -518,17 +536,23 @@
             for channel, copy in mine.items()
         ]  # fmt: skip
         for turn in spread(0.0, losses, self.rules.spread, self._seed, max(len(self._fronts), 1)):
-            wait = wait_ms(ranks[turn.channel], self.rules.heirs)
-            self._tries[turn.channel] = _Try(mine[turn.channel].owner, now + wait, turn.at)
+            # Two who ask at once keep each other from it: whoever is not first leaves it to the first until
+            # the lease that was held when the owner last spoke has lapsed.
+            due, rank = now, ranks[turn.channel]
+            if rank:
+                spoke = now - min(mine[turn.channel].age_ms(now), self.rules.patience_ms)
+                due = max(now, spoke + self.rules.patience_ms) + wait_ms(rank, self.rules.heirs)
+            self._tries[turn.channel] = _Try(mine[turn.channel].owner, due, turn.at)
 
     def _drop_try(self, now: float, channel: str) -> None:
         tried = self._tries.pop(channel, None)
         if tried is not None and tried.asked:
             self._holder.release(now, channel)
 
-    def _heirs(self, channel: str, sessions: int) -> list[str]:
-        fit = [one for one in self._fronts.values() if one.name != self.me or not self._leaving]
-        keepers = set(self._standbys(channel))
+    def _heirs(self, channel: str, sessions: int, owner: str) -> list[str]:
+        """Who may follow an owner, alike at all who know the same of the fronts."""
+        fit = [one for one in self._fronts.values() if one.name != owner]
+        keepers = standbys(channel, fit, self.rules.copies)
         named = [
             Candidate(one.name, one.load, one.age_ms, one.late, one.leaving, one.name in keepers)
             for one in fit
@@ -541,7 +565,7 @@
 
     def _mine(self, channel: str) -> bool:
         cut = parse(channel)
-        return cut is not None and (cut.front, cut.life) == (self.me, self.life)
+        return cut is not None and self._owns.get(cut.part % max(self.rules.parts, 1)) == channel
 
     def _forget(self, session: str) -> str | None:
         return self._channel.pop(session, None)
--- a/fernweir/peers/settings.py
+++ b/fernweir/peers/settings.py
@@ -60,6 +60,7 @@
         parts=section.parts,
         copies=section.standbys,
         stale_ms=section.lease,
+        patience_ms=section.lease,
         replica=replace(ReplicaRules(), drift=section.drift),
         takeover=TakeoverRules(),
         handoff=replace(HandoffRules(), overlap_ms=section.overlap, drift=section.drift),
--- a/fernweir/rehearsal/fleet/virtual.py
+++ b/fernweir/rehearsal/fleet/virtual.py
@@ -266,7 +266,8 @@
         for number in sorted(self.fronts):
             self.trace.write("front.term", front=f"front-{number}")
             await self._end(number)
-        await asyncio.sleep(0.5)
+        # What stood in no channel ends with its front: long enough to see that.
+        await asyncio.sleep(self.plan.site().times.orphan / 1000.0 + 1.0)
         self.viewers.close()
         self.site.close()
 
