--- /dev/null
+++ b/bench/peers_channel.py
@@ -0,0 +1,269 @@
+"""What channels cost and how fast they change hands: simulated, on virtual time, no sockets.
+
+python -m bench.peers_channel [--sessions 500] [--channels 8] [--seed 1]
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import click
+import msgspec
+
+from fernweir.peers.base import Send
+from fernweir.peers.channel.copies import Replica
+from fernweir.peers.channel.cut import channel_of, payload_digest
+from fernweir.peers.channel.giving import Freeze, NoHeir, OverlapOver, WantLease
+from fernweir.peers.channel.handoff import Handoff
+from fernweir.peers.channel.heirs import Candidate, assign, capacities, wait_ms
+from fernweir.peers.channel.payloads import NeedPayload
+from fernweir.peers.channel.rules import HeirRules
+from fernweir.peers.channel.spread import Loss, spread
+from fernweir.peers.channel.takeover import Claim, Inherited
+from fernweir.peers.port import Claimed, Standing
+
+WAY_MS = (0.3, 2.0)  # between fronts, and between a front and a box
+BOXES = 30
+PAYLOADS = 20  # distinct ones
+QUORUM_MS = 4.0  # a lease from a majority of keepers: two ways there and back
+
+
+def sessions_of(count: int, parts: int, seed: int) -> dict[str, list[Standing]]:
+    """A front's sessions by channel, with names as long as real ones."""
+    dice = Random(f"sessions {seed}")
+    payloads = [payload_digest(payload_of(n)) for n in range(PAYLOADS)]
+    channels: dict[str, list[Standing]] = {}
+    for _ in range(count):
+        session = dice.randbytes(16).hex()
+        one = Standing(
+            session, f"10.0.0.{dice.randrange(250)}:40000", f"viewer{dice.randrange(9_999)}@example.org",
+            f"lesson-{dice.randrange(60)}", "standard", 4, "lagos", dice.getrandbits(30),
+            dice.randrange(BOXES), dice.randrange(3), dice.randrange(5), dice.choice(payloads), 1, 0,
+        )  # fmt: skip
+        channels.setdefault(channel_of("front-1", 1, session, parts), []).append(one)
+    return channels
+
+
+def payload_of(number: int) -> bytes:
+    """What a lesson's viewers are answered from, of a usual size."""
+    return Random(f"payload {number}").randbytes(6_000)
+
+
+class Paths:
+    """Messages between machines take their time; all bytes are counted by kind and direction."""
+
+    def __init__(self, seed: int) -> None:
+        self.dice, self.now, self.count = Random(f"paths {seed}"), 0.0, 0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.bytes: Counter[str] = Counter()
+        self.last: dict[tuple[str, str], float] = {}
+
+    def after(self, ms: float, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (self.now + ms, self.count, what))
+
+    def send(self, sender: str, effect: Send, to: Any) -> None:
+        self.bytes[f"{sender}: {type(effect.message).__name__}"] += len(
+            msgspec.msgpack.encode(effect.message)
+        )
+        when = max(self.now + self.dice.uniform(*WAY_MS), self.last.get((sender, str(effect.to)), 0.0))
+        self.last[(sender, str(effect.to))] = when
+        self.after(when - self.now, lambda: to.heard(self.now, sender, effect.message))
+
+    def step(self, until: float, parts: dict[str, Any]) -> bool:
+        """On to the next thing that is due; False if that is later than `until`."""
+        dues = [due for part in parts.values() if (due := part.next_due()) is not None]
+        if self.queue:
+            dues.append(self.queue[0][0])
+        if not dues or min(dues) > until:
+            self.now = until
+            return False
+        self.now = max(self.now, min(dues))
+        while self.queue and self.queue[0][0] <= self.now:
+            heapq.heappop(self.queue)[2]()
+        for part in parts.values():
+            due = part.next_due()
+            if due is not None and due <= self.now:
+                part.tick(self.now)
+        return True
+
+
+def copying(count: int, parts_of: int, seed: int, every_s: float) -> None:
+    """An owner and two standbys for a minute; each session's rung changes once in `every_s` on average."""
+    channels, dice = sessions_of(count, parts_of, seed), Random(f"changes {seed}")
+    paths, payloads = Paths(seed), {payload_digest(payload_of(n)): payload_of(n) for n in range(PAYLOADS)}
+    parts: dict[str, Any] = {name: Replica(name, None, seed) for name in ("owner", "b", "c")}
+    owner: Replica = parts["owner"]
+    for channel, standings in channels.items():
+        owner.own(0.0, channel, 1, standings)
+        owner.standbys(0.0, channel, ["b", "c"])
+    flat = [(channel, number) for channel, standings in channels.items() for number in range(len(standings))]
+
+    def change() -> None:
+        channel, number = dice.choice(flat)
+        one = channels[channel][number]
+        channels[channel][number] = one = msgspec.structs.replace(one, rung=(one.rung + 1) % 5)
+        owner.change(paths.now, channel, one)
+        paths.after(dice.expovariate(count / every_s / 1_000.0), change)
+
+    def run(until: float) -> None:
+        while paths.step(until, parts):
+            for name, part in parts.items():
+                for effect in part.take():
+                    if isinstance(effect, Send):
+                        paths.send(name, effect, parts[str(effect.to)])
+                    elif isinstance(effect, NeedPayload):
+                        part.payload(paths.now, effect.digest, payloads[effect.digest])
+
+    run(2_000.0)
+    first = Counter(paths.bytes)
+    if every_s:
+        change()
+    run(62_000.0)
+    ages = [copy.age_ms(paths.now) for channel in channels if (copy := parts["b"].copy(channel)) is not None]
+    total = paths.bytes - first
+    told = sum(size for kind, size in total.items() if kind.startswith("owner"))
+    heard = sum(total.values()) - told
+    label = f"a rung changed every {every_s:g} s" if every_s else "nothing changed"
+    print(
+        f"copies, {count} sessions, {len(channels)} channels, 2 standbys, {label}: owner sends "
+        f"{told / 60.0:,.0f} B/s, standbys answer {heard / 60.0:,.0f} B/s; at the start "
+        f"{sum(first.values()):,} B; oldest copy {max(ages):.0f} ms"
+    )
+
+
+def handing(count: int, parts_of: int, seed: int) -> None:
+    """A front hands all on to three heirs in turn; a lease takes a majority's two ways, a claim one."""
+    channels = sessions_of(count, parts_of, seed)
+    paths, dice = Paths(seed), Random(f"handing {seed}")
+    heirs = ["b", "c", "d"]
+    parts: dict[str, Any] = {
+        name: Handoff(name, None, seed, listed=lambda: range(BOXES)) for name in ["a", *heirs]
+    }
+    frozen: dict[str, float] = {}
+    acts: dict[str, float] = {}
+    done: dict[str, float] = {}
+    for turn, (channel, standings) in enumerate(channels.items()):
+        order = heirs[turn % 3 :] + heirs[: turn % 3]
+        parts["a"].offer(0.0, channel, 1, {one.session: one for one in standings}, order)
+
+    def claim(name: str, event: Claim, box: int) -> None:
+        mine = tuple(
+            (one.session, one.attempt, one.rung) for one in channels[event.channel] if one.box == box
+        )
+        told = Claimed(box, True, True, event.fence, mine)
+        way = dice.uniform(*WAY_MS) + dice.uniform(*WAY_MS)
+        paths.after(way, lambda: parts[name].claimed(paths.now, event.channel, told))
+
+    def event(name: str, effect: Any) -> None:
+        if isinstance(effect, Freeze):
+            frozen[effect.channel] = paths.now
+            parts[name].frozen(paths.now, effect.channel, [])
+        elif isinstance(effect, WantLease):
+            channel, fence = effect.channel, effect.floor + 1
+            paths.after(QUORUM_MS, lambda: parts[name].leased(paths.now, channel, fence))
+        elif isinstance(effect, Claim):
+            for box in effect.boxes:
+                claim(name, effect, box)
+        elif isinstance(effect, Inherited):
+            acts[effect.channel] = paths.now
+        elif isinstance(effect, OverlapOver):
+            done[effect.channel] = paths.now
+        elif isinstance(effect, NoHeir):
+            raise SystemExit(f"nobody took {effect.channel}")
+
+    more = True
+    while more:
+        for name, part in parts.items():
+            for effect in part.take():
+                if isinstance(effect, Send):
+                    paths.send(name, effect, parts[str(effect.to)])
+                else:
+                    event(name, effect)
+        more = paths.step(10_000.0, parts)
+    gaps = [acts[channel] - frozen[channel] for channel in channels]
+    print(
+        f"hand-off, {count} sessions in {len(channels)} channels to 3 heirs: the last heir acts after "
+        f"{max(acts.values()):.0f} ms, longest without an owner who steers {max(gaps):.0f} ms, overlap at "
+        f"most {max(done[one] - frozen[one] for one in channels):.0f} ms, {sum(paths.bytes.values()):,} B"
+    )
+
+
+def inheriting(count: int, parts_of: int, seed: int) -> None:
+    """Of 30 fronts with as many sessions each one goes: who has what then, and when it is taken over."""
+    dice, rules = Random(f"inheriting {seed}"), HeirRules()
+    fronts = [Candidate(f"f{n}", dice.randrange(count - 60, count + 60), 1e6) for n in range(28)]
+    fronts += [Candidate("f28", 0, 1_000.0), Candidate("f29", 20, 6_000.0)]
+    moved = must = every = 0
+    for lost_one in fronts[:28]:
+        if lost_one.name == "f7":
+            continue
+        channels = {f"{lost_one.name}:1/{part}": count // parts_of for part in range(parts_of)}
+        others = [one for one in fronts if one is not lost_one]
+        before, after = (
+            assign(channels, others),
+            assign(channels, [one for one in others if one.name != "f7"]),
+        )
+        must += sum(1 for order in before.values() if order[0] == "f7")
+        moved += sum(1 for channel in channels if before[channel][0] != after[channel][0])
+        every += len(channels)
+    print(
+        f"heirs of the {every} channels of 27 fronts, when one more of 30 goes: {moved / every:.2%} have "
+        f"another first heir, {must / every:.2%} had that front"
+    )
+    left = [one for one in fronts if one.name != "f7"]
+    lost = {f"f7:1/{part}": count // parts_of for part in range(parts_of)}
+    result = assign(lost, left)
+    loads = Counter({one.name: one.load for one in left})
+    for channel, order in result.items():
+        loads[order[0]] += lost[channel]
+    bounds = capacities(left, rules, sum(lost.values()))
+    gained = {name: loads[name] - next(one.load for one in left if one.name == name) for name in loads}
+    fullest = max(loads[name] / bounds[name] for name in loads)
+    young = {name: gained[name] for name in ("f28", "f29")}
+    print(
+        f"a loss of {sum(lost.values())} sessions: {sum(1 for one in gained.values() if one)} heirs, at most "
+        f"{max(gained.values())} each, fullest at {fullest:.2f} of its bound, the young get {young}"
+    )
+    latest = []
+    for seed_of in range(1_000):
+        inherited: dict[str, list[str]] = {}
+        for channel, order in result.items():
+            inherited.setdefault(order[0], []).append(channel)
+        for name, channels in inherited.items():
+            losses = [
+                Loss(channel, lost[channel], tuple(dice.sample(range(BOXES), 26)), 50.0)
+                for channel in channels
+            ]
+            turns = spread(0.0, losses, None, hash_of(name, seed_of), len(inherited))
+            latest.append(turns[-1].at)
+    latest.sort()
+    print(
+        f"spread, 1,000 draws: an heir's last channel begins {latest[len(latest) // 2]:.0f} ms after the "
+        f"first could at the median, {latest[int(len(latest) * 0.99)]:.0f} ms at p99; the next in line "
+        f"waits {wait_ms(1):.0f} ms"
+    )
+
+
+def hash_of(name: str, seed: int) -> int:
+    return Random(f"{name} {seed}").getrandbits(30)
+
+
+@click.command()
+@click.option("--sessions", default=500)
+@click.option("--channels", default=8)
+@click.option("--seed", default=1)
+def main(sessions: int, channels: int, seed: int) -> None:
+    print("simulated, bytes of encoded messages without frames and seals")
+    for every_s in (0.0, 30.0, 10.0, 2.0):
+        copying(sessions, channels, seed, every_s)
+    handing(sessions, channels, seed)
+    inheriting(sessions, channels, seed)
+
+
+if __name__ == "__main__":
+    main()
--- a/fernweir/peers/channel/payloads.py
+++ b/fernweir/peers/channel/payloads.py
@@ -33,6 +33,7 @@
     size: int = -1
     ask_at: float = 0.0
     asked_from: int = 0
+    vain: int = 0  # asks since the last piece came
 
 
 @dataclass(slots=True)
@@ -148,8 +149,11 @@
         return min(dues, default=None)
 
     def _ask(self, now: float, digest: bytes, fetch: _Fetch) -> None:
-        if len(fetch.data) == fetch.asked_from and fetch.size >= 0:  # nothing came since: try another
+        if len(fetch.data) > fetch.asked_from:
+            fetch.vain = 0
+        elif fetch.vain:  # nothing came: try another, and not too often
             fetch.owners = [*fetch.owners[1:], fetch.owners[0]]
         fetch.asked_from = len(fetch.data)
-        fetch.ask_at = now + self.rules.resend_ms
+        fetch.ask_at = now + self.rules.resend_ms * 2.0 ** min(fetch.vain, 4)
+        fetch.vain += 1
         self._out.add(Send(fetch.owners[0], PayloadWanted(digest, len(fetch.data))))
