A copy is handed out without copying it anew until it changes

A front asks its copies for each session that it does not hold; every ask copied all standings of every copy. The mapping handed out is now made once after each change, and no later change touches it.

--- a/fernweir/peers/channel/standby.py
+++ b/fernweir/peers/channel/standby.py
@@ -58,6 +58,7 @@
     fence: int
     heard_at: float
     copy: Copy | None = None
+    shown: dict[str, Standing] | None = None  # the copy's standings as they are handed out
     standings: dict[str, Standing] = field(default_factory=dict)
     size: int = 0
     seq: int = -1
@@ -82,7 +83,9 @@
         kept = self._kept.get(channel)
         if kept is None or kept.copy is None:
             return None
-        return replace(kept.copy, standings=dict(kept.copy.standings))
+        if kept.shown is None:
+            kept.shown = dict(kept.copy.standings)
+        return replace(kept.copy, standings=kept.shown)
 
     def channels(self) -> list[str]:
         """Of which there is a copy."""
@@ -224,7 +227,7 @@
     def _whole(self, kept: _Kept) -> None:
         kept.standings = {standing.session: standing for piece in kept.pieces for standing in piece}
         kept.size = sum(map(size_of, kept.standings.values()))
-        kept.seq = kept.piece_seq
+        kept.seq, kept.shown = kept.piece_seq, None
         known = kept.copy is not None and kept.copy.whole and kept.copy.fence == kept.fence
         kept.copy = Copy(kept.channel, kept.owner, kept.fence, kept.standings, True, kept.pieces_as_of)
         self._restart(kept, kept.piece_seq, 0)
@@ -233,10 +236,12 @@
 
     def _put(self, kept: _Kept, standing: Standing) -> None:
         self._remove(kept, standing.session)
+        kept.shown = None
         kept.standings[standing.session] = standing
         kept.size += size_of(standing)
 
     def _remove(self, kept: _Kept, session: str) -> None:
+        kept.shown = None
         old = kept.standings.pop(session, None)
         if old is not None:
             kept.size -= size_of(old)
