--- a/fernweir/peers/acts/shelf.py
+++ b/fernweir/peers/acts/shelf.py
@@ -126,6 +126,11 @@
         self.numbers.add(one.first, one.last)
         self.size += one.size()
 
+    def seal_all(self) -> None:
+        """Every loose block goes into a segment, however small."""
+        for run in self._runs():
+            self._make(run)
+
     def drop_oldest(self) -> int:
         """Lets the oldest segment go, or the oldest loose block; the bytes that this gave."""
         before = self.size
@@ -170,13 +175,18 @@
 
     def _seal(self) -> None:
         """The longest run of loose blocks becomes a segment; holes may be filled later."""
+        self._make(max(self._runs(), key=len))
+
+    def _runs(self) -> list[list[int]]:
         runs: list[list[int]] = []
         for number in sorted(self.tail):
             if runs and runs[-1][-1] == number - 1:
                 runs[-1].append(number)
             else:
                 runs.append([number])
-        run = max(runs, key=len)
+        return runs
+
+    def _make(self, run: list[int]) -> None:
         made = segments.make([self.tail[number] for number in run])
         for number in run:
             self._drop_loose(number)
--- a/fernweir/peers/acts/store.py
+++ b/fernweir/peers/acts/store.py
@@ -77,6 +77,12 @@
                 self._by_sequence[sequence] = shelf, made
                 self._bound(shelf)
 
+    def close(self) -> None:
+        """What is not in a segment yet goes to the disk in one, as the process ends."""
+        if self.disk is not None:
+            for shelf in self.shelves():
+                shelf.seal_all()
+
     def index(self, shelf: Shelf, one: Segment) -> Index | None:
         """Made anew if memory had no room for it. None: the segment can't be read."""
         if one.index is not None:
