Copies hear a session's new placing alone; absurd messages raise nothing

A rung change sent the whole standing to each standby, about 150 bytes of which five numbers had changed. What differs from the last batch in box, attempt, rung, answers or ration only goes as that. All kinds of messages with absurd values, 12,000 drawn, raise nothing and grow no table past its bound. attempts_told is on: the front tells every set-up.

--- a/fernweir/peers/channel/messages.py
+++ b/fernweir/peers/channel/messages.py
@@ -31,8 +31,14 @@
     as_of: AsOf
 
 
+Placing = tuple[int, int, int, int, int]  # box, attempt, rung, answers, spent: what changes while it stands
+
+
 class Deltas(Message, tag="channel.deltas", frozen=True):
-    """What brings a copy from `seq - 1` to `seq`: standings that are new or changed, sessions that ended."""
+    """What brings a copy from `seq - 1` to `seq`: standings that are new or changed, sessions that ended.
+
+    Of `moved` sessions only the placing changed, as with most notes; the rest of the standing is known.
+    """
 
     channel: str
     fence: int
@@ -40,6 +46,7 @@
     changed: list[Standing]
     ended: list[str]
     as_of: AsOf
+    moved: list[tuple[str, Placing]] = msgspec.field(default_factory=list)
 
 
 class Piece(Message, tag="channel.piece", frozen=True):
--- a/fernweir/peers/channel/owned.py
+++ b/fernweir/peers/channel/owned.py
@@ -9,15 +9,16 @@
 
 from collections import deque
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
 from fernweir.peers.base import Outbox, Send
-from fernweir.peers.channel.messages import AsOf, Deltas, Dropped, Hail, Have, Piece
+from fernweir.peers.channel.messages import AsOf, Deltas, Dropped, Hail, Have, Piece, Placing
 from fernweir.peers.channel.rules import ReplicaRules
 from fernweir.peers.port import Standing
 
+_SMALL = 40  # bytes of a placing, at most; more than an end takes
 _DROPS = 3  # times a standby is told that its copy may go
 
 
@@ -26,6 +27,7 @@
     seq: int
     changed: list[Standing]
     ended: list[str]
+    moved: list[tuple[str, Placing]]
     size: int
     closed_at: float
 
@@ -72,6 +74,7 @@
     _log_bytes: int = 0
     _frozen: _Frozen | None = None
     _pending: dict[str, Standing | None] = field(default_factory=dict)
+    _before: dict[str, Standing | None] = field(default_factory=dict)  # what those were in the last batch
     _flush_at: float | None = None
     _pending_since: float = 0.0
     _followers: dict[str, _Follower] = field(default_factory=dict)
@@ -80,13 +83,15 @@
     # --- the state ---
 
     def change(self, now: float, standing: Standing) -> None:
-        if self.standings.get(standing.session) != standing:
+        old = self.standings.get(standing.session)
+        if old != standing:
             self.standings[standing.session] = standing
-            self._gather(now, standing.session, standing)
+            self._gather(now, standing.session, old, standing)
 
     def end(self, now: float, session: str) -> None:
-        if self.standings.pop(session, None) is not None:
-            self._gather(now, session, None)
+        old = self.standings.pop(session, None)
+        if old is not None:
+            self._gather(now, session, old, None)
 
     def become(self, now: float, standings: Iterable[Standing]) -> None:
         """The state is this from now on."""
@@ -96,7 +101,8 @@
         for standing in wanted.values():
             self.change(now, standing)
 
-    def _gather(self, now: float, session: str, standing: Standing | None) -> None:
+    def _gather(self, now: float, session: str, old: Standing | None, standing: Standing | None) -> None:
+        self._before.setdefault(session, old)
         self._pending[session] = standing
         if self._flush_at is None:
             self._flush_at, self._pending_since = now + self.rules.flush_ms, now
@@ -204,27 +210,30 @@
 
     def _flush(self, now: float) -> None:
         """Closes what was gathered into batches, each small enough for one message."""
-        changed: list[Standing] = []
-        ended: list[str] = []
+        batch = _Batch(self.seq + 1, [], [], [], 0, now)
         size = 0
         for session, standing in self._pending.items():
-            one = size_of(standing) if standing is not None else len(session) + 8
+            moved = _moved(self._before[session], standing)
+            full = standing is not None and moved is None
+            one = size_of(standing) if standing is not None and full else len(session.encode()) + _SMALL
             if size and size + one > self.rules.message_bytes:
-                self._close(now, changed, ended, size)
-                changed, ended, size = [], [], 0
+                self._close(batch, size)
+                batch, size = _Batch(self.seq + 1, [], [], [], 0, now), 0
             size += one
             if standing is None:
-                ended.append(session)
+                batch.ended.append(session)
+            elif moved is not None:
+                batch.moved.append((session, moved))
             else:
-                changed.append(standing)
-        if size:
-            self._close(now, changed, ended, size)
+                batch.changed.append(standing)
+        self._close(batch, size)
         self._pending.clear()
+        self._before.clear()
         self._flush_at = None
 
-    def _close(self, now: float, changed: list[Standing], ended: list[str], size: int) -> None:
+    def _close(self, batch: _Batch, size: int) -> None:
         self.seq += 1
-        self._log.append(_Batch(self.seq, changed, ended, size, now))
+        self._log.append(replace(batch, size=size))
         self._log_bytes += size
         while self._log_bytes > self.rules.backlog_bytes:
             self._log_bytes -= self._log.popleft().size
@@ -290,7 +299,9 @@
         for batch in self._log:
             if first <= batch.seq <= until:
                 as_of = self._as_of(now, follower, batch.seq)
-                deltas = Deltas(self.channel, self.fence, batch.seq, batch.changed, batch.ended, as_of)
+                deltas = Deltas(
+                    self.channel, self.fence, batch.seq, batch.changed, batch.ended, as_of, batch.moved
+                )
                 self._tell(now, name, follower, deltas)
         follower.sent = max(follower.sent, until)
 
@@ -312,5 +323,24 @@
         return AsOf(max(age, 0.0), follower.token, now - follower.token_at)
 
 
+def _moved(before: Standing | None, standing: Standing | None) -> Placing | None:
+    """The new placing, if nothing else of the standing changed."""
+    if before is None or standing is None:
+        return None
+    placing = placing_of(standing)
+    return placing if placed(before, placing) == standing else None
+
+
+def placing_of(standing: Standing) -> Placing:
+    return standing.box, standing.attempt, standing.rung, standing.answers, standing.spent
+
+
+def placed(standing: Standing, placing: Placing) -> Standing:
+    box, attempt, rung, answers, spent = placing
+    return msgspec.structs.replace(
+        standing, box=box, attempt=attempt, rung=rung, answers=answers, spent=spent
+    )
+
+
 def size_of(standing: Standing) -> int:
     return len(msgspec.msgpack.encode(standing))
--- a/fernweir/peers/channel/rules.py
+++ b/fernweir/peers/channel/rules.py
@@ -36,12 +36,12 @@
     """A box that does not answer within `first_ms` is not waited for: its sessions are doubtful.
 
     It is asked again every `again_ms`, and after `doubt_ms` every `slow_ms`; what is in doubt that long is
-    over. With `attempts_told` the front tells `attempted`: a later attempt that a list names and that is not
-    its own is then released, else it is left.
+    over. With `attempts_told` the front tells `attempted` of all it sets up: a later attempt that a list
+    names and that is not its own is then released, else it is left.
     """
 
     overlap_ms: float = 2_000.0  # that boxes accept a lower fence after a planned claim
-    attempts_told: bool = False
+    attempts_told: bool = True
     first_ms: float = 300.0
     again_ms: float = 250.0
     doubt_ms: float = 10_000.0
--- a/fernweir/peers/channel/standby.py
+++ b/fernweir/peers/channel/standby.py
@@ -14,7 +14,7 @@
 from fernweir.peers.base import Event, Outbox, Send
 from fernweir.peers.channel.cut import FENCE_MOST, believable, parse
 from fernweir.peers.channel.messages import AsOf, Deltas, Dropped, Hail, Have, Piece
-from fernweir.peers.channel.owned import size_of
+from fernweir.peers.channel.owned import placed, size_of
 from fernweir.peers.channel.rules import ReplicaRules
 from fernweir.peers.port import Standing
 
@@ -191,9 +191,15 @@
     # --- content ---
 
     def _deltas(self, now: float, kept: _Kept, message: Deltas) -> None:
-        sound = all(map(believable, message.changed))
+        moved = [
+            placed(known, placing)
+            for session, placing in message.moved
+            if (known := kept.standings.get(session)) is not None
+        ]
+        changed = [*message.changed, *moved]
+        sound = len(moved) == len(message.moved) and all(map(believable, changed))
         if message.seq == kept.seq + 1 and kept.seq >= 0 and sound:
-            for standing in message.changed:
+            for standing in changed:
                 self._put(kept, standing)
             for session in message.ended:
                 self._remove(kept, session)
--- a/tests/peers_mutants/channel.py
+++ b/tests/peers_mutants/channel.py
@@ -32,6 +32,10 @@
         "an owner says its copy is complete while changes wait", "owned",
         "age = now - self._pending_since", "age = 0.0", 12,
     ),
+    _mutant(
+        "what a standing was is forgotten between two batches", "owned",
+        "        self._before.clear()\n", "", 12, 2,
+    ),
 ]  # fmt: skip
 
 HANDOFF: list[Mutant] = [
--- a/tests/test_peers_channel.py
+++ b/tests/test_peers_channel.py
@@ -1068,3 +1068,64 @@
     play = copy_day if mutant in COPIES else drawn_day if mutant in DAYS else short_day
     with broken(mutant, PACKAGE):
         assert any(play(Mods(), seed) for seed in range(mutant.seeds))
+
+
+def odd(dice: Random, kind: Any, mods: Mods, depth: int = 0) -> Any:
+    """A value of a field's type: usual, at a bound, or absurd."""
+    text = str(kind)
+    if text.startswith("list[str"):
+        return [odd(dice, str, mods) for _ in range(dice.randrange(4))]
+    if text.startswith("list[tuple"):
+        return [(odd(dice, str, mods), odd(dice, int, mods)) for _ in range(dice.randrange(4))]
+    if text.startswith("list["):
+        return [mods.standing(odd(dice, str, mods), odd(dice, int, mods)) for _ in range(dice.randrange(4))]
+    if kind is str:
+        return dice.choice(["a:1/0", "a:1/0", "a:1/1", "", "x", "a:1/99999999", ":/", "s1", "\x00" * 700])
+    if kind is int:
+        return dice.choice([0, 1, 1, 2, 3, -1, 2**62, -(2**62), dice.randrange(9)])
+    if kind is float:
+        return dice.choice([0.0, 1.0, 500.0, -1.0, 1e300, float("inf"), float("nan")])
+    if kind is bytes:
+        return dice.choice([b"", b"d" * 16, b"x" * 3_000])
+    if "AsOf" in text:
+        values = [odd(dice, one, mods) for one in (float, int, float)]
+        return mods.messages.AsOf(*values)
+    return dice.choice([None, mods.standing("s1"), mods.standing("")])
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_message_raises_or_grows_a_table_past_its_bound(seed: int) -> None:
+    """Peers that hold the key and say anything: all kinds, in any order, with absurd values."""
+    mods, dice = Mods(), Random(f"odd {seed}")
+    rules = mods.rules.ReplicaRules(copies_most=3, sessions_most=20, bytes_most=4_000, payloads_bytes=5_000)
+    replica = mods.copies.Replica("me", rules)
+    hand = mods.handoff.Handoff("me", mods.rules.HandoffRules(takes_most=3, sessions_most=20), seed)
+    replica.own(0.0, "a:1/1", 2, [mods.standing("s1", payload=b"d" * 16)])
+    replica.standbys(0.0, "a:1/1", ["b", "c"])
+    hand.offer(0.0, "a:1/1", 2, {"s1": mods.standing("s1")}, ["b", "c"])
+    now, offers = 0.0, [1, 2, 3]
+    for _ in range(4_000):
+        now += dice.expovariate(1 / 20.0)
+        kind = dice.choice(mods.messages.KINDS)
+        fields = msgspec.structs.fields(kind)
+        values = {one.name: odd(dice, one.type, mods) for one in fields}
+        if "offer" in values and dice.random() < 0.8:
+            values["offer"] = dice.choice(offers)
+        message, sender = kind(**values), dice.choice("bc")
+        for part in (replica, hand):
+            part.heard(now, sender, message)
+            due = part.next_due()
+            if due is not None and due <= now:
+                part.tick(now)
+            for effect in part.take():
+                if isinstance(effect, mods.base.Send):
+                    offers = [*offers, getattr(effect.message, "offer", 1)][-6:]
+                elif isinstance(effect, mods.giving.Freeze):
+                    hand.frozen(now, effect.channel, ["s1"])
+                elif isinstance(effect, mods.giving.WantLease) and dice.random() < 0.5:
+                    hand.leased(now, effect.channel, effect.floor + 1)
+        assert len(replica.copies()) <= 3 and replica._standby.size() <= 4_000
+        assert replica._payloads.size() <= 5_000 and len(hand.taking()) <= 3
+        assert len(replica._payloads._askers) <= 256 and len(replica._payloads._fetches) <= 60
+        for taking in hand._taker._takings.values():
+            assert len(taking.standings) + len(taking.early) <= 60
