The store of acts against a slow one under drawn events; bounds that keep the loop short

Need: blocks in any order, wrong ones, dropped ones, a full disk, a disk that loses: the shelf's numbers, order, bytes and refusals are held against a dictionary. An answer has 2,000 acts at most unless its budget says otherwise, as 10,000 put together at once would stand in the loop for 100 ms; a piece reads 8 segments. Ruled out: answers put together row by row (a copy's clock samples come with its last piece).

--- a/fernweir/peers/acts/rules.py
+++ b/fernweir/peers/acts/rules.py
@@ -34,14 +34,14 @@
     drift: float = 0.01
     exchange_ms: float = 5_000.0
     exchange_least_ms: float = 250.0
-    samples: int = 128
+    samples: int = 64
     part_ms: float = 1_000.0
     tries: int = 2
     deadline_ms: float = 10_000.0
-    rows: int = 10_000
+    rows: int = 2_000
     answer_bytes: int = 8 << 20
     piece_rows: int = 256
     piece_bytes: int = 60_000
-    piece_segments: int = 16
+    piece_segments: int = 8
     asked: int = 4
     context: int = 20
--- a/tests/test_peers_acts.py
+++ b/tests/test_peers_acts.py
@@ -950,6 +950,82 @@
     mods.store.Store("me", RULES).put(read)
 
 
+class _Known:
+    """What a store must hold, the slow way: a block by number, and what was dropped."""
+
+    def __init__(self) -> None:
+        self.blocks: dict[int, Any] = {}
+        self.first = 1
+
+    def put(self, sealed: Any) -> str:
+        number = sealed.block.number
+        before, after = self.blocks.get(number - 1), self.blocks.get(number + 1)
+        if number < self.first:
+            return "old"
+        if number in self.blocks:
+            return "known" if self.blocks[number] == sealed else "wrong"
+        if before is not None and before.digest != sealed.block.before:
+            return "wrong"
+        if after is not None and after.block.before != sealed.digest:
+            return "wrong"
+        self.blocks[number] = sealed
+        return "new"
+
+    def drop(self, below: int) -> None:
+        self.first = max(self.first, below)
+        self.blocks = {number: one for number, one in self.blocks.items() if number >= self.first}
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(st.data())
+def test_a_shelf_holds_what_a_slow_one_holds_whatever_comes_in_any_order(data: st.DataObject) -> None:
+    mods, draw = load(), data.draw
+    world = World(mods, 1, fronts=1)
+    chain = mods.chain.Chain("f", 1, RULES)
+    for at in range(40):
+        chain.add(Act(at, Deed.SETUP, f"s{at}"), world.lists[0])
+        chain.seal(at)
+    blocks, disk, known = chain.take(), Disk(), _Known()
+    store = mods.store.Store(
+        "me", replace(RULES, segment_acts=draw(st.integers(2, 9)), segment_blocks=5), disk
+    )
+    for _ in range(draw(st.integers(5, 60))):
+        what = draw(st.sampled_from(["put"] * 8 + ["wrong", "drop", "seal", "full", "lost"]))
+        shelf = store.shelf("f", 1)
+        if what in ("put", "wrong") or shelf is None:
+            sealed = draw(st.sampled_from(blocks))
+            sealed = _changed(mods, sealed) if what == "wrong" else sealed
+            assert store.put(sealed).value == known.put(sealed)
+        elif what == "drop":
+            shelf.drop_oldest()
+            known.drop(shelf.first_kept)
+        elif what == "seal":
+            shelf.seal_all()
+        elif what == "full":
+            disk.full = not disk.full
+        elif shelf.segments and disk.kept:  # memory gives it to the disk, which loses it
+            lost = draw(st.sampled_from(shelf.segments))
+            if lost.handle is not None and lost.data is not None:
+                shelf.size -= len(lost.data)
+                lost.data = None
+                disk.kept.pop(lost.handle, None)
+                assert shelf.read(lost) == []
+                for number in range(lost.first, lost.last + 1):
+                    known.blocks.pop(number)
+        shelf = store.shelf("f", 1)
+        assert {number for first, last in shelf.numbers for number in range(first, last + 1)} == set(
+            known.blocks
+        )
+        assert all(shelf.block(number) == one for number, one in known.blocks.items())
+        listed: list[int] = []
+        for unit in shelf.units(1):
+            loose = [unit.block.number] if hasattr(unit, "block") else range(unit.first, unit.last + 1)
+            listed += loose
+        assert listed == sorted(known.blocks)
+        size = sum(len(one.data) + 1_500 for one in shelf.tail.values())
+        assert shelf.size == size + sum(one.size() for one in shelf.segments)
+
+
 _NUMBERS = st.sampled_from([0, 1, 2, 3, 5, 40, (1 << 53) - 1])
 _TIMES = st.sampled_from([0.0, 1.0, -5.0, 1e9, -1e16, 1e16])
 
