Leases: a keeper that starts amid a change of sets counts from its own clock

The wait until a new set stands alone was counted from 0 if both sets were given at the start and the older had one keeper. Harmless, as the silence after a start is as long; but wrong. A process that goes on after standing still may in the model now run its timer before what waits for it, or after.

--- a/fernweir/peers/lease/events.py
+++ b/fernweir/peers/lease/events.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Got(Event):
-    """The channel is this front's, under a fence that was never granted before."""
+    """The channel is this front's, under a fence above all that were granted.
+
+    Comes again for a channel that is held if a higher fence was asked for: the lower one is over then.
+    """
 
     lease: Lease
 
--- a/fernweir/peers/lease/keeper.py
+++ b/fernweir/peers/lease/keeper.py
@@ -41,7 +41,7 @@
         self._rules = rules
         self._records = Records(stamp(life), rules.silence_ms, rules.records_most)
         self._sets = tuple(sets)
-        self._overlap = Overlap(me, self._sets, rules.silence_ms)
+        self._overlap = Overlap(me, now, self._sets, rules.silence_ms)
         self._silent_until = now + rules.silence_ms
         self._recall_ms = rules.longest_ms / 5
         self._recall_at = now
--- a/fernweir/peers/lease/overlap.py
+++ b/fernweir/peers/lease/overlap.py
@@ -15,7 +15,7 @@
 class Overlap:
     """A keeper's view of which sets a question must rest on. `wait_ms`: until the longest lease is over."""
 
-    def __init__(self, me: str, sets: Iterable[KeeperSet], wait_ms: float) -> None:
+    def __init__(self, me: str, now: float, sets: Iterable[KeeperSet], wait_ms: float) -> None:
         found = ordered(sets)
         self._me = me
         self._wait_ms = wait_ms
@@ -25,7 +25,7 @@
         self._moved: set[str] = set()
         self._settles_at: float | None = None
         if len(found) == 2:
-            self._begin(0.0, found[0])
+            self._begin(now, found[0])
 
     def needs(self) -> tuple[int, ...]:
         """The versions that a question must name."""
--- a/fernweir/rehearsal/explore.py
+++ b/fernweir/rehearsal/explore.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from array import array
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
-from typing import Generic, Protocol, TypeVar
+from typing import Protocol, TypeVar
 
 S = TypeVar("S")
 
@@ -75,37 +75,27 @@
         return tuple(reversed(found))
 
 
-@dataclass(slots=True)
-class _Level(Generic[S]):
-    """States at one depth, with their numbers."""
-
-    states: list[tuple[int, S]]
-
-    def __iter__(self) -> Iterator[tuple[int, S]]:
-        return iter(self.states)
-
-
 def explore(model: Model[S], states_most: int = 10_000_000) -> Explored:
     """Ends at the first state that breaks an invariant, when all were seen, or at `states_most`."""
     seen = _Seen()
     steps = depth = 0
-    level: _Level[S] = _Level([])
+    level: list[tuple[int, S]] = []
 
-    def found(state: S, parent: int, label: str, into: _Level[S]) -> Explored | None:
+    def found(state: S, parent: int, label: str, into: list[tuple[int, S]]) -> Explored | None:
         number = seen.add(model.key(state), parent, label)
         if number < 0:
             return None
         if wrong := model.wrong(state):
             return Explored(len(seen), steps, depth, False, wrong, seen.trace(number))
-        into.states.append((number, state))
+        into.append((number, state))
         return None
 
     for state in model.begins():
         if (end := found(state, -1, "begin", level)) is not None:
             return end
-    while level.states:
+    while level:
         depth += 1
-        following: _Level[S] = _Level([])
+        following: list[tuple[int, S]] = []
         for number, state in level:
             for label, after in model.steps(state):
                 steps += 1
--- a/fernweir/rehearsal/leases.py
+++ b/fernweir/rehearsal/leases.py
@@ -198,7 +198,12 @@
 
     def _faults(self, state: State) -> Iterator[tuple[str, State]]:
         if state.stopped >= 0:
-            yield f"{self._names[state.stopped]} goes on", self._wake(state)
+            awake = state._replace(stopped=-1)
+            yield f"{self._names[state.stopped]} goes on", self._look(awake)
+            yield (
+                f"{self._names[state.stopped]} goes on, its timer first",
+                self._run(awake, state.stopped, ("tick",)),
+            )
         if not state.faults:
             return
         less = state._replace(faults=state.faults - 1)
@@ -230,10 +235,6 @@
                 state = self._run(state, machine, ("tick",))
         return state
 
-    def _wake(self, state: State) -> State:
-        """Its timer may come before or after what waits for it: it is only due at the next unit."""
-        return self._look(state._replace(stopped=-1))
-
     def _deliver(self, state: State, number: int) -> State:
         state = state._replace(flying=_without(state.flying, number))
         return self._run(state, self._messages[number].to, ("heard", number))
