A channel handed on while it is taken over takes along what is in doubt

Offers now hold them too, the next heir waits for their boxes' new lists, and what is settled on the way goes after as a late change. Refusing such an offer was weighed: a front that leaves would wait for its bound each time.

--- a/fernweir/peers/channel/giving.py
+++ b/fernweir/peers/channel/giving.py
@@ -146,8 +146,21 @@
     def change(self, now: float, channel: str, session: str, standing: Standing | None) -> None:
         """Something of a channel on its way changed; without a standing it is over."""
         giving = self._givings.get(channel)
-        if giving is None:
-            return
+        if giving is not None:
+            self._note(giving, session, standing)
+            if giving.again_at <= now:
+                giving.again_at = now + self.rules.resend_ms
+
+    def settled(self, channel: str, take: Iterable[Standing], over: Iterable[str]) -> None:
+        """What was in doubt here when the channel was offered has been decided."""
+        giving = self._givings.get(channel)
+        if giving is not None:
+            for standing in take:
+                self._note(giving, standing.session, standing)
+            for session in over:
+                self._note(giving, session, None)
+
+    def _note(self, giving: _Giving, session: str, standing: Standing | None) -> None:
         if standing is None:
             giving.standings.pop(session, None)
         else:
@@ -156,8 +169,6 @@
             giving.lates.append((session, standing))
             if len(giving.lates) <= giving.lates_got + _LATES_OUT:
                 self._send_late(giving, len(giving.lates) - 1)
-            if giving.again_at <= now:
-                giving.again_at = now + self.rules.resend_ms
 
     def frozen(self, now: float, channel: str, out: Iterable[str]) -> None:
         giving = self._givings.get(channel)
--- a/fernweir/peers/channel/handoff.py
+++ b/fernweir/peers/channel/handoff.py
@@ -19,7 +19,7 @@
 from fernweir.peers.base import Effect, Message, Outbox
 from fernweir.peers.channel.giving import Giver
 from fernweir.peers.channel.rules import HandoffRules
-from fernweir.peers.channel.takeover import Inherited, Outdone, Takeover
+from fernweir.peers.channel.takeover import Inherited, Outdone, Settled, Takeover
 from fernweir.peers.channel.taking import Taker
 from fernweir.peers.port import Claimed, Standing
 
@@ -54,9 +54,11 @@
     ) -> bool:
         """Hands a channel on, whose lease this front holds under `fence`. False if it is on its way already.
 
-        Until it is frozen the front steers on, and tells `change` and `end`.
+        Until it is frozen the front steers on, and tells `change` and `end`. What it had taken over itself
+        and is still in doubt goes along, for the heir to settle.
         """
-        return self._giver.offer(now, channel, fence, standings, [name for name in heirs if name != self.me])
+        known = {**self.takeover.undecided(channel), **standings}
+        return self._giver.offer(now, channel, fence, known, [name for name in heirs if name != self.me])
 
     def change(self, now: float, channel: str, standing: Standing) -> None:
         """A session of a channel on its way is new or changed; in the overlap, an attempt's good end."""
@@ -67,7 +69,9 @@
 
     def frozen(self, now: float, channel: str, out: Iterable[str]) -> None:
         """The answer to `Freeze`: nothing is steered any more, and attempts are out for these sessions."""
-        self._giver.frozen(now, channel, out)
+        doubtful = self.takeover.undecided(channel)
+        self.takeover.stop(channel)
+        self._giver.frozen(now, channel, [*out, *doubtful])
 
     def cancel(self, now: float, channel: str, why: str) -> bool:
         """Takes an offer back; False once it is frozen and handed, or if there is none."""
@@ -148,6 +152,8 @@
     def _drain(self) -> None:
         for effect in self.takeover.take():
             self._out.add(effect)
+            if isinstance(effect, Settled):
+                self._giver.settled(effect.channel, effect.take, effect.over)
             if isinstance(effect, Inherited):
                 self._taker.acts(effect.channel, effect.fence)
             elif isinstance(effect, Outdone):
--- a/fernweir/peers/channel/takeover.py
+++ b/fernweir/peers/channel/takeover.py
@@ -186,6 +186,13 @@
                 taken.told[box] = Claimed(box, True, True, taken.fence)
                 self._weigh(now, taken)
 
+    def undecided(self, channel: str) -> dict[str, Standing]:
+        """What may stand of a channel that is being taken over, and is not settled yet."""
+        taken = self._taken.get(channel)
+        if taken is None:
+            return {}
+        return {one: standing for one, standing in taken.standings.items() if one not in taken.decided}
+
     def stop(self, channel: str) -> None:
         """The channel is another's: nothing more is claimed."""
         self._taken.pop(channel, None)
