--- a/fernweir/peers/acts/merge.py
+++ b/fernweir/peers/acts/merge.py
@@ -90,12 +90,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Said:
-    """Who answered for a shard, how many blocks, and its owner's wall clock, by its own word (ahead, ±)."""
+    """Who answered for a shard, of how many blocks, with how many acts or runs of acts; and its owner's wall
+    clock, by its own word (ahead, ±)."""
 
     owner: str
     life: int
     by: tuple[str, ...]
     blocks: int
+    rows: int
     wall: tuple[float, float]
 
 
@@ -114,6 +116,7 @@
     left_out: list[tuple[str, int]] = field(default_factory=list)
     shards: list[Said] = field(default_factory=list)
     took_ms: float = 0.0
+    bytes: int = 0  # about what came for it
 
     @property
     def whole(self) -> bool:
--- a/fernweir/peers/acts/questions.py
+++ b/fernweir/peers/acts/questions.py
@@ -383,11 +383,12 @@
                 one.life,
                 tuple(one.by),
                 sum(high - low + 1 for low, high in one.answered),
+                len(one.rows) + len(one.runs),
                 one.wall,
             )
             for one in shards
         ]
-        answer.took_ms = now - run.began
+        answer.took_ms, answer.bytes = now - run.began, run.budget.bytes - run.bytes_left
         del self._running[run.id]
         self._out.add(Answered(run.id, answer))
 
--- a/tests/test_peers_acts.py
+++ b/tests/test_peers_acts.py
@@ -831,6 +831,8 @@
     asked(world, "f0")
     budget = plan.Budget(100, 1 << 20, 4_000.0)
     (answer,) = settle(world, [world.ask("f0", plan.Acts(tenant="u"), budget=budget)], False, 7_000)
+    if sum(one.rows for one in answer.shards) < len(answer.rows) or not 0 < answer.bytes < 1 << 20:
+        world.wrong.append("an answer doesn't say what it took")
     if len(answer.rows) > 100 + 5 * small.piece_rows:
         world.wrong.append(f"{len(answer.rows)} rows for a budget of 100")
     if "budget" not in {gap.why for gap in answer.gaps}:
