--- a/tests/peers_mutants/lease.py
+++ b/tests/peers_mutants/lease.py
@@ -27,6 +27,7 @@
         "self._silent_until = now + rules.silence_ms",
         "self._silent_until = now",
         10,
+        2,
     ),
     Mutant(
         "a fence compared with >= to the floor a box told",
--- a/tests/test_peers_lease.py
+++ b/tests/test_peers_lease.py
@@ -750,6 +750,44 @@
     assert lease is None or lease.fence == fence
 
 
+def test_a_renewal_that_was_said_again_counts_from_its_first_question() -> None:
+    site, _ = _calm(load(), "a")
+    (owner,) = site.named("a")
+    asked = _lease(site, "a").until - 300
+    owner.holder.tick(asked)
+    owner.holder.tick(asked + 75)
+    messages = site.code.messages
+    turns = [each.message.turn for each in owner.holder.take() if isinstance(each.message, messages.Renew)]
+    assert len(turns) == 6 and len(set(turns)) == 1  # each of three keepers was asked twice
+    for keeper in ("k0", "k1"):
+        owner.holder.heard(asked + 100, keeper, messages.Extended(owner.life, turns[0]))
+    assert owner.holder.holds(asked + 100, CHANNEL).until == asked + site.rules.own_ms
+
+
+def test_a_failed_attempt_for_a_higher_fence_leaves_the_locks_of_the_lease_that_is_held() -> None:
+    site, _ = _calm(load(), "a")
+    (owner,) = site.named("a")
+    lease, now, messages = _lease(site, "a"), owner.clock(site.at), site.code.messages
+    owner.holder.want(now, CHANNEL, lease.fence)
+    owner.holder.tick(now)
+    (ballot,) = {
+        each.message.items[0].ballot
+        for each in owner.holder.take()
+        if isinstance(each.message, messages.Prepare)
+    }
+    promise = messages.Promised(owner.life, (messages.Item(CHANNEL, ballot, lease.fence),))
+    owner.holder.heard(now + 1, "k0", promise)
+    owner.holder.heard(now + 1, "k1", promise)
+    granted = messages.Item(CHANNEL, ballot, lease.fence + 1)
+    owner.holder.heard(
+        now + 2, "k0", messages.Granted(owner.life, (granted,))
+    )  # the others' answers are lost
+    owner.holder.tick(now + site.rules.attempt_ms)
+    sent = [type(each.message).__name__ for each in owner.holder.take()]
+    assert "Propose" in sent and "Release" not in sent
+    assert owner.holder.holds(now + site.rules.attempt_ms, CHANNEL).fence == lease.fence
+
+
 def test_of_two_fronts_with_one_name_the_newer_life_waits_like_anybody_else() -> None:
     site, keepers = _calm(load(), "a")
     (older,) = site.named("a")
