Stragglers joined; operators ask the fleet; a restarted front joins before it serves

Need: late fronts are brought up by their list, shut out of leases, facts and the choice of heirs, and take nothing new; questions of the control socket go to all fronts. Ruled out: leaving unknown sessions alone in taking over (they would play for nobody).

--- a/fernweir/config/peers.py
+++ b/fernweir/config/peers.py
@@ -77,7 +77,7 @@
     format_highest: Format | None = None
     late_after: PositiveMillis = 15_000.0
     bring_up_within: PositiveMillis = 10_000.0
-    shut_out_share: Annotated[Share, Field(lt=1)] = 0.2
+    shut_out_share: Annotated[Share, Field(lt=0.5)] = 0.34
 
     @property
     def advertised(self) -> tuple[str, int]:
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -7,16 +7,17 @@
 
 import json
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from fernweir.front.boxes import BoxClient
-from fernweir.front.boxlist import BoxList
+from fernweir.front.boxlist import BoxLine, BoxList, ListError, read_document
 from fernweir.front.commands import Answer, Ask, Kind
 from fernweir.front.core import BadAnswerError, Core
 from fernweir.front.host import Held, Phase
 from fernweir.http.client import Outcome, Reply
 from fernweir.interface import ListUpdate
+from fernweir.peers.acts.versions import boxes_digest
 from fernweir.peers.forward.messages import Carried, Carry
 from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing
 
@@ -63,6 +64,25 @@
         """All boxes that the list names now."""
         return [box for box, line in self._boxes.boxes.items() if line.state != "gone"]
 
+    def list_document(self) -> bytes:
+        return self._boxes.to_cache()
+
+    def take_list(self, now: float, data: bytes, digest: bytes) -> bool:
+        try:
+            document = read_document(data)
+            shown = _rows(document.boxes, [(one.title, one.cell, one.copies) for one in document.lessons])
+            # Another life of the list server can't be set in order with this one: its own word is waited for.
+            if boxes_digest(shown) != digest or document.epoch != self._boxes.epoch:
+                return False
+            update = self._boxes.take_whole(now, document)
+        except (ListError, ValueError) as error:
+            self._core.log.warning("a peer's list is no good", why=str(error))
+            return False
+        if update is not None:
+            self._core.host.box_list(now, update)
+            self._core.kick()
+        return update is not None
+
     def take_over(self, now: float, standing: Standing, payload: bytes | None) -> bool:
         core, lesson = self._core, self._boxes.lessons.get(standing.title)
         cls, carrier = self._classes.get(standing.cls), core.carriers.get(standing.via)
@@ -177,13 +197,8 @@
 
     def list_rows(self) -> list[tuple[int, Any]]:
         """The list's content, alike at every front that was told the same: no feed's number is in it."""
-        boxes = [
-            (box, [line.state, line.boot, line.host, line.port, line.cell, line.kind, line.weight])
-            for box, line in self._boxes.boxes.items()
-            if line.state != "gone"
-        ]
-        lessons = [(title, [one.first_cell, one.copies]) for title, one in self._boxes.lessons.items()]
-        return [*boxes, (-1, sorted(lessons))]
+        lessons = [(title, one.first_cell, one.copies) for title, one in self._boxes.lessons.items()]
+        return _rows(self._boxes.boxes.values(), lessons)
 
     # --- pieces ---
 
@@ -248,6 +263,15 @@
             self._payloads.popitem(last=False)
 
 
+def _rows(boxes: Iterable[BoxLine], lessons: Iterable[tuple[str, int, int]]) -> list[tuple[int, Any]]:
+    rows: list[tuple[int, Any]] = [
+        (one.box, [one.state, one.boot, one.host, one.port, one.cell, one.kind, one.weight])
+        for one in boxes
+        if one.state != "gone"
+    ]
+    return [*rows, (-1, sorted(map(list, lessons)))]
+
+
 def _plays(held: Held) -> bool:
     return held.phase is Phase.PLAYING
 
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -6,9 +6,9 @@
 import os
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import IO, TYPE_CHECKING
+from typing import IO, TYPE_CHECKING, Any
 
 import structlog
 
@@ -239,6 +239,8 @@
         peers = await _start_peers(
             config, core, boxes, client, keyring, lambda: wall_s() + peers_apart_s, nonce
         )
+        if control is not None and control.desk is not None:
+            control.desk.fleet = _FleetDesk(peers)
     server = Server(service.handle, _server_limits(config.http))
     await server.listen(*section.listen)
     if section.public_url is None:
@@ -264,6 +266,16 @@
     return await Peers.start(core, port, config, keyring, wall_ms, nonce)
 
 
+class _FleetDesk:
+    """The operators' questions to all fronts go through this front's peers."""
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+
+    def ask(self, question: Mapping[str, Any], then: Callable[[dict[str, Any]], None]) -> None:
+        self._peers.question(question, then)
+
+
 class _Control:
     """Journal, orders and the operators' socket of a front."""
 
@@ -288,6 +300,7 @@
             self._folder = JournalFolder(config.path(section.journal), most_bytes=int(section.journal_disk))
         self.journal = Journal(config.front.name, rules, self._folder, wall_offset_ms=wall_offset_s * 1000.0)
         self.journal.on_trouble = self._trouble
+        self.desk: OrderDesk | None = None
         self._host: Host | None = None
         self._steering: Steering | None = None
         self._channel: Channel | None = None
@@ -303,7 +316,9 @@
         self._steering = Steering(core, boxes, self._offset)
         rules = DeskRules(tuple(section.operators), section.led)
         file = None if section.led else self._file
-        desk = OrderDesk(self._config.front.name, self.journal, self.orders, self._steering, rules, file)
+        desk = self.desk = OrderDesk(
+            self._config.front.name, self.journal, self.orders, self._steering, rules, file
+        )
         self._channel = Channel(desk, self._config.path(section.socket), mode=section.mode)
         self.journal.watchers.append(self._channel.entry)
         if self._folder is not None:
--- a/fernweir/peers/acts/copies.py
+++ b/fernweir/peers/acts/copies.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from math import inf
 
 from fernweir.peers.acts.block import TICK_MS, BlockError, Sealed, read
@@ -33,6 +33,7 @@
         self.me, self.life, self.rules = me, life, rules
         self.chain, self.store, self.heads = chain, store, Heads(rules)
         self.refused = 0  # messages that were no block, or another's
+        self.on_kept: Callable[[float, Sealed], None] = lambda now, sealed: None
         self.bytes_sent = 0
         self._names: dict[str, int] = {}
         self._own = Sending(me, life, rules, probe=False)
@@ -153,6 +154,7 @@
                 self._compare(owner, life, newest)
         if put is Put.NEW:
             self._progress[owner, life] = now
+            self.on_kept(now, sealed)
         first = shelf.first_kept if shelf is not None else number + 1
         spans = tuple(shelf.numbers)[-_SPANS:] if shelf is not None else ()
         # What is wrong is acknowledged too: its like would only come again.
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -120,6 +120,7 @@
         self._sessions: dict[str, dict[str, Standing]] = {}  # of each channel held
         self._owns: dict[int, str] = {}  # by part: the channels in which new sessions begin
         self._channel: dict[str, str] = {}  # of each session, also of one whose attempt is out
+        self._placed: dict[str, int] = {}  # at which box an attempt of this front's was made last
         self._last: OrderedDict[str, tuple[str, float]] = OrderedDict()  # of what is over, to release it by
         self._fences: dict[str, int] = {}  # under which each channel is held, or was until it was handed on
         self._tries: dict[str, _Try] = {}
@@ -129,7 +130,7 @@
         self._gone: dict[str, tuple[str, float]] = {}
         self._dead: set[str] = set()
         self._fronts: dict[str, Candidate] = {}
-        self._leaving = False
+        self._leaving = self._resigned = False
         self._look_at = 0.0
 
     # --- what the front asks ---
@@ -178,6 +179,7 @@
 
     def placed(self, now: float, session: str, box: int) -> None:
         """An attempt is about to leave: from here on it is in this front's channel, or in none."""
+        self._placed[session] = box
         known = self._channel.get(session)
         if known is not None:
             self.handoff.takeover.attempted(known, session, box)
@@ -223,8 +225,8 @@
         """All fronts believed alive, this one included, with what heirs are chosen by."""
         self._fronts = {one.name: one for one in candidates}
         self._dead -= set(self._fronts)
-        closed = "" if self.me in self._fronts and not self._fronts[self.me].late else "late"
-        self.handoff.room(self.rules.handoff.sessions_most, "leaving" if self._leaving else closed)
+        closed = "leaving" if self._leaving else "shut out" if self._resigned else ""
+        self.handoff.room(self.rules.handoff.sessions_most, closed)
 
     def died(self, now: float, name: str) -> None:
         """A front is believed dead, or has left: what is copied here of its channels is tried for."""
@@ -252,6 +254,22 @@
             if channel not in self._sessions:
                 self._holder.release(now, channel)
 
+    def resign(self, now: float, over: bool) -> None:
+        """Hands on what is held, though this front stays: it is shut out, until that is over."""
+        self._resigned = not over
+        self.fronts(now, self._fronts.values())
+        if over:
+            for part in range(self.rules.parts):
+                if part in self._owns and self._owns[part] not in self._sessions:
+                    self._holder.want(now, self._owns[part])
+            return
+        for channel in list(self._tries):
+            self._drop_try(now, channel)
+        for channel, standings in list(self._sessions.items()):
+            lease, order = self._holder.holds(now, channel), self._heirs(channel, len(standings), self.me)
+            if lease is not None and standings and order:
+                self.handoff.offer(now, channel, lease.fence, standings, order)
+
     @property
     def left(self) -> bool:
         """Whether nothing is on its way to an heir any more."""
@@ -397,6 +415,9 @@
 
     def _begin(self, now: float, channel: str, fence: int, standings: Mapping[str, Standing]) -> None:
         self.handoff.takeover.begin(now, channel, fence, standings, listed=self._port.boxes())
+        for session, where in self._channel.items():  # also what is out, and stands nowhere yet
+            if where == channel and session in self._placed:
+                self.handoff.takeover.attempted(channel, session, self._placed[session])
         self._run(now)
 
     def _own_anew(self, now: float, part: int, number: int | None = None) -> None:
@@ -470,6 +491,8 @@
         for session in event.over:
             self.replica.end(now, event.channel, session)
         for box, session, attempt in event.give_up:
+            if self._channel.get(session) == event.channel and self._placed.get(session) == box:
+                continue  # this front's own doing, whatever a copy knows
             under = (event.channel, event.fence)
             self._port.release(now, box, session, attempt, "nobody can prove that it is wanted", under)
 
@@ -526,7 +549,8 @@
         mine: dict[str, Copy] = {}
         for copy in lost:
             order = self._heirs(copy.channel, len(copy.standings), copy.owner)
-            if not self._leaving and copy.channel not in self._tries and copy.standings and self.me in order:
+            free = not (self._leaving or self._resigned)
+            if free and copy.channel not in self._tries and copy.standings and self.me in order:
                 ranks[copy.channel], mine[copy.channel] = order.index(self.me), copy
         losses = [
             Loss(
@@ -568,6 +592,7 @@
         return cut is not None and self._owns.get(cut.part % max(self.rules.parts, 1)) == channel
 
     def _forget(self, session: str) -> str | None:
+        self._placed.pop(session, None)
         return self._channel.pop(session, None)
 
     def _release_by(self, now: float, session: str, channel: str) -> None:
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fernweir.peers.acts.merge import Answered as QuestionAnswered
 from fernweir.peers.acts.messages import KINDS as ACT_KINDS
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.versions import Versions
@@ -29,6 +30,9 @@
 from fernweir.peers.forward.desk import Answered, Forward, ForwardRules, Wanted
 from fernweir.peers.forward.messages import KINDS as FORWARD_KINDS
 from fernweir.peers.forward.messages import Carried, Carry
+from fernweir.peers.late.messages import KINDS as LATE_KINDS
+from fernweir.peers.late.rules import LateRules
+from fernweir.peers.lateness import PLEA, VERSIONS, Lateness, Resign, Said
 from fernweir.peers.lease.events import Got, Lost, Renewed, Taken
 from fernweir.peers.lease.holder import Holder
 from fernweir.peers.lease.keeper import Keeper
@@ -41,9 +45,9 @@
 from fernweir.peers.members.rules import MemberRules
 from fernweir.peers.owning import Changed, Owning, OwningRules, Steers, Yields
 from fernweir.peers.port import Act, Deed, Port, Standing
-from fernweir.peers.recording import Recording, Trouble
+from fernweir.peers.recording import Recording, Rested, Trouble
 
-KINDS = (MEMBER_KINDS, FACT_KINDS, LEASE_KINDS, CHANNEL_KINDS, FORWARD_KINDS, ACT_KINDS)
+KINDS = (MEMBER_KINDS, FACT_KINDS, LEASE_KINDS, CHANNEL_KINDS, FORWARD_KINDS, ACT_KINDS, LATE_KINDS)
 _DIRECTORY = (Registered, Unregistered, Where, There)
 _LOAD, _HEAD = "load", "acts.head"
 _STALE_MS = 1_000.0
@@ -59,10 +63,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerRules:
-    """Times in ms. `load_ms` is how often a front says how loaded it is."""
+    """Times in ms. `load_ms` is how often a front says how loaded it is. One that can reach no peer takes new
+    sessions after `join_ms`, as if it stood alone."""
 
     keepers: tuple[str, ...]
     load_ms: float = 1_000.0
+    join_ms: float = 5_000.0
     members: MemberRules = field(default_factory=MemberRules)
     facts: FactRules = field(default_factory=FactRules)
     lease: LeaseRules = field(default_factory=LeaseRules)
@@ -71,6 +77,7 @@
     forward: ForwardRules = field(default_factory=ForwardRules)
     finding: FindRules = field(default_factory=FindRules)
     acts: ActRules = field(default_factory=ActRules)
+    late: LateRules = field(default_factory=LateRules)
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,10 +125,17 @@
         self.directory = Directory(me.name, me.life, rules.directory, seed)
         self.forward = Forward(rules.forward)
         self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms)
+        self.lateness = Lateness(
+            me.name, me.life, rules.late, now, self.facts, self.keeper, rules.keepers, port, versions
+        )
         self._seeking: dict[str, list[Seeking]] = {}
         self._carried: dict[int, Seeking] = {}
         self._load_at = now
+        self._join_by: float | None = None
+        self._held: dict[str, tuple[str, float]] = {}  # why no new session may begin, by cause
         self._stale: dict[str, float] = {}
+        self._boxes: set[int] = set()
+        self._draining = 0
         self._started = self._leaving = self._displaced = False
         self._changed = changed
         port.listen(self)
@@ -130,6 +144,10 @@
 
     def start(self, now: float, seeds: Sequence[Address]) -> None:
         self.members.join(now, seeds)
+        if seeds:  # until it knows others, what stands at them would begin here a second time
+            self._join_by = now + self.rules.join_ms
+            self._hold("join", "joining its peers", _STALE_MS)
+        self.lateness.mine(now, self.recording.versions, urgent=False)
         self.owning.start(now)
         self._started = True
         self._settle(now)
@@ -167,6 +185,10 @@
         self._stale[name] = now + _STALE_MS
         self._out.append(Send(member.address, Gossip((member.record,))))
 
+    def lives(self) -> Mapping[str, int]:
+        """Fronts believed alive, with their lives."""
+        return {name: self.members.life(name) for name in self.members.alive()}
+
     def fence(self, now: float, session: str) -> tuple[str, int] | None:
         return self.owning.fence(now, session)
 
@@ -187,16 +209,19 @@
         self._settle(now)
 
     def tick(self, now: float) -> None:
+        if self._join_by is not None and now >= self._join_by:
+            self._joined()
         if now >= self._load_at:
             self._load_at = now + self.rules.load_ms
             self._say_load(now)
             self._look(now)
+            self.lateness.leases(now, bool(self.holder.held(now)))
         for part in self._parts():
             part.tick(now)
         self._settle(now)
 
     def next_due(self) -> float | None:
-        dues = [self._load_at, *(part.next_due() for part in self._parts())]
+        dues = [self._load_at, self._join_by, *(part.next_due() for part in self._parts())]
         return min((due for due in dues if due is not None), default=None)
 
     def take(self) -> list[Effect]:
@@ -227,13 +252,20 @@
             self._changed()
 
     def list_told(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
+        draining = sum(1 for number, row in rows if number >= 0 and row[0] == "draining")
+        here = {number for number, _ in rows}
+        urgent = draining > self._draining or not here >= self._boxes
+        self._draining, self._boxes = draining, here
         self.recording.list_told(rows, told_at)
+        self.lateness.mine(now, self.recording.versions, urgent)
+        self._changed()
 
     # --- pieces ---
 
     def _parts(self) -> list[Part]:
         parts: list[Part] = [
             self.members, self.facts, self.holder, self.owning, self.directory, self.forward, self.recording,
+            self.lateness,
         ]  # fmt: skip
         return parts if self.keeper is None else [*parts, self.keeper]
 
@@ -255,12 +287,15 @@
             self.forward.heard(now, sender, message)
         elif kind in ACT_KINDS:
             self.recording.heard(now, sender, message)
+        elif kind in LATE_KINDS:
+            self.lateness.heard(now, sender, message)
 
     def _settle(self, now: float) -> None:
         """Carries events from part to part until none is left; what is for oneself is heard at once."""
         self._now = max(self._now, now)
         while True:
             self.owning.run(now)
+            self.lateness.run(now)
             effects = [effect for part in self._parts() for effect in part.take()]
             head = self.recording.new_head(now)
             if head is not None:
@@ -278,9 +313,12 @@
     def _do(self, now: float, event: Event) -> None:
         if isinstance(event, Got | Renewed | Lost | Taken):
             self.owning.lease(now, event)
+            if isinstance(event, Got):
+                self.recording.add(Act(now, Deed.LEASE, outcome=event.lease.channel))
         elif isinstance(event, Joined) and event.name == self.me.name:
             self._out.append(Relived(event.life))
         elif isinstance(event, Joined):
+            self._joined()
             self._members_changed(now)
             self._tell("peer joined", name=event.name)
         elif isinstance(event, Died | Left):
@@ -292,6 +330,8 @@
         elif isinstance(event, Yields):
             self.directory.cede(event.session)
         elif isinstance(event, Changed):
+            said = f"{event.what} {event.channel}"[:200]
+            self.recording.add(Act(now, Deed.HANDOFF, outcome=said))
             self._tell(
                 f"channel {event.what}", channel=event.channel, fence=event.fence, sessions=event.sessions,
                 other=event.other,
@@ -306,8 +346,22 @@
             if carried is not None:
                 self._answer(now, carried, event)
         elif isinstance(event, FactChanged):
-            if event.fact.key == _HEAD:
-                self.recording.heard_head(now, event.owner, event.life, event.fact.value)
+            key, value = event.fact.key, event.fact.value
+            if key == _HEAD:
+                self.recording.heard_head(now, event.owner, event.life, value)
+            elif key in (VERSIONS, PLEA):
+                self.lateness.told(now, event.owner, key, value)
+        elif isinstance(event, QuestionAnswered):
+            self._out.append(event)
+        elif isinstance(event, Rested):
+            self.lateness.seen(now, event.owner, event.versions, event.age_ms)
+        elif isinstance(event, Resign):
+            self._hold("late", event.why, event.wait_ms)
+            self.owning.resign(now, not event.why)
+        elif isinstance(event, Said):
+            self._tell(event.text, **event.fields)
+            if event.shut_out:
+                self.recording.add(Act(now, Deed.SHUTOUT, outcome=event.shut_out))
         elif isinstance(event, Trouble):
             text = f"record of acts {type(event).__name__.lower()}"
             self._tell(text, owner=event.owner, life=event.life)
@@ -319,13 +373,27 @@
 
     # --- pieces: members ---
 
+    def _joined(self) -> None:
+        if self._join_by is not None:
+            self._join_by = None
+            self._hold("join", "", 0.0)
+
+    def _hold(self, cause: str, why: str, wait_ms: float) -> None:
+        """No new sessions as long as any cause has a reason."""
+        if why:
+            self._held[cause] = (why, wait_ms)
+        else:
+            self._held.pop(cause, None)
+        self._port.hold_back(*next(iter(self._held.values()), ("", 0.0)))
+
     def _members_changed(self, now: float) -> None:
         alive = self.members.alive()
         others = [name for name in alive if name != self.me.name]
         self.facts.peers(now, others)
-        lives = {name: self.members.life(name) for name in alive}
+        lives = self.lives()
         self.directory.members(now, lives)
         self.recording.members(now, lives)
+        self.lateness.fleet(now, lives)
         self._look(now)
 
     def _gone(self, now: float, name: str, life: int, died: bool) -> None:
@@ -342,21 +410,22 @@
         if self.members.displaced != self._displaced:
             # Two fronts with one name: the one with the lower life takes nothing new until the other is gone.
             self._displaced = self.members.displaced
-            self._port.hold_back("another front has this name" if self._displaced else "", _STALE_MS)
+            self._hold("name", "another front has this name" if self._displaced else "", _STALE_MS)
         self.owning.fronts(now, [self._candidate(now, name) for name in self.members.alive()])
 
     def _candidate(self, now: float, name: str) -> Candidate:
         if name == self.me.name:
             return Candidate(name, self._port.load(), now - self._born, leaving=self._leaving)
+        late = name in self.lateness.out()
         fact = self.facts.get(name, _LOAD)
         if fact is None:
-            return Candidate(name, 0, 0.0)
+            return Candidate(name, 0, 0.0, late=late)
         try:
             load = msgspec.msgpack.decode(fact.value, type=Load)
         except msgspec.DecodeError:
-            return Candidate(name, 0, 0.0)
+            return Candidate(name, 0, 0.0, late=late)
         age = load.age_ms + max(now - fact.at, 0.0)
-        return Candidate(name, max(load.sessions, 0), max(age, 0.0), leaving=load.leaving)
+        return Candidate(name, max(load.sessions, 0), max(age, 0.0), late=late, leaving=load.leaving)
 
     def _say_load(self, now: float) -> None:
         load = Load(self._port.load(), now - self._born, self._leaving)
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -102,6 +102,12 @@
     def payload(self, digest: bytes) -> bytes | None:
         """What viewers of a session are answered from, to be given to an heir."""
 
+    def list_document(self) -> bytes:
+        """The list of boxes as it is held, for a peer that lacks it."""
+
+    def take_list(self, now: float, data: bytes, digest: bytes) -> bool:
+        """Takes a peer's list if its content has this digest and it goes on from what is held."""
+
     def take_over(self, now: float, standing: Standing, payload: bytes | None) -> bool:
         """The session is this front's from now on. False if it is held, or its box or lesson is not known."""
 
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import Any
 
 from fernweir.config.front import FrontConfig
 from fernweir.config.ini import ConfigError, Problem
@@ -14,6 +15,8 @@
 from fernweir.front.core import Core
 from fernweir.front.peering import Peering
 from fernweir.interface import Settings
+from fernweir.peers.acts.desk import FleetQuestions
+from fernweir.peers.acts.merge import Answered
 from fernweir.peers.base import Address, Message, Send
 from fernweir.peers.forward.messages import Carried, Carry
 from fernweir.peers.link.links import Links
@@ -49,6 +52,8 @@
         self.links: Links
         self.peer: Peer
         self._make: Callable[[int], Peer]
+        self._make_desk: Callable[[], FleetQuestions]
+        self._desk: FleetQuestions
         self._seeds: list[Address] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
@@ -79,9 +84,16 @@
                 lambda: wall_ms() - core.now(),
             )  # fmt: skip
 
-        peers._make = make
+        def make_desk() -> FleetQuestions:
+            peer = peers.peer
+            return FleetQuestions(
+                peer.recording.questions, peer.lives, core.now, lambda: wall_ms() - core.now(), peers.kick
+            )
+
+        peers._make, peers._make_desk = make, make_desk
         peers._seeds = [seed for seed in section.seeds if seed != address]
         peers.peer = make(life)
+        peers._desk = make_desk()
         core.owner = core.finder = peers
         peers.peer.start(core.now(), peers._seeds)
         peers.kick()
@@ -109,6 +121,10 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def question(self, question: Mapping[str, Any], then: Callable[[dict[str, Any]], None]) -> None:
+        """What an operator asks of all fronts (`control.desk.FleetDesk`); `then` is called once."""
+        self._desk.ask(question, then)
+
     # --- core.Owner, core.Finder ---
 
     def fence(self, jti: str) -> tuple[str, int] | None:
@@ -174,6 +190,8 @@
                 self.links.send(effect)
             elif isinstance(effect, Told):
                 self._core.log.info(effect.text, **effect.fields)
+            elif isinstance(effect, Answered):
+                self._desk.answered(effect)
             elif isinstance(effect, Forgotten):
                 self.links.forget(effect.name)
             elif isinstance(effect, Relived):
@@ -189,6 +207,7 @@
         self._core.log.info("lives on under a later life", life=life, before=self.peer.me.life)
         self.links.relive(life)
         self.peer = self._make(life)
+        self._desk = self._make_desk()
         self.peer.start(self._core.now(), self._seeds)
         if self._timer is not None:
             self._timer.cancel()
--- a/fernweir/peers/recording.py
+++ b/fernweir/peers/recording.py
@@ -7,17 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from msgspec.structs import replace
 
+from fernweir.peers.acts.block import Sealed
 from fernweir.peers.acts.chain import Chain
 from fernweir.peers.acts.clock import Clocks
 from fernweir.peers.acts.copies import Copies
 from fernweir.peers.acts.heads import Missing, Shortened, Tampered
-from fernweir.peers.acts.merge import Answer, Answered
 from fernweir.peers.acts.messages import Ask, Keep, Kept, Piece, Ping, Pong
-from fernweir.peers.acts.plan import Question
 from fernweir.peers.acts.questions import Questions
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.store import Store
@@ -28,8 +28,20 @@
 Trouble = Missing | Shortened | Tampered
 
 
+@dataclass(frozen=True, slots=True)
+class Rested(Event):
+    """An act of a peer, at most so old, rested on these versions."""
+
+    owner: str
+    versions: Versions
+    age_ms: float
+
+
 class Recording:
-    """`wall_ms` gives how far the wall clock is ahead. Events: `Missing`, `Shortened`, `Tampered`."""
+    """`wall_ms` gives how far the wall clock is ahead of `now`.
+
+    Events: `Missing`, `Shortened`, `Tampered`; `Answered`; `Rested` for each block of another that is kept.
+    """
 
     def __init__(
         self, me: str, life: int, rules: ActRules, seed: int, versions: Versions, wall_ms: Callable[[], float]
@@ -42,8 +54,8 @@
         self.copies = Copies(me, life, rules, self.chain, self.store)
         self.clocks = Clocks(me, life, rules, seed)
         self.questions = Questions(me, life, rules, seed, self.copies, self.clocks)
-        self._asked: dict[int, Callable[[Answer], None]] = {}
         self._head = b""
+        self.copies.on_kept = self._kept
 
     def add(self, act: Act) -> None:
         self.chain.add(act, self.versions)
@@ -59,15 +71,6 @@
     def gone(self, now: float, name: str) -> None:
         self.questions.gone(now, name)
 
-    def ask(
-        self, now: float, question: Question, fronts: Mapping[str, int], then: Callable[[Answer], None]
-    ) -> bool:
-        """`then` is called once, at the question's deadline at the latest. False if too many run."""
-        number = self.questions.ask(now, question, fronts, self._wall_ms())
-        if number is not None:
-            self._asked[number] = then
-        return number is not None
-
     def new_head(self, now: float) -> bytes | None:
         """What is to be spread of the chain's end, if that has changed."""
         if (self.chain.digest, self.chain.final) == (self._head, False):
@@ -103,17 +106,14 @@
         return min((due for due in dues if due is not None), default=None)
 
     def take(self) -> list[Effect]:
-        effects = self.copies.take() + self.clocks.take() + self.questions.take()
-        for effect in effects:
-            if not isinstance(effect, Event):
-                self._out.add(effect)
-            elif isinstance(effect, Answered):
-                then = self._asked.pop(effect.id, None)
-                if then is not None:
-                    then(effect.answer)
-            else:
-                self._out.add(effect)
-        return self._out.take()
+        return self.copies.take() + self.clocks.take() + self.questions.take() + self._out.take()
+
+    def _kept(self, now: float, sealed: Sealed) -> None:
+        """What the newest act of a block rested on; as old as the clocks can prove at the least."""
+        block = sealed.block
+        if block.bases:
+            when = self.clocks.own(block.front, block.life, block.until)
+            self._out.add(Rested(block.front, block.versions[block.bases[-1]], now - when.earliest))
 
 
 _WALL_DOUBT_MS = 1.0  # between two readings of the clocks; what the wall clock is worth is not known here
--- a/fernweir/peers/settings.py
+++ b/fernweir/peers/settings.py
@@ -10,6 +10,7 @@
 from fernweir.peers.acts.versions import Versions, keys_digest, settings_digest
 from fernweir.peers.channel.rules import HandoffRules, ReplicaRules, TakeoverRules
 from fernweir.peers.facts.rules import FactRules
+from fernweir.peers.late.rules import LateRules
 from fernweir.peers.lease.rules import LeaseRules
 from fernweir.peers.link.rules import LinkRules
 from fernweir.peers.owning import OwningRules
@@ -66,4 +67,10 @@
         handoff=replace(HandoffRules(), overlap_ms=section.overlap, drift=section.drift),
     )
     facts = replace(FactRules(), rate=section.bytes * 1_000.0 * _FACTS_SHARE)
-    return PeerRules(keepers=tuple(section.keepers), lease=lease, owning=owning, facts=facts)
+    late = LateRules(
+        late_ms=section.late_after,
+        clean_ms=max(section.late_after, LateRules().clean_ms),
+        try_ms=section.bring_up_within / LateRules().tries,
+        shut_out_share=section.shut_out_share,
+    )
+    return PeerRules(late=late, keepers=tuple(section.keepers), lease=lease, owning=owning, facts=facts)
--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -240,6 +240,8 @@
             self._account(old, -1)
         self.sessions[session.jti, session.attempt] = session
         self._account(session, 1)
+        if session.front in self._unwatched:  # it is there: its stream of notes was that of an earlier life
+            self._unwatched[session.front] = self._loop.time()
         self.trace.write(
             "box.runs", box=self.spec.number, id=number, front=session.front, session=session.jti,
             attempt=session.attempt, title=session.title, cls=session.cls, rung=session.rung,
