Questions of operators go through the front's peers to all, also for who is gone

Need: who did what on which version, asked on the control socket of any front and answered for all. Ruled out: giving the record a clock (the shell knows the time, and puts the question with it). Measured, sockets: a front killed after one set-up; a peer that keeps its record answers for it with the box, says that a copy answered and the tail may be missing, and that the answer is not whole; a question that is none is told why.

--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -6,9 +6,9 @@
 import os
 import signal
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import IO, TYPE_CHECKING, Any
+from typing import IO, TYPE_CHECKING
 
 import structlog
 
@@ -240,7 +240,7 @@
             config, core, boxes, client, keyring, lambda: wall_s() + peers_apart_s, nonce
         )
         if control is not None and control.desk is not None:
-            control.desk.fleet = _FleetDesk(peers)
+            control.desk.fleet = peers.questions
     server = Server(service.handle, _server_limits(config.http))
     await server.listen(*section.listen)
     if section.public_url is None:
@@ -266,16 +266,6 @@
     return await Peers.start(core, port, config, keyring, wall_ms, nonce)
 
 
-class _FleetDesk:
-    """The operators' questions to all fronts go through this front's peers."""
-
-    def __init__(self, peers: Peers) -> None:
-        self._peers = peers
-
-    def ask(self, question: Mapping[str, Any], then: Callable[[dict[str, Any]], None]) -> None:
-        self._peers.question(question, then)
-
-
 class _Control:
     """Journal, orders and the operators' socket of a front."""
 
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
-from fernweir.peers.acts.merge import Answered as QuestionAnswered
+from fernweir.peers.acts.merge import Answer
 from fernweir.peers.acts.messages import KINDS as ACT_KINDS
+from fernweir.peers.acts.plan import Question
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.versions import Versions
 from fernweir.peers.base import Address, Effect, Event, Message, Part, Send
@@ -192,6 +193,12 @@
     def fence(self, now: float, session: str) -> tuple[str, int] | None:
         return self.owning.fence(now, session)
 
+    def ask(self, now: float, question: Question, then: Callable[[Answer], None]) -> bool:
+        """Asks the acts of all fronts; `then` is called once. False if too many questions run."""
+        asked = self.recording.ask(now, question, self.lives(), then)
+        self._settle(now)
+        return asked
+
     def find(self, now: float, request: Carry, then: Callable[[float, Carried | None], None]) -> None:
         """Answers a request for a session not held here; `then` is called once: None if it may begin here."""
         seeking = Seeking(request, now, then)
@@ -351,8 +358,6 @@
                 self.recording.heard_head(now, event.owner, event.life, value)
             elif key in (VERSIONS, PLEA):
                 self.lateness.told(now, event.owner, key, value)
-        elif isinstance(event, QuestionAnswered):
-            self._out.append(event)
         elif isinstance(event, Rested):
             self.lateness.seen(now, event.owner, event.versions, event.age_ms)
         elif isinstance(event, Resign):
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -4,19 +4,20 @@
 
 import asyncio
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 from fernweir.config.front import FrontConfig
 from fernweir.config.ini import ConfigError, Problem
 from fernweir.config.peers import PeersSection
-from fernweir.front.commands import Answer, Ask
+from fernweir.front.commands import Answer as FrontAnswer
+from fernweir.front.commands import Ask
 from fernweir.front.core import Core
 from fernweir.front.peering import Peering
 from fernweir.interface import Settings
 from fernweir.peers.acts.desk import FleetQuestions
-from fernweir.peers.acts.merge import Answered
+from fernweir.peers.acts.merge import Answer
+from fernweir.peers.acts.plan import Question
 from fernweir.peers.base import Address, Message, Send
 from fernweir.peers.forward.messages import Carried, Carry
 from fernweir.peers.link.links import Links
@@ -52,8 +53,7 @@
         self.links: Links
         self.peer: Peer
         self._make: Callable[[int], Peer]
-        self._make_desk: Callable[[], FleetQuestions]
-        self._desk: FleetQuestions
+        self.questions = FleetQuestions(self._put)  # of operators, to all fronts
         self._seeds: list[Address] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
@@ -84,16 +84,9 @@
                 lambda: wall_ms() - core.now(),
             )  # fmt: skip
 
-        def make_desk() -> FleetQuestions:
-            peer = peers.peer
-            return FleetQuestions(
-                peer.recording.questions, peer.lives, core.now, lambda: wall_ms() - core.now(), peers.kick
-            )
-
-        peers._make, peers._make_desk = make, make_desk
+        peers._make = make
         peers._seeds = [seed for seed in section.seeds if seed != address]
         peers.peer = make(life)
-        peers._desk = make_desk()
         core.owner = core.finder = peers
         peers.peer.start(core.now(), peers._seeds)
         peers.kick()
@@ -121,16 +114,17 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def question(self, question: Mapping[str, Any], then: Callable[[dict[str, Any]], None]) -> None:
-        """What an operator asks of all fronts (`control.desk.FleetDesk`); `then` is called once."""
-        self._desk.ask(question, then)
+    def _put(self, question: Question, then: Callable[[Answer], None]) -> bool:
+        asked = self.peer.ask(self._core.now(), question, then)
+        self.kick()
+        return asked
 
     # --- core.Owner, core.Finder ---
 
     def fence(self, jti: str) -> tuple[str, int] | None:
         return self.peer.fence(self._core.now(), jti)
 
-    def ask(self, ask: Ask, then: Callable[[Answer | None], None]) -> None:
+    def ask(self, ask: Ask, then: Callable[[FrontAnswer | None], None]) -> None:
         def end(now: float, carried: Carried | None) -> None:
             then(None if carried is None else self._port.answer(ask, carried))
 
@@ -190,8 +184,6 @@
                 self.links.send(effect)
             elif isinstance(effect, Told):
                 self._core.log.info(effect.text, **effect.fields)
-            elif isinstance(effect, Answered):
-                self._desk.answered(effect)
             elif isinstance(effect, Forgotten):
                 self.links.forget(effect.name)
             elif isinstance(effect, Relived):
@@ -207,7 +199,6 @@
         self._core.log.info("lives on under a later life", life=life, before=self.peer.me.life)
         self.links.relive(life)
         self.peer = self._make(life)
-        self._desk = self._make_desk()
         self.peer.start(self._core.now(), self._seeds)
         if self._timer is not None:
             self._timer.cancel()
--- a/fernweir/peers/recording.py
+++ b/fernweir/peers/recording.py
@@ -17,7 +17,9 @@
 from fernweir.peers.acts.clock import Clocks
 from fernweir.peers.acts.copies import Copies
 from fernweir.peers.acts.heads import Missing, Shortened, Tampered
+from fernweir.peers.acts.merge import Answer, Answered
 from fernweir.peers.acts.messages import Ask, Keep, Kept, Piece, Ping, Pong
+from fernweir.peers.acts.plan import Question
 from fernweir.peers.acts.questions import Questions
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.store import Store
@@ -40,7 +42,7 @@
 class Recording:
     """`wall_ms` gives how far the wall clock is ahead of `now`.
 
-    Events: `Missing`, `Shortened`, `Tampered`; `Answered`; `Rested` for each block of another that is kept.
+    Events: `Missing`, `Shortened`, `Tampered`; `Rested` for each block of another that is kept.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.copies = Copies(me, life, rules, self.chain, self.store)
         self.clocks = Clocks(me, life, rules, seed)
         self.questions = Questions(me, life, rules, seed, self.copies, self.clocks)
+        self._asked: dict[int, Callable[[Answer], None]] = {}
         self._head = b""
         self.copies.on_kept = self._kept
 
@@ -71,6 +74,15 @@
     def gone(self, now: float, name: str) -> None:
         self.questions.gone(now, name)
 
+    def ask(
+        self, now: float, question: Question, fronts: Mapping[str, int], then: Callable[[Answer], None]
+    ) -> bool:
+        """`then` is called once, at the question's deadline at the latest. False if too many run."""
+        number = self.questions.ask(now, question, fronts, self._wall_ms())
+        if number is not None:
+            self._asked[number] = then
+        return number is not None
+
     def new_head(self, now: float) -> bytes | None:
         """What is to be spread of the chain's end, if that has changed."""
         if (self.chain.digest, self.chain.final) == (self._head, False):
@@ -106,7 +118,11 @@
         return min((due for due in dues if due is not None), default=None)
 
     def take(self) -> list[Effect]:
-        return self.copies.take() + self.clocks.take() + self.questions.take() + self._out.take()
+        effects = self.copies.take() + self.clocks.take() + self.questions.take() + self._out.take()
+        for effect in effects:
+            if isinstance(effect, Answered) and effect.id in self._asked:
+                self._asked.pop(effect.id)(effect.answer)
+        return [effect for effect in effects if not isinstance(effect, Answered)]
 
     def _kept(self, now: float, sealed: Sealed) -> None:
         """What the newest act of a block rested on; as old as the clocks can prove at the least."""
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import secrets
 from dataclasses import replace
+from typing import Any
 
 from fernweir.front.program import start_front
 from fernweir.peers.program import Peers
@@ -155,3 +156,27 @@
         await until(lambda: all(one.peer.members.life("front-2") > life for one in peers[:2]))
 
     play(story, PLAN, fronts=0)
+
+
+def test_operators_ask_what_a_front_did_that_was_killed() -> None:
+    async def story(scene: Scene) -> None:
+        peers = await fleet(scene)
+        wish = scene.wish(play_s=60.0)
+        assert (await scene.ask(wish, front=0)).status == 200
+        life = peers[0].peer.me.life
+        await until(lambda: any(one.peer.recording.store.shelf("front-0", life) for one in peers[1:]))
+        scene.trace.write("front.down", front="front-0")
+        scene.fronts[0].kill()
+        await until(lambda: all("front-0" not in one.peer.members.alive() for one in peers[1:]))
+        told: list[dict[str, Any]] = []
+        peers[1].questions.ask({"question": "acts", "deed": "setup", "session": wish.session}, told.append)
+        peers[2].questions.ask({"question": "nonsense"}, told.append)
+        await until(lambda: len(told) == 2)
+        assert told[0]["ok"] is False and told[0]["error"]
+        answer = told[1]
+        (row,) = answer["rows"]
+        assert (row["front"], row["box"]) == ("front-0", scene.of("box.setup")[0]["box"])
+        # A copy answered for the dead: what it did last may be missing, and that is said.
+        assert answer["whole"] is False and {gap["front"] for gap in answer["gaps"]} == {"front-0"}
+
+    play(story, PLAN, fronts=0)
