--- a/fernweir/peers/channel/owned.py
+++ b/fernweir/peers/channel/owned.py
@@ -19,6 +19,7 @@
 from fernweir.peers.port import Standing
 
 _SMALL = 40  # bytes of a placing, at most; more than an end takes
+_SPARE = 16  # batches kept that all standbys have
 _DROPS = 3  # times a standby is told that its copy may go
 
 
@@ -150,6 +151,7 @@
             follower.resend_at, follower.resends = None, 0
         self._pieces(now, follower, told if told.fence == self.fence else None)
         self._push(now, sender, follower)
+        self._trim()
 
     def _pieces(self, now: float, follower: _Follower, told: Have | None) -> None:
         """Where a snapshot goes on: the standby names what it has of which."""
@@ -238,6 +240,21 @@
         while self._log_bytes > self.rules.backlog_bytes:
             self._log_bytes -= self._log.popleft().size
 
+    def _batch(self, seq: int) -> _Batch:
+        """One that is kept: they have no gaps, and what is asked for lies near the end."""
+        return self._log[seq - self.seq - 1]
+
+    def _trim(self) -> None:
+        """Batches that no standby lacks go, but for a few, as an answer may be overtaken."""
+        needs = [
+            follower.frozen.seq if follower.frozen is not None else follower.acked
+            for follower in self._followers.values()
+            if follower.heard and not follower.refused
+        ]
+        least = min(needs, default=self.seq) - _SPARE
+        while self._log and self._log[0].seq <= least:
+            self._log_bytes -= self._log.popleft().size
+
     def _freeze(self, now: float) -> _Frozen:
         """A snapshot of the state after the last batch; one that others still use serves as well."""
         if self._frozen is not None and self._usable(now, self._frozen):
@@ -296,13 +313,11 @@
     def _push_deltas(self, now: float, name: str, follower: _Follower) -> None:
         until = min(follower.acked + self.rules.window, self.seq)
         first = max(follower.sent, follower.acked) + 1
-        for batch in self._log:
-            if first <= batch.seq <= until:
-                as_of = self._as_of(now, follower, batch.seq)
-                deltas = Deltas(
-                    self.channel, self.fence, batch.seq, batch.changed, batch.ended, as_of, batch.moved
-                )
-                self._tell(now, name, follower, deltas)
+        for seq in range(first, until + 1):
+            batch = self._batch(seq)
+            as_of = self._as_of(now, follower, seq)
+            deltas = Deltas(self.channel, self.fence, seq, batch.changed, batch.ended, as_of, batch.moved)
+            self._tell(now, name, follower, deltas)
         follower.sent = max(follower.sent, until)
 
     def _tell(self, now: float, name: str, follower: _Follower, message: Piece | Deltas) -> None:
@@ -313,11 +328,9 @@
         """The state at `seq` was all there was until the next batch was closed; older ones say no more."""
         age = 0.0
         if seq < self.seq:
-            closed = next((batch.closed_at for batch in self._log if batch.seq == seq), None)
-            if closed is None:
-                frozen = follower.frozen
-                closed = frozen.at if frozen is not None and frozen.seq == seq else 0.0
-            age = now - closed
+            frozen = follower.frozen
+            snapshot = frozen is not None and frozen.seq == seq
+            age = now - (frozen.at if frozen is not None and snapshot else self._batch(seq).closed_at)
         elif self._pending:
             age = now - self._pending_since
         return AsOf(max(age, 0.0), follower.token, now - follower.token_at)
