A question keeps to the spans that were planned of each shard

Need: executed questions touch planned shards only, and those are spans of a front's life. Ruled out: names of the estimates' shards, which are cut otherwise than chains.

--- a/fernweir/peers/acts/questions.py
+++ b/fernweir/peers/acts/questions.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from math import inf
 from random import Random
@@ -44,7 +44,7 @@
     stage: Select
     began: float
     lives: dict[str, int]
-    planned: frozenset[Chain] | None
+    planned: Mapping[Chain, tuple[float, float]] | None
     answer: Answer
     listing: dict[str, tuple[float, int]]
     rows_left: int
@@ -81,11 +81,12 @@
         question: Question,
         fronts: Mapping[str, int],
         wall: float = 0.0,
-        planned: Collection[Chain] | None = None,
+        planned: Mapping[Chain, tuple[float, float]] | None = None,
         budget: Budget | None = None,
     ) -> int | None:
         """`fronts`: those believed alive, with their lives, oneself among them or not. `wall`: how far the
-        wall clock is ahead of `now`. `planned`: the shards that may have anything, all others are left out.
+        wall clock is ahead of `now`. `planned`: the shards that may have anything, with the span of their own
+        clocks in which that lies; all else is left out.
 
         None if as many questions run already as may.
         """
@@ -97,7 +98,7 @@
         stage = plan.first(now, question, wall, self.rules.context)
         id = self._dice.getrandbits(52)
         run = _Running(
-            id, question, budget, stage, now, lives, frozenset(planned) if planned is not None else None,
+            id, question, budget, stage, now, lives, planned,
             Answer(question, wall), dict.fromkeys(lives, (now, 0)), budget.rows, budget.bytes,
         )  # fmt: skip
         self._running[id] = run
@@ -288,6 +289,11 @@
         if until is not None:
             high = self.clocks.theirs(shard.owner, shard.life, exactly(until)).latest
             until = high if high < inf else None
+        if run.planned is not None:
+            low, high = run.planned[shard.owner, shard.life]
+            since = max(low, -inf if since is None else since)
+            until = min(high, inf if until is None else until)
+            since, until = since if since > -inf else None, until if until < inf else None
         return change(run.stage, since=since, until=until)
 
     # --- what comes ---
