Transfers: a blob that can never fit is refused for good, not as by a busy receiver

A blob larger than what a receiver expects of one sender was refused to be offered again, and failed only after 30 s of that. Found while whatever a decoder lets through was said of blobs: an honest transfer beside it must end, and what is kept stay within its bounds.

--- a/fernweir/peers/facts/incoming.py
+++ b/fernweir/peers/facts/incoming.py
@@ -42,7 +42,7 @@
         key, rules = (sender, offer.name), self.rules
         if self._done.get(key) == offer.digest:
             return Done(offer.name, offer.digest), None  # it had not heard so
-        if offer.size > rules.size_most:
+        if offer.size > min(rules.size_most, rules.sender_bytes, rules.bytes_most):
             return Refused(offer.name, offer.digest, "too large", False), None
         one = self._partial.get(key)
         if one is not None and (one.digest, one.size) != (offer.digest, offer.size):
--- a/tests/test_peers_facts.py
+++ b/tests/test_peers_facts.py
@@ -770,6 +770,32 @@
     assert node.next_due() is None
 
 
+def test_whatever_a_peer_says_of_blobs_an_honest_transfer_ends_and_little_is_kept() -> None:
+    for seed in range(4):
+        lines = Lines(load(), seed, ["a", "b"], bytes_most=600_000, sender_bytes=200_000, rate=200_000.0)
+        dice = Random(f"garbage {seed}")
+        data = dice.randbytes(150_000)
+        lines.nodes["b"].offer(0.0, "liar", "blob", bytes(100_000))
+        for step in range(600):
+            if step == 200:
+                lines.nodes["a"].offer(lines.now, "b", "list", data)
+            message, _ = lines.wire.through(garbage(lines.lib.messages, dice, ["liar"]))
+            if type(message).__name__ in ("Offer", "Ready", "Chunk", "Refused") and dice.random() < 0.5:
+                sending = lines.nodes["b"]._outgoing.named("blob")
+                digest = sending[0].digest if sending else bytes(32)
+                message = msgspec.structs.replace(
+                    message, digest=digest, name=f"blob{dice.choice(['', 1, 2])}"
+                )
+            lines.nodes["b"].heard(lines.now, "liar", message)
+            lines.run(5.0)
+            partial = lines.nodes["b"]._incoming._partial.values()
+            assert sum(one.size for one in partial) <= 600_000
+            assert all(len(one.data) <= one.size for one in partial)
+        lines.run(5_000.0)
+        honest = [event for _, event in lines.told("Received") if event.sender == "a"]
+        assert [event.data == data for event in honest] == [True]
+
+
 # --- mistakes ---
 
 
