A box tells the front that held a session when another sets it up anew there

The box replaced it without a word: the other front held it for ever, and answered viewers with a place where it did not run.

--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -238,6 +238,8 @@
         old = self.sessions.pop((session.jti, session.attempt), None)
         if old is not None:
             self._account(old, -1)
+            if old.front != session.front:  # who set it up before holds it no more, and is to hear that
+                self._tell(old, "ended", reason="taken")
         self.sessions[session.jti, session.attempt] = session
         self._account(session, 1)
         if session.front in self._unwatched:  # it is there: its stream of notes was that of an earlier life
