What ends while its channel is taken over is ended; a try for a living owner ends

The second lists end it now, an end seen here is told to the taking over, and what a first list proves over is ended where it is held. It ends when its copy proves that the owner lived later, or is another's.

--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -16,7 +16,7 @@
 from fernweir.front.core import BadAnswerError, Core
 from fernweir.front.host import Held, Phase
 from fernweir.http.client import Outcome, Reply
-from fernweir.interface import ListUpdate
+from fernweir.interface import ListUpdate, Result
 from fernweir.peers.acts.versions import boxes_digest
 from fernweir.peers.forward.messages import Carried, Carry
 from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing
@@ -110,6 +110,10 @@
             core.kick()
         return taken
 
+    def ended(self, now: float, session: str, attempt: int) -> None:
+        self._core.host.session_over(now, session, attempt, Result.RESET)
+        self._core.kick()
+
     def let_go(self, now: float, session: str) -> bool:
         self._letting_go = True  # another's now, not over: standbys must not be told of an end
         gone = self._core.host.let_go(now, session)
--- a/fernweir/peers/channel/takeover.py
+++ b/fernweir/peers/channel/takeover.py
@@ -4,7 +4,8 @@
 names: a session may have begun or moved in the old owner's last moments. When all have answered (after a
 planned hand-off: those where sessions stand), or after `first_ms`, the channel is acted for. What a box
 that was not reached holds is in doubt until it answers, or for `doubt_ms`. When what the old owner had out
-must have ended, all boxes are asked once more. What is decided of a session stays decided.
+must have ended, all boxes are asked once more. What is decided of a session stays decided, but for one that
+ended between its box's first list and its being taken, of which nobody was told: the second list lacks it.
 """
 
 from __future__ import annotations
@@ -47,13 +48,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Settled(Event):
-    """Decided of a channel's sessions: taken, over, or to be released at a box under that attempt."""
+    """Decided of a channel's sessions: taken, over, or to be released at a box under that attempt.
+
+    `gone` don't run where they stood, as their boxes say, though they were taken, or were held here before.
+    """
 
     channel: str
     fence: int
     take: tuple[Standing, ...] = ()
     over: tuple[str, ...] = ()
     give_up: tuple[tuple[int, str, int], ...] = ()
+    gone: tuple[Standing, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -285,18 +290,19 @@
         waits = taken.decided | (taken.out - taken.learned)
         new = [standing for standing in result.take if standing.session not in waits]
         over = [session for session in result.over if session not in settled]
+        gone = [taken.standings[session] for session in over] + self._gone(taken)
         if now >= taken.hold_until + self.rules.doubt_ms:
             over += [one.session for one in result.unknown if one.session not in settled]
         for standing in new:
             taken.standings[standing.session] = standing
-        for session in over:  # should a box list it after all, it is unwanted there
-            del taken.standings[session]
+        for session in {*over, *(standing.session for standing in gone)}:
+            del taken.standings[session]  # should a box list it after all, it is unwanted there
         taken.decided.update(standing.session for standing in new)
         taken.decided.update(over)
         give_up = [] if taken.held else self._unwanted(taken, result)
-        if new or over or give_up:
+        if new or over or give_up or gone:
             self._out.add(
-                Settled(taken.channel, taken.fence, tuple(new), tuple(over), tuple(give_up)),
+                Settled(taken.channel, taken.fence, tuple(new), tuple(over), tuple(give_up), tuple(gone)),
             )
 
     def _elsewhere(self, taken: _Taken) -> Container[str]:
@@ -305,6 +311,20 @@
             return ()
         return taken.moving if taken.planned else taken.standings
 
+    def _gone(self, taken: _Taken) -> list[Standing]:
+        """What was taken by a first list and is missing in the second, but for what was set up here since."""
+        if taken.held:
+            return []
+        there = {box: {one[:2] for one in told.sessions} for box, told in taken.told.items()}
+        return [
+            standing
+            for session, standing in taken.standings.items()
+            if session in taken.decided
+            and session not in taken.out
+            and session not in taken.mine
+            and (session, standing.attempt) not in there.get(standing.box, ((session, standing.attempt),))
+        ]
+
     def _unwanted(self, taken: _Taken, result: Reconciled) -> list[tuple[int, str, int]]:
         """What to release. Of a session that was taken a later attempt may be this front's own doing."""
         new = []
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -96,9 +96,13 @@
 
 @dataclass(slots=True)
 class _Try:
-    """A channel whose lease is asked for from `due` on, to be acted on `after_ms` after it is got."""
+    """A channel whose lease is asked for from `due` on, to be acted on `after_ms` after it is got.
+
+    Its owner is believed lost at `since`: one that proves to have had it later has it still.
+    """
 
     owner: str
+    since: float
     due: float
     after_ms: float = 0.0
     asked: bool = False
@@ -216,6 +220,8 @@
         self._release_by(now, session, channel)
         if self._sessions.get(channel, {}).pop(session, None) is not None:
             self._out.add(Yields(session))
+            # Where its channel is claimed anew, a box's list from before must not bring it back.
+            self.handoff.takeover.learn(now, channel, session, None)
         self.replica.end(now, channel, session)
         self.handoff.end(now, channel, session)
 
@@ -308,8 +314,10 @@
             self._look(now)
         for channel, tried in list(self._tries.items()):
             copy = self.replica.copy(channel)
-            if not tried.asked and (copy is None or copy.owner != tried.owner):
-                del self._tries[channel]  # another heir was first
+            if copy is None or copy.owner != tried.owner:
+                self._drop_try(now, channel)  # another heir was first
+            elif copy.as_of is not None and copy.as_of > tried.since:
+                self._drop_try(now, channel)  # it was cut off or stood still, and its lease outlived that
             elif not tried.asked and now >= tried.due:
                 tried.asked = True
                 self._holder.want(now, channel, self.replica.fence(channel))
@@ -376,8 +384,10 @@
             standings = {one.session: one for one in event.standings}
             self._let_go(now, event.channel, "")
             self._begin(now, event.channel, event.fence, standings)
+        elif isinstance(event, Finished):
+            self._new.discard(event.channel)  # nothing stood in it
         else:
-            assert isinstance(event, Copied | Finished | OverlapOver | HandedOver | NoHeir | Lapsed)
+            assert isinstance(event, Copied | OverlapOver | HandedOver | NoHeir | Lapsed)
 
     def _claim(self, event: Claim, box: int) -> None:
         def then(now: float, claimed: Claimed) -> None:
@@ -490,6 +500,10 @@
             self._out.add(Changed(event.channel, event.fence, "inherited", len(event.take)))
         for session in event.over:
             self.replica.end(now, event.channel, session)
+        for standing in event.gone:
+            held_now = held.get(standing.session)
+            if held_now is not None and (held_now.box, held_now.attempt) == (standing.box, standing.attempt):
+                self._port.ended(now, standing.session, standing.attempt)
         for box, session, attempt in event.give_up:
             if self._channel.get(session) == event.channel and self._placed.get(session) == box:
                 continue  # this front's own doing, whatever a copy knows
@@ -566,7 +580,7 @@
             if rank:
                 spoke = now - min(mine[turn.channel].age_ms(now), self.rules.patience_ms)
                 due = max(now, spoke + self.rules.patience_ms) + wait_ms(rank, self.rules.heirs)
-            self._tries[turn.channel] = _Try(mine[turn.channel].owner, due, turn.at)
+            self._tries[turn.channel] = _Try(mine[turn.channel].owner, now, due, turn.at)
 
     def _drop_try(self, now: float, channel: str) -> None:
         tried = self._tries.pop(channel, None)
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -111,6 +111,9 @@
     def take_over(self, now: float, standing: Standing, payload: bytes | None) -> bool:
         """The session is this front's from now on. False if it is held, or its box or lesson is not known."""
 
+    def ended(self, now: float, session: str, attempt: int) -> None:
+        """What was taken over here, under that attempt, does not run at its box any more."""
+
     def let_go(self, now: float, session: str) -> bool:
         """The session is another's from now on: nothing is said to its box or its viewers."""
 
