--- /dev/null
+++ b/bench/peers_days.py
@@ -0,0 +1,195 @@
+"""Fleets' days on virtual time, many seeds; one of them as a story; and fleets of up to hundreds of fronts.
+
+    python -m bench.peers_days sweep --seeds 1-300 --fronts 5 --nasty 2.5 --jobs 3 --shrink
+    python -m bench.peers_days seed 17 --fronts 5 --nasty 2.5 --trace
+    python -m bench.peers_days schedule FILE --trace
+    python -m bench.peers_days scale --fronts 50,100
+    python -m bench.peers_days mutants
+
+All is simulated: fronts are the program's own, boxes, viewers and the network between them are not.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import time
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import replace
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+from fernweir.audit.gaps import Cost, Loss
+from fernweir.rehearsal.fleet.plan import FleetPlan
+from fernweir.rehearsal.fleet.schedule import Fault, Kind, read_schedule
+from fernweir.rehearsal.fleet.virtual import VirtualFleetResult, play, shrink
+
+_STORY = ("front.", "box.stop", "box.start", "box.claim", "day", "viewer.cut")
+
+
+def overlaps(faults: list[Fault]) -> Iterator[tuple[Kind, Kind]]:
+    """Pairs of kinds that were there at one moment."""
+    for one, other in itertools.combinations(faults, 2):
+        if one.at <= other.at + other.span and other.at <= one.at + one.span:
+            first, second = sorted((one.kind, other.kind))
+            yield first, second
+
+
+def head(plan: FleetPlan) -> str:
+    return f"# {plan.seed} {plan.fronts} {plan.boxes} {plan.rate:g} {plan.seconds:g}"
+
+
+def file_of(plan: FleetPlan, broken: list[str]) -> str:
+    """A schedule as `tests/schedules/fleets` keeps it: its plan, what it broke first, its faults."""
+    return "\n".join([head(plan), f"# {broken[0][:180]}", *map(str, plan.faults or ())]) + "\n"
+
+
+def read_file(path: Path) -> FleetPlan:
+    text = path.read_text()
+    seed, fronts, boxes, rate, seconds = text.split("\n", 1)[0].removeprefix("#").split()
+    return FleetPlan(
+        seed=int(seed), fronts=int(fronts), boxes=int(boxes), rate=float(rate), seconds=float(seconds),
+        faults=tuple(read_schedule(text.splitlines())),
+    )  # fmt: skip
+
+
+def _one(plan: FleetPlan) -> VirtualFleetResult:
+    try:
+        result = play(plan)
+    except Exception as error:  # a crash of the rehearsal itself is a finding too
+        result = VirtualFleetResult(plan.seed, list(plan.faults or ()), broken=[f"crash: {error!r}"])
+    result.records = []
+    return result
+
+
+def _smaller(plan: FleetPlan, result: VirtualFleetResult) -> FleetPlan:
+    return shrink(plan, result, lambda text: None)
+
+
+def sweep(args: argparse.Namespace) -> int:
+    first, _, last = args.seeds.partition("-")
+    base = FleetPlan(
+        fronts=args.fronts, boxes=args.boxes, nasty=args.nasty, rate=args.rate, seconds=args.seconds
+    )
+    plans = [replace(base, seed=seed) for seed in range(int(first), int(last or first) + 1)]
+    answers: Counter[int] = Counter()
+    broke_off: Counter[str] = Counter()
+    pairs: Counter[tuple[Kind, Kind]] = Counter()
+    rules: Counter[str] = Counter()
+    costs = {loss: Cost() for loss in Loss}
+    failed: dict[int, VirtualFleetResult] = {}
+    begun, steps = time.monotonic(), 0
+    with ProcessPoolExecutor(args.jobs, mp_context=get_context("spawn")) as pool:
+        running = {pool.submit(_one, plan): plan for plan in plans}
+        for done, future in enumerate(as_completed(running), 1):
+            result = future.result()
+            steps += result.steps
+            answers.update(result.answers)
+            broke_off.update(result.broke_off)
+            pairs.update(set(overlaps(result.faults)))
+            for loss, cost in result.costs.items():
+                _add(costs[loss], cost)
+            if result.broken:
+                failed[result.seed] = result
+                rules.update(result.rules)
+                print(f"seed {result.seed}: {result.broken[0][:200]}", flush=True)
+            if done % 25 == 0:
+                spent = time.monotonic() - begun
+                print(f"  {done} of {len(plans)}, {len(failed)} broken, {done / spent:.2f}/s", flush=True)
+        if args.shrink:
+            _keep(pool, base, failed, args.out)
+    unseen = [pair for pair in itertools.combinations_with_replacement(sorted(Kind), 2) if not pairs[pair]]
+    spent = time.monotonic() - begun
+    print(f"{len(plans)} days of {args.fronts} fronts, nasty {args.nasty:g}: {steps} calls, {spent:.0f} s")
+    print(f"answers by status {dict(sorted(answers.items()))}")
+    for loss, cost in costs.items():
+        print(
+            f"{loss.value:<8} {cost.sessions:>6} sessions, {len(cost.gaps)} heired, {cost.ended} ended, "
+            f"{cost.given_up} given up, gap p50 {cost.gap(0.5):.0f} p99 {cost.gap(0.99):.0f} "
+            f"max {max(cost.gaps, default=0.0):.0f} ms"
+        )
+    print(f"broke off under their viewers, by their box's reason: {dict(broke_off) or 'none'}")
+    never = ", ".join(f"{one}+{other}" for one, other in unseen[:12])
+    print(f"pairs of faults that met: {len(pairs)}, never: {len(unseen)} {never}")
+    print(f"broken days: {len(failed)} {dict(rules)}")
+    return bool(failed)
+
+
+def _add(total: Cost, cost: Cost) -> None:
+    total.gaps += cost.gaps
+    for name in ("sessions", "ended", "given_up", "own_end", "woke", "left"):
+        setattr(total, name, getattr(total, name) + getattr(cost, name))
+
+
+def _keep(
+    pool: ProcessPoolExecutor, base: FleetPlan, failed: dict[int, VirtualFleetResult], folder: Path
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    running = {
+        pool.submit(_smaller, replace(base, seed=seed), result): result for seed, result in failed.items()
+    }
+    for future in as_completed(running):
+        result, plan = running[future], future.result()
+        path = folder / f"seed-{plan.seed}-of-{plan.fronts}.txt"
+        path.write_text(file_of(plan, result.broken))
+        print(f"{path}: {len(plan.faults or ())} of {len(result.faults)} faults", flush=True)
+
+
+def story(plan: FleetPlan, *, trace: bool, of: str) -> int:
+    result = play(plan)
+    if trace:
+        for record in result.records:
+            kind = str(record["kind"])
+            about = not of or any(of == str(value) for value in record.values())
+            if kind.startswith(_STORY) or (of and about):
+                print(_line(record))
+    for fault in result.faults:
+        print(f"  {fault}")
+    print(f"answers {result.answers}, broke off {dict(result.broke_off)}, {result.steps} callbacks")
+    print("\n".join(result.broken) or "every rule held")
+    return bool(result.broken)
+
+
+def _line(record: dict[str, Any]) -> str:
+    rest = " ".join(f"{key}={value}" for key, value in record.items() if key not in ("t", "kind"))
+    return f"{(record['t'] - 1_000_000.0) / 1000.0:9.3f} {record['kind']:<14} {rest}"
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m bench.peers_days")
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name in ("sweep", "seed", "schedule"):
+        command = commands.add_parser(name)
+        command.add_argument("--fronts", type=int, default=3)
+        command.add_argument("--boxes", type=int, default=6)
+        command.add_argument("--nasty", type=float, default=1.0)
+        command.add_argument("--rate", type=float, default=4.0)
+        command.add_argument("--seconds", type=float, default=12.0)
+        command.add_argument("--trace", action="store_true")
+        command.add_argument("--of", default="", help="a session, front or channel, with all that names it")
+        if name == "sweep":
+            command.add_argument("--seeds", default="1-100")
+            command.add_argument("--jobs", type=int, default=2)
+            command.add_argument("--shrink", action="store_true")
+            command.add_argument("--out", type=Path, default=Path("broken-days"))
+        elif name == "seed":
+            command.add_argument("seed", type=int)
+        else:
+            command.add_argument("file", type=Path)
+    args = parser.parse_args()
+    if args.command == "sweep":
+        return sweep(args)
+    if args.command == "schedule":
+        return story(read_file(args.file), trace=args.trace, of=args.of)
+    plan = FleetPlan(
+        seed=args.seed, fronts=args.fronts, boxes=args.boxes, nasty=args.nasty, rate=args.rate,
+        seconds=args.seconds,
+    )  # fmt: skip
+    return story(plan, trace=args.trace, of=args.of)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/fernweir/rehearsal/fleet/virtual.py
+++ b/fernweir/rehearsal/fleet/virtual.py
@@ -13,6 +13,7 @@
 import json
 import logging
 import tempfile
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -27,9 +28,9 @@
 from fernweir.config.front import load_front
 from fernweir.front.program import Front, start_front
 from fernweir.rehearsal.datagrams import WayFault
+from fernweir.rehearsal.fleet.inside import WatchedViewers, ghosts, unsettled
 from fernweir.rehearsal.fleet.paths import Manner
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
-from fernweir.rehearsal.fleet.roaming import RoamingViewers
 from fernweir.rehearsal.fleet.schedule import ON_BOX, ON_PATH, Fault, Kind, draw, manner
 from fernweir.rehearsal.loop import NODE, DeadlockError, LivelockError, VirtualLoop, run
 from fernweir.rehearsal.site import RehearsalSite
@@ -41,6 +42,8 @@
 _PORT = 7_400
 _STOP_S = 10.0
 _OWNING_S = 30.0
+_SETTLED_S = 12.0
+_LOOK_S = 0.5
 
 
 @dataclass(slots=True)
@@ -53,6 +56,7 @@
     broken: list[str] = field(default_factory=list)
     answers: dict[int, int] = field(default_factory=dict)
     costs: dict[Loss, Cost] = field(default_factory=dict)
+    broke_off: Counter[str] = field(default_factory=Counter)  # sessions, by their box's reason
     steps: int = 0
     records: list[dict[str, Any]] = field(default_factory=list)
 
@@ -94,7 +98,8 @@
         await self._until_all_own()
         origins = {f"front-{number}": ("127.0.0.1", port) for number, port in self.ports.items()}
         habits = Habits(doubled=0.1, dropped=0.05, asks_while_playing=plan.asks_while_playing)
-        self.viewers = RoamingViewers(origins, trace, plan.seed, habits, offset)
+        self.viewers = WatchedViewers(origins, trace, plan.seed, habits, offset)
+        self._named = self.viewers.watch_answers({box.address: one for one, box in self.site.boxes.items()})
         self.begun = self.loop.time()
         faults = [asyncio.ensure_future(self._play(fault)) for fault in self.result.faults]
         crowd = await self._crowd()
@@ -103,6 +108,7 @@
                 self.result.broken.append(f"crash: {one!r}")
         await asyncio.sleep(plan.settle_s)
         await self._come_back()
+        await self._until_settled()
         await self._stop()
         self._judge(records)
         return self.result
@@ -155,6 +161,18 @@
             await asyncio.sleep(0.1)
         self.result.broken.append("liveness: not all fronts own their channels")
 
+    async def _until_settled(self) -> None:
+        """Nothing is done to it any more: within a while no table may hold what is over, or is another's."""
+        if self.plan.peers is None:
+            return
+        fronts = {f"front-{number}": front for number, front in sorted(self.fronts.items())}
+        boxes, parts, wrong = list(self.site.boxes.values()), self.plan.peers.parts, [""]
+        end = self.loop.time() + _SETTLED_S
+        while wrong and self.loop.time() < end:
+            await asyncio.sleep(_LOOK_S)
+            wrong = unsettled(fronts, boxes, parts)
+        self.result.broken += [f"inside: {text}" for text in wrong]
+
     # --- viewers ---
 
     async def _crowd(self) -> list[asyncio.Task[Any]]:
@@ -287,6 +305,8 @@
         for finding in auditor.findings:
             if not (finding.rule == "1" and self._stood_still(records, finding.line)):
                 result.broken.append(f"rule {finding.rule}: {finding}")
+        result.broke_off = Counter(auditor.gaps.broke_off)
+        result.broken += [f"ghost: {text}" for text in ghosts(self._named, records, self._stood)]
         planned = auditor.gaps.costs[Loss.PLANNED].ended
         if self.plan.peers is not None and planned:
             result.broken.append(f"planned: {planned} sessions ended with fronts that were told to stop")
