A front that lives on under a later life still answers who asked it before

Its peers' machine begins again in the new life; requests whose session was being sought went with the old one, and their viewers heard nothing. What is sought is sought by the new life; who waits for another front is told to come again.

--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -223,6 +223,17 @@
                 self.directory.find(now, request.session)
         self._settle(now)
 
+    def end(self, now: float) -> list[Seeking]:
+        """This life is over: gives the requests whose place was still sought, for the next to find.
+
+        What was carried elsewhere may have been done there: who waits for it is told to come again.
+        """
+        sought = [one for waiting in self._seeking.values() for one in waiting]
+        carried, self._seeking, self._carried = self._carried, {}, {}
+        for number, seeking in carried.items():
+            seeking.then(now, unreachable(self.rules.finding, number))
+        return sought
+
     # --- the driver ---
 
     def heard(self, now: float, sender: str, life: int, message: Message) -> None:
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -212,8 +212,11 @@
         """
         self._core.log.info("lives on under a later life", life=life, before=self.peer.me.life)
         self.links.relive(life)
+        now, sought = self._core.now(), self.peer.end(self._core.now())
         self.peer = self._make(life)
-        self.peer.start(self._core.now(), self._seeds)
+        self.peer.start(now, self._seeds)
+        for seeking in sought:
+            self.peer.find(now, seeking.request, seeking.then)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
