--- a/fernweir/peers/late/against.py
+++ b/fernweir/peers/late/against.py
@@ -29,14 +29,15 @@
 ) -> frozenset[Kind]:
     """For what a front ought to be out: it could not be brought up, or is out and not yet clean for long.
 
-    `vote`: this keeper's, if it has one out against this front. Nobody is shut out for suspect news,
+    `vote`: this keeper's, if it has one out against this front. Nobody is shut out for a split,
+    where nothing shows who is behind, nor for suspect news,
     and no vote begins while more than may be out seem to fall behind (`wait`).
     """
     if vote is not None and vote.life != peer.life:
         vote = None
-    kinds = peer.late - suspects
     if vote is not None and vote.out_at is not None:
-        return kinds if peer.late else _probation(now, peer, vote, vote.out_at, rules)
+        return peer.late - suspects if peer.late else _probation(now, peer, vote, vote.out_at, rules)
+    kinds = peer.proven - suspects
     if failed(now, peer, rules) and kinds - (wait if vote is None else _NOTHING):
         return kinds
     # Others may have seen a majority already: a vote stands until that would be known here.
--- a/fernweir/peers/late/messages.py
+++ b/fernweir/peers/late/messages.py
@@ -60,10 +60,10 @@
 
 
 class Votes(Message, frozen=True, array_like=True, tag="late.votes"):
-    """All whom a keeper votes against now. The highest (life, number) counts, whatever comes later."""
+    """All whom a keeper votes against now. The latest by (life, at) counts, whatever comes later."""
 
     life: Life  # of the keeper
-    number: Annotated[int, Meta(ge=0, lt=1 << 62)]
+    at: Annotated[float, Meta(ge=-1e15, le=1e15)]  # ms of the keeper's own clock
     against: Annotated[tuple[Against, ...], Meta(max_length=NAMES_MOST)]
 
 
--- a/fernweir/peers/late/peers.py
+++ b/fernweir/peers/late/peers.py
@@ -36,8 +36,10 @@
     state: State = State.CURRENT
     settings: bytes = b""
     tracks: dict[Kind, Track] = field(default_factory=dict)
+    before: dict[Kind, Track] = field(default_factory=dict)  # of its former life
     spells: dict[Kind, Spell] = field(default_factory=dict)
     late: frozenset[Kind] = frozenset()
+    proven: frozenset[Kind] = frozenset()  # of these, what almost all others have left behind for long
     late_at: float | None = None
     tried: dict[Kind, int] = field(default_factory=dict)
     given: dict[Kind, bytes] = field(default_factory=dict)  # by this front, and not answered yet
@@ -59,7 +61,11 @@
             content = content_of(versions, kind)
             track = self.tracks.get(kind)
             if track is None:
-                self.tracks[kind] = Track(content, now)
+                before = self.before.pop(kind, None)
+                # With what its former life held it is as far as that was.
+                same = before is not None and before.word == content
+                self.tracks[kind] = before if before is not None and same else Track(content, now)
+                self.tracks[kind].marks.clear()
                 new.add(kind)
             elif track.said(now, content):
                 new.add(kind)
@@ -99,14 +105,16 @@
                 continue
             spell = self.spells.setdefault(kind, Spell(now))
             spell.left = None if not left else now if spell.left is None else spell.left
-        late = set()
+        late, proven = set(), set()
         for kind, spell in self.spells.items():
             urgent = kind is Kind.BOXES and self.tracks[kind].since < urgent_at
             limit = rules.urgent_ms if urgent else rules.late_ms
             # Once late it stays so until it is behind no more.
             if kind in self.late or spell.over(now, limit, rules):
                 late.add(kind)
-        self.late = frozenset(late)
+            if spell.left is not None and now >= spell.left + limit:
+                proven.add(kind)
+        self.late, self.proven = frozenset(late), frozenset(proven)
         if late:
             self.clean_at = None
             self.late_at = now if self.late_at is None else self.late_at
--- a/fernweir/peers/late/stragglers.py
+++ b/fernweir/peers/late/stragglers.py
@@ -54,13 +54,16 @@
     def fleet(self, now: float, lives: Mapping[str, int]) -> None:
         """All fronts believed alive, in which life; what is known of others is dropped."""
         peers = self._table.peers
+        before = {}
         for name in [name for name in peers if name != self.me and lives.get(name) != peers[name].life]:
-            if peers.pop(name).out:
+            gone = peers.pop(name)
+            before[name] = gone.tracks
+            if gone.out:
                 self._out.add(Back(name))
         self.life = self._ballots.life = peers[self.me].life = lives.get(self.me, self.life)
         for name, life in lives.items():
             if name not in peers:
-                peers[name] = Peer(name, life)
+                peers[name] = Peer(name, life, before=before.get(name, {}))
         if self._size >= self._most or now > self._most_at + self.rules.alone_ms:
             self._most, self._most_at = self._size, now
         self._size = len(peers)
--- a/fernweir/peers/late/votes.py
+++ b/fernweir/peers/late/votes.py
@@ -36,7 +36,6 @@
     since: float
     cast: dict[str, Vote] = field(default_factory=dict)
     _settling: list[float] = field(default_factory=list)
-    _number: int = 0
     _say_at: float = 0.0
     _quiet_at: float = 0.0
 
@@ -76,11 +75,10 @@
         if now < self._say_at or not (self.cast or now < self._quiet_at):
             return None
         self._say_at = now + self.rules.say_ms
-        self._number += 1
         against = sorted(self.cast.items())
         return Votes(
             self.life,
-            self._number,
+            now,
             tuple(Against(name, vote.life, tuple(sorted(vote.kinds))) for name, vote in against),
         )
 
@@ -91,7 +89,7 @@
 @dataclass(slots=True)
 class _Heard:
     life: int
-    number: int
+    said_at: float  # by the keeper's clock
     at: float
     against: dict[str, Against]
 
@@ -112,10 +110,10 @@
         if keeper not in self.keepers:
             return
         held = self._heard.get(keeper)
-        if held is not None and (held.life, held.number) >= (votes.life, votes.number):
+        if held is not None and (held.life, held.said_at) >= (votes.life, votes.at):
             return
         against = {each.name: each for each in votes.against}
-        self._heard[keeper] = _Heard(votes.life, votes.number, now, against)
+        self._heard[keeper] = _Heard(votes.life, votes.at, now, against)
 
     def against(self, now: float, lives: Mapping[str, int]) -> dict[str, frozenset[Kind]]:
         """Who has a majority against it in this life, and what for."""
--- a/tests/test_peers_late.py
+++ b/tests/test_peers_late.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import importlib
+
 import pytest
 
-from bench.late_day import KINDS, Day, day, load
+from bench.late_day import KINDS, Day, load
+from bench.late_faults import day
+from bench.late_model import Model
+from tests.peers_mutants import Mutant, broken
+from tests.peers_mutants.late import DAYS, MUTANTS
 
 KIT = load()
 
@@ -245,3 +251,33 @@
     played = day(seed, KIT, span=150_000.0)
     assert not played.broken, played.broken
     assert set(played.number) == set(KINDS)
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_mistakes_are_found(mutant: Mutant) -> None:
+    assert found(mutant) is not None
+
+
+def found(mutant: Mutant) -> int | None:
+    """The seed of the drawn day in which the oracle objects, or the day breaks down."""
+    with broken(mutant, "fernweir.peers.late", "bench.late_day", "bench.late_faults"):
+        faults = importlib.import_module("bench.late_faults")
+        kit = importlib.import_module("bench.late_day").load()
+        for seed in range(mutant.seeds):
+            if faults.day(seed, kit, 200_000.0, faults=DAYS[mutant.name], n=6 if seed % 2 else 5).broken:
+                return seed
+    return None
+
+
+def test_three_fronts_explored_in_full() -> None:
+    """One change of the list told to any, and no other fault; `python -m bench.peers_late check` goes on."""
+    result = Model(KIT, 1, 0).explore()
+    assert result.whole and not result.broken, (result.broken, result.trail)
+    assert result.states > 500
+
+
+def test_the_model_finds_a_mistake() -> None:
+    mutant = next(each for each in MUTANTS if each.name.startswith("no hysteresis"))
+    with broken(mutant, "fernweir.peers.late", "bench.late_day", "bench.late_model"):
+        model = importlib.import_module("bench.late_model")
+        assert model.Model(importlib.import_module("bench.late_day").load(), 1, 0).explore(1_500).broken
