Questions are estimated before they are put, held to that, and refused over their budget

Need: a front's summaries go out as facts; a question is estimated for each front on that front's own clock, its upper bounds set aside from a budget that all questions share, and run on the planned shards alone. Over budget, or while viewers press, it is refused with the estimate and a narrower form; what came is held against the bounds, which widen if they failed. Ruled out: leaving out what no summary told of (a front that died young was missing from an answer: seen in the test of the killed front); such chains are read whole.

--- a/fernweir/peers/acts/desk.py
+++ b/fernweir/peers/acts/desk.py
@@ -19,9 +19,9 @@
 
 
 class FleetQuestions:
-    """Fits `control.desk.FleetDesk`. `put` asks a question, its answer is told once; False: too many run."""
+    """Fits `control.desk.FleetDesk`. `put` asks; the answer, or why there is none, is told once."""
 
-    def __init__(self, put: Callable[[plan.Question, Callable[[Answer], None]], bool]) -> None:
+    def __init__(self, put: Callable[[plan.Question, Then], None]) -> None:
         self._put = put
 
     def ask(self, question: Mapping[str, Any], then: Then) -> None:
@@ -30,8 +30,7 @@
         except plan.QuestionError as error:
             then({"ok": False, "error": str(error)})
             return
-        if not self._put(parsed, lambda answer: then(to_plain(answer))):
-            then({"ok": False, "error": "as many questions run already as may: ask again later"})
+        self._put(parsed, then)
 
 
 def to_plain(answer: Answer) -> dict[str, Any]:
--- a/fernweir/peers/acts/questions.py
+++ b/fernweir/peers/acts/questions.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from math import inf
 from random import Random
@@ -45,6 +45,7 @@
     began: float
     lives: dict[str, int]
     planned: Mapping[Chain, tuple[float, float]] | None
+    known: Collection[Chain] | None
     answer: Answer
     listing: dict[str, tuple[float, int]]
     rows_left: int
@@ -83,10 +84,12 @@
         wall: float = 0.0,
         planned: Mapping[Chain, tuple[float, float]] | None = None,
         budget: Budget | None = None,
+        known: Collection[Chain] | None = None,
     ) -> int | None:
         """`fronts`: those believed alive, with their lives, oneself among them or not. `wall`: how far the
         wall clock is ahead of `now`. `planned`: the shards that may have anything, with the span of their own
-        clocks in which that lies; all else is left out.
+        clocks in which that lies; all else is left out, of those that whoever planned had `known`, if that
+        is given: what nobody foresaw is read whole.
 
         None if as many questions run already as may.
         """
@@ -98,7 +101,7 @@
         stage = plan.first(now, question, wall, self.rules.context)
         id = self._dice.getrandbits(52)
         run = _Running(
-            id, question, budget, stage, now, lives, planned,
+            id, question, budget, stage, now, lives, planned, known,
             Answer(question, wall), dict.fromkeys(lives, (now, 0)), budget.rows, budget.bytes,
         )  # fmt: skip
         self._running[id] = run
@@ -175,7 +178,8 @@
         front = run.question.front if isinstance(run.question, plan.Acts) else None
         if front is not None and owner != front:
             return
-        if run.planned is not None and (owner, life) not in run.planned:
+        foreseen = run.known is None or (owner, life) in run.known
+        if run.planned is not None and foreseen and (owner, life) not in run.planned:
             if (owner, life) not in run.answer.left_out:
                 run.answer.left_out.append((owner, life))
             return
@@ -290,7 +294,7 @@
             high = self.clocks.theirs(shard.owner, shard.life, exactly(until)).latest
             until = high if high < inf else None
         if run.planned is not None:
-            low, high = run.planned[shard.owner, shard.life]
+            low, high = run.planned.get((shard.owner, shard.life), (-inf, inf))
             since = max(low, -inf if since is None else since)
             until = min(high, inf if until is None else until)
             since, until = since if since > -inf else None, until if until < inf else None
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fernweir.peers.acts.desk import to_plain as answer_to_plain
 from fernweir.peers.acts.merge import Answer
 from fernweir.peers.acts.messages import KINDS as ACT_KINDS
 from fernweir.peers.acts.plan import Question
@@ -27,7 +28,11 @@
 from fernweir.peers.facts.rules import FactRules
 from fernweir.peers.facts.store import Facts
 from fernweir.peers.facts.table import Changed as FactChanged
+from fernweir.peers.facts.table import Dropped as FactDropped
+from fernweir.peers.facts.table import Gone as FactsGone
 from fernweir.peers.finding import FindRules, Seeking, between_owners, place, unreachable
+from fernweir.peers.foresight import PREFIX, Allowed, Foresight, ForesightRules, refused_to_plain
+from fernweir.peers.foresight import to_plain as estimate_to_plain
 from fernweir.peers.forward.desk import Answered, Forward, ForwardRules, Wanted
 from fernweir.peers.forward.messages import KINDS as FORWARD_KINDS
 from fernweir.peers.forward.messages import Carried, Carry
@@ -79,6 +84,7 @@
     finding: FindRules = field(default_factory=FindRules)
     acts: ActRules = field(default_factory=ActRules)
     late: LateRules = field(default_factory=LateRules)
+    foresight: ForesightRules = field(default_factory=ForesightRules)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +132,8 @@
         self.directory = Directory(me.name, me.life, rules.directory, seed)
         self.forward = Forward(rules.forward)
         self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms)
+        self._wall_ms = wall_ms
+        self.foresight = Foresight(me.name, me.life, rules.foresight, now, self.recording.clocks)
         self.lateness = Lateness(
             me.name, me.life, rules.late, now, self.facts, self.keeper, rules.keepers, port, versions
         )
@@ -207,11 +215,25 @@
     def fence(self, now: float, session: str) -> tuple[str, int] | None:
         return self.owning.fence(now, session)
 
-    def ask(self, now: float, question: Question, then: Callable[[Answer], None]) -> bool:
-        """Asks the acts of all fronts; `then` is called once. False if too many questions run."""
-        asked = self.recording.ask(now, question, self.lives(), then)
+    def ask(self, now: float, question: Question, then: Callable[[dict[str, Any]], None]) -> None:
+        """Asks the acts of all fronts, within what it may touch; `then` is called once, as JSON has it."""
+        allowed = self.foresight.allow(now, question, self._wall_ms(), self.rules.acts.deadline_ms)
+        if not isinstance(allowed, Allowed):
+            then(refused_to_plain(allowed, self._wall_ms()))
+            return
+
+        def answered(answer: Answer) -> None:
+            failed = self.foresight.settle(self._now, allowed, answer)
+            estimate = {**estimate_to_plain(allowed.estimate), "failed": failed}
+            then({**answer_to_plain(answer), "estimate": estimate})
+
+        asked = self.recording.ask(
+            now, question, self.lives(), answered, allowed.planned, allowed.budget, allowed.known
+        )
+        if not asked:
+            self.foresight.settle(now, allowed, Answer(question, self._wall_ms()))
+            then({"ok": False, "error": "as many questions run already as may: ask again later"})
         self._settle(now)
-        return asked
 
     def find(self, now: float, request: Carry, then: Callable[[float, Carried | None], None]) -> None:
         """Answers a request for a session not held here; `then` is called once: None if it may begin here."""
@@ -249,6 +271,11 @@
             self._say_load(now)
             self._look(now)
             self._say_head(now, urgent=False)
+            said, gone = self.foresight.publish(now)
+            for key, data in said.items():
+                self.facts.put(now, key, data)
+            for key in gone:
+                self.facts.drop(now, key)
             self.lateness.leases(now, bool(self.holder.held(now)))
         for part in self._parts:
             due = part.next_due()
@@ -274,6 +301,7 @@
 
     def stands(self, now: float, standing: Standing) -> None:
         self.owning.stands(now, standing)
+        self.foresight.stands(now, standing)
         if not self.owning.in_channel(standing.session):  # of the others it tells by `Steers`
             self.directory.register(now, standing.session)
         self._changed()
@@ -281,16 +309,21 @@
     def over(self, now: float, session: str) -> None:
         self.owning.over(now, session)
         self.directory.unregister(now, session)
+        self.foresight.over(now, session)
         self._changed()
 
     def acted(self, act: Act) -> None:
-        self.recording.add(act)
+        self._record(act)
         if act.deed is Deed.SETUP:
             # From here on nobody else may set it up: told before the first byte leaves.
             self.owning.placed(act.at, act.session, act.box)
             self.directory.register(act.at, act.session)
             self._changed()
 
+    def _record(self, act: Act) -> None:
+        self.recording.add(act)
+        self.foresight.acted(act, self.recording.versions)
+
     def list_told(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
         draining = sum(1 for number, row in rows if number >= 0 and row[0] == "draining")
         here = {number for number, _ in rows}
@@ -327,7 +360,7 @@
         if isinstance(event, Got | Renewed | Lost | Taken):
             self.owning.lease(now, event)
             if isinstance(event, Got):
-                self.recording.add(Act(now, Deed.LEASE, outcome=event.lease.channel))
+                self._record(Act(now, Deed.LEASE, outcome=event.lease.channel))
         elif isinstance(event, Joined) and event.name == self.me.name:
             self._out.append(Relived(event.life))
         elif isinstance(event, Joined):
@@ -342,9 +375,10 @@
             self.directory.register(now, event.session, event.fence)
         elif isinstance(event, Yields):
             self.directory.cede(event.session)
+            self.foresight.over(now, event.session)
         elif isinstance(event, Changed):
             said = f"{event.what} {event.channel}"[:200]
-            self.recording.add(Act(now, Deed.HANDOFF, outcome=said))
+            self._record(Act(now, Deed.HANDOFF, outcome=said))
             self._tell(
                 f"channel {event.what}", channel=event.channel, fence=event.fence, sessions=event.sessions,
                 other=event.other,
@@ -364,6 +398,13 @@
                 self.recording.heard_head(now, event.owner, event.life, value)
             elif key in (VERSIONS, PLEA):
                 self.lateness.told(now, event.owner, key, value)
+            elif key.startswith(PREFIX):
+                self.foresight.told(now, event.owner, event.life, key, value)
+        elif isinstance(event, FactDropped):
+            if event.key.startswith(PREFIX):
+                self.foresight.dropped(event.owner, event.key)
+        elif isinstance(event, FactsGone):
+            self.foresight.gone(event.owner)
         elif isinstance(event, Rested):
             self.lateness.seen(now, event.owner, event.versions, event.age_ms)
         elif isinstance(event, Resign):
@@ -372,7 +413,7 @@
         elif isinstance(event, Said):
             self._tell(event.text, **event.fields)
             if event.shut_out:
-                self.recording.add(Act(now, Deed.SHUTOUT, outcome=event.shut_out))
+                self._record(Act(now, Deed.SHUTOUT, outcome=event.shut_out))
         elif isinstance(event, Trouble):
             text = f"record of acts {type(event).__name__.lower()}"
             self._tell(text, owner=event.owner, life=event.life)
@@ -405,6 +446,7 @@
         self.directory.members(now, lives)
         self.recording.members(now, lives)
         self.lateness.fleet(now, lives)
+        self.foresight.fleet(lives)
         self._look(now)
 
     def _gone(self, now: float, name: str, life: int, died: bool) -> None:
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from fernweir.config.front import FrontConfig
 from fernweir.config.ini import ConfigError, Problem
@@ -16,7 +17,6 @@
 from fernweir.front.peering import Peering
 from fernweir.interface import Settings
 from fernweir.peers.acts.desk import FleetQuestions
-from fernweir.peers.acts.merge import Answer
 from fernweir.peers.acts.plan import Question
 from fernweir.peers.base import Address, Message, Send
 from fernweir.peers.forward.messages import Carried, Carry
@@ -115,10 +115,9 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _put(self, question: Question, then: Callable[[Answer], None]) -> bool:
-        asked = self.peer.ask(self._core.now(), question, then)
+    def _put(self, question: Question, then: Callable[[dict[str, Any]], None]) -> None:
+        self.peer.ask(self._core.now(), question, then)
         self.kick()
-        return asked
 
     # --- core.Owner, core.Finder ---
 
--- a/fernweir/peers/recording.py
+++ b/fernweir/peers/recording.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,7 +19,7 @@
 from fernweir.peers.acts.heads import Missing, Shortened, Tampered
 from fernweir.peers.acts.merge import Answer, Answered
 from fernweir.peers.acts.messages import Ask, Keep, Kept, Piece, Ping, Pong
-from fernweir.peers.acts.plan import Question
+from fernweir.peers.acts.plan import Budget, Question
 from fernweir.peers.acts.questions import Questions
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.store import Store
@@ -75,10 +75,12 @@
         self.questions.gone(now, name)
 
     def ask(
-        self, now: float, question: Question, fronts: Mapping[str, int], then: Callable[[Answer], None]
-    ) -> bool:
+        self, now: float, question: Question, fronts: Mapping[str, int], then: Callable[[Answer], None],
+        planned: Mapping[tuple[str, int], tuple[float, float]] | None, budget: Budget,
+        known: Collection[tuple[str, int]],
+    ) -> bool:  # fmt: skip
         """`then` is called once, at the question's deadline at the latest. False if too many run."""
-        number = self.questions.ask(now, question, fronts, self._wall_ms())
+        number = self.questions.ask(now, question, fronts, self._wall_ms(), planned, budget, known)
         if number is not None:
             self._asked[number] = then
         return number is not None
--- a/tests/test_peers_acts.py
+++ b/tests/test_peers_acts.py
@@ -23,7 +23,7 @@
 from fernweir.control.messages import AnyAsk
 from fernweir.control.orders import Orders
 from fernweir.journal.store import Journal
-from fernweir.peers.acts.desk import FleetQuestions
+from fernweir.peers.acts.desk import FleetQuestions, to_plain
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.base import Send
 from fernweir.peers.port import Act, Deed
@@ -1142,9 +1142,8 @@
     waiting: dict[int, Callable[[Any], None]] = {}
     world.answered = lambda event: waiting.pop(event.id)(event.answer)
 
-    def put(question: Any, then: Callable[[Any], None]) -> bool:
-        waiting[world.ask("f0", question)] = then
-        return True
+    def put(question: Any, then: Callable[[Any], None]) -> None:
+        waiting[world.ask("f0", question)] = lambda answer: then(to_plain(answer))
 
     desk.fleet = FleetQuestions(put)
     world.drain(node, 2)
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -165,6 +165,7 @@
         assert (await scene.ask(wish, front=0)).status == 200
         life = peers[0].peer.me.life
         await until(lambda: any(one.peer.recording.store.shelf("front-0", life) for one in peers[1:]))
+        await until(lambda: "front-0" in peers[1].peer.foresight.catalogue.owners())
         scene.trace.write("front.down", front="front-0")
         scene.fronts[0].kill()
         await until(lambda: all("front-0" not in one.peer.members.alive() for one in peers[1:]))
@@ -178,5 +179,13 @@
         assert (row["front"], row["box"]) == ("front-0", scene.of("box.setup")[0]["box"])
         # A copy answered for the dead: what it did last may be missing, and that is said.
         assert answer["whole"] is False and {gap["front"] for gap in answer["gaps"]} == {"front-0"}
+        # What it would touch was told before it was put; one over its budget is not put at all.
+        low, guess, high = answer["estimate"]["rows"]
+        assert low <= guess <= high and high >= 1 and answer["estimate"]["failed"] == []
+        peers[1].peer.foresight.pressed(scene.fronts[1].core.now(), 1.0)  # viewers come first
+        told.clear()
+        peers[1].questions.ask({"question": "acts"}, told.append)
+        assert told[0]["ok"] is False and "viewers come first" in told[0]["error"]
+        assert told[0]["estimate"]["rows"][2] >= 1 and told[0]["wait_ms"] > 0
 
     play(story, PLAN, fronts=0)
