--- a/fernweir/journal/disk.py
+++ b/fernweir/journal/disk.py
@@ -1,7 +1,8 @@
 """Keeps the journal's segments in a folder: block files of frames, and the newest rows as JSON lines.
 
 A frame is length, CRC32C, first and last number, and a segment's bytes. A frame that is cut off or damaged
-ends what is read of its file: the journal is a record for people, and a hole in it is said, not fatal.
+ends what is read of its file: the journal is a record for people, and a hole in it is said, not fatal. The
+checksum is of the segment's bytes: where numbers don't follow on, those of its rows are taken.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 
 from fernweir.front.safefile import write_file
 from fernweir.journal.events import Entry, EntryError, from_row, to_row
+from fernweir.journal.segment import unpack
 
 _FRAME = struct.Struct("<IIQQ")
 _MAGIC = b"FWJRNL1\n"
@@ -88,8 +90,9 @@
         try:
             _write(self._out, frame)
         except OSError:
-            # Whatever part was written must not stand between good frames.
+            # Whatever part was written must not stand between good frames, nor a hole in its place.
             os.ftruncate(self._out, at)
+            os.lseek(self._out, at, os.SEEK_SET)
             raise
         file.size += len(frame)
         self._bound()
@@ -163,18 +166,36 @@
             if data and not _MAGIC.startswith(data):
                 self.notes.append(f"{path.name}: not a journal")
             return [], 0
-        found: list[tuple[int, int, object]] = []
+        found: list[tuple[int, int, _Handle]] = []
         at = len(_MAGIC)
         while at + _FRAME.size <= len(data):
             size, crc, first, last = _FRAME.unpack_from(data, at)
             body = data[at + _FRAME.size : at + _FRAME.size + size]
-            if len(body) < size or int(google_crc32c.value(body)) != crc:
-                break
+            if not size or len(body) < size or int(google_crc32c.value(body)) != crc:
+                break  # no bytes are no segment: zeros that a lost write left would be frames of none
             found.append((first, last, _Handle(number, at + _FRAME.size, size, crc)))
             at += _FRAME.size + size
         if at < len(data):
             self.notes.append(f"{path.name}: damaged at byte {at}, {len(data) - at} bytes passed over")
-        return found, len(data)
+        return self._renumbered(path.name, data, found), len(data)
+
+    def _renumbered(
+        self, name: str, data: bytes, found: list[tuple[int, int, _Handle]]
+    ) -> list[tuple[int, int, object]]:
+        """Frames with their rows' numbers, where their own can't be told to be right by their neighbours'."""
+        doubtful = {0, len(found) - 1}
+        for at in range(1, len(found)):
+            if found[at][0] != found[at - 1][1] + 1:
+                doubtful |= {at - 1, at}
+        frames: list[tuple[int, int, object]] = []
+        for at, (first, last, handle) in enumerate(found):
+            if at in doubtful:
+                numbers = _numbers(data[handle.at : handle.at + handle.size]) or (first, last)
+                if numbers != (first, last):
+                    self.notes.append(f"{name}: damaged numbers at byte {handle.at - _FRAME.size}")
+                    first, last = numbers
+            frames.append((first, last, handle))
+        return frames
 
     def _read_tail(self, sealed_to: int) -> list[Entry]:
         try:
@@ -209,6 +230,15 @@
         self._tail = out
 
 
+def _numbers(segment: bytes) -> tuple[int, int] | None:
+    """The first and the last number in it; None if it has no rows that can be read."""
+    try:
+        rows = unpack(segment)
+        return from_row(rows[0]).number, from_row(rows[-1]).number
+    except (EntryError, IndexError):
+        return None
+
+
 def _write(out: int, data: bytes) -> None:
     """All of it, or OSError: a full disk may take a part first."""
     view = memoryview(data)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -128,6 +128,22 @@
     again.close()
 
 
+def test_zeros_that_a_lost_write_left_are_no_frames(tmp_path: Path) -> None:
+    folder = JournalFolder(tmp_path)
+    journal = Journal("f", SMALL, folder)
+    journal.restore(*folder.open())
+    fill(journal, 20)
+    folder.close()
+    with open(next(tmp_path.glob("*.blocks")), "ab") as file:
+        file.write(bytes(100))
+    again = JournalFolder(tmp_path)
+    life = Journal("f", SMALL, again)
+    life.restore(*again.open())
+    assert [one.number for one in life.entries(0)] == list(range(1, 21)) and life.last == 20
+    assert "100 bytes passed over" in again.notes[0]
+    again.close()
+
+
 def test_a_full_disk_is_said_once_and_the_journal_goes_on(tmp_path: Path) -> None:
     class Full(JournalFolder):
         full = False
