--- a/fernweir/front/ledger.py
+++ b/fernweir/front/ledger.py
@@ -23,7 +23,10 @@
 
 
 class Ledger:
-    """Open tickets with the time, in milliseconds, by which each must be answered."""
+    """Open tickets with the time, in milliseconds, by which each must be answered.
+
+    A ticket's number is never used again once it is closed.
+    """
 
     def __init__(self) -> None:
         self.counts = LedgerCounts()
--- a/tests/peers_mutants/fuzz.py
+++ b/tests/peers_mutants/fuzz.py
@@ -7,6 +7,9 @@
 _LINES, _FRAMES, _FEED = "fernweir/node/jsonl.py", "fernweir/node/frames.py", "fernweir/node/feed.py"
 _HTTP, _SSE, _INI = "fernweir/http/parse.py", "fernweir/http/sse.py", "fernweir/config/ini.py"
 _CODEC = "fernweir/peers/wire/codec.py"
+_LEDGER, _BOXES, _DISK = "fernweir/front/ledger.py", "fernweir/front/boxlist.py", "fernweir/journal/disk.py"
+_STORE = "fernweir/journal/store.py"
+_DESK, _TABLE = "fernweir/peers/forward/desk.py", "fernweir/peers/members/table.py"
 
 BY_TARGET: dict[str, list[Mutant]] = {
     "lines": [
@@ -56,6 +59,76 @@
         Mutant("a bad message passed over", _CODEC, "in self.kinds:\n", "in ():\n", 400),
         Mutant("sixteen messages", _CODEC, "if count < 16", "if count <= 16", 200),
     ],
+    "ledger": [
+        Mutant("one that is due now waits", _LEDGER, "self._due[0][0] <= now:", "self._due[0][0] < now:", 30),
+        Mutant(
+            "an answered one falls due",
+            _LEDGER,
+            "            if ticket in self._open:\n",
+            "            if ticket >= 0:\n",
+            30,
+        ),
+        Mutant("tidied by half", _LEDGER, "if item[1] in self._open]", "if item[1] in self._open][1:]", 200),
+    ],
+    "boxlist": [
+        Mutant(
+            "changes on an older version",
+            _BOXES,
+            "if document.base < self.version:",
+            "if document.base < 0:",
+            60,
+        ),
+        Mutant(
+            "a whole list leaves old boxes",
+            _BOXES,
+            "        self.boxes = {}\n        self._lesson",
+            "        self._lesson",
+            60,
+        ),
+        Mutant(
+            "an age told again restarts", _BOXES, "if not line.boot or boot != line.boot:", "if True:", 60
+        ),
+        Mutant(
+            "checked after it was taken",
+            _BOXES,
+            "        self._check(document)\n        self.boxes = {}\n",
+            "        self.boxes = {}\n        self._check(document)\n",
+            60,
+        ),
+    ],
+    "journal": [
+        Mutant("a frame's place", _DISK, "        file.size += len(frame)\n", "", 60),
+        Mutant("times of a segment", _STORE, "max(times) + 1, Index", "max(times), Index", 200),
+        Mutant(
+            "a hole between good frames", _DISK, "            os.lseek(self._out, at, os.SEEK_SET)\n", "", 60
+        ),
+        Mutant(
+            "an entry sealed twice",
+            _STORE,
+            "entries, self._newest = self._newest, []",
+            "entries = self._newest",
+            60,
+        ),
+    ],
+    "peer": [
+        Mutant(
+            "carried without a bound",
+            _DESK,
+            "if len(self._in) > self.rules.most:",
+            "if len(self._in) < 0:",
+            57,
+        ),
+        Mutant(
+            "any answer ends a request", _DESK, "if out is not None and out.to == sender:", "if sender:", 57
+        ),
+        Mutant(
+            "members without a bound",
+            _TABLE,
+            "if name in self.rows or len(self.rows) < self._most:",
+            "if name:",
+            57,
+        ),
+    ],
 }
 
 MUTANTS: list[Mutant] = [one for mutants in BY_TARGET.values() for one in mutants]
