Peers: a part that nothing was done to is asked neither when it is due nor for effects

Changed: whatever is done to a part goes through Parts.at, which marks it and those it acts on; the others' due is remembered, and they are not asked for effects. Ruled out: remembering in each part, where every table would have a flag of its own.

--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -50,6 +50,7 @@
 from fernweir.peers.members.messages import Gossip
 from fernweir.peers.members.rules import MemberRules
 from fernweir.peers.owning import Changed, Owning, OwningRules, Steers, Yields
+from fernweir.peers.parts import Parts
 from fernweir.peers.port import Act, Deed, Port, Standing
 from fernweir.peers.recording import Recording, Rested, Trouble
 
@@ -128,7 +129,7 @@
         self.facts = Facts(me.name, me.life, rules.facts, seed)
         self.holder = Holder(me.name, me.life, rules.lease, seed, sets)
         self.keeper = Keeper(me.name, me.life, rules.lease, now, sets) if me.name in rules.keepers else None
-        self.owning = Owning(me.name, me.life, rules.owning, self.holder, port, seed, changed)
+        self.owning = Owning(me.name, me.life, rules.owning, self.holder, port, seed, self._claimed)
         self.directory = Directory(me.name, me.life, rules.directory, seed)
         self.forward = Forward(rules.forward)
         self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms)
@@ -137,12 +138,15 @@
         self.lateness = Lateness(
             me.name, me.life, rules.late, now, self.facts, self.keeper, rules.keepers, port, versions
         )
-        self._parts: list[Part] = [
-            self.members, self.facts, self.holder, self.owning, self.directory, self.forward, self.recording,
-            self.lateness, *([self.keeper] if self.keeper is not None else []),
-        ]  # fmt: skip
+        keeping: tuple[Part, ...] = (self.keeper,) if self.keeper is not None else ()
+        self._parts = Parts(
+            (self.members, self.facts, self.holder, self.owning, self.directory, self.forward, self.recording,
+             self.lateness, *keeping),
+            {self.owning: (self.holder,), self.lateness: (self.facts, *keeping)},
+        )  # fmt: skip
+        self._at = self._parts.at
         self._routes: dict[type[Message], tuple[Part, ...]] = {}
-        leases: tuple[Part, ...] = (self.holder,) if self.keeper is None else (self.holder, self.keeper)
+        leases: tuple[Part, ...] = (self.holder, *keeping)
         for kinds, heard in (
             (MEMBER_KINDS, (self.members,)), (FACT_KINDS, (self.facts,)), (LEASE_KINDS, leases),
             (CHANNEL_KINDS, (self.owning,)), (_DIRECTORY, (self.directory,)),
@@ -165,24 +169,24 @@
     # --- the front's program ---
 
     def start(self, now: float, seeds: Sequence[Address]) -> None:
-        self.members.join(now, seeds)
+        self._at(self.members).join(now, seeds)
         if seeds:  # until it knows others, what stands at them would begin here a second time
             self._join_by = now + self.rules.join_ms
             self._hold("join", "joining its peers", _STALE_MS)
-        self.lateness.mine(now, self.recording.versions, urgent=False)
-        self.owning.start(now)
+        self._at(self.lateness).mine(now, self.recording.versions, urgent=False)
+        self._at(self.owning).start(now)
         self._started = True
         self._settle(now)
 
     def stood(self, now: float, late_ms: float) -> None:
         """The driver's timer came this late: this front stood still, or is slow."""
-        self.members.stood(now, late_ms)
+        self._at(self.members).stood(now, late_ms)
 
     def leave(self, now: float) -> None:
         """Hands on what stands here; `left` says when that is done, `go` ends."""
         self._leaving = True
         self._say_load(now)
-        self.owning.leave(now)
+        self._at(self.owning).leave(now)
         self._settle(now)
 
     @property
@@ -190,9 +194,9 @@
         return self.owning.left
 
     def go(self, now: float) -> None:
-        self.recording.close(now)
+        self._at(self.recording).close(now)
         self._say_head(now, urgent=True)
-        self.members.leave(now)
+        self._at(self.members).leave(now)
         self._settle(now)
 
     def stale(self, now: float, name: str) -> None:
@@ -227,7 +231,7 @@
             estimate = {**estimate_to_plain(allowed.estimate), "failed": failed}
             then({**answer_to_plain(answer), "estimate": estimate})
 
-        asked = self.recording.ask(
+        asked = self._at(self.recording).ask(
             now, question, self.lives(), answered, allowed.planned, allowed.budget, allowed.known
         )
         if not asked:
@@ -242,7 +246,7 @@
             waiting = self._seeking.setdefault(request.session, [])
             waiting.append(seeking)
             if len(waiting) == 1:
-                self.directory.find(now, request.session)
+                self._at(self.directory).find(now, request.session)
         self._settle(now)
 
     def end(self, now: float) -> list[Seeking]:
@@ -273,23 +277,17 @@
             self._say_head(now, urgent=False)
             said, gone = self.foresight.publish(now)
             for key, data in said.items():
-                self.facts.put(now, key, data)
+                self._at(self.facts).put(now, key, data)
             for key in gone:
-                self.facts.drop(now, key)
-            self.lateness.leases(now, bool(self.holder.held(now)))
-        for part in self._parts:
-            due = part.next_due()
-            if due is not None and due <= now:
-                part.tick(now)
+                self._at(self.facts).drop(now, key)
+            self._at(self.lateness).leases(now, bool(self.holder.held(now)))
+        self._parts.tick(now)
         self._settle(now)
 
     def next_due(self) -> float | None:
         first = self._load_at if self._join_by is None else min(self._load_at, self._join_by)
-        for part in self._parts:
-            due = part.next_due()
-            if due is not None and due < first:
-                first = due
-        return first
+        due = self._parts.next_due()
+        return first if due is None else min(first, due)
 
     def take(self) -> list[Effect]:
         """What is to be sent, and what is to be logged."""
@@ -300,15 +298,15 @@
     # --- the front's listener ---
 
     def stands(self, now: float, standing: Standing) -> None:
-        self.owning.stands(now, standing)
+        self._at(self.owning).stands(now, standing)
         self.foresight.stands(now, standing)
         if not self.owning.in_channel(standing.session):  # of the others it tells by `Steers`
-            self.directory.register(now, standing.session)
+            self._at(self.directory).register(now, standing.session)
         self._changed()
 
     def over(self, now: float, session: str) -> None:
-        self.owning.over(now, session)
-        self.directory.unregister(now, session)
+        self._at(self.owning).over(now, session)
+        self._at(self.directory).unregister(now, session)
         self.foresight.over(now, session)
         self._changed()
 
@@ -316,12 +314,12 @@
         self._record(act)
         if act.deed is Deed.SETUP:
             # From here on nobody else may set it up: told before the first byte leaves.
-            self.owning.placed(act.at, act.session, act.box)
-            self.directory.register(act.at, act.session)
+            self._at(self.owning).placed(act.at, act.session, act.box)
+            self._at(self.directory).register(act.at, act.session)
             self._changed()
 
     def _record(self, act: Act) -> None:
-        self.recording.add(act)
+        self._at(self.recording).add(act)
         self.foresight.acted(act, self.recording.versions)
 
     def list_told(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
@@ -329,26 +327,25 @@
         here = {number for number, _ in rows}
         urgent = draining > self._draining or not here >= self._boxes
         self._draining, self._boxes = draining, here
-        self.recording.list_told(rows, told_at)
-        self.lateness.mine(now, self.recording.versions, urgent)
+        self._at(self.recording).list_told(rows, told_at)
+        self._at(self.lateness).mine(now, self.recording.versions, urgent)
         self._changed()
 
     # --- pieces ---
 
     def _route(self, now: float, sender: str, message: Message) -> None:
         for part in self._routes.get(type(message), ()):
-            part.heard(now, sender, message)
+            self._at(part).heard(now, sender, message)
 
     def _settle(self, now: float) -> None:
         """Carries events from part to part until none is left; what is for oneself is heard at once."""
         self._now = max(self._now, now)
-        while True:
-            self.owning.run(now)
-            self.lateness.run(now)
-            effects = [effect for part in self._parts for effect in part.take()]
-            if not effects:
-                return
-            for effect in effects:
+        while self._parts.giving:
+            if self._parts.gives(self.lateness):
+                self._at(self.lateness).run(now)
+            if self._parts.gives(self.owning):
+                self._at(self.owning).run(now)
+            for effect in self._parts.take():
                 if isinstance(effect, Event):
                     self._do(now, effect)
                 elif effect.to == self.me.name:
@@ -358,7 +355,7 @@
 
     def _do(self, now: float, event: Event) -> None:
         if isinstance(event, Got | Renewed | Lost | Taken):
-            self.owning.lease(now, event)
+            self._at(self.owning).lease(now, event)
             if isinstance(event, Got):
                 self._record(Act(now, Deed.LEASE, outcome=event.lease.channel))
         elif isinstance(event, Joined) and event.name == self.me.name:
@@ -372,9 +369,9 @@
         elif isinstance(event, Clash):
             self._tell("another front has this name", address=f"{event.address[0]}:{event.address[1]}")
         elif isinstance(event, Steers):
-            self.directory.register(now, event.session, event.fence)
+            self._at(self.directory).register(now, event.session, event.fence)
         elif isinstance(event, Yields):
-            self.directory.cede(event.session)
+            self._at(self.directory).cede(event.session)
             self.foresight.over(now, event.session)
         elif isinstance(event, Changed):
             said = f"{event.what} {event.channel}"[:200]
@@ -395,9 +392,9 @@
         elif isinstance(event, FactChanged):
             key, value = event.fact.key, event.fact.value
             if key == _HEAD:
-                self.recording.heard_head(now, event.owner, event.life, value)
+                self._at(self.recording).heard_head(now, event.owner, event.life, value)
             elif key in (VERSIONS, PLEA):
-                self.lateness.told(now, event.owner, key, value)
+                self._at(self.lateness).told(now, event.owner, key, value)
             elif key.startswith(PREFIX):
                 self.foresight.told(now, event.owner, event.life, key, value)
         elif isinstance(event, FactDropped):
@@ -406,10 +403,10 @@
         elif isinstance(event, FactsGone):
             self.foresight.gone(event.owner)
         elif isinstance(event, Rested):
-            self.lateness.seen(now, event.owner, event.versions, event.age_ms)
+            self._at(self.lateness).seen(now, event.owner, event.versions, event.age_ms)
         elif isinstance(event, Resign):
             self._hold("late", event.why, event.wait_ms)
-            self.owning.resign(now, not event.why)
+            self._at(self.owning).resign(now, not event.why)
         elif isinstance(event, Said):
             self._tell(event.text, **event.fields)
             if event.shut_out:
@@ -420,6 +417,11 @@
         elif isinstance(event, Suspected | Cleared):
             self._tell("peer suspected" if isinstance(event, Suspected) else "peer cleared", name=event.name)
 
+    def _claimed(self) -> None:
+        """A box has answered a claim."""
+        self._at(self.owning)
+        self._changed()
+
     def _tell(self, text: str, **fields: object) -> None:
         self._out.append(Told(text, fields))
 
@@ -441,11 +443,11 @@
     def _members_changed(self, now: float) -> None:
         alive = self.members.alive()
         others = [name for name in alive if name != self.me.name]
-        self.facts.peers(now, others)
+        self._at(self.facts).peers(now, others)
         lives = self.lives()
-        self.directory.members(now, lives)
-        self.recording.members(now, lives)
-        self.lateness.fleet(now, lives)
+        self._at(self.directory).members(now, lives)
+        self._at(self.recording).members(now, lives)
+        self._at(self.lateness).fleet(now, lives)
         self.foresight.fleet(lives)
         self._look(now)
 
@@ -454,9 +456,9 @@
             return  # an earlier life, after the present one was known
         self._members_changed(now)
         self._out.append(Forgotten(name))
-        self.owning.died(now, name)
-        self.forward.gone(now, name)
-        self.recording.gone(now, name)
+        self._at(self.owning).died(now, name)
+        self._at(self.forward).gone(now, name)
+        self._at(self.recording).gone(now, name)
         self._tell("peer died" if died else "peer left", name=name)
 
     def _look(self, now: float) -> None:
@@ -464,7 +466,7 @@
             # Two fronts with one name: the one with the lower life takes nothing new until the other is gone.
             self._displaced = self.members.displaced
             self._hold("name", "another front has this name" if self._displaced else "", _STALE_MS)
-        self.owning.fronts(now, [self._candidate(now, name) for name in self.members.alive()])
+        self._at(self.owning).fronts(now, [self._candidate(now, name) for name in self.members.alive()])
 
     def _candidate(self, now: float, name: str) -> Candidate:
         if name == self.me.name:  # as others know it, or heirs would not agree on their order
@@ -487,12 +489,12 @@
         near = said is not None and abs(said.sessions - sessions) <= max(4, said.sessions // 8)
         if said is None or not near or said.leaving != self._leaving:
             self._said = Load(sessions, now - self._born, self._leaving)
-            self.facts.put(now, _LOAD, msgspec.msgpack.encode(self._said), urgent=self._leaving)
+            self._at(self.facts).put(now, _LOAD, msgspec.msgpack.encode(self._said), urgent=self._leaving)
 
     def _say_head(self, now: float, urgent: bool) -> None:
-        head = self.recording.new_head(now)
+        head = self._at(self.recording).new_head(now)
         if head is not None:
-            self.facts.put(now, _HEAD, head, urgent)
+            self._at(self.facts).put(now, _HEAD, head, urgent)
 
     # --- pieces: requests for sessions held elsewhere ---
 
@@ -520,7 +522,7 @@
         number = self.forward.number()
         wait = max(seeking.request.wait_ms - (now - seeking.since), 0.0)
         request = msgspec.structs.replace(seeking.request, number=number, wait_ms=wait)
-        if seeking.hops <= self.rules.finding.hops and self.forward.ask(now, front, request):
+        if seeking.hops <= self.rules.finding.hops and self._at(self.forward).ask(now, front, request):
             self._carried[number] = seeking
         else:
             seeking.then(now, unreachable(self.rules.finding, number))
@@ -540,7 +542,7 @@
         def then(now: float, carried: Carried) -> None:
             if carried.kind == "none":
                 carried = self._not_here(now, carried, event.request.session)
-            self.forward.answer(now, event.sender, event.request.number, carried)
+            self._at(self.forward).answer(now, event.sender, event.request.number, carried)
             self._changed()
 
         self._port.carry(event.request, then)
