--- /dev/null
+++ b/tests/fuzzing/host.py
@@ -0,0 +1,348 @@
+"""The host against accounts kept by hand, under any order of what shells, boxes, viewers and peers can do.
+
+- Each ticket has one answer, in its time, and none after its viewer left.
+- What an observer is told folds to what is held; each life of a session is over once.
+- A session that was let go is not held, and nothing is said to its box or its viewers any more.
+- What runs at a box plays here, or was released, or is another's: nothing is forgotten there.
+- `take_over` and `let_go` say yes exactly where they may.
+
+Where nobody returns to a session (a linger of 0), a token comes once only, as the node's ids do.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from fernweir.front.commands import (
+    Admit,
+    Answer,
+    Ask,
+    Command,
+    Kind,
+    Left,
+    Over,
+    Release,
+    SendProbe,
+    SetUp,
+    SetUpResult,
+)
+from fernweir.front.host import Held, Host, HostLimits, Phase
+from fernweir.interface import ListKind, ListUpdate, NoteKind, Result, ServerState
+from tests.fuzzing import Finding, Tape, Target, same
+from tests.helpers import SETTINGS, entry
+
+Run = tuple[str, int, int]  # token, attempt, box
+_DOUBT = (Result.TIMEOUT, Result.ERROR, Result.RESET, Result.CANCELLED)
+_LINGER_MS = 500.0
+
+
+@dataclass(slots=True)
+class Seen:
+    """A session as an observer knows it."""
+
+    phase: Phase
+    attempt: int
+    server: int
+    told: int = 0
+
+
+class Fold:
+    """An observer: `held` is what follows from what it was told."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, Seen] = {}
+        self.ended: list[str] = []
+        self.turned: int = 0
+
+    def placed(self, now: float, held: Held) -> None:
+        self.held[held.ask.jti] = Seen(Phase.OUT, held.attempt, held.server)
+
+    def stands(self, now: float, held: Held) -> None:
+        self.held[held.ask.jti] = Seen(Phase.PLAYING, held.attempt, held.server, held.told)
+
+    def moved(self, now: float, held: Held) -> None:
+        same(held.ask.jti in self.held, True, "moved, and not held")
+
+    def turned_away(self, now: float, ask: Ask, why: str) -> None:
+        self.turned += 1
+
+    def over(self, now: float, held: Held, why: str) -> None:
+        self.held.pop(held.ask.jti, None)
+        self.ended.append(held.ask.jti)
+
+    def listed(self, now: float, update: ListUpdate) -> None:
+        pass
+
+
+class Story:
+    def __init__(self, tape: Tape) -> None:
+        self.tape, self.now, self.tickets, self.tokens = tape, 1_000.0, 0, 0
+        self.gated, self.returns = tape.below(2) > 0, tape.below(2) > 0
+        settings = replace(SETTINGS, may_probe=tape.below(2) > 0)
+        limits = HostLimits(linger_ms=_LINGER_MS if self.returns else 0.0)
+        self.host = Host(settings, 7, limits, gated=self.gated)
+        self.fold = Fold()
+        self.host.observer = self.fold
+        self.states = dict.fromkeys((1, 2, 3), ServerState.READY)
+        self.tell(tuple(self.states))
+        self.due: dict[int, float] = {}
+        self.refused_or_failed = 0
+        self.out: dict[str, SetUp] = {}
+        self.runs: set[Run] = set()
+        self.cut: set[Run] = set()  # released before their end came
+        self.gone: set[Run] = set()  # ended in this turn: what is said of them crosses that
+        self.given: list[Ask] = []  # let go in this turn
+        self.asked: list[Admit] = []
+        self.admitted: set[str] = set()  # who still owes a `Left`
+        self.lives = 0
+        self.plays: list[Answer] = []  # said in this turn
+        self.probes: list[int] = []
+        self.step()
+
+    def tell(self, boxes: tuple[int, ...]) -> None:
+        entries = tuple(entry(box, cell=box, state=self.states[box]) for box in boxes)
+        self.host.box_list(self.now, ListUpdate(ListKind.DELTA, 2, entries))
+
+    # --- commands ---
+
+    def step(self) -> None:
+        self.plays = []
+        for command in self.host.step(self.now):
+            self.do(command)
+        self.gone.clear()
+        self.given.clear()
+
+    def do(self, command: Command) -> None:
+        if isinstance(command, Answer):
+            due = self.due.pop(command.ticket, None)
+            if due is None or self.now > due:
+                raise Finding(f"{command} comes twice, late, or to nobody")
+            self.refused_or_failed += command.kind is not Kind.PLAYS
+            if command.kind is Kind.PLAYS:
+                self.plays.append(command)
+        elif isinstance(command, SetUp):
+            jti = command.session.jti
+            if jti in self.out or self.host.held()[jti].phase is not Phase.OUT:
+                raise Finding(f"two attempts of {jti}")
+            if self.host.still_wanted(jti, command.attempt):
+                self.out[jti] = command
+            else:
+                end = SetUpResult(Result.MOOT, 1.0, {})
+                self.host.set_up_done(self.now, jti, command.attempt, end)
+        elif isinstance(command, Release):
+            run = (command.jti, command.attempt, command.server)
+            out = self.out.get(command.jti)
+            if run in self.runs:
+                self.runs.discard(run)
+            elif out is not None and (out.attempt, out.server) == run[1:]:
+                self.cut.add(run)
+            elif run not in self.gone:
+                raise Finding(f"{run} is released, and does not run")
+        elif isinstance(command, Over):
+            if any(command.session is ask for ask in self.given):
+                raise Finding(f"{command} was let go")
+        elif isinstance(command, Admit):
+            if command.session.jti in self.admitted:
+                raise Finding(f"{command.session.jti} is admitted twice")
+            self.admitted.add(command.session.jti)
+            self.asked.append(command)
+        elif isinstance(command, Left):
+            if command.jti not in self.admitted:
+                raise Finding(f"{command.jti} left, and was not there")
+            self.admitted.discard(command.jti)
+        elif isinstance(command, SendProbe):
+            self.probes.append(command.server)
+
+    def pass_(self, ms: float) -> None:
+        self.step()
+        end = self.now + ms
+        while (due := self.host.next_due()) is not None and due < end:
+            self.now = max(due, self.now)
+            self.step()
+        self.now = end
+        self.step()
+
+    # --- events ---
+
+    def play(self) -> None:
+        tape, host, now = self.tape, self.host, self.now
+        what, jti = tape.below(20), self.token()
+        held = host.session(jti)
+        playing = held is not None and held.phase is Phase.PLAYING
+        if what <= 3:
+            self.ask(jti if self.returns else self.fresh())
+        elif what == 4 and self.due:
+            ticket = tape.one(sorted(self.due))
+            if ticket in host.ledger:
+                del self.due[ticket]
+            host.withdraw(now, ticket)
+        elif what <= 8 and self.out:
+            self.end(self.out.pop(tape.one(sorted(self.out))))
+        elif what == 9 and playing:
+            assert held is not None
+            self.ended((jti, held.attempt, held.server))
+            host.session_over(now, jti, held.attempt, tape.one((Result.OK, Result.RESET)))
+        elif what == 10:
+            same(host.release(now, jti), playing, jti)
+        elif what == 11:
+            self.let_go(jti, held, playing)
+        elif what == 12:
+            self.take_over(jti if self.returns else self.fresh())
+        elif what == 13:
+            box = 1 + tape.below(3)
+            self.states[box] = tape.one((ServerState.READY, ServerState.DRAINING, ServerState.GONE))
+            self.tell((box,))
+        elif what == 14:
+            box = 1 + tape.below(3)
+            if tape.below(2):
+                seen = self.fold.held.values()
+                lost = sum((one.phase, one.server) == (Phase.PLAYING, box) for one in seen)
+                self.gone |= {one for one in self.runs if one[2] == box}
+                self.runs = {one for one in self.runs if one[2] != box}
+                same(host.box_lost(now, box), lost, "sessions that a box takes with it")
+            else:
+                host.box_doubtful(box, tape.below(2) > 0)
+        elif what == 15 and self.asked:
+            verdict = self.asked.pop(tape.below(len(self.asked)))
+            host.admitted(now, verdict.session.jti, tape.below(3) > 0, "no seat", 100.0)
+        elif what == 16:
+            if tape.below(2):
+                host.revoke(now, jti, "lapsed")
+            elif held is not None:
+                host.note(now, jti, tape.below(3), NoteKind.RUNG, float(tape.below(5)))
+        elif what == 17 and self.plays:
+            host.unheard(now, self.plays.pop())
+        elif what == 18 and self.probes:
+            result = Result.OK if tape.below(2) else Result.TIMEOUT
+            host.probe_done(now, self.probes.pop(), result, 1.0, {"x0": 0.2, "x1": 0.2})
+        else:
+            host.timer_fired(now, 1)
+        if tape.below(2):
+            self.pass_(tape.one((0.0, 1.0, 30.0, 250.0, 600.0, 4_000.0)))
+
+    def ended(self, run: Run) -> None:
+        self.runs.discard(run)
+        self.gone.add(run)
+
+    def token(self) -> str:
+        if self.returns or not self.host.held():
+            return self.tape.one("abcd")
+        return self.tape.one(sorted(self.host.held()))
+
+    def fresh(self) -> str:
+        self.tokens += 1
+        return f"n{self.tokens}"
+
+    def request(self, jti: str, wait_ms: float) -> Ask:
+        cls = self.tape.below(2)
+        return Ask(self.tickets, "dash", jti, "who", "lesson", 5, 0, 4, cls, 3, wait_ms)
+
+    def ask(self, jti: str) -> None:
+        wait = self.tape.one((4_000.0, 400.0, 50.0, 4_000.0))
+        self.tickets += 1
+        self.due[self.tickets] = self.now + wait
+        self.host.ask(self.now, self.request(jti, wait))
+
+    def end(self, setup: SetUp) -> None:
+        jti, result = setup.session.jti, self.tape.one((Result.OK, Result.OK, *Result))
+        run = (jti, setup.attempt, setup.server)
+        if run in self.cut:
+            self.cut.discard(run)
+        elif result is Result.OK or result in _DOUBT:
+            self.runs.add(run)
+        else:
+            self.gone.add(run)
+        payload = "manifest" if result is Result.OK else None
+        self.host.set_up_done(
+            self.now, jti, setup.attempt, SetUpResult(result, 5.0, {"x0": 0.1, "x1": 0.1}, payload)
+        )
+
+    def let_go(self, jti: str, held: Held | None, playing: bool) -> None:
+        run = (jti, held.attempt, held.server) if held is not None else ("", 0, 0)
+        same(self.host.let_go(self.now, jti), playing, jti)
+        if held is not None and playing:
+            self.given.append(held.ask)
+            self.runs.discard(run)  # whatever is said of it from now on is a fault
+            same(self.host.session(jti), None, "let go, and held")
+
+    def take_over(self, jti: str) -> None:
+        box, attempt = 1 + self.tape.below(4), self.tape.below(3)
+        run = (jti, attempt, box)
+        free = (
+            self.host.session(jti) is None and self.states.get(box, ServerState.GONE) is not ServerState.GONE
+        )
+        if free and (run in self.runs or jti in self.out):
+            return  # no peer has what this front has not let go of yet
+        told, answerable = self.tape.below(2), self.tape.below(4) > 0
+        ask = replace(self.request(jti, 0.0), ticket=0)
+        rung = self.tape.one((None, 1))
+        taken = self.host.take_over(
+            self.now, ask, box, attempt=attempt, rung=rung, told=told, answerable=answerable
+        )
+        same(taken, free, (jti, box))
+        if taken:
+            self.runs.add(run)
+            self.fold.held[jti] = Seen(Phase.PLAYING, attempt, box, told)
+
+    # --- what must hold ---
+
+    def agree(self) -> None:
+        held = self.host.held()
+        for jti, one in held.items():
+            if one.phase in (Phase.OUT, Phase.PLAYING):
+                seen = self.fold.held.get(jti)
+                ours = (one.phase, one.attempt, one.server)
+                same(ours, seen and (seen.phase, seen.attempt, seen.server), jti)
+                if one.phase is Phase.PLAYING and (jti, one.attempt, one.server) not in self.runs:
+                    raise Finding(f"{jti} plays, and runs nowhere")
+        same(sorted(set(self.fold.held) - set(held)), [], "over, and not told")
+
+    def quiet(self) -> None:
+        """Nothing of this turn is left to be done: boxes run what is held, and nothing else."""
+        held = self.host.held()
+        for jti, attempt, server in self.runs:
+            one = held.get(jti)
+            if one is None or (one.phase, one.attempt, one.server) != (Phase.PLAYING, attempt, server):
+                raise Finding(f"{jti} runs at {server}, attempt {attempt}: {one}")
+        if self.gated and not set(held) <= self.admitted:
+            raise Finding(f"held without a seat asked for: {set(held) - self.admitted}")
+        same(self.fold.turned, self.refused_or_failed, "requests turned away")
+
+    def finish(self) -> None:
+        for _ in range(12):
+            while self.out:
+                self.end(self.out.pop(min(self.out)))
+            self.pass_(1_000.0)
+            self.quiet()
+        same(self.due, {}, "requests without an answer")
+        same((len(self.host.ledger), self.host._by_ticket), (0, {}), "tickets left")
+        for jti in list(self.host.held()):
+            self.host.revoke(self.now, jti, "the end")
+        self.pass_(5_000.0)
+        for _ in range(3):
+            while self.out:
+                self.end(self.out.pop(min(self.out)))
+            for jti in list(self.host.held()):
+                self.host.revoke(self.now, jti, "the end")
+            self.pass_(5_000.0)
+        self.agree()
+        same((self.runs, self.admitted, self.host._at_server), (set(), set(), {}), "left behind")
+
+
+def check(data: bytes) -> None:
+    tape = Tape(data)
+    story = Story(tape)
+    while tape.more:
+        story.play()
+        story.agree()
+    story.step()
+    story.quiet()
+    story.finish()
+
+
+def draw(dice: Random) -> bytes:
+    return dice.randbytes(dice.randrange(20, 600))
+
+
+TARGET = Target(check, draw)
--- a/tests/peers_mutants/fuzz.py
+++ b/tests/peers_mutants/fuzz.py
@@ -9,6 +9,7 @@
 _CODEC = "fernweir/peers/wire/codec.py"
 _LEDGER, _BOXES, _DISK = "fernweir/front/ledger.py", "fernweir/front/boxlist.py", "fernweir/journal/disk.py"
 _STORE = "fernweir/journal/store.py"
+_HOST = "fernweir/front/host.py"
 _DESK, _TABLE = "fernweir/peers/forward/desk.py", "fernweir/peers/members/table.py"
 
 BY_TARGET: dict[str, list[Mutant]] = {
@@ -129,6 +130,58 @@
             57,
         ),
     ],
+    "host": [
+        Mutant(
+            "an end of what was let go",
+            _HOST,
+            """self._close(held, Result.CANCELLED, "another front's now", let_go=True)""",
+            """self._end(held, Result.CANCELLED, "another front's now")""",
+            60,
+        ),
+        Mutant(
+            "an end that nobody is told",
+            _HOST,
+            "self.observer.over(self._now, held, why)",
+            "held.told = held.told",
+            30,
+        ),
+        Mutant("taken over twice", _HOST, "if ask.jti in self._held or ", "if ", 100),
+        Mutant(
+            "doubtful ends not released",
+            _HOST,
+            "if end.result not in _NEVER_RAN:",
+            "if end.result is Result.TIMEOUT:",
+            60,
+        ),
+        Mutant(
+            "nobody waits, nothing released",
+            _HOST,
+            "            self._release(held, why)\n            self._close(held, Result.CANCELLED, why)",
+            "            self._close(held, Result.CANCELLED, why)",
+            200,
+        ),
+        Mutant(
+            "a seat not given back",
+            _HOST,
+            "        if self._gated:\n            self._out.append(Left",
+            "        if self._gated and held.told:\n            self._out.append(Left",
+            60,
+        ),
+        Mutant(
+            "a viewer who left is answered",
+            _HOST,
+            'held.tickets.remove(ticket)\n            self._unwanted(held, "its viewer left")',
+            'self._unwanted(held, "its viewer left")',
+            60,
+        ),
+        Mutant(
+            "a lost box ends what is out",
+            _HOST,
+            "self._at_server.get(server, {}).values() if held.phase is Phase.PLAYING]",
+            "self._at_server.get(server, {}).values()]",
+            200,
+        ),
+    ],
 }
 
 MUTANTS: list[Mutant] = [one for mutants in BY_TARGET.values() for one in mutants]
