What began while a front had no lease comes into a channel once it has one

Ruled out: refusing new sessions without a lease (a cut from the keepers would end service). Changed: a claim names sessions that the box is to count to the channel, if they are the claimer's and in none.

--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 from urllib.parse import quote
@@ -126,15 +126,19 @@
             self.pool.request(origin, "GET", "/probe", done, timeout_s=self.times.probe_s)
 
     def claim(
-        self, box: int, channel: str, fence: int, overlap_ms: float, done: Callable[[Reply], None]
-    ) -> None:
-        """Tells a box that this front owns a channel under a fence; `done` is called once, never at once."""
+        self, box: int, channel: str, fence: int, overlap_ms: float, done: Callable[[Reply], None],
+        adopt: Sequence[tuple[str, int]] = (),
+    ) -> None:  # fmt: skip
+        """Tells a box that this front owns a channel under a fence; `done` is called once, never at once.
+
+        `adopt`: sessions that this front set up there in no channel, and which are in this one from now on.
+        """
         origin = self.boxes.address(box)
         if origin is None:
             self.core.loop.call_soon(done, Reply(Outcome.REFUSED, detail="no address"))
             return
         target = f"/channels?channel={quote(channel, safe='')}"
-        body = json.dumps({"fence": fence, "overlap_ms": overlap_ms}).encode()
+        body = json.dumps({"fence": fence, "overlap_ms": overlap_ms, "adopt": list(adopt)}).encode()
         self._call(origin, "PUT", target, done, body)
 
     def drop(self, box: int, session: str, attempt: int, why: str, under: Under) -> None:
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -7,7 +7,7 @@
 
 import json
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from fernweir.front.acting import Acting
@@ -114,12 +114,13 @@
         self._client.drop(box, session, attempt, why, under)
 
     def claim(
-        self, box: int, channel: str, fence: int, overlap_ms: float, then: Callable[[float, Claimed], None]
-    ) -> None:
+        self, box: int, channel: str, fence: int, overlap_ms: float,
+        then: Callable[[float, Claimed], None], adopt: Sequence[tuple[str, int]] = (),
+    ) -> None:  # fmt: skip
         def done(reply: Reply) -> None:
             then(self._core.now(), _claimed(box, reply))
 
-        self._client.claim(box, channel, fence, overlap_ms, done)
+        self._client.claim(box, channel, fence, overlap_ms, done, adopt)
 
     def carry(self, request: Carry, then: Callable[[float, Carried], None]) -> None:
         core, number = self._core, request.number
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from fernweir.peers.base import Effect, Event, Message, Outbox
@@ -124,6 +124,7 @@
         self._sessions: dict[str, dict[str, Standing]] = {}  # of each channel held
         self._owns: dict[int, str] = {}  # by part: the channels in which new sessions begin
         self._channel: dict[str, str] = {}  # of each session, also of one whose attempt is out
+        self._outside: dict[str, Standing] = {}  # stands here in no channel: there was no lease
         self._placed: dict[str, int] = {}  # at which box an attempt of this front's was made last
         self._last: OrderedDict[str, tuple[str, float]] = OrderedDict()  # of what is over, to release it by
         self._fences: dict[str, int] = {}  # under which each channel is held, or was until it was handed on
@@ -197,6 +198,7 @@
     def stands(self, now: float, standing: Standing) -> None:
         channel = self._channel.get(standing.session)
         if channel is None:
+            self._outside[standing.session] = standing
             return
         held = self._sessions.get(channel)
         if held is None and not self.handoff.may_finish(now, channel):
@@ -553,6 +555,7 @@
             if dead or copy.age_ms(now) > self.rules.stale_ms:
                 lost.append(copy)
         self._try(now, lost)
+        self._adopt(now)
         for session in [one for one, (_, until) in self._gone.items() if until <= now]:
             del self._gone[session]
         # An inherited channel in which nothing stands any more is let go; the own ones are used again.
@@ -588,6 +591,39 @@
                 due = max(now, spoke + self.rules.patience_ms) + wait_ms(rank, self.rules.heirs)
             self._tries[turn.channel] = _Try(mine[turn.channel].owner, now, due, turn.at)
 
+    def _adopt(self, now: float) -> None:
+        """What began while there was no lease comes into a channel once there is one: it has heirs then."""
+        if self._leaving or self._resigned or not self._owns:
+            return
+        groups: dict[tuple[str, int], list[Standing]] = {}
+        for standing in self._outside.values():
+            cut = parse(channel_of(self.me, self.life, standing.session, self.rules.parts))
+            channel = self._owns.get(cut.part, "") if cut is not None else ""
+            if channel in self._sessions and self._holder.holds(now, channel) is not None:
+                groups.setdefault((channel, standing.box), []).append(standing)
+        for (channel, box), standings in groups.items():
+            lease = self._holder.holds(now, channel)
+            if lease is not None and self.handoff.may_steer(channel):
+                self._ask_to_adopt(channel, lease.fence, box, standings)
+
+    def _ask_to_adopt(self, channel: str, fence: int, box: int, standings: Sequence[Standing]) -> None:
+        def then(now: float, claimed: Claimed) -> None:
+            lease = self._holder.holds(now, channel)
+            if not claimed.accepted or lease is None or lease.fence != fence or channel not in self._sessions:
+                return
+            listed = {(session, attempt) for session, attempt, _ in claimed.sessions}
+            for asked in standings:
+                standing = self._outside.get(asked.session)
+                if standing is not None and (standing.session, standing.attempt) in listed:
+                    del self._outside[standing.session]
+                    self._channel[standing.session] = channel
+                    self.handoff.takeover.attempted(channel, standing.session, standing.box)
+                    self.stands(now, standing)
+            self._wake()
+
+        adopt = [(standing.session, standing.attempt) for standing in standings]
+        self._port.claim(box, channel, fence, 0.0, then, adopt)
+
     def _drop_try(self, now: float, channel: str) -> None:
         tried = self._tries.pop(channel, None)
         if tried is not None and tried.asked:
@@ -613,6 +649,7 @@
 
     def _forget(self, session: str) -> str | None:
         self._placed.pop(session, None)
+        self._outside.pop(session, None)
         return self._channel.pop(session, None)
 
     def _release_by(self, now: float, session: str, channel: str) -> None:
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -129,11 +129,13 @@
         """A request that came to another front, for a session that is held here; `then` is called once."""
 
     def claim(
-        self, box: int, channel: str, fence: int, overlap_ms: float, then: Callable[[float, Claimed], None]
-    ) -> None:
+        self, box: int, channel: str, fence: int, overlap_ms: float,
+        then: Callable[[float, Claimed], None], adopt: Sequence[tuple[str, int]] = (),
+    ) -> None:  # fmt: skip
         """Tells a box that this front owns a channel; `then` is called once, later.
 
         The box accepts a lower fence for `overlap_ms` more, or for as long as it does anyway if that is less.
+        `adopt`: sessions that this front set up there in no channel, and which are in this one from now on.
         """
 
 
--- a/fernweir/standin/box.py
+++ b/fernweir/standin/box.py
@@ -354,6 +354,7 @@
                 raise ValueError("no channel, or no fence")
             if not isinstance(overlap_ms, int | float) or not 0 <= overlap_ms <= 60_000:
                 raise ValueError("no overlap in ms")
+            adopt = {(str(jti), int(attempt)) for jti, attempt in body.get("adopt", [])}
         except TokenError as error:
             self._problem(exchange, 401, str(error))
             return
@@ -367,6 +368,9 @@
             highest=highest,
         )  # fmt: skip
         if accepted:
+            for key in adopt & self.sessions.keys():  # set up by this front while it had no lease
+                if self.sessions[key].front == front and not self.sessions[key].channel:
+                    self.sessions[key].channel = channel
             self._hand_over(channel)
         held = [[one.jti, one.attempt, one.rung] for one in self.sessions.values() if one.channel == channel]
         answer = json.dumps({"fence": highest, "sessions": held if accepted else []}).encode()
