The node's port takes what a claim now may adopt, and has nothing to claim

Need: the port's claim names sessions to adopt; the node, whose servers know no fences, has the same signature. Ruled out: a default in the protocol alone (the checker holds every port to it).

--- a/fernweir/node/peering.py
+++ b/fernweir/node/peering.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
@@ -161,8 +161,9 @@
         then(self._core.now(), Carried(request.number, "none"))
 
     def claim(
-        self, box: int, channel: str, fence: int, overlap_ms: float, then: Callable[[float, Claimed], None]
-    ) -> None:
+        self, box: int, channel: str, fence: int, overlap_ms: float,
+        then: Callable[[float, Claimed], None], adopt: Sequence[tuple[str, int]] = (),
+    ) -> None:  # fmt: skip
         asyncio.get_running_loop().call_soon(lambda: then(self._core.now(), Claimed(box, reached=False)))
 
 
