--- a/tests/fuzzing/bodies.py
+++ b/tests/fuzzing/bodies.py
@@ -11,13 +11,12 @@
 from random import Random
 from typing import Any
 
-from fernweir.peers.late.messages import KINDS as LATE_KINDS
 from fernweir.peers.peer import KINDS
 from fernweir.peers.wire.codec import Codec, MalformedError
 from tests.fuzzing import Finding, Target, mutate, same
 from tests.fuzzing.shapes import NoFitError, Text, fits, info, message
 
-ALL = [kind for part in (*KINDS, LATE_KINDS) for kind in part]
+ALL = [kind for part in KINDS for kind in part]
 TAGS = {str(info(kind).tag).encode(): kind for kind in ALL}
 DEEP = 200
 
--- a/tests/fuzzing/peer.py
+++ b/tests/fuzzing/peer.py
@@ -21,7 +21,7 @@
 
 from fernweir.peers.acts.plan import parse
 from fernweir.peers.acts.rules import ActRules
-from fernweir.peers.acts.versions import Versions
+from fernweir.peers.acts.versions import Versions, boxes_digest
 from fernweir.peers.base import Address, Effect, Event, Message, Send
 from fernweir.peers.channel.rules import DirectoryRules, HandoffRules, ReplicaRules
 from fernweir.peers.facts.rules import FactRules
@@ -94,6 +94,7 @@
         self.listener: Listener
         self.plays: dict[str, Standing] = {}
         self.later: deque[Callable[[float], None]] = deque()
+        self.list = 0
 
     def listen(self, listener: Listener) -> None:
         self.listener = listener
@@ -123,6 +124,20 @@
             self.plays[standing.session] = standing
         return True
 
+    def list_document(self) -> bytes:
+        return bytes([self.list % 256])
+
+    def take_list(self, now: float, data: bytes, digest: bytes) -> bool:
+        if len(data) != 1 or boxes_digest(_rows(data[0])) != digest:
+            return False
+        self.list = data[0]
+        self.listener.list_told(now, _rows(self.list), now)
+        return True
+
+    def ended(self, now: float, session: str, attempt: int) -> None:
+        if self.plays.pop(session, None) is not None:
+            self.listener.over(now, session)
+
     def let_go(self, now: float, session: str) -> bool:
         return self.plays.pop(session, None) is not None
 
@@ -319,7 +334,9 @@
         elif what == 2:
             peer.stale(self.now, self.tape.one(("a", "b", "x")))
         elif what == 3:
-            peer.list_told(self.now, [(1, ["ready"]), (2, ["ready"])][: 1 + self.tape.below(2)], 5.0)
+            port = self.ports[name]
+            port.list += 1 + self.tape.below(2)
+            peer.list_told(self.now, _rows(port.list), self.now)
         elif what == 4:
             peer.leave(self.now)
         elif what == 5:
@@ -327,8 +344,7 @@
             self.settle(name)
             self.begin(name)
         elif what == 6:
-            lives = {one: self.peers[one].me.life for one in FRONTS}
-            peer.recording.ask(self.now, parse(self.tape.one(QUESTIONS)), lives, lambda answer: None)
+            peer.ask(self.now, parse(self.tape.one(QUESTIONS)), lambda answer: None)
         elif self.gone:
             name, self.gone = self.gone, ""
             self.ports[name].plays.clear()
@@ -379,6 +395,10 @@
         return self.codec.decode(self.codec.encode([one]))[0]
 
 
+def _rows(version: int) -> list[tuple[int, Any]]:
+    return [(1, ["ready"]), (2, ["draining" if version % 3 else "ready"]), (3, [version])]
+
+
 def _standing(session: str) -> Standing:
     return Standing(session, "dash", "w", "film", "paid", 2, "t", 1, 1, 0, 1, b"digest", 1, 0)
 
