Nodes without channels: late, shut out, back, alone; blocks of acts leave in time

A peer looked anew at what is due after set-ups only, so that the block with a refusal, a move or a drain heard could wait for whatever was due next, instead of the 250 ms that a killed front's record may lose.

Three peers without channels on a time of their own: one that is told a newer list too late is shut out and let back, one whose two peers die goes on for a minute and more, and no message of leases or channels is sent but what a keeper calls in. A list has one digest at nodes whose clocks and feeds differ.

--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -320,7 +320,7 @@
             # From here on nobody else may set it up: told before the first byte leaves.
             self._at(self.owning).placed(act.at, act.session, act.box)
             self._at(self.directory).register(act.at, act.session)
-            self._changed()
+        self._changed()  # its block is to be copied in time, whatever else happens
 
     def _record(self, act: Act) -> None:
         self._at(self.recording).add(act)
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -7,21 +7,31 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from heapq import heappop, heappush
 from io import StringIO
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 
 from fernweir.front.names import number_of
 from fernweir.node.config import Address, load
+from fernweir.node.feed import Feed
 from fernweir.node.jsonl import Message
 from fernweir.node.logs import NodeLog
-from fernweir.node.peering import NodePort, read_peers, short, start_peers
+from fernweir.node.peering import NodePort, Told, read_peers, short, start_peers
 from fernweir.node.program import Node
-from fernweir.peers.acts.versions import Versions
+from fernweir.peers import base
+from fernweir.peers.acts.versions import Versions, boxes_digest
+from fernweir.peers.channel.messages import KINDS as CHANNELS
+from fernweir.peers.lease.messages import KINDS as LEASES
+from fernweir.peers.lease.messages import Recall, Recalled
+from fernweir.peers.members.events import Me
+from fernweir.peers.peer import Peer
+from fernweir.peers.port import Listener, Port
 from fernweir.peers.program import Peers
-from tests.node_scene import MediaServer, ViewerConnection
+from fernweir.peers.settings import first_versions, peer_rules
+from tests.node_scene import PLAIN, MediaServer, ViewerConnection
 from tests.sockets import until
 from tests.test_node_process import Outside, free_address
 
@@ -237,3 +247,122 @@
                 await process.wait()
 
     asyncio.run(story())
+
+
+def test_one_list_has_one_digest_whatever_a_node_s_clock_and_whichever_way_it_was_told() -> None:
+    def line(name: str, since_ms: float, status: str = "up") -> dict[str, Any]:
+        fixed = {"address": "127.0.0.1:9", "type": "box", "group": 1, "weight": 1}
+        return {"name": name, "status": status, "since_ms": since_ms, **fixed}
+
+    def digest(offset_ms: float, *events: tuple[bool, list[dict[str, Any]]]) -> bytes:
+        feed = Feed(PLAIN, ("box",), offset_ms)
+        told = Told(feed)
+        for n, (whole, lines) in enumerate(events, 1):
+            members = {"index": 40 + n, "snapshot": whole, "endpoints": lines}
+            update = feed.line(msgspec.json.encode({"n": n, "members": members}))
+            assert update is not None
+            told.take(update)
+        return boxes_digest(told.list_rows())
+
+    a, b = line("a", 1.7e12), line("b", 0.0)
+    one = digest(1.6e12, (True, [a, b]))  # this node's machine runs longer than the server
+    before = line("a", 1.5e12)
+    assert one == digest(1.8e12, (True, [before]), (False, [b, line("c", 0.0)]), (False, [a]), (True, [b, a]))
+    assert one == digest(0.0, (True, [b, before]), (False, [line("b", 0.0, "removed")]), (False, [b, a]))
+    others = [[a], [a, line("b", 0.0, "draining")], [before, b], [a, {**b, "address": "127.0.0.1:8"}]]
+    assert len({one, *(digest(0.0, (True, lines)) for lines in others)}) == 5
+
+
+class Alone:
+    """A port of a front without channels: what it is asked for beyond that is an error at once."""
+
+    def __init__(self) -> None:
+        self.why = ""
+
+    def listen(self, listener: Listener) -> None:
+        self.listener = listener
+
+    def load(self) -> int:
+        return 3
+
+    def boxes(self) -> list[int]:
+        return []
+
+    def list_document(self) -> bytes:
+        return b""
+
+    def take_list(self, now: float, data: bytes, digest: bytes) -> bool:
+        raise AssertionError("nobody has a list to give")
+
+    def hold_back(self, why: str, wait_ms: float) -> None:
+        assert bool(why) == (wait_ms > 0.0)
+        self.why = why
+
+
+class Three:
+    """Three peers without channels, each a message's 2 ms from the others. Pure, on a time of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        (folder / "fleet.key").write_text("ab" * 32)
+        text = "[peers]\nlisten = 127.0.0.1:1\nkey = fleet.key\nkeepers = n0, n1, n2\nlate-after = 5 s\n"
+        text += "bring-up-within = 3 s\n"
+        (folder / "peers.ini").write_text(text)
+        file = read_peers(folder / "peers.ini", "n0")
+        self.now, self._sent = 0.0, list[tuple[float, int, str, str, base.Message]]()
+        self.kinds: set[type[base.Message]] = set()
+        self.ports = {f"n{place}": Alone() for place in range(3)}
+        self.there: dict[Any, str] = {("127.0.0.1", 7000 + place): f"n{place}" for place in range(3)}
+        self.peers: dict[str, Peer] = {}
+        for place, (name, port) in enumerate(self.ports.items()):
+            me = Me(name, ("127.0.0.1", 7000 + place), 1, (1, 1))
+            first = first_versions(file.section, {}, ())
+            rules = peer_rules(file.section, channels=False)
+            self.peers[name] = Peer(me, rules, cast(Port, port), place, 0.0, lambda: None, first, lambda: 1e9)
+        for peer in self.peers.values():
+            peer.start(0.0, [("127.0.0.1", 7000)])
+
+    def tell(self, name: str, *servers: int) -> None:
+        self.ports[name].listener.list_told(self.now, [(one, ["up"]) for one in servers], 1e9 + self.now)
+
+    def run(self, until: float, stop: Callable[[], bool] = lambda: False) -> bool:
+        """Up to that time, or until `stop` says so."""
+        while self.now < until and not stop():
+            for name, peer in self.peers.items():
+                for effect in peer.take():
+                    if isinstance(effect, base.Send):
+                        self.kinds.add(type(effect.message))
+                        to = self.there.get(effect.to, str(effect.to))
+                        heappush(self._sent, (self.now + 2.0, len(self._sent), to, name, effect.message))
+            while self._sent and self._sent[0][0] <= self.now:
+                _, _, to, sender, message = heappop(self._sent)
+                if to in self.peers and sender in self.peers:
+                    self.peers[to].heard(self.now, sender, 1, message)
+            for peer in self.peers.values():
+                due = peer.next_due()
+                if due is not None and due <= self.now:
+                    peer.tick(self.now)
+            self.now += 2.0
+        return stop()
+
+
+def test_without_channels_a_late_node_is_shut_out_and_comes_back_and_one_left_alone_goes_on(
+    tmp_path: Path,
+) -> None:
+    three = Three(tmp_path)
+    whys = [port.why for port in three.ports.values()]
+    assert whys == ["", "", ""]  # though they have not joined yet
+    for name in three.peers:
+        three.tell(name, 1, 2)
+    assert three.run(5_000.0, lambda: all(len(one.members.alive()) == 3 for one in three.peers.values()))
+    three.run(10_000.0)
+    three.tell("n0", 1, 2, 3)
+    three.tell("n1", 1, 2, 3)
+    assert three.run(60_000.0, lambda: three.ports["n2"].why == "shut out")
+    assert not three.ports["n0"].why and not three.ports["n1"].why
+    three.tell("n2", 1, 2, 3)
+    assert three.run(three.now + 120_000.0, lambda: not three.ports["n2"].why)
+    del three.peers["n0"], three.peers["n1"]
+    assert three.run(three.now + 40_000.0, lambda: three.peers["n2"].members.alive() == ["n2"])
+    assert not three.run(three.now + 60_000.0, lambda: bool(three.ports["n2"].why))
+    # A keeper calls in what who is shut out may hold: nobody asked for a lease, or told of a channel.
+    assert three.kinds & {*LEASES, *CHANNELS} == {Recall, Recalled}
