Of two fronts with one name the one that must give way is told where it is

Who heard a datagram of an older life sent the name's record to the address known for the name, which is the other front's: the one with the lower life never learnt of it, took new sessions that nobody answered for, and stayed outside its fleet for ever. It is told at the address it sent from, and lives on once the other is gone.

--- a/fernweir/peers/link/links.py
+++ b/fernweir/peers/link/links.py
@@ -30,7 +30,7 @@
     return True
 
 
-def _no_one(sender: str, life: int, newest: int) -> None:
+def _no_one(sender: str, life: int, newest: int, address: Address | None) -> None:
     pass
 
 
@@ -38,8 +38,9 @@
     """One front's sockets towards its peers; `start` makes one.
 
     `address_of` gives a peer's advertised address by its name. `on_message(sender, life, message)` gets what
-    came from a front that has the key. `on_stale(sender, life, newest)` hears of a front that sends under an
-    older life than is known for its name: nothing of it counts until it lives on under a newer one.
+    came from a front that has the key. `on_stale(sender, life, newest, address)` hears of a front that sends
+    under an older life than is known for its name, from that address where it was a datagram: nothing of it
+    counts until it lives on under a newer one.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         address_of: Callable[[str], Address | None],
         on_message: Callable[[str, int, Message], None],
         format_of: Callable[[str], int | None] | None,
-        on_stale: Callable[[str, int, int], None],
+        on_stale: Callable[[str, int, int, Address | None], None],
     ) -> None:
         self.codec, self.rules, self.counts = codec, rules, LinkCounts()
         self.seal = Seal(me.keys, me.name, me.life, SealRules(formats=me.formats))
@@ -76,7 +77,7 @@
         rules: LinkRules | None = None,
         seed: int = 0,
         format_of: Callable[[str], int | None] | None = None,
-        on_stale: Callable[[str, int, int], None] = _no_one,
+        on_stale: Callable[[str, int, int, Address | None], None] = _no_one,
     ) -> Links:
         """Listens for both on one port, any free one if it is 0. OSError if that can't be had."""
         for left in reversed(range(_TRIES)):
--- a/fernweir/peers/link/tcp.py
+++ b/fernweir/peers/link/tcp.py
@@ -42,7 +42,7 @@
         seed: int,
         address_of: Callable[[Called], Address | None],
         opened: Callable[[str, int, int, bytes], None],
-        stale: Callable[[str, int, int], None],
+        stale: Callable[[str, int, int, Address | None], None],
     ) -> None:
         self.me, self.life, self.rules, self.counts = me, me.life, rules, counts
         self.unsealed_by_kind: dict[Kind, int] = dict.fromkeys(Kind, 0)
@@ -188,7 +188,7 @@
         elif proof is Proof.OLD_LIFE:
             self.counts.drop(Drop.OLD_LIFE)
             connection.abort()
-            self._stale(talk.peer, talk.peer_life, self._seal.newest(talk.peer))
+            self._stale(talk.peer, talk.peer_life, self._seal.newest(talk.peer), None)
         else:
             self.counts.proven += 1
             if earlier is not None:
--- a/fernweir/peers/link/udp.py
+++ b/fernweir/peers/link/udp.py
@@ -20,7 +20,8 @@
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    """`opened` gets what came and is authenticated, `stale` an authenticated (sender, life, newest life)."""
+    """`opened` gets what came and is authenticated, `stale` an authenticated (sender, life, newest life,
+    address)."""
 
     def __init__(
         self,
@@ -30,7 +31,7 @@
         rules: LinkRules,
         counts: LinkCounts,
         opened: Callable[[Opened], None],
-        stale: Callable[[str, int, int], None],
+        stale: Callable[[str, int, int, Address | None], None],
     ) -> None:
         self.seal, self.gate = seal, Gate(rules.gate)
         self._loop, self._bucket, self._counts = loop, bucket, counts
@@ -72,7 +73,7 @@
             self.gate.failed(now, addr)
             self._counts.drop(Drop.SEALED)
             if found.kind is Kind.OLD_LIFE:
-                self._stale(found.sender, found.life, found.newest)
+                self._stale(found.sender, found.life, found.newest, addr)
             return
         self.gate.passed(addr)
         self._opened(found)
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -201,10 +201,11 @@
         self._at(self.members).leave(now)
         self._settle(now)
 
-    def stale(self, now: float, name: str) -> None:
+    def stale(self, now: float, name: str, address: Address | None = None) -> None:
         """A front sends under an earlier life than its name is known in, as after a clock was set back.
 
-        Nothing of it is taken until it lives on above that life; it is told, once a second at the most.
+        Nothing of it is taken until it lives on above that life; it is told, once a second at the most, where
+        it sent from: of two fronts with one name it is not the one whose address is known.
         """
         member = self.members.table().get(name)
         if member is None or now < self._stale.get(name, 0.0):
@@ -212,7 +213,7 @@
         if len(self._stale) >= self.rules.members.most:
             self._stale.clear()
         self._stale[name] = now + _STALE_MS
-        self._out.append(Send(member.address, Gossip((member.record,))))
+        self._out.append(Send(address or member.address, Gossip((member.record,))))
 
     def lives(self) -> Mapping[str, int]:
         """Fronts believed alive, with their lives."""
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -141,8 +141,8 @@
         self.peer.heard(self._core.now(), sender, life, message)
         self.kick()
 
-    def _stale(self, sender: str, life: int, newest: int) -> None:
-        self.peer.stale(self._core.now(), sender)
+    def _stale(self, sender: str, life: int, newest: int, address: Address | None) -> None:
+        self.peer.stale(self._core.now(), sender, address)
         self.kick()
 
     # --- time ---
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -74,7 +74,7 @@
         try:
             self.links = await m.links.Links.start(
                 listen, me, Codec([kinds], formats), self.fleet.addresses.get, self._heard,
-                rules=rules, seed=self.fleet.seed, on_stale=lambda *what: self.stale.append(what),
+                rules=rules, seed=self.fleet.seed, on_stale=lambda *what: self.stale.append(what[:3]),
                 format_of=lambda name: common(formats, self.fleet.formats.get(name, (1, 1))),
             )  # fmt: skip
         finally:
