--- a/fernweir/audit/gaps.py
+++ b/fernweir/audit/gaps.py
@@ -44,6 +44,7 @@
     sessions: int = 0
     gaps: list[float] = field(default_factory=list)
     ended: int = 0  # for want of an owner
+    unowned: int = 0  # of those: set up in no channel, as while there was no lease
     given_up: int = 0  # released by the heir, with no other attempt of theirs running
     own_end: int = 0  # their viewer left, or their box died, before an heir came
     woke: int = 0  # their front went on before an heir came
@@ -167,6 +168,7 @@
             cost = self.costs[one.loss]
             for_want = why in ("front is gone", "released") and not moved
             cost.ended += for_want
+            cost.unowned += for_want and not one.channel
             cost.own_end += not for_want
         elif one.inherited is not None and why == "released" and not moved:
             self.costs[one.inherited].given_up += 1
