Orders are weighed on what all fronts say, and their first wave is named

Need: what an order will touch, before it is run: sessions, channels, fronts, set-ups a second, kB/s on uplinks, share of the ration, each with bounds and the age of what it rests on. Loads go out as facts; ask-fleet takes an order as it takes a question. Ruled out: carrying waves out from here (operators' drains have their pace already; what gives orders to several fronts at once is not built). Seen: a load said 10 s ago at rest did not bound four sessions since: it is said again when more than three came or went.

--- a/fernweir/front/acting.py
+++ b/fernweir/front/acting.py
@@ -12,7 +12,7 @@
 from fernweir.front.core import Core
 from fernweir.front.host import Held, Phase
 from fernweir.interface import ListUpdate
-from fernweir.peers.port import Act, Deed, Listener
+from fernweir.peers.port import Act, Deed, Listener, Terms
 
 
 class Boxes(Protocol):
@@ -54,6 +54,13 @@
     def holds(self, session: str) -> bool:
         return self._core.host.session(session) is not None
 
+    def terms(self) -> Terms:
+        settings = self._core.host.settings
+        dearest = max((one.scale for one in settings.classes), default=1.0)
+        budget = settings.budget
+        rungs = tuple(rate * dearest for rate in settings.rates_kb) or (0.0,)
+        return Terms(rungs) if budget is None else Terms(rungs, budget.span_ms, budget.free, budget.share)
+
     def hold_back(self, why: str, wait_ms: float) -> None:
         self._core.host.held_back = (why, wait_ms) if why else None
 
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -50,6 +50,17 @@
         """All boxes that the list names now."""
         return [box for box, line in self._boxes.boxes.items() if line.state != "gone"]
 
+    def racks(self) -> list[tuple[str, frozenset[int], float]]:
+        settings = self._core.host.settings
+        boxes: dict[int, set[int]] = {rack: set() for rack in range(settings.racks)}
+        for box, line in self._boxes.boxes.items():
+            boxes[line.cell % settings.racks].add(box)
+        # Without a figure for uplinks they are no limit: as much as all links together.
+        return [
+            (str(rack), frozenset(those), settings.uplink_kb or settings.weight_kb * max(len(those), 1))
+            for rack, those in boxes.items()
+        ]
+
     def list_document(self) -> bytes:
         return self._boxes.to_cache()
 
--- a/fernweir/node/peering.py
+++ b/fernweir/node/peering.py
@@ -131,6 +131,9 @@
     def standing(self) -> list[Standing]:
         return []
 
+    def racks(self) -> list[tuple[str, frozenset[int], float]]:
+        return []
+
     def boxes(self) -> list[int]:
         return self._told.boxes()
 
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -159,6 +159,10 @@
             return channel, self._fences.get(channel, 0)
         return None
 
+    def channel(self, session: str) -> str:
+        """The channel that a session is in; empty for none."""
+        return self._channel.get(session, "")
+
     def in_channel(self, session: str) -> bool:
         return session in self._channel
 
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -53,6 +53,7 @@
 from fernweir.peers.parts import Parts
 from fernweir.peers.port import Act, Deed, Port, Standing
 from fernweir.peers.recording import Recording, Rested, Trouble
+from fernweir.peers.weighing import TALLY, Weighing
 
 KINDS = (MEMBER_KINDS, FACT_KINDS, LEASE_KINDS, CHANNEL_KINDS, FORWARD_KINDS, ACT_KINDS, LATE_KINDS)
 _DIRECTORY = (Registered, Unregistered, Where, There)
@@ -136,6 +137,7 @@
         self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms)
         self._wall_ms = wall_ms
         self.foresight = Foresight(me.name, me.life, rules.foresight, now, self.recording.clocks)
+        self.weighing = Weighing(me.name, me.life, port, now)
         self.lateness = Lateness(
             me.name, me.life, rules.late, now, self.facts, self.keeper, rules.keepers, port, versions
         )
@@ -242,6 +244,10 @@
             then({"ok": False, "error": "as many questions run already as may: ask again later"})
         self._settle(now)
 
+    def weigh(self, now: float, order: Mapping[str, Any]) -> dict[str, Any]:
+        """What an order would touch, as JSON has it."""
+        return self.weighing.ask(now, order, self.lives())
+
     def find(self, now: float, request: Carry, then: Callable[[float, Carried | None], None]) -> None:
         """Answers a request for a session not held here; `then` is called once: None if it may begin here."""
         seeking = Seeking(request, now, then)
@@ -278,6 +284,9 @@
             self._say_load(now)
             self._look(now)
             self._say_head(now, urgent=False)
+            tally = self.weighing.say(now, self.recording.versions.epoch)
+            if tally is not None:
+                self.facts.put(now, TALLY, tally)
             said, gone = self.foresight.publish(now)
             for key, data in said.items():
                 self._at(self.facts).put(now, key, data)
@@ -305,6 +314,7 @@
     def stands(self, now: float, standing: Standing) -> None:
         self._at(self.owning).stands(now, standing)
         self.foresight.stands(now, standing)
+        self.weighing.stands(now, standing, self.owning.channel(standing.session))
         if not self.owning.in_channel(standing.session):  # of the others it tells by `Steers`
             self._at(self.directory).register(now, standing.session)
         self._changed()
@@ -313,6 +323,7 @@
         self._at(self.owning).over(now, session)
         self._at(self.directory).unregister(now, session)
         self.foresight.over(now, session)
+        self.weighing.over(now, session)
         self._changed()
 
     def acted(self, act: Act) -> None:
@@ -378,6 +389,7 @@
         elif isinstance(event, Yields):
             self._at(self.directory).cede(event.session)
             self.foresight.over(now, event.session)
+            self.weighing.over(now, event.session)
         elif isinstance(event, Changed):
             said = f"{event.what} {event.channel}"[:200]
             self._record(Act(now, Deed.HANDOFF, outcome=said))
@@ -400,6 +412,8 @@
                 self._at(self.recording).heard_head(now, event.owner, event.life, value)
             elif key in (VERSIONS, PLEA):
                 self._at(self.lateness).told(now, event.owner, key, value)
+            elif key == TALLY:
+                self.weighing.told(now, event.owner, event.life, value)
             elif key.startswith(PREFIX):
                 self.foresight.told(now, event.owner, event.life, key, value)
         elif isinstance(event, FactDropped):
@@ -407,6 +421,7 @@
                 self.foresight.dropped(event.owner, event.key)
         elif isinstance(event, FactsGone):
             self.foresight.gone(event.owner)
+            self.weighing.gone(event.owner)
         elif isinstance(event, Rested):
             self._at(self.lateness).seen(now, event.owner, event.versions, event.age_ms)
         elif isinstance(event, Resign):
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -36,6 +36,16 @@
     spent: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Of the settings: kB/s of each rung in its dearest class, and the ration of further attempts."""
+
+    rung_kbps: tuple[float, ...]
+    budget_span_ms: float = 10_000.0
+    budget_free: float = 0.0
+    budget_share: float = 0.0
+
+
 class Deed(StrEnum):
     """Kinds of decisions that leave a front."""
 
@@ -99,6 +109,11 @@
     def boxes(self) -> list[int]:
         """All boxes that the list names now."""
 
+    def terms(self) -> Terms: ...
+
+    def racks(self) -> list[tuple[str, frozenset[int], float]]:
+        """Each rack's name, its boxes on the list, and what its uplink can carry, kB/s."""
+
     def payload(self, digest: bytes) -> bytes | None:
         """What viewers of a session are answered from, to be given to an heir."""
 
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -66,7 +66,7 @@
         self.links: Links
         self.peer: Peer
         self._make: Callable[[int], Peer]
-        self.questions = FleetQuestions(self._put)  # of operators, to all fronts
+        self.questions = _Desk(self)  # of operators, to all fronts
         self._seeds: list[Address] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = self._looked_at = 0.0
@@ -123,6 +123,10 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def weigh(self, order: Mapping[str, Any]) -> dict[str, Any]:
+        """What an order would touch (`ask-fleet` with `order`)."""
+        return self.peer.weigh(self._core.now(), order)
+
     def _put(self, question: Question, then: Callable[[dict[str, Any]], None]) -> None:
         self.peer.ask(self._core.now(), question, then)
         self.kick()
@@ -220,3 +224,17 @@
         if now - self._timer_at > _LATE_MS:
             self.peer.stood(now, now - self._timer_at)
         self._look()
+
+
+class _Desk:
+    """What operators ask on the control socket (`control.desk.FleetDesk`): of acts, or of an order."""
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+        self._questions = FleetQuestions(peers._put)
+
+    def ask(self, question: Mapping[str, Any], then: Callable[[dict[str, Any]], None]) -> None:
+        if "order" in question:
+            then(self._peers.weigh(question))
+        else:
+            self._questions.ask(question, then)
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -189,3 +189,34 @@
         assert told[0]["estimate"]["rows"][2] >= 1 and told[0]["wait_ms"] > 0
 
     play(story, PLAN, fronts=0)
+
+
+def test_an_order_is_weighed_on_what_all_fronts_say_before_it_is_given() -> None:
+    async def story(scene: Scene) -> None:
+        peers = await fleet(scene)
+        wishes = [scene.wish(f"lesson-{number % 3}", play_s=60.0) for number in range(12)]
+        for number, wish in enumerate(wishes):
+            assert (await scene.ask(wish, front=number % 3)).status == 200
+        asker = peers[0]
+        loads = asker.peer.weighing._loads
+        await until(lambda: sum(load.sessions for load, _ in loads.values()) == 12)
+        told: list[dict[str, Any]] = []
+        for order in (
+            {"order": "drain-rack", "rack": "0", "limit": {"ration": 1e9, "uplink": 1e9}},
+            {"order": "drain-rack", "rack": "1", "limit": {"sessions": 1e9, "uplink": 1e-9}},
+            {"order": "restart-front", "front": "front-1"},
+            {"order": "raise-epoch", "least": 1},
+            {"order": "drain-rack", "rack": ""},
+        ):
+            asker.questions.ask(order, told.append)
+        standing = [front.core.host.held().values() for front in scene.fronts]
+        there = [sum(held.server % 2 == 1 for held in each) for each in standing]  # cell 0, 2: boxes 1, 3
+        low, _, high = told[0]["sessions"]
+        assert low <= sum(there) <= high and told[0]["missing"] == []
+        assert told[0]["first_wave"] and told[1]["first_wave"] == []
+        low, _, high = told[2]["sessions"]
+        assert low <= len(standing[1]) <= high
+        assert told[3]["fronts"][0] <= 3 <= told[3]["fronts"][2]
+        assert told[4]["ok"] is False and "rack" in told[4]["error"]
+
+    play(story, PLAN, fronts=0)
