Of a session whose set-up failed a front's peers keep nothing

A session's channel and its registration are noted before an attempt leaves, and were taken back when a session that had played was over. One that never came to stand was not told: its id stayed in the channel, and at its registrars, for as long as the front lived, until no room was left there to register others.

The port says `failed` now for what is held no more without having stood. What was inherited of it, and is not settled, stands all the same. Its releases go out under the channel still, as `over` remembers that for a while.

--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -172,8 +172,12 @@
             self._listener.stands(now, self._standing(held))
 
     def over(self, now: float, held: Held, why: str) -> None:
-        if self._listener is not None and _plays(held) and not self._letting_go:
+        if self._listener is None or self._letting_go:
+            return
+        if _plays(held):
             self._listener.over(now, held.ask.jti)
+        else:
+            self._listener.failed(now, held.ask.jti)
 
     def named(self, box: int) -> tuple[int, str]:
         return box, ""
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -222,6 +222,13 @@
                 self.replica.standbys(now, channel, self._standbys(channel))
             self._out.add(Steers(standing.session, self._fences.get(channel, 0)))
 
+    def failed(self, now: float, session: str) -> bool:
+        """The attempt to begin one has ended here. False if it stands all the same, as it was inherited."""
+        if session in self._sessions.get(self._channel.get(session, ""), {}):
+            return False
+        self.over(now, session)
+        return True
+
     def over(self, now: float, session: str) -> None:
         """A session, or the attempt to begin one, has ended here."""
         channel = self._forget(session)
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -326,6 +326,11 @@
         self.weighing.over(now, session)
         self._changed()
 
+    def failed(self, now: float, session: str) -> None:
+        if self._at(self.owning).failed(now, session):
+            self._at(self.directory).unregister(now, session)
+            self._changed()
+
     def acted(self, act: Act) -> None:
         self._record(act)
         if act.deed is Deed.SETUP and self._shares:
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -80,6 +80,9 @@
     def over(self, now: float, session: str) -> None:
         """A session that stood is over at its box."""
 
+    def failed(self, now: float, session: str) -> None:
+        """A session of which an attempt may have been out is held no more, and did not come to stand."""
+
     def acted(self, act: Act) -> None: ...
 
     def list_told(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from fernweir.front.program import start_front
+from fernweir.peers.channel.directory import Found
 from fernweir.peers.program import Peers
 from fernweir.rehearsal.site import SitePlan
 from fernweir.standin.leases import LeaseDesk
@@ -220,3 +221,20 @@
         assert told[4]["ok"] is False and "rack" in told[4]["error"]
 
     play(story, PLAN, fronts=0)
+
+
+def test_of_a_session_that_could_not_begin_nothing_is_kept() -> None:
+    async def story(scene: Scene) -> None:
+        peers = await fleet(scene)
+        for box in scene.site.boxes:
+            scene.behave(box, fail_share=1.0)
+        wish = scene.wish(play_s=60.0)
+        assert (await scene.ask(wish, front=0)).status == 503
+        assert scene.of("box.setup")  # it was tried, in a channel of this front's
+        peer = peers[0].peer
+        assert not peer.owning.in_channel(wish.session)
+        peer.directory.find(scene.fronts[0].core.now(), wish.session)
+        told = [effect for effect in peer.directory.take() if isinstance(effect, Found)]
+        assert not any(found.owner == "front-0" for found in told)
+
+    play(story, PLAN, fronts=0)
