--- a/fernweir/rehearsal/fleet/virtual.py
+++ b/fernweir/rehearsal/fleet/virtual.py
@@ -9,10 +9,6 @@
 
 import asyncio
 import contextvars
-import hashlib
-import json
-import logging
-import tempfile
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -20,19 +16,16 @@
 from random import Random
 from typing import Any
 
-import structlog
-
-from fernweir.audit.auditor import Auditor
 from fernweir.audit.gaps import Cost, Loss
-from fernweir.audit.records import Terms, read_record
 from fernweir.config.front import load_front
 from fernweir.front.program import Front, start_front
 from fernweir.rehearsal.datagrams import WayFault
+from fernweir.rehearsal.days import audited, digest, fewer, play_day
 from fernweir.rehearsal.fleet.inside import WatchedViewers, ghosts, unsettled
 from fernweir.rehearsal.fleet.paths import Manner
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
 from fernweir.rehearsal.fleet.schedule import ON_BOX, ON_PATH, Fault, Kind, draw, manner
-from fernweir.rehearsal.loop import NODE, DeadlockError, LivelockError, VirtualLoop, run
+from fernweir.rehearsal.loop import NODE, VirtualLoop
 from fernweir.rehearsal.site import RehearsalSite
 from fernweir.standin.trace import Trace
 from fernweir.standin.viewer import Habits
@@ -304,16 +297,8 @@
 
     def _judge(self, records: list[dict[str, Any]]) -> None:
         result = self.result
-        plain = [json.dumps(record, separators=(",", ":"), sort_keys=True) for record in records]
-        result.digest = hashlib.blake2b("\n".join(plain).encode(), digest_size=16).hexdigest()
-        result.records, result.steps = records, self.loop.steps
-        ordered = sorted(enumerate(records), key=lambda one: float(one[1]["t"]))
-        terms = read_record(ordered[0][1], 1)
-        assert isinstance(terms, Terms)
-        auditor = Auditor(terms)
-        for line, record in ordered:
-            auditor.take(line + 1, read_record(record, line + 1))
-        auditor.finish()
+        result.digest, result.records, result.steps = digest(records), records, self.loop.steps
+        auditor = audited(records)
         result.answers, result.costs = dict(sorted(auditor.statuses.items())), dict(auditor.gaps.costs)
         for finding in auditor.findings:
             if not (finding.rule == "1" and self._stood_still(records, finding.line)):
@@ -345,32 +330,13 @@
 
 def play(plan: FleetPlan, kind: type[VirtualFleet] = VirtualFleet) -> VirtualFleetResult:
     """One seed, from nothing to its verdict. `kind` may do more to its fleet than a schedule can say."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
-    with tempfile.TemporaryDirectory(prefix="fw-") as folder:
-        days: list[VirtualFleet] = []
-
-        def begin(loop: VirtualLoop) -> Any:
-            days.append(kind(plan, loop, Path(folder)))
-            return days[0].run()
-
-        try:
-            run(plan.seed, begin)
-        except (LivelockError, DeadlockError) as error:
-            days[0].result.broken.append(f"time: {error}")
-    return days[0].result
+    return play_day(plan.seed, lambda loop, folder: kind(plan, loop, folder)).result
 
 
 def shrink(plan: FleetPlan, result: VirtualFleetResult, say: Callable[[str], None]) -> FleetPlan:
     """The smallest schedule found that still breaks one of the same rules."""
-    rules, best = result.rules, replace(plan, faults=tuple(result.faults))
-    changed = True
-    while changed:
-        changed = False
-        for index in range(len(best.faults or ())):
-            faults = best.faults or ()
-            candidate = replace(best, faults=(*faults[:index], *faults[index + 1 :]))
-            if play(candidate).rules & rules:
-                best, changed = candidate, True
-                say(f"  {len(candidate.faults or ())} faults still do it")
-                break
-    return best
+
+    def still(faults: tuple[Fault, ...]) -> bool:
+        return bool(play(replace(plan, faults=faults)).rules & result.rules)
+
+    return replace(plan, faults=fewer(result.faults, still, say))
--- a/fernweir/rehearsal/virtual.py
+++ b/fernweir/rehearsal/virtual.py
@@ -9,24 +9,17 @@
 
 import asyncio
 import contextvars
-import hashlib
-import json
-import logging
-import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
 
-import structlog
-
-from fernweir.audit.auditor import Auditor
-from fernweir.audit.records import Terms, read_record
 from fernweir.config.front import load_front
 from fernweir.front.program import Front, start_front
+from fernweir.rehearsal.days import audited, digest, fewer, play_day
 from fernweir.rehearsal.faults import Fault, Kind, draw
-from fernweir.rehearsal.loop import NODE, DeadlockError, LinkFault, LivelockError, VirtualLoop, run
+from fernweir.rehearsal.loop import NODE, LinkFault, VirtualLoop
 from fernweir.rehearsal.site import RehearsalSite, SitePlan
 from fernweir.seats.memory import MemoryFiles
 from fernweir.standin.box import Behaviour
@@ -366,17 +359,8 @@
 
     def _judge(self, records: list[dict[str, Any]]) -> None:
         result = self.result
-        plain = [json.dumps(record, separators=(",", ":"), sort_keys=True) for record in records]
-        result.digest = hashlib.blake2b("\n".join(plain).encode(), digest_size=16).hexdigest()
-        result.records = records
-        result.steps = self.loop.steps
-        ordered = sorted(enumerate(records), key=lambda one: float(one[1]["t"]))
-        terms = read_record(ordered[0][1], 1)
-        assert isinstance(terms, Terms)
-        auditor = Auditor(terms)
-        for line, record in ordered:
-            auditor.take(line + 1, read_record(record, line + 1))
-        auditor.finish()
+        result.digest, result.records, result.steps = digest(records), records, self.loop.steps
+        auditor = audited(records)
         result.answers = dict(sorted(auditor.statuses.items()))
         for finding in auditor.findings:
             if not (finding.rule == "1" and self._stood_still(records, finding.line)):
@@ -405,39 +389,17 @@
 
 def play(plan: VirtualPlan) -> VirtualResult:
     """One seed, from nothing to its verdict."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
-    with tempfile.TemporaryDirectory(prefix="fw-") as folder:
-        days: list[VirtualDay] = []
-
-        def begin(loop: VirtualLoop) -> Any:
-            days.append(VirtualDay(plan, loop, Path(folder)))
-            return days[0].run()
-
-        try:
-            run(plan.seed, begin)
-        except (LivelockError, DeadlockError) as error:
-            days[0].result.broken.append(f"time: {error}")
-    return days[0].result
+    return play_day(plan.seed, lambda loop, folder: VirtualDay(plan, loop, folder)).result
 
 
 def shrink(plan: VirtualPlan, result: VirtualResult, say: Callable[[str], None]) -> VirtualPlan:
     """The smallest schedule found that still breaks one of the same rules: fewer faults, fewer viewers."""
-    rules = result.rules
-    best = replace(plan, faults=tuple(result.faults))
 
     def still(candidate: VirtualPlan) -> bool:
-        return bool(play(candidate).rules & rules)
-
-    changed = True
-    while changed:
-        changed = False
-        for index in range(len(best.faults or ())):
-            faults = best.faults or ()
-            candidate = replace(best, faults=(*faults[:index], *faults[index + 1 :]))
-            if still(candidate):
-                best, changed = candidate, True
-                say(f"  {len(candidate.faults or ())} faults still do it")
-                break
+        return bool(play(candidate).rules & result.rules)
+
+    faults = fewer(result.faults, lambda some: still(replace(plan, faults=some)), say)
+    best = replace(plan, faults=faults)
     for rate in (0.25, 0.5, 1.0):
         candidate = replace(best, rate=best.rate * rate)
         if rate < 1.0 and still(candidate):
