--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -28,7 +28,7 @@
 from fernweir.peers.lease.messages import Recall, Recalled
 from fernweir.peers.members.events import Me
 from fernweir.peers.peer import Peer
-from fernweir.peers.port import Listener, Port
+from fernweir.peers.port import Listener, Port, Terms
 from fernweir.peers.program import Peers
 from fernweir.peers.settings import first_versions, peer_rules
 from tests.node_scene import PLAIN, MediaServer, ViewerConnection
@@ -288,6 +288,12 @@
     def boxes(self) -> list[int]:
         return []
 
+    def terms(self) -> Terms:
+        return Terms((1_000.0,))
+
+    def racks(self) -> list[tuple[str, frozenset[int], float]]:
+        return []
+
     def list_document(self) -> bytes:
         return b""
 
