A lease got for a copy that is gone is given up; a living owner keeps what it has

A front that stood still got a lease it had tried for in the same moment as its owner dropped it as a standby: nothing to inherit, the lease kept and renewed for ever, and the one standby that had the copy was told that another has it, so that the two sessions of that channel were nobody's. And one that had missed, frozen, all three words that a channel is empty tried for ever for what its living owner held; its sessions counted as between two owners there.

--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -41,6 +41,9 @@
 from fernweir.peers.port import Claimed, Port, Standing
 
 
+_SPARED_MS = 1_000.0
+
+
 @dataclass(frozen=True, slots=True)
 class OwningRules:
     """`parts` channels a front, or none: its sessions stay its own; `copies` standbys each. Times in ms.
@@ -129,6 +132,7 @@
         self._last: OrderedDict[str, tuple[str, float]] = OrderedDict()  # of what is over, to release it by
         self._fences: dict[str, int] = {}  # under which each channel is held, or was until it was handed on
         self._tries: dict[str, _Try] = {}
+        self._spared: dict[str, float] = {}  # until when a stale copy's channel is left to its living owner
         self._turns: dict[str, tuple[float, int]] = {}  # when a channel that was got is acted for, its fence
         self._seed = seed
         self._new: set[str] = set()  # inherited, and nothing settled of them yet
@@ -315,6 +319,10 @@
         tried = self._tries.get(channel)
         if tried is not None and by not in (tried.owner, self.me, ""):
             self._drop_try(now, channel)  # another heir was first
+        elif tried is not None and by == tried.owner and by in self._fronts:
+            # It lives, and has the lease: this front is not its standby any more, and missed that word.
+            self._drop_try(now, channel)
+            self._spared[channel] = now + _SPARED_MS
         elif channel in self._sessions and by not in (self.me, "") and not self._holder.holds(now, channel):
             self._holder.release(now, channel)
             self._let_go(now, channel, by)
@@ -437,7 +445,11 @@
     def _turn(self, now: float, channel: str, fence: int) -> None:
         """The lease has been here for a while, so that not all channels are claimed in one moment."""
         lease, copy = self._holder.holds(now, channel), self.replica.copy(channel)
-        if lease is not None and lease.fence == fence and copy is not None:
+        if lease is None or lease.fence != fence:
+            return
+        if copy is None:  # its owner has told this front meanwhile that it keeps no copy any more
+            self._holder.release(now, channel)
+        else:
             self._begin(now, channel, fence, dict(copy.standings))
 
     def _begin(self, now: float, channel: str, fence: int, standings: Mapping[str, Standing]) -> None:
@@ -563,9 +575,11 @@
             if copy is None or channel in self._tries or channel in self._turns:
                 continue
             dead = copy.owner in self._dead and copy.owner not in self._fronts
-            if dead or copy.age_ms(now) > self.rules.stale_ms:
+            spared = now < self._spared.get(channel, 0.0)
+            if dead or (copy.age_ms(now) > self.rules.stale_ms and not spared):
                 lost.append(copy)
         self._try(now, lost)
+        self._spared = {channel: until for channel, until in self._spared.items() if now < until}
         self._adopt(now)
         for session in [one for one, (_, until) in self._gone.items() if until <= now]:
             del self._gone[session]
