--- a/bench/peers_days.py
+++ b/bench/peers_days.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import itertools
 import time
 from collections import Counter
@@ -23,9 +24,9 @@
 from typing import Any
 
 from fernweir.audit.gaps import Cost, Loss
-from fernweir.rehearsal.fleet.plan import FleetPlan
+from fernweir.rehearsal.fleet.plan import FleetPlan, PeerPlan
 from fernweir.rehearsal.fleet.schedule import Fault, Kind, read_schedule
-from fernweir.rehearsal.fleet.virtual import VirtualFleetResult, play, shrink
+from fernweir.rehearsal.fleet.virtual import VirtualFleet, VirtualFleetResult, play, shrink
 
 _STORY = ("front.", "box.stop", "box.start", "box.claim", "day", "viewer.cut")
 
@@ -153,6 +154,81 @@
     return bool(result.broken)
 
 
+class LargeFleet(VirtualFleet):
+    """One front is killed; tells when all others know, and what they all sent while nothing happened."""
+
+    known_ms = figures_s = 0.0
+    bytes_a_second: tuple[float, ...] = ()
+
+    async def besides(self) -> None:
+        await self.until(1.0)
+        before, begun = self._sent(), self.loop.time()
+        await self.until(4.0)
+        span = self.loop.time() - begun
+        self.bytes_a_second = tuple(
+            sorted((after - sent) / span for sent, after in zip(before, self._sent(), strict=True))
+        )
+        number, killed = self.plan.fronts, self.loop.time()
+        kill = asyncio.ensure_future(self._play(Fault(4.0, 8.0, Kind.KILL, number)))
+        others = [front.peers.peer for one, front in self.fronts.items() if one != number and front.peers]
+        while any(f"front-{number}" in other.members.alive() for other in others):
+            await asyncio.sleep(0.02)
+        self.known_ms = (self.loop.time() - killed) * 1000.0
+        await kill
+
+    def _sent(self) -> list[int]:
+        return [front.peers.links.counts.bytes_out for front in self.fronts.values() if front.peers]
+
+
+def scale(args: argparse.Namespace) -> int:
+    """One day for each number of fronts, with one of them killed."""
+    broken = 0
+    for fronts in map(int, args.fronts.split(",")):
+        days: list[LargeFleet] = []
+
+        class Day(LargeFleet):
+            async def run(self) -> VirtualFleetResult:
+                days.append(self)  # noqa: B023 - it runs before the next
+                self.begun_at = self.loop.time()
+                result = await super().run()
+                self.figures_s = self.loop.time() - self.begun_at
+                return result
+
+        plan = FleetPlan(
+            fronts=fronts, boxes=4, seconds=args.seconds, rate=args.rate, faults=(),
+            peers=PeerPlan(parts=args.parts),
+        )  # fmt: skip
+        begun = time.monotonic()
+        result, spent = play(plan, Day), time.monotonic() - begun
+        cost, sent, broken = result.costs[Loss.KILLED], days[0].bytes_a_second, broken + bool(result.broken)
+        print(
+            f"{fronts} fronts: {days[0].figures_s:.0f} virtual s in {spent:.0f} s "
+            f"({days[0].figures_s / spent:.2f} a second); quiet, a front sends "
+            f"{sent[len(sent) // 2] / 1000.0:.1f} kB/s, most {sent[-1] / 1000.0:.1f}; a killed one is known "
+            f"to all after {days[0].known_ms:.0f} ms; {cost.sessions} sessions lost it, {len(cost.gaps)} "
+            f"heired, gap p50 {cost.gap(0.5):.0f} p99 {cost.gap(0.99):.0f} ms; answers {result.answers}",
+            flush=True,
+        )
+        print("\n".join(result.broken[:5]) or "every rule held", flush=True)
+    return bool(broken)
+
+
+def mutants(args: argparse.Namespace) -> int:
+    """Each mistake by the seeds that it may take; tells those that no day found."""
+    from tests.peers_mutants.joint import MUTANTS, find
+
+    chosen, missed = [one for one in MUTANTS if args.only in one.name], 0
+    with ProcessPoolExecutor(args.jobs, mp_context=get_context("spawn")) as pool:
+        running = {pool.submit(find, mutant): mutant for mutant in chosen}
+        for future in as_completed(running):
+            mutant, (seed, what) = running[future], future.result()
+            missed += not seed
+            found = f"seed {seed} of {mutant.seeds}" if seed else f"NOT FOUND in {mutant.seeds}"
+            print(f"{found:<20} {mutant.name} ({mutant.faults}): {what[:90]}", flush=True)
+    print(f"{len(chosen) - missed} of {len(chosen)} found")
+    return bool(missed)
+
+
 def _line(record: dict[str, Any]) -> str:
     rest = " ".join(f"{key}={value}" for key, value in record.items() if key not in ("t", "kind"))
     return f"{(record['t'] - 1_000_000.0) / 1000.0:9.3f} {record['kind']:<14} {rest}"
@@ -179,7 +255,19 @@
             command.add_argument("seed", type=int)
         else:
             command.add_argument("file", type=Path)
+    command = commands.add_parser("scale")
+    command.add_argument("--fronts", default="50,100")
+    command.add_argument("--seconds", type=float, default=14.0)
+    command.add_argument("--rate", type=float, default=4.0)
+    command.add_argument("--parts", type=int, default=2)
+    command = commands.add_parser("mutants")
+    command.add_argument("--jobs", type=int, default=2)
+    command.add_argument("--only", default="", help="those whose name has this")
     args = parser.parse_args()
+    if args.command == "scale":
+        return scale(args)
+    if args.command == "mutants":
+        return mutants(args)
     if args.command == "sweep":
         return sweep(args)
     if args.command == "schedule":
--- a/fernweir/rehearsal/fleet/inside.py
+++ b/fernweir/rehearsal/fleet/inside.py
@@ -20,6 +20,7 @@
 from fernweir.standin.box import Box
 from fernweir.standin.viewer import Player, Shown, Wish
 
+LAST = "last-"  # sessions so called begin when all is quiet
 GHOST_MS = 2_500.0  # as long as the second lists of a taking over may take; see `peers.channel.takeover`
 
 
@@ -36,7 +37,9 @@
     for box in boxes:
         for at_box in box.sessions.values():
             running.add(at_box.jti)
-            if at_box.channel:
+            if not at_box.channel and at_box.jti.startswith(LAST):
+                wrong.append(f"{at_box.jti} began in a quiet fleet, and is in no channel")
+            elif at_box.channel:
                 wrong += _owner(peers, at_box.jti, at_box.channel, at_box.front)
     wrong += [
         f"{session} is held by {names[0]} and runs nowhere"
--- a/fernweir/rehearsal/fleet/virtual.py
+++ b/fernweir/rehearsal/fleet/virtual.py
@@ -21,7 +21,7 @@
 from fernweir.front.program import Front, start_front
 from fernweir.rehearsal.datagrams import WayFault
 from fernweir.rehearsal.days import audited, digest, fewer, play_day
-from fernweir.rehearsal.fleet.inside import WatchedViewers, ghosts, unsettled
+from fernweir.rehearsal.fleet.inside import LAST, WatchedViewers, ghosts, unsettled
 from fernweir.rehearsal.fleet.paths import Manner
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
 from fernweir.rehearsal.fleet.schedule import ON_BOX, ON_PATH, Fault, Kind, draw, manner
@@ -280,7 +280,7 @@
 
     async def _come_back(self) -> None:
         for number in sorted(self.ports):
-            wish = self.site.wish(f"last-{number}", str(self.site.lessons[0]["title"]), play_s=0.5)
+            wish = self.site.wish(f"{LAST}{number}", str(self.site.lessons[0]["title"]), play_s=0.5)
             reply = await self.viewers.ask(f"front-{number}", wish)
             if reply.status != 200:
                 why = f"{reply.outcome.value} {reply.status} {reply.body[:80]!r}"
