--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -40,7 +40,6 @@
 from fernweir.peers.lease.holder import Holder
 from fernweir.peers.port import Claimed, Port, Standing
 
-
 _SPARED_MS = 1_000.0
 
 
