Seats: a want that meets a release, an ask or a lapse under way is answered

Found by fuzzing the book against a server of leases and its own log; cases in tests/fuzz_kept, test_seats.py: - a viewer asked for a seat whose release waited for its next try: the verdict's timer took that try's place. When the viewer left before the verdict, nothing was left to end the seat: it was counted until a restart; - the other way round, the release's next try took the place of the verdict's timer, or the seat was forgotten while a verdict was owed: the want got none (the host's own deadline answered the viewer), and a class that plays unanswered did not; - a want for a recovered seat whose ask was out sent a second one: the answer of the first was not heard, and the seat stayed for ever with a request that had ended; - a session that had lapsed and was asked for again was revoked once more where its verdict was owed. Left as it is: renewals are not written down, so that after a kill a lease renewed before is counted to its first end only, until its release is heard.

--- a/fernweir/seats/book.py
+++ b/fernweir/seats/book.py
@@ -236,7 +236,7 @@
             self._out.append(Verdict(want.session, True))
             return
         seat.answer_by = max(answer_by, seat.answer_by or 0.0)
-        if seat.state is State.RECOVERED:
+        if seat.state is State.RECOVERED and not seat.out:
             self._cancel_timer(seat)
             # Under its old key, or its lease: the server says whether it is still ours.
             self._request(now, seat, Op.RENEW if seat.kept.lease else Op.ASK)
@@ -245,6 +245,8 @@
             seat.state, seat.answer_by = State.HELD, None
             self._plan_renewal(now, seat)
             self._out.append(Verdict(want.session, True))
+        elif seat.state is State.RELEASING and seat.request is None:
+            self._request(now, seat, Op.RELEASE)  # its end is waited for, not its next try
         self._set_verdict_timer(seat)
 
     def unwant(self, now: float, session: str) -> None:
@@ -491,7 +493,12 @@
                 self._request(now, seat, Op.RENEW)
             return
         self.counts.lapsed += 1
-        self._revoke(seat, "entitlement could not be renewed")
+        if seat.answer_by is not None:  # it was revoked before, and somebody asks for it again
+            self.counts.unanswered += 1
+            self._verdict(seat, None, "entitlement did not answer")
+            seat.wanted = False
+        else:
+            self._revoke(seat, "entitlement could not be renewed")
         if not seat.out:
             self._release(now, seat)
 
@@ -512,13 +519,22 @@
     def _released(self, now: float, seat: Seat, reply: Reply) -> None:
         if reply.said not in (Said.DOUBTFUL, Said.NEVER):
             self.counts.released += 1
-            if seat.wanted and seat.answer_by is not None and now < seat.answer_by:
-                self._ask_anew(now, seat)
-                return
-            self._forget(seat)
+            self._over(now, seat)
             return
         self._again(now, seat, seat.held_until)
 
+    def _over(self, now: float, seat: Seat) -> None:
+        """The server holds it no more: gone, or asked for anew if somebody came to want it meanwhile."""
+        if seat.answer_by is not None and now >= seat.answer_by:
+            self.counts.unanswered += 1
+            self._verdict(seat, None, "entitlement did not answer")
+            seat.wanted = self._plays(seat.kept.cls)
+        if seat.wanted:
+            self._ask_anew(now, seat)
+            self._set_verdict_timer(seat)
+        else:
+            self._forget(seat)
+
     # --- pieces ---
 
     def _again(self, now: float, seat: Seat, until: float) -> None:
@@ -529,11 +545,12 @@
         if at is not None:
             self.counts.repeats += 1
             if seat.op is Op.RELEASE:
-                self._set(seat, min(at, seat.held_until), "again" if at < seat.held_until else "forget")
+                what = "again" if at < seat.held_until else "forget"
+                self._set_or_verdict(seat, min(at, seat.held_until), what)
             else:
                 self._set(seat, at, "again")
         elif seat.op is Op.RELEASE:
-            self._set(seat, seat.held_until, "forget")
+            self._set_or_verdict(seat, seat.held_until, "forget")
         elif seat.state is State.HELD:
             # Out of budget: once more before it lapses, when others' first tries have earned some.
             later = now + (seat.use_until - now) / 2.0
@@ -548,11 +565,11 @@
         seat.timer = None
         if what == "forget":
             if seat.out:
-                self._set(seat, now + self.rules.call_ms, "forget")
+                self._set_or_verdict(seat, now + self.rules.call_ms, "forget")
             else:
                 self.counts.forgotten += 1
                 self._drop_request(seat)
-                self._forget(seat)
+                self._over(now, seat)
         elif what == "verdict":
             self._no_answer(now, seat)
         elif what == "lapse":
@@ -571,9 +588,9 @@
         elif what == "again" and seat.request is None:
             self._request(now, seat, seat.op)
             if seat.op is Op.RELEASE:
-                self._set(seat, seat.held_until + self.rules.tick_ms, "forget")
+                self._set_or_verdict(seat, seat.held_until + self.rules.tick_ms, "forget")
             elif seat.state is State.HELD:
-                self._set(seat, max(seat.use_until, now), "lapse")
+                self._set_or_verdict(seat, max(seat.use_until, now), "lapse")
             else:
                 self._set_verdict_timer(seat)
 
@@ -585,6 +602,8 @@
     def _no_answer(self, now: float, seat: Seat) -> None:
         """The verdict is due and the server has said nothing: the class says what then."""
         if seat.answer_by is None:
+            if not seat.wanted and seat.request is None:
+                self._release(now, seat)  # who waited has left, and this timer took the place of the next try
             return
         self.counts.unanswered += 1
         plays = self._plays(seat.kept.cls)
@@ -671,6 +690,12 @@
         self._cancel_timer(seat)
         seat.timer = self._wheel.set(due, (seat.slot, what))
 
+    def _set_or_verdict(self, seat: Seat, due: float, what: str) -> None:
+        """As `_set`, but a verdict that is due before goes first; what is to be done is planned anew then."""
+        if seat.answer_by is not None and seat.answer_by <= due:
+            due, what = seat.answer_by, "verdict"
+        self._set(seat, due, what)
+
     def _set_verdict_timer(self, seat: Seat) -> None:
         if seat.answer_by is not None:
             self._set(seat, seat.answer_by, "verdict")
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -489,6 +489,19 @@
     assert desk.book.seats == {}
 
 
+def test_a_want_for_a_recovered_seat_whose_ask_is_out_sends_no_second_one() -> None:
+    desk = Desk()
+    desk.book.recover(desk.now, desk.now / 1000.0, {"a": Kept("a", 1, "t", "l", "c", "p", 1.0)})
+    desk.want()
+    ask = desk.sent()
+    desk.book.unwant(desk.now, "a")
+    desk.want()
+    assert [one for one in desk.step() if isinstance(one, Send)] == []
+    desk.reply(ask, Said.DONE)
+    desk.step()
+    assert desk.verdicts() == [True] and desk.book.covers(desk.now, "a")
+
+
 def test_a_viewer_that_comes_back_after_a_restart_keeps_its_seat() -> None:
     table = granted().table()
     desk = Desk()
