--- a/tests/fuzzing/__init__.py
+++ b/tests/fuzzing/__init__.py
@@ -18,7 +18,7 @@
 CODECS = ("lines", "frames", "feed", "requests", "responses", "events", "ini", "bodies", "parsers")
 
 
-ALL = (*CODECS, "ledger", "boxlist", "journal", "host", "peer")
+ALL = (*CODECS, "ledger", "boxlist", "journal", "host", "seats", "peer")
 
 
 class Finding(AssertionError):
--- a/tests/fuzzing/peer.py
+++ b/tests/fuzzing/peer.py
@@ -13,7 +13,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from random import Random
 from typing import Any
 
@@ -32,7 +32,7 @@
 from fernweir.peers.members.rules import MemberRules
 from fernweir.peers.owning import OwningRules
 from fernweir.peers.peer import KINDS, Peer, PeerRules, Relived
-from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing
+from fernweir.peers.port import Act, Claimed, Deed, Listener, Standing, Terms
 from fernweir.peers.wire.codec import Codec
 from tests.fuzzing import Finding, Tape, Target
 from tests.fuzzing.shapes import drawn_of, info, message
@@ -124,6 +124,12 @@
             self.plays[standing.session] = standing
         return True
 
+    def terms(self) -> Terms:
+        return Terms((100.0, 200.0, 400.0))
+
+    def racks(self) -> list[tuple[str, frozenset[int], float]]:
+        return [("rack", frozenset((1, 2, 3)), 1e6)]
+
     def list_document(self) -> bytes:
         return bytes([self.list % 256])
 
@@ -154,8 +160,9 @@
         then(self.world.now, Carried(request.number, kind))
 
     def claim(
-        self, box: int, channel: str, fence: int, overlap_ms: float, then: Callable[[float, Claimed], None]
-    ) -> None:
+        self, box: int, channel: str, fence: int, overlap_ms: float,
+        then: Callable[[float, Claimed], None], adopt: Sequence[tuple[str, int]] = (),
+    ) -> None:  # fmt: skip
         def answer(now: float) -> None:
             tape = self.world.tape
             listed = tuple((tape.one(SESSIONS), tape.below(3), 0) for _ in range(tape.below(3)))
--- a/tests/peers_mutants/fuzz.py
+++ b/tests/peers_mutants/fuzz.py
@@ -9,7 +9,7 @@
 _CODEC = "fernweir/peers/wire/codec.py"
 _LEDGER, _BOXES, _DISK = "fernweir/front/ledger.py", "fernweir/front/boxlist.py", "fernweir/journal/disk.py"
 _STORE = "fernweir/journal/store.py"
-_HOST = "fernweir/front/host.py"
+_HOST, _BOOK = "fernweir/front/host.py", "fernweir/seats/book.py"
 _DESK, _TABLE = "fernweir/peers/forward/desk.py", "fernweir/peers/members/table.py"
 
 BY_TARGET: dict[str, list[Mutant]] = {
@@ -182,6 +182,36 @@
             200,
         ),
     ],
+    "seats": [
+        Mutant(
+            "asked before it is written down",
+            _BOOK,
+            "if op is Op.ASK and seat.after > self._durable:",
+            "if op is Op.ASK and seat.after < 0:",
+            60,
+        ),
+        Mutant(
+            "used from the answer on",
+            _BOOK,
+            "seat.use_until = seat.sent_at + seat.ttl_ms",
+            "seat.use_until = now + seat.ttl_ms",
+            100,
+        ),
+        Mutant(
+            "doubtful asks are not counted",
+            _BOOK,
+            "            seat.held_until = now + self.rules.ttl_most_ms\n        if not seat.wanted:",
+            "            seat.held_until = now\n        if not seat.wanted:",
+            300,
+        ),
+        Mutant(
+            "a released seat not asked for anew",
+            _BOOK,
+            "        if seat.wanted:\n            self._ask_anew(now, seat)\n            self._set",
+            "        if seat.overdue:\n            self._ask_anew(now, seat)\n            self._set",
+            200,
+        ),
+    ],
 }
 
 MUTANTS: list[Mutant] = [one for mutants in BY_TARGET.values() for one in mutants]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -15,7 +15,7 @@
 from tests.peers_mutants.fuzz import BY_TARGET
 
 KEPT = sorted((Path(__file__).parent / "fuzz_kept").glob("*.json"))
-SEEDS = {"bodies": 500, "ledger": 500, "journal": 60, "peer": 65}
+SEEDS = {"bodies": 500, "ledger": 500, "journal": 60, "peer": 65, "seats": 200}
 
 
 @pytest.mark.parametrize("name", ALL)
