Modules put back after a mistake was tried are their packages' attributes again

Seen: in a whole run test_virtual failed with "module 'fernweir.front' has no attribute 'boxes'", alone it passed. Cause: broken() puts modules back into sys.modules, but importing them afresh had made the new package the attribute of its parent, which is what a dotted name is looked up by (tests/peers_mutants/__init__.py, the end of broken). Ruled out: the order of files alone. Measured: 74 tests of both files in one process pass.

--- a/tests/peers_mutants/__init__.py
+++ b/tests/peers_mutants/__init__.py
@@ -87,3 +87,7 @@
         for name in [name for name in sys.modules if name.startswith(anew)]:
             del sys.modules[name]
         sys.modules.update(kept)
+        for name, module in kept.items():  # a package has its modules as attributes, too
+            parent, _, child = name.rpartition(".")
+            if parent in sys.modules:
+                setattr(sys.modules[parent], child, module)
