Seats: who left while a renewal was out is not revoked as the lease lapses

The front knew no such session and did nothing, but the count was wrong. The renewal's end releases the seat, as it did.

--- a/fernweir/seats/book.py
+++ b/fernweir/seats/book.py
@@ -481,6 +481,10 @@
 
         Only that: the seat of any other may be another's from this moment on.
         """
+        if not seat.wanted:  # it left while a renewal was out, whose end releases it
+            if not seat.out:
+                self._release(now, seat)
+            return
         if not seat.overdue and now >= seat.use_until + self.rules.grace_ms:
             seat.overdue = True
             if seat.request is None:
