Keepers are replaced in a running fleet: the newest set spreads, both hold meanwhile

Need: the machines change sets by an overlap of both majorities, but nothing in the joined fleet told them to. Changed: settings have keepers-version; the highest that any front has is a fact; keepers of the new set say when they know what the old one granted, and a majority of them ends the overlap (peers/replacing.py). Every front has a keeper now: nobody asks one that is not named. Ruled out: a command on the control socket (one front told and then killed would be all that knew).

--- a/fernweir/config/peers.py
+++ b/fernweir/config/peers.py
@@ -49,7 +49,8 @@
     """Who a front's peers are, and what of sessions they share; left out, it has none.
 
     `bytes` is what a front sends a second to all peers together. `epoch` is raised by operators with each
-    change of the settings. `drift` is by how much of a span two clocks may differ. Times in ms.
+    change of the settings, `keepers_version` with each change of the keepers. `drift` is by how much of a
+    span two clocks may differ. Times in ms.
     """
 
     listen: PeerAddress
@@ -66,6 +67,7 @@
         AfterValidator(_distinct),
         AfterValidator(_odd),
     ]
+    keepers_version: Positive = 1
     parts: Annotated[Positive, Field(le=256)] = 8
     lease: PositiveMillis = 6_000.0
     drift: Annotated[Share, Field(le=0.2)] = 0.01
--- a/fernweir/peers/lateness.py
+++ b/fernweir/peers/lateness.py
@@ -82,6 +82,10 @@
         """What an act of a peer rested on, by its record."""
         self.stragglers.evidence(now, owner, versions, age_ms)
 
+    def keepers(self, now: float, names: tuple[str, ...]) -> None:
+        """Who decides on shutting out from now on."""
+        self.stragglers.keepers(now, names)
+
     def leases(self, now: float, held: bool) -> None:
         self.stragglers.leases(now, held)
 
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -53,6 +53,7 @@
 from fernweir.peers.parts import Parts
 from fernweir.peers.port import Act, Deed, Port, Standing
 from fernweir.peers.recording import Recording, Rested, Trouble
+from fernweir.peers.replacing import KEEPERS, SETTLED, Replacing
 from fernweir.peers.weighing import TALLY, Weighing
 
 KINDS = (MEMBER_KINDS, FACT_KINDS, LEASE_KINDS, CHANNEL_KINDS, FORWARD_KINDS, ACT_KINDS, LATE_KINDS)
@@ -76,6 +77,7 @@
     that can reach no peer takes new sessions after `join_ms`, as if it stood alone."""
 
     keepers: tuple[str, ...]
+    keepers_version: int = 1
     load_ms: float = 2_000.0
     join_ms: float = 5_000.0
     members: MemberRules = field(default_factory=MemberRules)
@@ -126,11 +128,13 @@
         self._born = now
         self._now = now
         self._out: list[Effect] = []
-        sets = (KeeperSet(1, rules.keepers),)
+        first = KeeperSet(rules.keepers_version, rules.keepers)
+        sets = (first,)
         self.members = Members(me, rules.members, seed)
         self.facts = Facts(me.name, me.life, rules.facts, seed)
         self.holder = Holder(me.name, me.life, rules.lease, seed, sets)
-        self.keeper = Keeper(me.name, me.life, rules.lease, now, sets) if me.name in rules.keepers else None
+        self.keeper = Keeper(me.name, me.life, rules.lease, now, sets)  # nobody asks one that is not named
+        self.replacing = Replacing(me.name, self.facts, self.holder, self.keeper, first)
         self.owning = Owning(me.name, me.life, rules.owning, self.holder, port, seed, self._claimed)
         self.directory = Directory(me.name, me.life, rules.directory, seed)
         self.forward = Forward(rules.forward)
@@ -141,7 +145,7 @@
         self.lateness = Lateness(
             me.name, me.life, rules.late, now, self.facts, self.keeper, rules.keepers, port, versions
         )
-        keeping: tuple[Part, ...] = (self.keeper,) if self.keeper is not None else ()
+        keeping: tuple[Part, ...] = (self.keeper,)
         self._parts = Parts(
             (self.members, self.facts, self.holder, self.owning, self.directory, self.forward, self.recording,
              self.lateness, *keeping),
@@ -179,6 +183,8 @@
             self._hold("join", "joining its peers", _STALE_MS)
         self._at(self.lateness).mine(now, self.recording.versions, urgent=False)
         self._at(self.owning).start(now)
+        self._at(self.facts)
+        self.replacing.start(now)
         self._started = True
         self._settle(now)
 
@@ -283,10 +289,11 @@
             self._load_at = now + self.rules.load_ms
             self._say_load(now)
             self._look(now)
+            self._replace(now)
             self._say_head(now, urgent=False)
             tally = self.weighing.say(now, self.recording.versions.epoch)
             if tally is not None:
-                self.facts.put(now, TALLY, tally)
+                self._at(self.facts).put(now, TALLY, tally)
             said, gone = self.foresight.publish(now)
             for key, data in said.items():
                 self._at(self.facts).put(now, key, data)
@@ -417,6 +424,8 @@
                 self._at(self.recording).heard_head(now, event.owner, event.life, value)
             elif key in (VERSIONS, PLEA):
                 self._at(self.lateness).told(now, event.owner, key, value)
+            elif key in (KEEPERS, SETTLED):
+                self._replace(now, event.owner, key, value)
             elif key == TALLY:
                 self.weighing.told(now, event.owner, event.life, value)
             elif key.startswith(PREFIX):
@@ -508,6 +517,16 @@
         age = load.age_ms + max(now - fact.at, 0.0)
         return Candidate(name, max(load.sessions, 0), max(age, 0.0), late=late, leaving=load.leaving)
 
+    def _replace(self, now: float, owner: str = "", key: str = "", value: bytes = b"") -> None:
+        """Keepers that come in place of others: by a fact, or by having settled since."""
+        for part in (self.holder, self.keeper, self.facts):
+            self._at(part)
+        if not key:
+            self.replacing.look(now)
+        elif self.replacing.told(now, owner, key, value):
+            self._tell("keepers are replaced", by=", ".join(self.replacing.names))
+            self._at(self.lateness).keepers(now, self.replacing.names)
+
     def _say_load(self, now: float) -> None:
         """Only what differs enough to change a choice: every fact goes to all fronts."""
         sessions, said = self._port.load(), self._said
--- a/fernweir/peers/settings.py
+++ b/fernweir/peers/settings.py
@@ -76,4 +76,11 @@
         try_ms=section.bring_up_within / LateRules().tries,
         shut_out_share=section.shut_out_share,
     )
-    return PeerRules(late=late, keepers=tuple(section.keepers), lease=lease, owning=owning, facts=facts)
+    return PeerRules(
+        late=late,
+        keepers=tuple(section.keepers),
+        keepers_version=section.keepers_version,
+        lease=lease,
+        owning=owning,
+        facts=facts,
+    )
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -9,6 +9,7 @@
 
 from fernweir.front.program import start_front
 from fernweir.peers.channel.directory import Found
+from fernweir.peers.lease.rules import KeeperSet
 from fernweir.peers.program import Peers
 from fernweir.rehearsal.site import SitePlan
 from fernweir.standin.leases import LeaseDesk
@@ -238,3 +239,31 @@
         assert not any(found.owner == "front-0" for found in told)
 
     play(story, PLAN, fronts=0)
+
+
+def test_keepers_are_replaced_while_leases_are_held() -> None:
+    async def story(scene: Scene) -> None:
+        peers = await fleet(scene, 4)
+        wish = scene.wish(play_s=60.0)
+        assert (await scene.ask(wish, front=0)).status == 200
+        held = {one.peer.me.name: set(one.peer.owning.owned()) for one in peers[:3]}
+        scene.trace.write("front.down", front="front-3")
+        assert await scene.fronts[3].stop(10.0)
+        keepers = "keepers = front-0, front-1, front-2"
+        scene.extra = scene.extra.replace(keepers, "keepers = front-1, front-2, front-3\nkeepers-version = 2")
+        front = await start_front(scene.site.config(3, extra=scene.extra))
+        scene.fronts[3] = front
+        assert front.peers is not None
+        fronts = [*peers[:3], front.peers]
+        new = KeeperSet(2, ("front-1", "front-2", "front-3"))
+        await until(lambda: all(one.peer.replacing.sets == (new,) for one in fronts), 60.0)
+        # Nobody lost a lease by it, and the new ones grant alone: two of them, without the old.
+        assert all(held[one.peer.me.name] <= set(one.peer.owning.owned()) for one in peers[:3])
+        await until(lambda: len(fronts[3].peer.owning.owned()) >= 2)
+        scene.trace.write("front.down", front="front-0")
+        scene.fronts[0].kill()
+        hosts = [one.core.host for one in scene.fronts[1:]]
+        await until(lambda: any(host.session(wish.session) is not None for host in hosts))
+        assert len(scene.of("box.setup")) == 1 and not scene.of("box.end")
+
+    play(story, replace(PLAN, fronts=4), fronts=0)
