The record of acts may be kept on a disk, which no front depends on

Changed: [peers] record names a folder; it is opened before joining, closed after the last block, and a life corrected on joining keeps the same store. Ruled out: failing the start over it (the record is for operators; serving viewers comes first). Measured, sockets: a set-up of the life before last is answered whole by the front itself after two orderly restarts; a file in the folder's place is logged and the front joins.

--- a/fernweir/config/peers.py
+++ b/fernweir/config/peers.py
@@ -9,7 +9,7 @@
 from pydantic import AfterValidator, BeforeValidator, Field
 
 from fernweir.config.ini import Reader, Section
-from fernweir.config.units import Address, Count, Millis, Positive, PositiveMillis, RateKb, Share
+from fernweir.config.units import Address, Count, Millis, Positive, PositiveMillis, RateKb, Share, Size
 
 _LONGEST_KEY_FILE = 4_096
 
@@ -50,7 +50,8 @@
 
     `bytes` is what a front sends a second to all peers together. `epoch` is raised by operators with each
     change of the settings, `keepers_version` with each change of the keepers. `drift` is by how much of a
-    span two clocks may differ. Times in ms.
+    span two clocks may differ. `record` is a folder in which the record of acts outlives the process, of
+    `record_disk` bytes at most; left out, only peers keep it. Times in ms.
     """
 
     listen: PeerAddress
@@ -77,6 +78,8 @@
     epoch: Count = 0
     format_lowest: Format | None = None
     format_highest: Format | None = None
+    record: str | None = None
+    record_disk: Size = 67_108_864
     late_after: PositiveMillis = 15_000.0
     bring_up_within: PositiveMillis = 10_000.0
     shut_out_share: Annotated[Share, Field(lt=0.5)] = 0.34
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -266,6 +266,15 @@
 
     section = config.peers
     assert section is not None
+    folder, kept = None, list[tuple[int, int, object]]()
+    if section.record is not None:
+        folder = JournalFolder(config.path(section.record), most_bytes=int(section.record_disk))
+        try:
+            kept = folder.open()[1]
+        except OSError as error:  # a full or broken disk stops no front
+            core.log.error("record of acts can't be opened", why=error.strerror or str(error))
+        for note in folder.notes:
+            core.log.warning("record of acts is not whole", why=note)
     begin = Beginning(
         name=config.front.name,
         seed=config.front.seed,
@@ -274,6 +283,8 @@
         versions=first_versions(section, config.sections, keyring.thumbprints()),
         rules=peer_rules(section),
         links=link_rules(section),
+        record=folder,
+        kept=kept,
     )
     port = Peering(core, boxes, client, config.class_names, wall_ms)
     peers = await Peers.start(core, port, begin, wall_ms, nonce)
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -17,6 +17,7 @@
 from fernweir.peers.acts.messages import KINDS as ACT_KINDS
 from fernweir.peers.acts.plan import Question
 from fernweir.peers.acts.rules import ActRules
+from fernweir.peers.acts.store import Store
 from fernweir.peers.acts.versions import Versions
 from fernweir.peers.base import Address, Effect, Event, Message, Part, Send
 from fernweir.peers.channel.directory import Directory, Found
@@ -117,12 +118,13 @@
 class Peer:
     """`changed` is called when there is something to take though the driver did not call.
 
-    `versions` are those this front begins with, `wall_ms` how far the wall clock is ahead of `now`.
+    `versions` are those this front begins with, `wall_ms` how far the wall clock is ahead of `now`. `store`
+    keeps records of acts beyond this life of the front, if it is given.
     """
 
     def __init__(
         self, me: Me, rules: PeerRules, port: Port, seed: int, now: float, changed: Callable[[], None],
-        versions: Versions, wall_ms: Callable[[], float],
+        versions: Versions, wall_ms: Callable[[], float], store: Store | None = None,
     ) -> None:  # fmt: skip
         self.me, self.rules, self._port = me, rules, port
         self._born = now
@@ -138,7 +140,8 @@
         self.owning = Owning(me.name, me.life, rules.owning, self.holder, port, seed, self._claimed)
         self.directory = Directory(me.name, me.life, rules.directory, seed)
         self.forward = Forward(rules.forward)
-        self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms)
+        store = store or Store(me.name, rules.acts)
+        self.recording = Recording(me.name, me.life, rules.acts, seed, versions, wall_ms, store)
         self._wall_ms = wall_ms
         self.foresight = Foresight(me.name, me.life, rules.foresight, now, self.recording.clocks)
         self.weighing = Weighing(me.name, me.life, port, now)
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -15,8 +15,10 @@
 from fernweir.config.ini import ConfigError, Problem
 from fernweir.config.peers import PeersSection
 from fernweir.front.core import Core
+from fernweir.journal.store import Blocks
 from fernweir.peers.acts.desk import FleetQuestions
 from fernweir.peers.acts.plan import Question
+from fernweir.peers.acts.store import Store
 from fernweir.peers.acts.versions import Versions
 from fernweir.peers.base import Address, Message, Send
 from fernweir.peers.link.links import Links
@@ -56,6 +58,8 @@
     versions: Versions
     rules: PeerRules
     links: LinkRules
+    record: Blocks | None = None
+    kept: Sequence[tuple[int, int, object]] = ()  # of the record, from earlier lives
 
 
 class Peers:
@@ -66,6 +70,7 @@
         self.links: Links
         self.peer: Peer
         self._make: Callable[[int], Peer]
+        self._store: Store
         self.questions = _Desk(self)  # of operators, to all fronts
         self._seeds: list[Address] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -88,10 +93,15 @@
         host, number = section.advertised
         address = (host, number or peers.links.address[1])
 
+        store = peers._store = Store(begin.name, begin.rules.acts, begin.record)
+        store.on_trouble = peers._trouble
+        if begin.record is not None:
+            store.restore(begin.kept)
+
         def make(life: int) -> Peer:
             return Peer(
                 Me(begin.name, address, life, spoken), begin.rules, port, begin.seed, core.now(),
-                peers.kick, begin.versions, lambda: wall_ms() - core.now(),
+                peers.kick, begin.versions, lambda: wall_ms() - core.now(), store,
             )  # fmt: skip
 
         peers._make = make
@@ -115,6 +125,7 @@
 
     async def stop(self) -> None:
         self.cut()
+        self._store.close()
         await self.links.stop()
 
     def cut(self) -> None:
@@ -123,6 +134,12 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _trouble(self, why: str) -> None:
+        if why:
+            self._core.log.error("record of acts is not kept", why=why)
+        else:
+            self._core.log.info("record of acts is kept again")
+
     def weigh(self, order: Mapping[str, Any]) -> dict[str, Any]:
         """What an order would touch (`ask-fleet` with `order`)."""
         return self.peer.weigh(self._core.now(), order)
--- a/fernweir/peers/recording.py
+++ b/fernweir/peers/recording.py
@@ -46,13 +46,14 @@
     """
 
     def __init__(
-        self, me: str, life: int, rules: ActRules, seed: int, versions: Versions, wall_ms: Callable[[], float]
-    ) -> None:
+        self, me: str, life: int, rules: ActRules, seed: int, versions: Versions,
+        wall_ms: Callable[[], float], store: Store,
+    ) -> None:  # fmt: skip
         self.versions = versions
         self._wall_ms = wall_ms
         self._out = Outbox()
         self.chain = Chain(me, life, rules)
-        self.store = Store(me, rules)
+        self.store = store
         self.copies = Copies(me, life, rules, self.chain, self.store)
         self.clocks = Clocks(me, life, rules, seed)
         self.questions = Questions(me, life, rules, seed, self.copies, self.clocks)
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -267,3 +267,41 @@
         assert len(scene.of("box.setup")) == 1 and not scene.of("box.end")
 
     play(story, replace(PLAN, fronts=4), fronts=0)
+
+
+def test_a_record_kept_on_disk_is_there_in_the_next_life_and_a_bad_disk_stops_nobody() -> None:
+    async def story(scene: Scene) -> None:
+        peers = await fleet(scene)
+        scene.extra += "record = acts-{}\n"
+        again: list[Peers] = []
+        for turn in range(3):  # first without a disk, then with one, then with what that kept
+            scene.trace.write("front.down", front="front-2")
+            assert await scene.fronts[2].stop(10.0)
+            extra = scene.extra.replace("acts-{}", "acts")
+            front = scene.fronts[2] = await start_front(scene.site.config(2, extra=extra))
+            assert front.peers is not None
+            again.append(front.peers)
+            await until(lambda: "front-2" in peers[0].peer.members.alive())
+            await until(lambda: len(again[-1].peer.owning.owned()) >= 2)
+            if turn == 0:
+                scene.trace.write("front.up", front="front-2")
+                wish = scene.wish(play_s=60.0)
+                assert (
+                    await scene.http("GET", "/lessons/lesson-0/manifest.mpd", wish, front=2)
+                ).status == 200
+        lives = [one.peer.me.life for one in again]
+        shelf = again[2]._store.shelf("front-2", lives[0])
+        assert shelf is not None and shelf.final  # all of it, to the orderly end
+        told: list[dict[str, Any]] = []
+        again[2].questions.ask({"question": "acts", "session": wish.session, "deed": "setup"}, told.append)
+        await until(lambda: bool(told))
+        assert [row["life"] for row in told[0]["rows"]] == [lives[0]] and told[0]["whole"]
+        (scene.site.folder / "no-folder").write_text("a file in its place")
+        scene.trace.write("front.down", front="front-1")
+        assert await scene.fronts[1].stop(10.0)
+        extra = scene.extra.replace("acts-{}", "no-folder")
+        front = scene.fronts[1] = await start_front(scene.site.config(1, extra=extra))
+        assert front.peers is not None
+        await until(lambda: "front-1" in peers[0].peer.members.alive())
+
+    play(story, PLAN, fronts=0)
