--- a/fernweir/peers/channel/directory.py
+++ b/fernweir/peers/channel/directory.py
@@ -133,9 +133,8 @@
             self._out.add(Found(session, owner, asked, tuple(sorted(others)) if full else (), lost))
             return
         number = self._dice.getrandbits(52)
-        self._finds[number] = _Find(
-            number, session, asked, others, now + self.rules.find_ms, now + self.rules.again_ms
-        )
+        until, again_at = now + self.rules.find_ms, now + self.rules.again_ms
+        self._finds[number] = _Find(number, session, asked, others, until, again_at, entry is not None)
         self._finding[session] = number
         self._ask(self._finds[number])
 
--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -107,6 +107,7 @@
     since: float
     due: float
     after_ms: float = 0.0
+    dead: bool = False  # its owner's process is known to be gone, though one of its name may be there again
     asked: bool = False
 
 
@@ -187,6 +188,11 @@
             return False
         return copy.channel in self._tries or copy.channel in self._turns or copy.owner in self._dead
 
+    def stood(self, now: float, session: str) -> bool:
+        """Whether a copy that is not old says that it stands at another front."""
+        copy = self._copy_with(session)
+        return copy is not None and copy.age_ms(now) < self.rules.stale_ms + self.rules.patience_ms
+
     # --- what happens at the front ---
 
     def placed(self, now: float, session: str, box: int) -> None:
@@ -318,7 +324,7 @@
         tried = self._tries.get(channel)
         if tried is not None and by not in (tried.owner, self.me, ""):
             self._drop_try(now, channel)  # another heir was first
-        elif tried is not None and by == tried.owner and by in self._fronts:
+        elif tried is not None and by == tried.owner and by in self._fronts and not tried.dead:
             # It lives, and has the lease: this front is not its standby any more, and missed that word.
             self._drop_try(now, channel)
             self._spared[channel] = now + _SPARED_MS
@@ -609,11 +615,11 @@
         for turn in spread(0.0, losses, self.rules.spread, self._seed, max(len(self._fronts), 1)):
             # Two who ask at once keep each other from it: whoever is not first leaves it to the first until
             # the lease that was held when the owner last spoke has lapsed.
-            due, rank = now, ranks[turn.channel]
+            due, rank, owner = now, ranks[turn.channel], mine[turn.channel].owner
             if rank:
                 spoke = now - min(mine[turn.channel].age_ms(now), self.rules.patience_ms)
                 due = max(now, spoke + self.rules.patience_ms) + wait_ms(rank, self.rules.heirs)
-            self._tries[turn.channel] = _Try(mine[turn.channel].owner, now, due, turn.at)
+            self._tries[turn.channel] = _Try(owner, now, due, turn.at, dead=owner in self._dead)
 
     def _adopt(self, now: float) -> None:
         """What began while there was no lease comes into a channel once there is one: it has heirs then."""
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -170,6 +170,7 @@
         self._join_by: float | None = None
         self._held: dict[str, tuple[str, float]] = {}  # why no new session may begin, by cause
         self._stale: dict[str, float] = {}
+        self._processes: dict[str, int] = {}  # the life in which each peer was seen last
         self._boxes: set[int] = set()
         self._draining = 0
         self._started = self._leaving = self._displaced = False
@@ -393,6 +394,7 @@
             self._out.append(Relived(event.life))
         elif isinstance(event, Joined):
             self._joined()
+            self._restarted(now, event.name, event.life)
             self._members_changed(now)
             self._tell("peer joined", name=event.name)
         elif isinstance(event, Died | Left):
@@ -488,9 +490,18 @@
         self.foresight.fleet(lives)
         self._look(now)
 
+    def _restarted(self, now: float, name: str, life: int) -> None:
+        """A process of that name was there before, and is gone without anybody having missed it."""
+        before, self._processes[name] = self._processes.get(name, life), life
+        if before != life:
+            self._at(self.owning).died(now, name)
+            self._at(self.forward).gone(now, name)
+            self._at(self.recording).gone(now, name)
+
     def _gone(self, now: float, name: str, life: int, died: bool) -> None:
         if name in self.members.alive() and self.members.life(name) != life:
             return  # an earlier life, after the present one was known
+        self._processes.pop(name, None)
         self._members_changed(now)
         self._out.append(Forgotten(name))
         self._at(self.owning).died(now, name)
@@ -588,6 +599,9 @@
                 self._carry(now, seeking, answer.why)
                 return
             answer = between_owners(self.rules.finding, event.number)
+        elif answer.kind == "none" and self.owning.stood(now, seeking.request.session):
+            # Its front has begun anew since, and knows nothing: an heir is on its way to it.
+            answer = between_owners(self.rules.finding, event.number)
         seeking.then(now, None if answer.kind == "none" else answer)
 
     def _carry_out(self, event: Wanted) -> None:
