--- a/fernweir/rehearsal/fleet/inside.py
+++ b/fernweir/rehearsal/fleet/inside.py
@@ -21,6 +21,7 @@
 from fernweir.standin.viewer import Player, Shown, Wish
 
 LAST = "last-"  # sessions so called begin when all is quiet
+KNOWN_MS = 500.0  # a session that stood so long has copies, and registrars know it
 GHOST_MS = 2_500.0  # as long as the second lists of a taking over may take; see `peers.channel.takeover`
 
 
@@ -135,3 +136,27 @@
             ago = f"ended {since:.0f} ms ago" if key in begun else "never began"
             wrong.append(f"{one.front} said that {one.session} plays at box {one.box}, where it {ago}")
     return wrong
+
+
+def begun_twice(records: Iterable[Mapping[str, Any]]) -> list[str]:
+    """Sessions that a front began anew while they ran in another's channel, for long enough to be known.
+
+    Good for days on which every message between fronts arrives: what a registrar and the standbys were told
+    is asked before anything begins.
+    """
+    running: dict[str, Mapping[str, Any]] = {}
+    down: dict[str, float] = {}
+    wrong: list[str] = []
+    for record in records:
+        kind, session = record["kind"], str(record.get("session"))
+        if kind == "front.down":
+            down[record["front"]] = float(record["t"])
+        elif kind == "box.runs":
+            running[session] = record
+        elif kind == "box.end":
+            running.pop(session, None)
+        elif kind == "box.setup" and (other := running.get(session)) and other["channel"]:
+            known = down.get(other["front"], float(record["t"])) - float(other["t"])
+            if other["front"] != record["front"] and known > KNOWN_MS:
+                wrong.append(f"{session} of {other['front']} was begun anew by {record['front']}")
+    return wrong
--- a/fernweir/rehearsal/fleet/virtual.py
+++ b/fernweir/rehearsal/fleet/virtual.py
@@ -21,10 +21,10 @@
 from fernweir.front.program import Front, start_front
 from fernweir.rehearsal.datagrams import WayFault
 from fernweir.rehearsal.days import audited, digest, fewer, play_day
-from fernweir.rehearsal.fleet.inside import LAST, WatchedViewers, ghosts, unsettled
+from fernweir.rehearsal.fleet.inside import LAST, WatchedViewers, begun_twice, ghosts, unsettled
 from fernweir.rehearsal.fleet.paths import Manner
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
-from fernweir.rehearsal.fleet.schedule import ON_BOX, ON_PATH, Fault, Kind, draw, manner
+from fernweir.rehearsal.fleet.schedule import ON_BOX, ON_FRONT, ON_PATH, Fault, Kind, draw, manner
 from fernweir.rehearsal.loop import NODE, VirtualLoop
 from fernweir.rehearsal.site import RehearsalSite
 from fernweir.standin.trace import Trace
@@ -97,9 +97,9 @@
         faults = [asyncio.ensure_future(self._play(fault)) for fault in self.result.faults]
         faults.append(asyncio.ensure_future(self.besides()))
         crowd = await self._crowd()
-        for one in await asyncio.gather(*crowd, *faults, return_exceptions=True):
-            if isinstance(one, BaseException):
-                self.result.broken.append(f"crash: {one!r}")
+        self._crashes(await asyncio.gather(*faults, return_exceptions=True))
+        await self._until_settled()  # with sessions that lived through it
+        self._crashes(await asyncio.gather(*crowd, return_exceptions=True))
         await asyncio.sleep(plan.settle_s)
         await self._come_back()
         await self._until_settled()
@@ -107,6 +107,9 @@
         self._judge(records)
         return self.result
 
+    def _crashes(self, ends: list[Any]) -> None:
+        self.result.broken += [f"crash: {one!r}" for one in ends if isinstance(one, BaseException)]
+
     def _crashed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
         if error is not None and not isinstance(error, asyncio.CancelledError):
@@ -305,6 +308,8 @@
                 result.broken.append(f"rule {finding.rule}: {finding}")
         result.broke_off = Counter(auditor.gaps.broke_off)
         result.broken += [f"ghost: {text}" for text in ghosts(self._named, records, self._stood)]
+        if all(fault.kind in ON_FRONT for fault in result.faults) and self.plan.peers is not None:
+            result.broken += [f"anew: {text}" for text in begun_twice(records)]
         planned = auditor.gaps.costs[Loss.PLANNED].ended - auditor.gaps.costs[Loss.PLANNED].unowned
         if self.plan.peers is not None and planned:
             result.broken.append(f"planned: {planned} sessions ended with fronts that were told to stop")
--- a/tests/peers_mutants/joint.py
+++ b/tests/peers_mutants/joint.py
@@ -1,7 +1,7 @@
-"""Mistakes where the parts are joined, and at the front's side of them; found by drawn days of whole fleets.
+"""Mistakes where the parts are joined, and at the front's side; found by drawn days of whole fleets.
 
-`DAYS` says for each what days are drawn: fronts, and the kinds of faults if not all. `faults` is how many
-must meet for the mistake to show.
+Leases are short, so that cuts and halts outlast them. `DAYS` says for each what days are drawn: fronts, and
+the kinds of faults if not all. `faults` is how many must meet for the mistake to show.
 """
 
 from __future__ import annotations
@@ -16,34 +16,44 @@
 _FINDING, _TAKEOVER = "fernweir/peers/finding.py", "fernweir/peers/channel/takeover.py"
 _HOST = "fernweir/front/host.py"
 
-_ROLL = ("term",)
 _LOSSES = ("kill", "stop")
 _APART = ("cut", "stop")
 
 MUTANTS = [
     Mutant(
-        "letting a session go tells its standbys that it is over", _PEERING,
-        "self._letting_go = True  # another's now, not over: standbys must not be told of an end",
-        "self._letting_go = False", 8,
+        "an attempt leaves without its session being put into a channel", _PEER,
+        "            self._at(self.owning).placed(act.at, act.session, act.box)\n", "", 2,
     ),
     Mutant(
-        "a channel on its way to an heir is steered on", _OWNING,
-        "if lease is not None and self.handoff.may_steer(channel):\n            return channel, lease.fence",
-        "if lease is not None:\n            return channel, lease.fence", 8,
+        "a session that stands and has no owner just now begins anew", _FINDING,
+        """    if between:
+        return To(wait_ms=rules.again_ms)
+    if hint is not None and hint != me and alive(hint):
+        return To(hint)
+    if not asked:
+        return None
+    if lost:
+        return To(wait_ms=rules.again_ms)
+""",
+        """    if hint is not None and hint != me and alive(hint):
+        return To(hint)
+    if not asked:
+        return None
+""", 16,
     ),
     Mutant(
-        "a lapsed channel is steered on under its last fence", _OWNING,
-        "if self.handoff.may_finish(now, channel):\n            return channel, self._fences.get(channel, 0)",
-        "if channel in self._fences:\n            return channel, self._fences.get(channel, 0)", 12,
+        "a front that was killed and is back counts as if it had lived on", _PEER,
+        "        if before != life:\n", "        if False:\n", 16,
     ),
     Mutant(
-        "an attempt leaves without its session being put into a channel", _PEER,
-        "            self._at(self.owning).placed(act.at, act.session, act.box)\n", "", 2,
+        "who carried a request to a front's next life takes its word that nothing stands", _PEER,
+        'elif answer.kind == "none" and self.owning.stood(now, seeking.request.session):', "elif False:", 24,
+        faults=2,
     ),
     Mutant(
-        "a session between two owners counts as unknown", _OWNING,
-        "return copy.channel in self._tries or copy.channel in self._turns or copy.owner in self._dead",
-        "return False", 12,
+        "a lease got for a copy that is gone is kept", _OWNING,
+        "            self._holder.release(now, channel)\n        else:\n            self._begin(now, channel",
+        "            pass\n        else:\n            self._begin(now, channel", 60, faults=2,
     ),
     Mutant(
         "a channel that was another's is not replaced by a new one", _OWNING,
@@ -141,9 +151,8 @@
 ]  # fmt: skip
 
 DAYS: dict[str, dict[str, Any]] = {
-    "letting a session go tells its standbys that it is over": {"kinds": ("term", "kill")},
-    "a channel on its way to an heir is steered on": {"kinds": _ROLL},
-    "a lapsed channel is steered on under its last fence": {"kinds": _APART},
+    "a front that was killed and is back counts as if it had lived on": {"kinds": ("kill", "term")},
+    "who carried a request to a front's next life takes its word that nothing stands": {"kinds": ("kill",)},
     "a channel that was another's is not replaced by a new one": {"kinds": _APART},
     "a try for a channel goes on though its owner lives": {"kinds": _APART},
     "who hears that another has the lease keeps the sessions": {"kinds": _APART},
@@ -151,6 +160,8 @@
     "an heir does not listen to the boxes of what it takes over": {"kinds": _LOSSES},
     "a session goes to its heir and stays with its owner": {"kinds": _APART},
     "a session is taken over as never answered": {"kinds": ("term", "kill")},
+    "a session that stands and has no owner just now begins anew": {"kinds": ("kill", "term")},
+    "a registrar's word that the owner is lost is passed over": {"kinds": ("kill", "term")},
     "a lapsed channel's sessions are let go at once": {"kinds": _APART},
 }
 
@@ -166,8 +177,9 @@
             more["kinds"] = tuple(schedule.Kind(kind) for kind in more["kinds"])
         for seed in range(1, mutant.seeds + 1):
             day = plan.FleetPlan(
-                seed=seed, nasty=2.5, seconds=8.0, rate=6.0, play_s=(2.0, 6.0), settle_s=2.0, **more
-            )
+                seed=seed, nasty=2.5, seconds=8.0, rate=6.0, play_s=(4.0, 12.0), settle_s=2.0,
+                peers=plan.PeerPlan(lease=1_500.0, overlap=500.0), **more
+            )  # fmt: skip
             result = virtual.play(day)
             if result.broken:
                 return seed, str(result.broken[0])
