--- a/fernweir/seats/book.py
+++ b/fernweir/seats/book.py
@@ -457,7 +457,8 @@
                 self._forget(seat)
         else:
             if reply.said is Said.DOUBTFUL:
-                seat.held_until = max(seat.held_until, now + max(seat.ttl_ms, 1.0))
+                # Of an earlier life's lease it is not known how long a renewal makes it.
+                seat.held_until = max(seat.held_until, now + (seat.ttl_ms or self.rules.ttl_most_ms))
             if not seat.wanted:
                 self._release(now, seat)
                 return
