--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -485,6 +485,7 @@
             return
         self.handoff.lost(now, channel)
         self._turns.pop(channel, None)
+        self._new.discard(channel)
         standings = self._sessions.get(channel)
         if standings is None:
             return
