--- a/bench/peers_days.py
+++ b/bench/peers_days.py
@@ -168,7 +168,8 @@
         self.bytes_a_second = tuple(
             sorted((after - sent) / span for sent, after in zip(before, self._sent(), strict=True))
         )
-        number, killed = self.plan.fronts, self.loop.time()
+        number = max(self.fronts, key=lambda one: self.fronts[one].core.host.sessions)
+        killed = self.loop.time()
         kill = asyncio.ensure_future(self._play(Fault(4.0, 8.0, Kind.KILL, number)))
         others = [front.peers.peer for one, front in self.fronts.items() if one != number and front.peers]
         while any(f"front-{number}" in other.members.alive() for other in others):
--- a/fernweir/rehearsal/fleet/inside.py
+++ b/fernweir/rehearsal/fleet/inside.py
@@ -70,7 +70,7 @@
     """Tables that hold what is dead, or never ends."""
     owning, held = peer.owning, front.core.host.held()
     wrong = [f"its table of {what} has {one}, which it does not hold" for what, names in (
-        ("channels", owning._channel), ("attempts", owning._placed),
+        ("channels", owning._channel), ("attempts", owning._placed), ("registered", peer.directory._own),
     ) for one in names if one not in held]  # fmt: skip
     for channel, standings in owning.owned().items():
         wrong += [f"{one} stands in {channel}, and is not held" for one in standings if one not in held]
