Questions give way as a front's timers come late; refused datagrams are told in the log

Cause: `Limits.pressed` was fed by nothing, so the budget of questions was the same on an idle front and on one with more to do than it can; and a wrong key showed nowhere, though every datagram was counted. `peers.record` was also missing among the settings that may differ by front. Ruled out: counting waiting viewers, which needs a second way into the host. How late a timer comes is seen already and covers set-ups, ladders and peers' own work alike.

--- a/fernweir/peers/foresight.py
+++ b/fernweir/peers/foresight.py
@@ -43,6 +43,9 @@
     catalogue: CatalogueRules = field(default_factory=CatalogueRules)
     feedback: FeedbackRules = field(default_factory=FeedbackRules)
     limits: LimitRules = field(default_factory=LimitRules)
+    usual_ms: float = 5.0  # that a timer may be late on a front with time to spare
+    full_ms: float = 100.0  # and by which nothing is left for questions
+    calm_ms: float = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +72,7 @@
         self._own = Summarizer(me, life, rules.shards, now)
         self._publish_at = now  # at once: who is known at all is estimated, though it does more since
         self._said: dict[str, bytes] = {}
+        self._felt, self._felt_at = 0.0, now
         self._lives: Mapping[str, int] = {me: life}
 
     # --- what happens here ---
@@ -118,6 +122,17 @@
         """How hard serving viewers presses, 0 to 1: it goes before any question."""
         self._limits.pressed(now, pressure)
 
+    def felt(self, now: float, late_ms: float) -> None:
+        """A timer came this late: the front has more to do than it can, and questions give way.
+
+        The worst counts, and half as much `calm_ms` later, so that one late timer is soon forgotten.
+        """
+        rules = self.rules
+        self._felt *= 0.5 ** (max(now - self._felt_at, 0.0) / rules.calm_ms)
+        self._felt_at = now
+        self._felt = max(self._felt, max(late_ms - rules.usual_ms, 0.0) / rules.full_ms)
+        self._limits.pressed(now, min(self._felt, 1.0))
+
     # --- questions ---
 
     def allow(self, now: float, question: Question, wall: float, deadline_ms: float) -> Allowed | Refused:
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -32,6 +32,7 @@
 
 _LOOK_MS = 10.0  # between two looks at what is due: as late as this may be
 _LATE_MS = 50.0  # a timer's lateness below this is the loop's usual
+_REFUSALS_MS = 10_000.0
 _LEAVE_POLL_S = 0.01
 
 
@@ -75,6 +76,8 @@
         self._seeds: list[Address] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = self._looked_at = 0.0
+        self._refusals: dict[str, int] = {}
+        self._refusals_at = 0.0
         self._pumping = self._stopped = False
 
     @classmethod
@@ -238,10 +241,22 @@
         if self._stopped:
             return
         now = self._core.now()
-        if now - self._timer_at > _LATE_MS:
-            self.peer.stood(now, now - self._timer_at)
+        late = now - self._timer_at
+        self.peer.foresight.felt(now, late)
+        if late > _LATE_MS:
+            self.peer.stood(now, late)
+        if now >= self._refusals_at:
+            self._refusals_at = now + _REFUSALS_MS
+            self._say_refused()
         self._look()
 
+    def _say_refused(self) -> None:
+        """What came and was not opened, by why: with a wrong key it is all, and nothing else shows it."""
+        counts = {str(kind): count for kind, count in self.links.seal.counts.items() if count}
+        if counts != self._refusals:
+            self._refusals = counts
+            self._core.log.warning("datagrams of peers are refused", **counts)
+
 
 class _Desk:
     """What operators ask on the control socket (`control.desk.FleetDesk`): of acts, or of an order."""
--- a/fernweir/peers/settings.py
+++ b/fernweir/peers/settings.py
@@ -20,7 +20,7 @@
 _OWN = (
     "front.name", "front.listen", "front.public-url", "front.ordinal", "front.seed", "front.record",
     "list.cache", "control.socket", "control.orders", "control.journal", "entitlement.ledger",
-    "peers.listen", "peers.advertise", "peers.seeds", "peers.epoch",
+    "peers.listen", "peers.advertise", "peers.seeds", "peers.epoch", "peers.record",
 )  # fmt: skip
 FORMATS = (1, 1)  # of messages, that this version speaks
 _FACTS_SHARE = 0.25  # of the bytes a second that all peers together are sent
