--- a/fernweir/peers/owning.py
+++ b/fernweir/peers/owning.py
@@ -578,7 +578,7 @@
         lost = []
         for channel in self.replica.copies():
             copy = self.replica.copy(channel)
-            if copy is None or channel in self._tries or channel in self._turns:
+            if copy is None or channel in self._tries:
                 continue
             dead = copy.owner in self._dead and copy.owner not in self._fronts
             spared = now < self._spared.get(channel, 0.0)
@@ -603,7 +603,8 @@
         mine: dict[str, Copy] = {}
         for copy in lost:
             order = self._heirs(copy.channel, len(copy.standings), copy.owner)
-            free = not (self._leaving or self._resigned)
+            taking = copy.channel in self._turns or self.handoff.takeover.begun(copy.channel)
+            free = not (self._leaving or self._resigned or taking)
             if free and copy.channel not in self._tries and copy.standings and self.me in order:
                 ranks[copy.channel], mine[copy.channel] = order.index(self.me), copy
         losses = [
@@ -657,7 +658,8 @@
 
     def _drop_try(self, now: float, channel: str) -> None:
         tried = self._tries.pop(channel, None)
-        if tried is not None and tried.asked:
+        taken = channel in self._sessions or self.handoff.takeover.begun(channel)
+        if tried is not None and tried.asked and not taken:
             self._holder.release(now, channel)
 
     def _heirs(self, channel: str, sessions: int, owner: str) -> list[str]:
