Questions that run when a front goes on under a later life are answered with what came

Cause: `Peers._relive` makes a new `Peer` and drops the old one; `Peer.end` gave back the viewers' requests being sought, but not operators' questions, whose `then` was never called: the control socket waited until the client gave up. Ruled out: putting the question again in the new life, which knows nobody yet and whose budget and estimate would be another's. Change: `Questions.close` ends each with what has come, the rest as gaps `unreached`; an order's second stage ends as it begins. Measured: the test fails without the call (no answer told) and passes with it; test_peers_fleet and test_peers_acts whole, 52 passed.

--- a/fernweir/peers/acts/questions.py
+++ b/fernweir/peers/acts/questions.py
@@ -114,6 +114,13 @@
             self._silent(run, name)
             self._step(now, run)
 
+    def close(self, now: float) -> None:
+        """This life is over: each question that runs is answered with what has come, the rest as gaps."""
+        for run in list(self._running.values()):
+            while run.id in self._running:  # a second stage is over as soon as it begins
+                self._stop(run, Why.UNREACHED)
+                self._end_stage(now, run)
+
     def heard(self, now: float, sender: str, message: Message) -> None:
         self._now = now
         if isinstance(message, Ask):
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -272,7 +272,10 @@
         """This life is over: gives the requests whose place was still sought, for the next to find.
 
         What was carried elsewhere may have been done there: who waits for it is told to come again.
+        Operators' questions are answered with what has come.
         """
+        self.recording.questions.close(now)
+        self.recording.take()
         sought = [one for waiting in self._seeking.values() for one in waiting]
         carried, self._seeking, self._carried = self._carried, {}, {}
         for number, seeking in carried.items():
--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -197,6 +197,13 @@
         peers[1].questions.ask({"question": "acts"}, told.append)
         assert told[0]["ok"] is False and "viewers come first" in told[0]["error"]
         assert told[0]["estimate"]["rows"][2] >= 1 and told[0]["wait_ms"] > 0
+        # A front that goes on under a later life answers what was asked in this one, with what has come.
+        told.clear()
+        peers[2].questions.ask({"question": "acts"}, told.append)
+        assert not told
+        peers[2].peer.end(scene.fronts[2].core.now())
+        assert len(told) == 1 and told[0]["whole"] is False
+        assert {gap["front"]: gap["why"] for gap in told[0]["gaps"]}["front-1"] == "unreached"
 
     play(story, PLAN, fronts=0)
 
