Fault schedules, box faults and the two HTTP readers of the fuzzing are written once

Cause: three places stood twice: what a fault does to a box (processes and virtual time), the loop that reads schedule lines (boxes' faults and fleets' faults), and the slow HTTP readers' outer loop with the plain form of events (requests, responses). Ruled out, and left as they are: settings of bench and tests, which share a shape and not their values; message records of the channel, whose fields are the format. Change: `rehearsal/fleet/boxes.on_box`, `rehearsal/faults.matched`, `read_all` and one `plain` in tests/fuzzing/requests. Behaviour, messages of errors and assertions as they were.

--- a/fernweir/rehearsal/faults.py
+++ b/fernweir/rehearsal/faults.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -65,16 +65,27 @@
 )
 
 
-def read_schedule(lines: Iterable[str]) -> list[Fault]:
-    """ScheduleError names the first line that is none. Empty lines and `#` comments are passed over."""
-    faults = []
+def matched(
+    lines: Iterable[str], pattern: re.Pattern[str], kinds: Collection[str]
+) -> Iterator[tuple[int, re.Match[str]]]:
+    """The lines of a schedule with their numbers. Empty ones and `#` comments are passed over.
+
+    ScheduleError names the first that is not of the pattern or of none of the kinds.
+    """
     for number, line in enumerate(lines, 1):
         text = line.partition("#")[0].strip()
         if not text:
             continue
-        match = _LINE.fullmatch(text)
-        if match is None or match["kind"] not in set(Kind):
+        match = pattern.fullmatch(text)
+        if match is None or match["kind"] not in kinds:
             raise ScheduleError(f"line {number}: not a fault: {text!r}")
+        yield number, match
+
+
+def read_schedule(lines: Iterable[str]) -> list[Fault]:
+    """ScheduleError names the first line that is none."""
+    faults = []
+    for _, match in matched(lines, _LINE, set(Kind)):
         faults.append(
             Fault(
                 float(match["at"]), float(match["span"]), Kind(match["kind"]), int(match["on"] or 0),
--- a/fernweir/rehearsal/fleet/rig.py
+++ b/fernweir/rehearsal/fleet/rig.py
@@ -18,6 +18,7 @@
 from fernweir.audit import Auditor, audit_lines
 from fernweir.audit.gaps import Loss
 from fernweir.rehearsal.badday import free_port
+from fernweir.rehearsal.fleet.boxes import on_box
 from fernweir.rehearsal.fleet.paths import Passed
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
 from fernweir.rehearsal.fleet.process import FrontProcess, Life
@@ -201,7 +202,7 @@
         if fault.kind in ON_PATH:
             await self._on_paths(fault)
         elif fault.kind in ON_BOX:
-            await self._on_box(fault)
+            await on_box(self.site, fault, self.plan.boxes)
         elif not await self._on_front(self.fronts[fault.on], fault):
             self._passed_over.append(fault)
         self.trace.write("day", what=f"over: {fault}")
@@ -240,18 +241,6 @@
                 path.manner = manner(self.plan.paths, self._active, source, target)
         self.relay.changed()
 
-    async def _on_box(self, fault: Fault) -> None:
-        number = 1 + (fault.on - 1) % self.plan.boxes
-        if fault.kind is Kind.DRAIN:
-            self.site.tell(number, "draining")
-            await asyncio.sleep(fault.span)
-        else:
-            self.site.boxes[number].die()
-            await asyncio.sleep(fault.span)
-            if not self.site.boxes[number].up:
-                await self.site.restart(number)
-        self.site.tell(number)
-
     # --- verdict ---
 
     def _judge(self, shown: list[Shown | BaseException]) -> FleetResult:
--- a/fernweir/rehearsal/fleet/schedule.py
+++ b/fernweir/rehearsal/fleet/schedule.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 from random import Random
 
-from fernweir.rehearsal.faults import ScheduleError
+from fernweir.rehearsal.faults import ScheduleError, matched
 from fernweir.rehearsal.fleet.paths import Manner
 
 
@@ -69,18 +69,12 @@
 
 
 def read_schedule(lines: Iterable[str]) -> list[Fault]:
-    """ScheduleError names the first line that is none. Empty lines and `#` comments are passed over."""
+    """ScheduleError names the first line that is none."""
     faults = []
-    for number, line in enumerate(lines, 1):
-        text = line.partition("#")[0].strip()
-        if not text:
-            continue
-        match = _LINE.fullmatch(text)
-        if match is None or match["kind"] not in set(Kind):
-            raise ScheduleError(f"line {number}: not a fault: {text!r}")
+    for number, match in matched(lines, _LINE, set(Kind)):
         kind = Kind(match["kind"])
         if (kind in ON_PATH) != (match["on"] is None):
-            raise ScheduleError(f"line {number}: {kind} is not on that: {text!r}")
+            raise ScheduleError(f"line {number}: {kind} is not on that: {match[0]!r}")
         faults.append(
             Fault(
                 float(match["at"]), float(match["span"]), kind, int(match["on"] or 0),
--- a/fernweir/rehearsal/fleet/virtual.py
+++ b/fernweir/rehearsal/fleet/virtual.py
@@ -21,6 +21,7 @@
 from fernweir.front.program import Front, start_front
 from fernweir.rehearsal.datagrams import WayFault
 from fernweir.rehearsal.days import audited, digest, fewer, play_day
+from fernweir.rehearsal.fleet.boxes import on_box
 from fernweir.rehearsal.fleet.inside import LAST, WatchedViewers, begun_twice, ghosts, unsettled
 from fernweir.rehearsal.fleet.paths import Manner
 from fernweir.rehearsal.fleet.plan import KEY_FILE, FleetPlan
@@ -211,7 +212,7 @@
         if fault.kind in ON_PATH:
             await self._on_paths(fault)
         elif fault.kind in ON_BOX:
-            await self._on_box(fault)
+            await on_box(self.site, fault, self.plan.boxes)
         else:
             await self._on_front(fault)
         self.trace.write("day", what=f"over: {fault}")
@@ -268,18 +269,6 @@
                 if source != target and how != Manner():
                     ways.set(f"front-{source}", f"front-{target}", _way(how))
 
-    async def _on_box(self, fault: Fault) -> None:
-        number = 1 + (fault.on - 1) % self.plan.boxes
-        if fault.kind is Kind.DRAIN:
-            self.site.tell(number, "draining")
-            await asyncio.sleep(fault.span)
-        else:
-            self.site.boxes[number].die()
-            await asyncio.sleep(fault.span)
-            if not self.site.boxes[number].up:
-                await self.site.restart(number)
-        self.site.tell(number)
-
     # --- the end ---
 
     async def _come_back(self) -> None:
--- a/tests/fuzzing/requests.py
+++ b/tests/fuzzing/requests.py
@@ -15,12 +15,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 import h11
 
-from fernweir.http.parse import Data, End, Fault, HttpEvent, RequestHead, RequestParser
+from fernweir.http.parse import Data, End, Fault, HttpEvent, RequestHead, RequestParser, ResponseHead
 from fernweir.rehearsal.hostile import PAYLOADS
 from tests.fuzzing import Finding, Target, mutate, pieces, same
 
@@ -155,11 +156,11 @@
     return {part.strip().lower() for value in values for part in value.split(",")}
 
 
-def _one(reader: Reader) -> None:
+def _one(reader: Reader) -> bool:
     lines = reader.section(False)
     if not lines:
         reader.allowed = True
-        return
+        return True
     parts = lines[0].split(b" ")
     if len(parts) != 3 or not parts[0] or any(one not in TOKEN for one in parts[0]):
         raise Bad
@@ -195,21 +196,26 @@
         reader.take(length or 0)
     reader.flush()
     reader.out.append("end")
+    return True
 
 
-def slow_read(data: bytes) -> Reader:
-    reader = Reader(data)
+def read_all(reader: Reader, one: Callable[[Reader], bool]) -> Reader:
+    """Reads message by message, to the end, the first fault or until `one` says that no more follow."""
     try:
-        while reader.at < len(data):
-            _one(reader)
+        while reader.at < len(reader.data) and one(reader):
+            pass
     except Bad as bad:
         reader.flush()
         reader.out.append(("fault", bad.status or 400))
     return reader
 
 
+def slow_read(data: bytes) -> Reader:
+    return read_all(Reader(data), _one)
+
+
 def plain(events: list[HttpEvent]) -> list[object]:
-    """Events as the slow reader says them, parts of a body joined."""
+    """Events as the slow readers say them, parts of a body joined."""
     out: list[object] = []
     body = b""
     for event in events:
@@ -224,6 +230,11 @@
                 ("request", event.method, event.target, event.minor, list(event.headers), event.keep_alive,
                  event.has_body, event.expects_continue)
             )  # fmt: skip
+        elif isinstance(event, ResponseHead):
+            out.append(
+                ("response", event.status, event.reason, list(event.headers), event.keep_alive,
+                 event.until_close)
+            )  # fmt: skip
         elif isinstance(event, End):
             out.append("end")
         elif isinstance(event, Fault):
--- a/tests/fuzzing/responses.py
+++ b/tests/fuzzing/responses.py
@@ -14,9 +14,9 @@
 
 import h11
 
-from fernweir.http.parse import Data, End, Fault, HttpEvent, Limits, ResponseHead, ResponseParser
+from fernweir.http.parse import HttpEvent, Limits, ResponseParser
 from tests.fuzzing import Finding, Target, mutate, pieces, same
-from tests.fuzzing.requests import BODY, FRAMING, Bad, Reader, fields, options, sized
+from tests.fuzzing.requests import BODY, FRAMING, Bad, Reader, fields, options, plain, read_all, sized
 
 METHODS = ("GET", "HEAD", "POST", "GET", "GET", "GET")
 
@@ -62,36 +62,8 @@
 
 
 def slow_read(data: bytes) -> Reader:
-    reader, methods = Reader(data), list(METHODS)
-    try:
-        while reader.at < len(data) and _one(reader, methods):
-            pass
-    except Bad as bad:
-        reader.flush()
-        reader.out.append(("fault", bad.status or 400))
-    return reader
-
-
-def plain(events: list[HttpEvent]) -> list[object]:
-    out: list[object] = []
-    body = b""
-    for event in events:
-        if isinstance(event, Data):
-            body += event.body
-            continue
-        if body:
-            out.append(("data", body))
-            body = b""
-        if isinstance(event, ResponseHead):
-            out.append(
-                ("response", event.status, event.reason, list(event.headers), event.keep_alive,
-                 event.until_close)
-            )  # fmt: skip
-        elif isinstance(event, End):
-            out.append("end")
-        elif isinstance(event, Fault):
-            out.append(("fault", event.status))
-    return [*out, ("data", body)] if body else out
+    methods = list(METHODS)
+    return read_all(Reader(data), lambda reader: _one(reader, methods))
 
 
 def h11_read(data: bytes) -> list[object]:
