Tests of a node: a stage with real sockets, its loop's turns and clock the test's

Need: the crossings of the issue "Nothing lost in the rare moments" have to be forced in both orders, where the scene so far let the loop run and hoped. A stepped selector loop hands out readiness in a stated order, holds what is to be late, and has a clock that only the test moves; far ends of media servers, feed and viewers are raw sockets that act when told to. At the end of each stage the ledger, what stands at the servers, descriptors, timers and tasks are checked.

The program is unchanged.

--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from io import StringIO
 from typing import Any
@@ -17,7 +19,7 @@
 from fernweir.node.logs import NodeLog
 from fernweir.node.program import Node
 from tests.helpers import SETTINGS
-from tests.sockets import until
+from tests.sockets import Far, SteppedLoop, until
 
 OFFER = "9d41c07a\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0\r\n"
 PLAIN = replace(SETTINGS, may_probe=False)
@@ -313,3 +315,248 @@
             raise Told("; ".join(scene.faults))
 
     asyncio.run(whole())
+
+
+class FarServer:
+    """A media server whose every act is a test's: it accepts, reads and answers when told to."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.lines: list[FarLine] = []  # connections accepted so far
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+
+    @property
+    def address(self) -> Address:
+        host, port = self.listener.getsockname()
+        return host, port
+
+    def accept(self) -> FarLine | None:
+        """The next connection of the backlog, if there is one."""
+        try:
+            sock, _ = self.listener.accept()
+        except BlockingIOError:
+            return None
+        self.lines.append(FarLine(self, sock))
+        return self.lines[-1]
+
+    def look(self) -> None:
+        """Takes all that has come, connections and messages."""
+        while self.accept() is not None:
+            pass
+        for line in self.lines:
+            line.look()
+
+    def setups(self) -> list[str]:
+        """Ids of all set-ups that came whole, in order on each connection."""
+        self.look()
+        return [one.session for line in self.lines for one in line.heard if one.type is Type.SETUP]
+
+    def line_of(self, id: str) -> FarLine:
+        """The connection that a set-up came on, the newest if it came on several."""
+        self.look()
+        there = [line for line in self.lines if id in line.setups]
+        return there[-1]
+
+    def standing(self) -> set[str]:
+        """Sessions that it answered, heard whole or not, and that nothing has released or ended since."""
+        self.look()
+        return {id for id in self.stood if id not in self.released}
+
+    @property
+    def stood(self) -> set[str]:
+        return {id for line in self.lines for id in line.answered}
+
+    @property
+    def released(self) -> set[str]:
+        said = {one.session for line in self.lines for one in line.heard if one.type is Type.RELEASE}
+        return said | {id for line in self.lines for id in line.ended}
+
+    def close(self) -> None:
+        self.listener.close()
+        for line in self.lines:
+            line.close()
+
+
+class FarLine(Far):
+    """One connection at a media server."""
+
+    def __init__(self, server: FarServer, sock: socket.socket) -> None:
+        super().__init__(sock)
+        self.server, self.heard = server, list[Frame]()
+        self.answered, self.ended = set[str](), set[str]()
+        self._frames = Frames()
+
+    def look(self) -> list[Frame]:
+        """What came since the last look; also kept in `heard`."""
+        came = list(self._frames.feed(self.take()))
+        self.heard += came
+        return came
+
+    @property
+    def setups(self) -> set[str]:
+        return {one.session for one in self.heard if one.type is Type.SETUP}
+
+    def say(self, frame: Frame) -> None:
+        self.write(encode(frame))
+
+    def answer(self, id: str, part: slice = slice(None)) -> bytes:
+        """Writes the answer to a set-up, or a part of its bytes; it stands from the first on."""
+        data = encode(Frame(Type.ANSWER, id, {Code.DESCRIPTION: f"{self.server.name} {id}\r\n".encode()}))
+        self.answered.add(id)
+        self.write(data[part])
+        return data
+
+    def release(self, id: str, cause: int) -> None:
+        self.ended.add(id)
+        self.say(Frame(Type.RELEASE, id, {Code.CAUSE: bytes((cause,))}))
+
+
+class FarFeed:
+    """A control feed whose every act is a test's."""
+
+    def __init__(self) -> None:
+        self.lines: list[Far] = []
+        self.asked: list[bytes] = []  # what each accepted connection has written, `SUB N`
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+
+    @property
+    def address(self) -> Address:
+        host, port = self.listener.getsockname()
+        return host, port
+
+    def look(self) -> list[Far]:
+        """Takes all that has come; the connections accepted so far."""
+        try:
+            while True:
+                sock, _ = self.listener.accept()
+                self.lines.append(Far(sock))
+                self.asked.append(b"")
+        except BlockingIOError:
+            pass
+        for at, line in enumerate(self.lines):
+            self.asked[at] += line.take()
+        return self.lines
+
+    def close(self) -> None:
+        self.listener.close()
+        for line in self.lines:
+            line.close()
+
+
+class FarViewer(Far):
+    """A viewer's connection. What it may not be told is an error of its scene, as for any viewer."""
+
+    def __init__(self, stage: Stage) -> None:
+        sock = socket.create_connection(stage.node.viewers.address)
+        super().__init__(sock)
+        self.stage, self.raw = stage, list[Message]()
+        self._rest = b""
+
+    def send(self, *messages: Message) -> None:
+        self.write(b"".join(map(write, messages)))
+
+    def look(self) -> list[Message]:
+        """What came since the last look; also kept in `raw`."""
+        *lines, self._rest = (self._rest + self.take()).split(b"\n")
+        came = [read(line) for line in lines]
+        for message in came:
+            self.raw.append(message)
+            self.stage.told(message)
+        return came
+
+
+class Stage(Scene):
+    """A scene without tasks of its own: each turn of the node's loop, each byte and the clock are a test's.
+
+    So two things can be made ready before the node's loop turns, in either order (`Selected.first`), and
+    what is on its way can be held (`Selected.held`). All sockets are real.
+    """
+
+    def __init__(self, servers: int = 1, settings: Settings = PLAIN, sockets: int = 256) -> None:
+        super().__init__(settings, sockets)
+        self.loop = SteppedLoop()
+        self.feed: Any = FarFeed()
+        self.far: dict[str, FarServer] = {f"s-{at}": FarServer(f"s-{at}") for at in range(servers)}
+        self.servers: dict[str, Any] = dict(self.far)
+        self.viewers: list[FarViewer] = []
+
+        async def begin() -> None:
+            self.node = Node(self.config(), NodeLog("n", self.log), {})
+            self.node.start()
+
+        self.loop.run_until_complete(begin())
+        self.loop.until(lambda: self.node.viewers.ready and self.feed.look())
+
+    def far_viewer(self) -> FarViewer:
+        """A viewer whose connection the node has accepted."""
+        viewer = FarViewer(self)
+        self.viewers.append(viewer)
+        before = len(self.node.viewers.door)
+        self.loop.until(lambda: len(self.node.viewers.door) > before)
+        self.loop.settle()
+        return viewer
+
+    def look(self) -> None:
+        self.feed.look()
+        for server in self.far.values():
+            server.look()
+        for viewer in self.viewers:
+            viewer.look()
+
+    def sent_to(self, id: str) -> list[str]:
+        """Names of the servers that a set-up came to, one for each time."""
+        return [name for name, server in self.far.items() for one in server.setups() if one == id]
+
+    def set_up(self, viewer: FarViewer, **fields: object) -> tuple[str, FarLine]:
+        """Asks, and waits until the set-up is at a media server: its id and its connection there."""
+        message = self.setup(**fields)
+        viewer.send(message)
+        self.loop.until(lambda: self.sent_to(message.id))
+        return message.id, self.far[self.sent_to(message.id)[-1]].line_of(message.id)
+
+    def stands(self, viewer: FarViewer, **fields: object) -> tuple[str, FarLine]:
+        """A session that stands, answered and heard."""
+        id, line = self.set_up(viewer, **fields)
+        line.answer(id)
+        self.loop.until(lambda: viewer.look() is not None and id in self.answers)
+        return id, line
+
+    def tally(self) -> None:
+        """Nothing is owed or left: ledger, servers against the host, attempts, tests, tasks, faults."""
+        self.loop.settle()
+        self.look()
+        core, servers = self.node.core, self.node.servers
+        assert self.faults == [] and self.loop.faults == [], (self.faults, self.loop.faults)
+        assert len(core.host.ledger) == 0 and not core._answers and not self.node.viewers.open
+        for name, server in self.far.items():
+            held = set(core.host.playing_at(number_of(name)))
+            assert server.standing() <= held, f"{name} holds {server.standing() - held}, which nobody holds"
+        for link in servers.links.values():
+            assert not link.attempts and not link.tests and not link.broken, link
+
+    def finish(self) -> None:
+        """The node stops: what is left of it is nothing, descriptor, timer or task."""
+        self.node.stop()
+        for end in (*self.viewers, self.feed, *self.far.values()):
+            end.close()
+        self.loop.advance(2_000)
+        left = [key.fd for key in self.loop.selected.get_map().values() if key.fd != self._self_pipe()]
+        assert left == [], f"descriptors {left}"
+        assert self.loop.due() == [], self.loop.due()
+        assert asyncio.all_tasks(self.loop) == set()
+        assert self.loop.faults == [], self.loop.faults
+        self.loop.close()
+
+    def _self_pipe(self) -> int:
+        return int(self.loop._ssock.fileno())
+
+
+@contextmanager
+def staged(servers: int = 1, settings: Settings = PLAIN, sockets: int = 256) -> Iterator[Stage]:
+    """A stage whose ledger is checked at its end, then its node stopped and searched for what it left."""
+    stage = Stage(servers, settings, sockets)
+    yield stage
+    stage.tally()
+    stage.finish()
