The host knows a viewer that ended its side: no attempt begins for it, its answer stays owed

Need: a viewer that closes in order may still read, so it isn't withdrawn, and until now the host had no word for it: a further attempt was made for it, and one whose connection was coming up was sent.

Change: `Host.leave`, and `Core.leave` for the shells. The one record of a session holds whose viewers ended their side. What the gate or the module still holds is answered as refused at once, and abandoned. An attempt that is out may end: it plays, and is answered so; or it fails, and they are sent off with no further one: as refused, or as failed where an earlier attempt may have run and the class may not be set up twice, which is the module's own rule for `Refuse` and `Fail`. `still_wanted` is asked before the first byte of an attempt, and says no where nobody waits but those who left. Who still waits for the same session is set up as before.

With nobody waiting at all (all dropped), an attempt not yet sent isn't sent any more either; with a linger it was until now. One that was sent is kept for who comes back, as before.

Checked: both orders of a failed attempt and the end of a side in one batch; the deadline and a later break of the connection of such a viewer.

--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -140,6 +140,12 @@
             if not self._answers:
                 self._idle.set()
 
+    def leave(self, ticket: int) -> None:
+        """The viewer of a request ended its side, though it may still read: it gets its answer, in time."""
+        if ticket in self._answers:
+            self.host.leave(self.now(), ticket)
+            self.kick()
+
     def kick(self) -> None:
         """Something happened: a batch is due, once."""
         if self._kicked or self._stopped:
--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -44,6 +44,7 @@
     Abandoned,
     Action,
     Arrival,
+    Effect,
     Ended,
     Event,
     Fail,
@@ -117,6 +118,8 @@
     key: int
     phase: Phase = Phase.ASKED
     tickets: list[int] = field(default_factory=list)
+    leaving: set[int] = field(default_factory=set)  # of these, whose viewers ended their side; only while OUT
+    may_have_run: bool = False  # an attempt of it ended so that it may stand at a box unseen
     attempts: int = 0
     server: int = -1
     rung: int = 0
@@ -132,6 +135,11 @@
     def attempt(self) -> int:
         return self.attempts - 1
 
+    @property
+    def waited_for(self) -> bool:
+        """Whether somebody waits who has not ended its side: only for such an attempt may begin."""
+        return any(ticket not in self.leaving for ticket in self.tickets)
+
 
 @dataclass(slots=True)
 class HostCounts:
@@ -298,6 +306,21 @@
             held.tickets.remove(ticket)
             self._unwanted(held, "its viewer left")
 
+    def leave(self, now: float, ticket: int) -> None:
+        """The viewer of a request ended its side, though it may still read: no attempt begins for it.
+
+        What the module or the gate still holds is answered at once. An attempt that is out may end, and is
+        answered if it plays; one whose first byte has not left is `still_wanted` only if others wait.
+        """
+        held = self._by_ticket.get(ticket)
+        if held is None:
+            return
+        self._now = now
+        held.leaving.add(ticket)
+        if held.phase is not Phase.OUT:
+            self._send_off(held)
+            self._unwanted(held, "its viewer left")
+
     def unheard(self, now: float, answer: Answer) -> None:
         """A viewer left while word that its session plays was on its way: as if it had left before."""
         held = self._held.get(answer.session.jti) if answer.session is not None else None
@@ -323,6 +346,7 @@
             self._start(now, held, end)
             return
         if end.result not in _NEVER_RAN:
+            held.may_have_run = True
             self._release(held, f"set-up ended as {end.result.name.lower()}")
         held.last = end.result
         held.phase = Phase.ASKED
@@ -332,6 +356,7 @@
         report = tuple(end.report[name] for name in self.settings.report_fields if name in end.report)
         if len(report) < len(self.settings.report_fields):
             report = ()
+        self._send_off(held)
         if not held.tickets:  # nobody waits: the module must not place it again
             self._events.append(Abandoned(held.number))
             self._forget(held, "nobody waited any more")
@@ -370,11 +395,15 @@
             self._turn_away(held, why, 0.0)
 
     def still_wanted(self, jti: str, attempt: int) -> bool:
-        """Asked at the last moment before an attempt's first byte leaves: drains and ends stop it there."""
+        """Asked at the last moment before an attempt's first byte leaves: drains and ends stop it there.
+
+        So does it if nobody waits any more but those who ended their side. Who drops and comes again finds
+        what had left already.
+        """
         held = self._held.get(jti)
         if held is None or held.phase is not Phase.OUT or held.attempt != attempt:
             return False
-        return self._states.get(held.server) is ServerState.READY
+        return held.waited_for and self._states.get(held.server) is ServerState.READY
 
     def session_over(self, now: float, jti: str, attempt: int, result: Result) -> None:
         """A session that played has ended at its box, or with it."""
@@ -654,6 +683,7 @@
         if held.rung != held.sent_rung:
             self._send_rung(held)
         tickets, held.tickets = held.tickets, []
+        held.leaving.clear()
         for ticket in tickets:
             del self._by_ticket[ticket]
             self._plays(held, ticket)
@@ -690,6 +720,22 @@
             self.counts.refused += 1
             self._answer(Answer(ticket, Kind.REFUSED, why, retry_after_ms, session=held.ask), held.ask)
 
+    def _send_off(self, held: Held) -> None:
+        """Answers those who ended their side. A refusal says that asking again does no harm."""
+        once = held.may_have_run and self.settings.classes[held.ask.cls].effect is not Effect.REPEATABLE
+        for ticket in [one for one in held.tickets if one in held.leaving]:
+            held.tickets.remove(ticket)
+            del self._by_ticket[ticket]
+            if once:
+                self.counts.failed += 1
+                late = held.last is Result.TIMEOUT
+                answer = Answer(ticket, Kind.FAILED, "its viewer left", timed_out=late, session=held.ask)
+            else:
+                self.counts.refused += 1
+                answer = Answer(ticket, Kind.REFUSED, "its viewer left", session=held.ask)
+            self._answer(answer, held.ask)
+        held.leaving.clear()
+
     def _answer(self, answer: Answer, ask: Ask | None, detail: dict[str, object] | None = None) -> None:
         self.ledger.answer(answer.ticket)
         self._out.append(answer)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -19,6 +19,7 @@
     ChangeRung,
     Command,
     Kind,
+    Left,
     Over,
     Release,
     SendProbe,
@@ -28,7 +29,7 @@
 from fernweir.front.core import Core
 from fernweir.front.host import Host, HostLimits, Phase
 from fernweir.front.ledger import Ledger, LedgerError
-from fernweir.interface import Action, Event, ListKind, ListUpdate, NoteKind, Result, ServerState
+from fernweir.interface import Action, Effect, Event, ListKind, ListUpdate, NoteKind, Result, ServerState
 from fernweir.journal.events import What
 from fernweir.journal.picture import Picture
 from fernweir.journal.store import Journal, JournalRules
@@ -491,3 +492,117 @@
         return await core.drained(10.0)
 
     assert asyncio.run(story())
+
+
+NEVER_TWICE = 1  # the class of SETTINGS that may not simply be set up again
+FRONT_WAITS = replace(ALONE, classes=(ALONE.classes[0], replace(ALONE.classes[1], effect=Effect.ONCE)))
+
+
+@pytest.mark.parametrize("gated", [True, False])
+def test_who_ends_its_side_before_an_attempt_is_out_is_refused_at_once(gated: bool) -> None:
+    desk = Desk(gated=gated)
+    ticket = desk.ask("a")
+    if gated:
+        desk.step()
+    desk.host.leave(desk.now, ticket)
+    desk.host.leave(desk.now, ticket)  # told twice, answered once
+    desk.step()
+    assert desk.answers() == {ticket: Kind.REFUSED} and desk.of(SetUp) == []
+    desk.host.admitted(desk.now, "a", True)  # the verdict comes late
+    desk.step()
+    desk.step()
+    assert desk.of(SetUp) == [] and desk.host.sessions == 0 and len(desk.host.ledger) == 0
+    assert [left.jti for left in desk.of(Left)] == ["a"] * gated
+
+
+def test_who_ends_its_side_while_an_attempt_is_out_hears_how_it_ended() -> None:
+    desk = Desk()
+    ticket = desk.ask("a")
+    desk.step()
+    desk.host.leave(desk.now, ticket)
+    desk.step()
+    assert desk.answers() == {}
+    desk.done(desk.of(SetUp)[0])
+    desk.step()
+    assert desk.answers() == {ticket: Kind.PLAYS} and desk.host.sessions == 1
+    desk.host.leave(desk.now, ticket)  # as its answer is being written
+    desk.step(2000)
+    assert desk.of(Release) == []  # it heard
+
+
+@pytest.mark.parametrize(
+    ("cls", "result", "said"),
+    [
+        (0, Result.ERROR, Kind.REFUSED),
+        (NEVER_TWICE, Result.ERROR, Kind.FAILED),  # a refusal would say that it never ran
+        (NEVER_TWICE, Result.MOOT, Kind.REFUSED),
+        (NEVER_TWICE, Result.FULL, Kind.REFUSED),
+        (NEVER_TWICE, Result.CONNECT_FAILED, Kind.REFUSED),
+        (NEVER_TWICE, Result.TIMEOUT, Kind.FAILED),
+    ],
+)
+def test_after_its_viewer_ended_its_side_no_further_attempt_begins(
+    cls: int, result: Result, said: Kind
+) -> None:
+    desk = Desk(FRONT_WAITS)
+    ticket = desk.ask("a", cls=cls)
+    desk.step()
+    (setup,) = desk.of(SetUp)
+    assert desk.host.still_wanted("a", 0)
+    desk.host.leave(desk.now, ticket)
+    assert not desk.host.still_wanted("a", 0)  # were it not sent yet, it would not be
+    desk.done(setup, result)
+    desk.step()
+    desk.step()
+    assert desk.answers() == {ticket: said} and desk.of(SetUp) == [setup]
+    assert desk.host.sessions == 0 and desk.host.controller.sessions == {}
+    assert len(desk.host.ledger) == 0
+
+
+def test_a_failed_attempt_and_the_end_of_a_viewers_side_in_one_batch_either_way_round() -> None:
+    for fails_first in (True, False):
+        desk = Desk()
+        ticket = desk.ask("a")
+        desk.step()
+        (setup,) = desk.of(SetUp)
+        if fails_first:
+            desk.done(setup, Result.ERROR)
+        desk.host.leave(desk.now, ticket)
+        if not fails_first:
+            desk.done(setup, Result.ERROR)
+        desk.step()
+        assert desk.answers() == {ticket: Kind.REFUSED} and desk.of(SetUp) == [setup]
+        assert desk.host.sessions == 0
+
+
+def test_a_session_goes_on_for_those_who_still_wait() -> None:
+    desk = Desk()
+    leaver, stayer = desk.ask("a"), desk.ask("a")
+    desk.step()
+    desk.host.leave(desk.now, leaver)
+    assert desk.host.still_wanted("a", 0)
+    desk.done(desk.of(SetUp)[0], Result.ERROR)
+    desk.step()
+    assert desk.answers() == {leaver: Kind.REFUSED} and len(desk.of(SetUp)) == 2
+    desk.host.leave(desk.now, stayer)
+    again = desk.ask("a")  # who comes while it is out is waited for
+    assert desk.host.still_wanted("a", 1)
+    desk.done(desk.of(SetUp)[1])
+    desk.step()
+    assert desk.answers() == {leaver: Kind.REFUSED, stayer: Kind.PLAYS, again: Kind.PLAYS}
+
+
+def test_a_leavers_time_runs_on_and_its_connection_may_break_besides() -> None:
+    desk = Desk()
+    first, second = desk.ask("a", wait_ms=300.0), desk.ask("b")
+    desk.step()
+    desk.host.leave(desk.now, first)
+    desk.host.leave(desk.now, second)
+    desk.host.withdraw(desk.now, second)
+    desk.step(300)
+    assert desk.answers() == {first: Kind.FAILED}
+    for setup in desk.of(SetUp):
+        desk.done(setup, Result.ERROR)
+    desk.step()
+    assert desk.answers() == {first: Kind.FAILED} and desk.host.sessions == 0
+    assert len(desk.of(SetUp)) == 2 and len(desk.host.ledger) == 0
