The module keeps no session whose viewer left in the batch in which it would be placed

Cause: events of one turn go to the module in one batch, in order. Where a viewer left in the turn in which it came, in which its attempt failed, or in which the probe it waited for ended, the module placed it at the first event and heard "abandoned" of a session with an attempt out, which only ends its time. The host had forgotten the session and dropped the `Place`, so no end of that attempt ever came: the module held the session for ever, with the server's count of attempts out one too high (`setting_up`), which also keeps a server under suspicion. `Host._unwanted` and `set_up_done` are to blame, which added `Abandoned` behind what came before.

Change: sessions that were abandoned are told first in their batch, and an arrival of theirs that waits in it is not told at all. No attempt is placed for nobody, so none is taken off the ration either.

--- a/fernweir/front/host.py
+++ b/fernweir/front/host.py
@@ -218,6 +218,7 @@
         self._listed: dict[int, tuple[ServerState, float]] = {}
         self._now = 0.0
         self._events: list[Event] = []
+        self._abandoned: dict[int, None] = {}  # since the last batch
         self._out: list[Command] = []
         self._next_number = 1
         self._lingering: list[tuple[float, str, int]] = []
@@ -358,7 +359,7 @@
             report = ()
         self._send_off(held)
         if not held.tickets:  # nobody waits: the module must not place it again
-            self._events.append(Abandoned(held.number))
+            self._abandoned[held.number] = None
             self._forget(held, "nobody waited any more")
         self._events.append(
             Ended(held.number, held.server, attempt, end.result, not held.tickets, end.took_ms, report)
@@ -540,7 +541,7 @@
         """Hands what happened to the module, and returns what is to be done, in order."""
         self._now = now
         self._expire(now)
-        events, self._events = self._events, []
+        events = self._batch()
         if events:
             self.counts.batches += 1
             actions = self.controller.handle(now, events)
@@ -551,6 +552,19 @@
         out, self._out = self._out, []
         return out
 
+    def _batch(self) -> list[Event]:
+        """What happened, in order, but for sessions that nobody waits for any more: that is told first.
+
+        What came before it in this batch (its arrival, the end of an attempt, a probe's) would make the
+        module place a session that is known here no longer, and it would hold it for ever.
+        """
+        events, self._events = self._events, []
+        gone, self._abandoned = self._abandoned, {}
+        if not gone:
+            return events
+        heard = [one for one in events if not (isinstance(one, Arrival) and one.viewer.session in gone)]
+        return [*map(Abandoned, gone), *heard]
+
     def _expire(self, now: float) -> None:
         for ticket in self.ledger.overdue(now):
             held = self._by_ticket.pop(ticket, None)
@@ -753,10 +767,10 @@
         if held.phase is Phase.GATED and not held.tickets:
             self._forget(held, why)
         elif held.phase is Phase.ASKED and not held.tickets:
-            self._events.append(Abandoned(held.number))
+            self._abandoned[held.number] = None
             self._forget(held, why)
         elif held.phase is Phase.OUT and not held.tickets and self.limits.linger_ms <= 0.0:
-            self._events.append(Abandoned(held.number))
+            self._abandoned[held.number] = None
             self._release(held, why)
             self._close(held, Result.CANCELLED, why)
 
