Settings of other deployments: names as told, zero and absent with their meaning, else exit 2

`_plain` in config.py turned spaces and commas of every value into `_`, as the simulator's text does; but a configuration is JSON, and lists and set-ups bring the names as they are. The limit was taken at its word (`asyncio.timeout(0)`), so no connection ever came up, and probes ended at once. A list of no classes was a fault at SIGTERM, a ladder of no rungs at the first set-up, 1e300 racks at the start; a flag written as "yes" was false without a word.

Ruled out: names of digits alone, or that read like JSON's words (`2026`, `null`, `true`), and long ones: they were well before. A name too long for a message to a server: no line of 16 KiB could bring it.

A new module, `node/settings`, says what can be used before anything is read from it, each with its path, and takes zero for absent where nothing could be served under it, as the wire does. Names stay as told. Addresses are IPv4 as the platform's are: a name would hold all up while it is asked for. The wire's parser is as it was, and what could be used before is read alike.

With config.py taken back 15 of 30 tests fail, among them `['film__long', '2026', 'true'] == ['film, long', '2026', 'true']` and `(0.0, 0.0) == (6500.0, inf)`; with `in_force` alone taken back the drawn test ends in `ZeroDivisionError: float division by zero`.

--- /dev/null
+++ b/tests/test_node_settings.py
@@ -0,0 +1,252 @@
+"""Whatever its settings say, a node starts with their documented meaning or names what it can't use."""
+
+from __future__ import annotations
+
+import json
+import math
+import subprocess
+import sys
+from copy import deepcopy
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from fernweir.brain import Controller
+from fernweir.front.names import number_of
+from fernweir.interface import (
+    Arrival,
+    ColdRule,
+    Ended,
+    Event,
+    ListKind,
+    ListUpdate,
+    Place,
+    Result,
+    ServerState,
+    TimerFired,
+)
+from fernweir.node.config import ConfigError, NodeConfig, load
+from fernweir.node.feed import Feed
+from tests.helpers import entry, viewer
+from tests.node_scene import PLAIN, Scene, play
+
+ROOT = Path(__file__).parent.parent
+# Every setting that a node reads, as the platform tells them: names with what the simulator's text replaces.
+TOLD: dict[str, Any] = {
+    "Categories": [
+        {"Name": "film, long", "Aim": 180, "Deadline": 280.0, "Gain": 1, "Idempotency": "repeatable"},
+        {"Name": "2026", "Aim": 900.0, "Deadline": 6500, "Gain": 2.5, "Idempotency": "once"},
+        {"Name": "true", "Aim": 900, "Deadline": 3000, "Gain": 1, "Idempotency": "by_key"},
+    ],
+    "Discovery": "automatic",
+    "Extra": {
+        "RatesKb": [100, 200.5, 400], "LevelWorth": [0.3, 0.6, 1], "KindSlots": [20, 30], "WeightKb": 2000,
+        "UplinkKb": 9000, "Cells": 4, "Groups": 2, "ClassScale": [1, 0.5, 2], "LowestRung": [0, 1, 0],
+        "ClassTop": [2, 2, 1], "Seats": [0, 4, 0], "SwitchCostS": 0.4, "SeenAfter": 700, "Tell": 2500,
+    },
+    "Feedback": {"Names": ["x0", "x1"], "Via": "inline"},
+    "Instances": 2,
+    "Limits": {
+        "RetryAfter": True, "MaxRetryAfter": 1500, "MayProbe": True, "AttemptsCap": 3,
+        "ConnectTimeout": 120.0, "ConnIdle": 6000,
+    },
+    "MachineTypes": ["box, small", "box 2"],
+    "Obligations": {
+        "AnswerSlack": 40, "BudgetSpan": 7000, "FreeResends": 5, "ExtraShare": 0.1, "WarmUp": 6000,
+        "ColdFrom": 0.4, "FallMultiple": 2.5, "Fall": 3000, "DrainGrace": 400,
+    },
+    "Ordinal": 1,
+    "Period": 10,
+}  # fmt: skip
+BODY: dict[str, Any] = {
+    "name": "n7", "listen": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "feed": "127.0.0.1:2",
+    "known": {"n": 1, "events": [{"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": []}}]},
+    "settings": TOLD,
+}  # fmt: skip
+ABSENT = object()
+NAN, INF, LONG = '"__nan__"', '"__inf__"', '"__long__"'  # what `json` reads and would not write so
+STRANGE: tuple[Any, ...] = (
+    ABSENT, None, 0, -1, -0.5, 0.5, 1, 255, 1e15, 1e300, 10**400, True, False, "", "abc", "7", "-7", "nan",
+    "1e400", "\ud800", [], {}, [0], [-1], ["a"], [[]], [None], {"count": -1}, {"count": 9},
+    "__nan__", "__inf__", "__long__",
+)  # fmt: skip
+
+
+def written(body: object) -> str:
+    text = json.dumps(body).replace(NAN, "NaN").replace(INF, "-Infinity")
+    return text.replace(LONG, "1" * 5000)
+
+
+def paths(tree: Any, above: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Every value in it, and all that holds values."""
+    inner = tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ()
+    return [above, *(path for key, one in inner for path in paths(one, (*above, key)))]
+
+
+def changed(path: tuple[Any, ...], value: object) -> Any:
+    body = deepcopy(BODY)
+    if not path:
+        return value
+    here: Any = body
+    for key in path[:-1]:
+        here = here[key]
+    if value is ABSENT:
+        del here[path[-1]]
+    else:
+        here[path[-1]] = value
+    return body
+
+
+def loaded(folder: Path, body: object) -> NodeConfig:
+    file = folder / "config.json"
+    file.write_text(written(body))
+    return load({"ROUTER_CONFIG": str(file)})
+
+
+def told(**more: dict[str, Any]) -> dict[str, Any]:
+    """The body with some settings of some groups changed, or taken out."""
+    body = deepcopy(BODY)
+    for group, values in more.items():
+        for key, value in values.items():
+            if value is ABSENT:
+                del body["settings"][group][key]
+            else:
+                body["settings"][group][key] = value
+    return body
+
+
+def live(config: NodeConfig) -> None:
+    """Plays to the module what makes it use all of its settings; a fault in one comes out here."""
+    settings, dice = config.settings, Random(3)
+    brain, now, rid = Controller(settings, config.seed), 1000.0, 0
+    entries = tuple(entry(n, cell=n, kind=n % 2, started_at=900.0 * (n % 2)) for n in range(1, 5))
+    report = (0.4,) * len(settings.report_fields)
+    events: list[Event] = [ListUpdate(ListKind.CACHED, 1, entries)]
+    results = (Result.RESET, Result.TIMEOUT, Result.FULL, Result.ERROR, Result.CONNECT_FAILED)
+    for _ in range(8):
+        for cls in range(len(settings.classes)):
+            rid += 1
+            wanted = viewer(rid, cls=cls, left_ms=settings.classes[cls].deadline_ms)
+            events.append(Arrival(replace(wanted, top_rung=len(settings.rates_kb) - 1)))
+        placed = [one for one in brain.handle(now, events) if isinstance(one, Place)]
+        now += 60.0
+        events = [TimerFired(1)]
+        events += [
+            Ended(one.session, one.server, 0, dice.choice(results), False, 9.0, report) for one in placed
+        ]
+
+
+def test_the_settings_of_the_page_are_read_with_the_names_as_told(tmp_path: Path) -> None:
+    config = loaded(tmp_path, BODY)
+    assert [one.name for one in config.settings.classes] == ["film, long", "2026", "true"]
+    assert config.kinds == ("box, small", "box 2")
+    assert (config.connect_ms, config.idle_ms, config.settings.attempts_cap) == (120.0, 6000.0, 3)
+    line = {
+        "name": "s-0", "address": "127.0.0.1:9", "zone": "z", "type": "box 2", "group": 0, "status": "up",
+        "weight": 1, "since_ms": 0,
+    }  # fmt: skip
+    first = {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": [line]}}
+    (update,) = Feed(config.settings, config.kinds, 0.0).start((first,), 1)
+    assert [(one.server, one.kind, one.state) for one in update.entries] == [
+        (number_of("s-0"), 1, ServerState.READY)
+    ]
+
+
+@pytest.mark.parametrize("name", ["film, long", "2026", "true", "null", "nächte 720p-2", "x" * 300])
+def test_a_class_is_called_by_its_name_as_told_in_set_ups_and_at_servers(name: str) -> None:
+    async def story(scene: Scene) -> None:
+        viewer = await scene.viewer()
+        wish = scene.setup(**{"class": name})
+        viewer.send(wish)
+        assert (await viewer.answer(wish.id)).type == "answer"
+        ((_, frame),) = scene.setups()
+        assert frame.parameters[3].decode() == name
+
+    play(story, settings=replace(PLAIN, classes=(replace(PLAIN.classes[0], name=name),)))
+
+
+def test_what_is_absent_or_zero_has_its_documented_meaning(tmp_path: Path) -> None:
+    longest = 6500.0  # no connection is waited for longer than an answer
+    for none in (0, ABSENT, None):
+        config = loaded(tmp_path, told(Limits={"ConnectTimeout": none, "ConnIdle": none}))
+        assert (config.connect_ms, config.idle_ms) == (longest, math.inf)
+        assert loaded(tmp_path, told(Limits={"AttemptsCap": none})).settings.attempts_cap is None
+        assert loaded(tmp_path, told(Obligations={"BudgetSpan": none})).settings.budget is None
+        assert loaded(tmp_path, told(Obligations={"WarmUp": none})).settings.cold is None
+        assert loaded(tmp_path, told(Extra={"Tell": none})).settings.tell_ms == 0.0
+        assert not loaded(tmp_path, told(Limits={"MaxRetryAfter": none})).settings.retry_after_max_ms
+        assert not loaded(tmp_path, told(Obligations={"DrainGrace": none})).settings.drain_grace_ms
+        seats = [0, 0, 0] if none == 0 else none
+        classes = loaded(tmp_path, told(Extra={"Seats": seats})).settings.classes
+        assert [one.seats for one in classes] == [0, 0, 0]
+    first = BODY["settings"]["Categories"][0]
+    aimless = told()
+    aimless["settings"]["Categories"][0] = {**first, "Aim": 0}
+    assert loaded(tmp_path, aimless).settings.classes[0].aim_ms == first["Deadline"]
+    kept = loaded(tmp_path, BODY).settings
+    assert kept.cold == ColdRule(6000.0, 0.4, 2.5, 3000.0) and kept.classes[1].seats == 4
+
+
+def test_any_setting_spoilt_in_any_way_is_used_or_named(tmp_path: Path) -> None:
+    used, named = 0, 0
+    for path in paths(BODY):
+        for value in STRANGE:
+            body = changed(path, value) if path or value is not ABSENT else None
+            try:
+                config = loaded(tmp_path, body)
+            except ConfigError as error:
+                keys = [str(key) for key in path if isinstance(key, str)][-2:]
+                known = (*keys, "not JSON") if path else ("not", "seed")
+                assert any(key in str(error) for key in known), (path, value, error)
+                assert "\n" not in str(error) and len(str(error)) < 250
+                named += 1
+                continue
+            live(config)
+            used += 1
+    assert used > 100 and named > 1000
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "word"),
+    [
+        (("settings", "Categories"), [], "Categories"),
+        (("settings", "Categories", 1, "Name"), "film, long", "Categories.1.Name"),
+        (("settings", "Categories", 0, "Deadline"), 0, "Categories.0.Deadline"),
+        (("settings", "Categories", 2, "Idempotency"), "never", "Categories.2.Idempotency"),
+        (("settings", "Extra", "RatesKb"), [], "Extra.RatesKb"),
+        (("settings", "Extra", "LevelWorth"), [0.3, 1], "Extra.LevelWorth"),
+        (("settings", "Extra", "LowestRung"), [0, 1, 2], "Extra.LowestRung"),
+        (("settings", "Extra", "Groups"), 1e300, "Extra.Groups"),
+        (("settings", "Limits", "MayProbe"), "yes", "Limits.MayProbe"),
+        (("settings", "Limits", "AttemptsCap"), {}, "Limits.AttemptsCap"),
+        (("settings", "Obligations"), 5, "Obligations"),
+        (("settings", "MachineTypes"), "box", "MachineTypes"),
+        (("settings", "MachineTypes"), ABSENT, "MachineTypes"),
+        (("limits", "sockets"), True, "limits.sockets"),
+        (("feed",), "feed.example:4222", "feed"),
+    ],
+)
+def test_what_can_not_be_used_is_named(
+    tmp_path: Path, path: tuple[Any, ...], value: object, word: str
+) -> None:
+    with pytest.raises(ConfigError) as caught:
+        loaded(tmp_path, changed(path, value))
+    assert word in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    "text", ["1e400", "-Infinity", "NaN", "9" * 5000, "[" * 900 + "]" * 900, '"\\ud800"']
+)
+def test_a_spoilt_setting_ends_the_program_with_2_and_one_line(tmp_path: Path, text: str) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(changed(("settings", "Limits", "ConnIdle"), "here")).replace('"here"', text))
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "fernweir", "node"],
+        cwd=ROOT, env={"ROUTER_CONFIG": str(file)}, capture_output=True, text=True, check=False,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
+    assert "ConnIdle" in done.stderr or "not JSON" in done.stderr
