The node that `run` starts heeds none of Python's own variables

A node's settings come from three variables and the file that one of them names. Python has variables of its own: PYTHONPATH goes before the standard library, PYTHONASYNCIODEBUG makes each callback slow, and others change what is loaded or what an assertion does. With a `json.py` on PYTHONPATH the node was that file's.

Read through for more: nothing that a node loads keeps a setting at module level (constants, compiled forms and the one receive buffer, which is read before the loop goes on), reads the working folder, or looks at the environment but for the three and FERNWEIR_PEERS, which `run` never sets. The root has to stay on the module path, as the package lies there; there are no modules beside it.

--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -4,8 +4,10 @@
 
 import json
 import math
+import shlex
 import subprocess
 import sys
+import tomllib
 from copy import deepcopy
 from dataclasses import replace
 from pathlib import Path
@@ -250,3 +252,19 @@
     )  # fmt: skip
     assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
     assert "ConnIdle" in done.stderr or "not JSON" in done.stderr
+
+
+def test_nothing_but_the_platforms_variables_reaches_a_node_that_run_starts(tmp_path: Path) -> None:
+    """Python has variables of its own, by which an environment could put other code under a node."""
+    (tmp_path / "json.py").write_text("raise SystemExit(7)\n")
+    command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert command.startswith("exec .venv/bin/python ")
+    done = subprocess.run(
+        ["/bin/sh", "-c", command.replace(".venv/bin/python", shlex.quote(sys.executable), 1)],
+        cwd=ROOT, capture_output=True, text=True, check=False,
+        env={
+            "ROUTER_CONFIG": "/nowhere.json", "PYTHONPATH": str(tmp_path), "PYTHONASYNCIODEBUG": "1",
+            "PYTHONSTARTUP": str(tmp_path / "json.py"), "PYTHONWARNINGS": "error",
+        },
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr == "fernweir node: /nowhere.json: No such file or directory\n"
