DASH: no attempt begins for a viewer that ended its side, and what it can't be told doesn't stand

Need: an orderly close is all that is seen of most clients that leave. `http/server.py` treated it as a half-close and told nobody: further attempts were made for such a viewer, and one waiting for a connection was sent. RFC 9112, 9.6 lets a client end its side and read on, so an answer is still due, not a session.

Change: `Exchange.on_left` tells the handler once that the other side ended, and `left` says so of a request that was handed over behind it. The DASH service passes that to `Core.leave`, for session starts alone: what plays, HEAD and DELETE are answered as before, also where the end came in the read of the request.

Seen in the tests: asyncio takes a connection whose other side ended off its selector, so a reset behind the half-close is met first by the answer's write. Whether that succeeded was asked by nobody, and the session stood with its viewer counted as told. `on_gone` holds now until the kernel has the whole answer, also for one that waits behind another on the connection, and then means `Host.unheard`: the session lingers for its viewer's return, and is released (at once with no linger).

Limits: while 32 requests of a connection wait, it isn't read, so its end is not seen; an answer that the kernel took and the peer never read counts as heard. An end in the very read of a request is seen a turn after it, when an attempt on an idle connection may be out; that is seen through, as its one attempt.

Checked, each on sockets with the end forced at its place: an attempt out, one that fails after, one that waits for the only connection (ended in order, and reset), request and end in one read. With the two hooks of dash.py taken back: `startswith(b'HTTP/1.1 503 ')` False twice, and "the condition never came" (session stands); with the server's taken back: `assert ['left'] == ['left', 'gone']`, `assert [] == ['gone']`.

--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -146,6 +146,12 @@
             self.host.leave(self.now(), ticket)
             self.kick()
 
+    def unheard(self, answer: Answer) -> None:
+        """What was answered could not be written: its viewer left."""
+        if answer.kind is Kind.PLAYS:
+            self.host.unheard(self.now(), answer)
+            self.kick()
+
     def kick(self) -> None:
         """Something happened: a batch is due, once."""
         if self._kicked or self._stopped:
@@ -215,9 +221,8 @@
             on_answer = self._answers.pop(command.ticket, None)
             if on_answer is not None:
                 on_answer(command)
-            elif command.kind is Kind.PLAYS:  # withdrawn in the same turn, after the host had answered
-                self.host.unheard(self.now(), command)
-                self.kick()
+            else:  # withdrawn in the same turn, after the host had answered
+                self.unheard(command)
             if not self._answers:
                 self._idle.set()
         elif isinstance(command, Arm):
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -275,7 +275,10 @@
 
         def here(ask: Ask) -> None:
             exchange.on_gone = lambda: self.core.withdraw(ask.ticket)
+            exchange.on_left = lambda: self.core.leave(ask.ticket)
             self.core.ask(ask, lambda answer: self._answer(exchange, answer, location))
+            if exchange.left:  # before it was taken: what plays is still answered so
+                self.core.leave(ask.ticket)
 
         def found(answer: Answer | None) -> None:
             if exchange.gone:
@@ -297,6 +300,7 @@
             body = self._document(answer, location)
             if body is not None:
                 fields = [("content-type", MPD_TYPE), ("cache-control", "no-store")]
+                exchange.on_gone = lambda: self.core.unheard(answer)
                 exchange.respond(200, [*_CORS, *fields], body)
                 return
             answer = Answer(answer.ticket, Kind.FAILED, "its box is no longer listed")
--- a/fernweir/http/server.py
+++ b/fernweir/http/server.py
@@ -48,7 +48,12 @@
 
 
 class Exchange:
-    """One request and its answer. `on_gone` is called if the peer is lost before the answer is out."""
+    """One request and its answer. `on_gone` is called if the peer is lost before the answer is given and
+    taken whole by the kernel.
+
+    `on_left` is called before that if the peer ends its side: it may still read. A request may be handed over
+    when that has happened; it is `left` from its start, and not called for.
+    """
 
     __slots__ = (
         "_body",
@@ -60,12 +65,14 @@
         "body",
         "head",
         "on_gone",
+        "on_left",
     )
 
     def __init__(self, connection: ServerConnection, head: RequestHead) -> None:
         self.head = head
         self.body = b""
         self.on_gone: Callable[[], None] | None = None
+        self.on_left: Callable[[], None] | None = None
         self._connection = connection
         self._body: list[bytes] = []
         self._chunks: list[bytes] = []
@@ -91,6 +98,11 @@
     def gone(self) -> bool:
         return self._connection.lost
 
+    @property
+    def left(self) -> bool:
+        """Whether the peer has ended its side; an answer is still due."""
+        return self._connection.half_closed
+
     def respond(self, status: int, headers: Iterable[tuple[str, str]] = (), body: bytes = b"") -> None:
         """The whole answer at once. A second answer to one request is a RuntimeError."""
         fields = list(headers)
@@ -170,10 +182,12 @@
         self._parser = RequestParser(server.limits.parse)
         self._transport: asyncio.Transport | None = None
         self._queue: deque[Exchange] = deque()
+        self._going: list[Exchange] = []  # their answers are given, and may not be out yet
+        self._broken = False  # not closed in order: what was not out is lost
         self._reading: Exchange | None = None
         self._fault: Fault | None = None
         self._events: deque[HttpEvent] = deque()
-        self._closing = self._half_closed = self._working = False
+        self._closing = self.half_closed = self._working = False
         self._read_paused = self._flushing = False
         self._since = server.loop.time()
         self._stalled_since: float | None = None
@@ -201,9 +215,17 @@
         self._work()
 
     def eof_received(self) -> bool:
-        """A half-close: what was asked is still answered (RFC 9112, 9.6), and nothing more is read."""
+        """A half-close, or all that is seen of a client that left: nothing more is read.
+
+        What was asked is still answered, as a client may end its side and read on (RFC 9112, 9.6); how is
+        the handler's to say, who is told. Those that are handed over behind it find that it was so.
+        """
+        asked = list(self._queue)
         self._events.extend(self._parser.eof())
-        self._half_closed = True
+        self.half_closed = True
+        for exchange in asked:
+            if exchange.on_left is not None and not exchange._done:
+                exchange.on_left()
         self._work()
         return bool(self._queue)
 
@@ -212,7 +234,10 @@
         self._events.clear()
         self.server.connections.pop(self, None)
         waiting, self._queue = list(self._queue), deque()
-        for exchange in waiting:
+        if exc is None and not self._broken:
+            self._going = []
+        lost, self._going = self._going + waiting, []
+        for exchange in lost:
             if exchange.on_gone is not None:
                 exchange.on_gone()
         self._reading = None
@@ -235,7 +260,7 @@
         while self._events and not self._closing and len(self._queue) < self.server.limits.pipeline:
             self._take(self._events.popleft())
         self._working = False
-        if self._half_closed and not self._events and not self._closing:
+        if self.half_closed and not self._events and not self._closing:
             self._closing = True
             self.flush()
         self._pace()
@@ -306,7 +331,7 @@
                 first._chunks = []
             if not first._done:
                 break
-            self._queue.popleft()
+            self._going.append(self._queue.popleft())
             self._since = self.server.loop.time()
             if first._last:
                 self._closing = True
@@ -317,7 +342,11 @@
             fields = [("content-type", "text/plain"), ("connection", "close")]
             ready.append(encode_head(fault.status, [*fields, ("content-length", str(len(body)))]) + body)
         if ready:
+            was_closing = transport.is_closing()
             transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+            self._broken = self._broken or transport.is_closing() != was_closing  # the kernel refused it
+        if not self._broken and not transport.get_write_buffer_size():
+            self._going.clear()
         self._flushing = False
         if self._closing and not self._queue:
             transport.close()
@@ -347,6 +376,7 @@
         return True
 
     def abort(self) -> None:
+        self._broken = True
         if self._transport is not None:
             reset(self._transport)
 
--- a/tests/test_front_sockets.py
+++ b/tests/test_front_sockets.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import json
+import socket
+import struct
 from dataclasses import replace
 
 import pytest
 
 from fernweir.dash.mpd import read_mpd
+from fernweir.front.host import Phase
 from fernweir.front.record import replay
 from fernweir.rehearsal.hostile import PAYLOADS, HostileCounts, attack, raw
 from fernweir.rehearsal.site import SitePlan
 from fernweir.standin.site import Cold, SiteClass, SiteTimes
-from fernweir.standin.viewer import Player, fetch
+from fernweir.standin.viewer import Player, Wish, fetch
 from tests.scene import Scene, play
 from tests.sockets import until
 
@@ -117,6 +120,127 @@
     play(story, PLAN)
 
 
+class Leaver:
+    """A viewer on a socket of its own, who ends its side, or breaks, when told to."""
+
+    def __init__(self, scene: Scene, wish: Wish) -> None:
+        self.scene, self.session = scene, wish.session
+        head = "GET /lessons/lesson-0/manifest.mpd HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+        self.request = f"{head}{wish.token}\r\n\r\n".encode()
+        self.connections = scene.fronts[0].server.connections
+        self._others = set(self.connections)
+        self.sock = socket.create_connection(scene.fronts[0].address)
+
+    def ask(self) -> None:
+        self.sock.sendall(self.request)
+
+    async def end_side(self) -> None:
+        """Until the front knows."""
+        self.sock.shutdown(socket.SHUT_WR)
+        await until(lambda: any(one.half_closed for one in set(self.connections) - self._others))
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    async def read(self) -> bytes:
+        """All that comes, to the end of the connection."""
+        self.sock.setblocking(False)
+        seen = b""
+        while data := await self.scene.loop.sock_recv(self.sock, 65_536):
+            seen += data
+        self.sock.close()
+        return seen
+
+
+def test_a_viewer_that_ends_its_side_is_answered_by_the_attempt_that_is_out() -> None:
+    async def story(scene: Scene) -> None:
+        for box in scene.site.boxes:
+            scene.behave(box, late_ms=100.0)
+        viewer = Leaver(scene, scene.wish())
+        viewer.ask()
+        await until(lambda: scene.of("box.setup"))
+        await viewer.end_side()
+        assert (await viewer.read()).startswith(b"HTTP/1.1 200 ")
+        assert len(scene.of("box.setup")) == 1
+
+    play(story, PLAN)
+
+
+def test_after_a_viewer_ended_its_side_a_failed_attempt_is_its_last() -> None:
+    async def story(scene: Scene) -> None:
+        bad = await scene.first_choice()
+        scene.behave(bad, late_ms=600.0)  # an attempt's time is half an aim, 400 ms
+        viewer = Leaver(scene, scene.wish())
+        viewer.ask()
+        await until(lambda: scene.of("box.setup", session=viewer.session))
+        await viewer.end_side()
+        assert (await viewer.read()).startswith(b"HTTP/1.1 503 ")
+        host = scene.fronts[0].core.host
+        await until(lambda: host.sessions == 0 and host.controller.sessions == {})
+        assert len(scene.of("box.setup", session=viewer.session)) == 1 and len(host.ledger) == 0
+
+    play(story, PLAN)
+
+
+@pytest.mark.parametrize("how", ["ends its side", "breaks"])
+def test_a_viewer_that_leaves_while_its_set_up_waits_for_a_connection_is_not_sent_on(how: str) -> None:
+    async def story(scene: Scene) -> None:
+        box = await scene.first_choice()
+        for other in scene.site.boxes:
+            scene.behave(other, late_ms=250.0)
+        first = asyncio.ensure_future(scene.ask(scene.wish(top=1)))
+        await until(lambda: len(scene.of("box.setup", box=box)) == 2)  # it has the one connection
+        viewer, host = Leaver(scene, scene.wish(top=1)), scene.fronts[0].core.host
+        viewer.ask()
+        await until(lambda: viewer.session in host.held() and host.held()[viewer.session].phase is Phase.OUT)
+        if how == "breaks":
+            viewer.reset()
+            await until(lambda: not host.held()[viewer.session].tickets)
+        else:
+            await viewer.end_side()
+            assert (await viewer.read()).startswith(b"HTTP/1.1 503 ")
+        assert (await first).status == 200
+        await until(lambda: viewer.session not in host.held())
+        assert scene.of("box.setup", session=viewer.session) == []
+
+    play(story, PLAN, extra="[boxes]\nconnections = 1\nconnect-time = 2 s")
+
+
+@pytest.mark.parametrize("plays", [True, False])
+def test_a_side_that_ends_in_the_read_of_its_request_leaves_one_answer(plays: bool) -> None:
+    """What plays is still told; what would begin has one attempt at the most, and is told how it went."""
+
+    async def story(scene: Scene) -> None:
+        wish = scene.wish()
+        if plays:
+            assert (await scene.ask(wish)).status == 200
+        viewer = Leaver(scene, wish)
+        viewer.ask()
+        viewer.sock.shutdown(socket.SHUT_WR)  # both are there before the front's loop turns
+        seen = await viewer.read()
+        assert seen.count(b"HTTP/1.1 ") == 1 and seen.startswith(b"HTTP/1.1 200" if plays else b"HTTP/1.1 ")
+        assert len(scene.of("box.setup", session=wish.session)) <= 1
+        assert len(scene.fronts[0].core.host.ledger) == 0
+
+    play(story, PLAN)
+
+
+def test_a_session_whose_viewer_broke_after_it_ended_its_side_does_not_stand_for_nobody() -> None:
+    async def story(scene: Scene) -> None:
+        for box in scene.site.boxes:
+            scene.behave(box, late_ms=100.0)
+        viewer, host = Leaver(scene, scene.wish()), scene.fronts[0].core.host
+        viewer.ask()
+        await until(lambda: scene.of("box.setup"))
+        await viewer.end_side()
+        viewer.reset()
+        await until(lambda: scene.of("box.end", session=viewer.session, why="released"))
+        assert host.sessions == 0  # after the time that is kept for its return
+
+    play(story, PLAN, extra="linger = 200 ms")
+
+
 @pytest.mark.parametrize(
     "how", ["silent_mid", "cut_mid", "not_xml", "other_rungs", "short_length", "hang", "full", "fail", "lost"]
 )
--- a/tests/test_http_sockets.py
+++ b/tests/test_http_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -137,6 +138,81 @@
     play(story, replace(ServerLimits(), pipeline=32, parse=Limits()))
 
 
+@pytest.mark.parametrize("answered_before", [True, False])
+def test_a_handler_hears_once_that_the_other_side_ended_and_may_still_answer(answered_before: bool) -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        left: list[str] = []
+        server.handler = lambda exchange: (asked.append(exchange), watch(exchange))
+
+        def watch(exchange: Exchange) -> None:
+            exchange.on_left = lambda: left.append(exchange.head.target)
+
+        reader, writer = await asyncio.open_connection(*server.address)
+        writer.write(GET % b"1" + GET % b"2" + GET % b"3")
+        await until(lambda: len(asked) == 2)  # more than two at once are not taken
+        assert not asked[0].left and left == []
+        if answered_before:
+            asked[1].respond(200, [], b"second")  # waits behind the first: it is answered for all that
+        writer.write_eof()
+        if not answered_before:  # nothing is read while the third waits its turn
+            asked[1].respond(200, [], b"second")
+        asked[0].respond(200, [], b"first")
+        await until(lambda: len(asked) == 3)
+        await until(lambda: asked[2].left)
+        asked[2].respond(200, [], b"third")
+        seen = await reader.read()
+        assert [seen.index(b"first") < seen.index(b"second") < seen.index(b"third")] == [True]
+        assert left in (["/3"], []) and seen.count(b"HTTP/1.1 200") == 3
+        writer.close()
+
+    play(story, replace(ServerLimits(), pipeline=2))
+
+
+def test_who_ends_its_side_and_then_breaks_is_left_first_and_gone_after() -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        told: list[str] = []
+        client = socket.create_connection(server.address)
+        client.sendall(GET % b"1")
+        await until(lambda: len(asked) == 1)
+        asked[0].on_left = lambda: told.append("left")
+        asked[0].on_gone = lambda: told.append("gone")
+        client.shutdown(socket.SHUT_WR)
+        await until(lambda: told == ["left"])
+        assert asked[0].left and not asked[0].gone
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.close()  # a reset
+        asked[0].respond(200)  # asyncio reads no more after the end of a side, so it is this that finds out
+        await until(lambda: asked[0].gone)
+        assert told == ["left", "gone"]
+
+    play(story)
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_an_answer_that_could_not_be_written_whole_is_told_of(reads: bool) -> None:
+    async def story(server: Server, asked: list[Exchange]) -> None:
+        told: list[str] = []
+        client = socket.create_connection(server.address)
+        client.setblocking(False)
+        client.send(GET % b"1")
+        await until(lambda: len(asked) == 1)
+        asked[0].on_gone = lambda: told.append("gone")
+        asked[0].respond(200, [("connection", "close")], b"x" * 20_000_000)  # more than the kernel takes
+        got = 0
+        while reads and got < 20_000_000:
+            try:
+                got += len(client.recv(1_000_000))
+            except BlockingIOError:
+                await asyncio.sleep(0)
+        if not reads:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.close()
+        await until(lambda: asked[0].gone)
+        assert told == ([] if reads else ["gone"])
+
+    play(story)
+
+
 IDLERS = """
 import socket, sys
 socks = []
