A fault in a command, a batch or the turn of the stop costs no request its answer and leaves no session

Cause, in `front/core.py`: `_step` logged a command that raised and went on. For a `SetUp` that meant an attempt that never ends: its request waited out its time, and the module held the session and the attempt for ever; for a probe, a server that is "being probed" for ever, and the sessions that wait for it; for `PLAYS`, a session that stands with a viewer counted as told that heard nothing. A step of the host that raised left no wake-up armed: until something else happened no deadline was kept. One callback behind a batch that raised took the others along. And what was asked between the last batch and `stop` was dropped without a word.

Change: what could not be carried out is ended as the host expects it: a set-up as an error that may have run (so it is released), a probe as failed, an admission as refused, an answer that plays as unheard. The wake-up is set whatever happened. `last_step` before an orderly `stop` answers what came since; the DASH front's stop uses it before connections are closed. The DASH service ends a request with 500 if writing its answer fails. `stop` itself stays what a kill is: nothing more is said.

--- a/fernweir/front/core.py
+++ b/fernweir/front/core.py
@@ -15,6 +15,7 @@
     Ask,
     ChangeRung,
     Command,
+    Follow,
     Kind,
     Left,
     Over,
@@ -22,8 +23,10 @@
     Say,
     SendProbe,
     SetUp,
+    SetUpResult,
 )
 from fernweir.front.host import Host
+from fernweir.interface import Result
 
 if TYPE_CHECKING:
     from fernweir.http.client import Reply
@@ -175,7 +178,13 @@
             return False
         return True
 
+    def last_step(self) -> None:
+        """Before an orderly `stop`: what was asked since the last batch is answered."""
+        self.host.close()
+        self._step()
+
     def stop(self) -> None:
+        """At once; what waits for a batch gets no answer."""
         self._stopped = True
         for timer in [*self._timers, *([self._wake] if self._wake else [])]:
             timer.cancel()
@@ -185,15 +194,24 @@
         self._kicked = False
         if self._stopped:
             return
-        for command in self.host.step(self.now()):
+        commands: list[Command] = []
+        try:
+            commands = self.host.step(self.now())
+        except Exception as error:  # what was in the batch is answered when its time is over
+            self.log.error("batch failed", why=repr(error))
+        for command in commands:
             try:
                 self._do(command)
             except Exception as error:  # a fault in carrying one out must not cost others their answers
                 self.log.error("command failed", command=type(command).__name__, why=repr(error))
-        self._set_wake()
+                self._undone(command, repr(error))
         after, self._after = self._after, []
         for do in after:
-            do()
+            try:
+                do()
+            except Exception as error:
+                self.log.error("what follows a batch failed", why=repr(error))
+        self._set_wake()
 
     def after_step(self, do: Callable[[], None]) -> None:
         """Calls `do` once the module has been told of all that has happened so far."""
@@ -219,12 +237,12 @@
         doer = self.doer
         if isinstance(command, Answer):
             on_answer = self._answers.pop(command.ticket, None)
+            if not self._answers:
+                self._idle.set()
             if on_answer is not None:
                 on_answer(command)
             else:  # withdrawn in the same turn, after the host had answered
                 self.unheard(command)
-            if not self._answers:
-                self._idle.set()
         elif isinstance(command, Arm):
             self._arm(command)
         elif isinstance(command, Over):
@@ -232,7 +250,7 @@
                 self.on_over(command)
         elif isinstance(command, Admit | Left):
             if self.keeper is None:
-                self.log.error("nobody admits", command=type(command).__name__)
+                raise RuntimeError("nobody admits")
             elif isinstance(command, Admit):
                 self.keeper.admit(command)
             else:
@@ -240,7 +258,8 @@
         elif isinstance(command, Say):
             self.log.info(command.text, **_named(session=command.session, box=command.box))
         elif doer is None:
-            self.log.error("no way to boxes", command=type(command).__name__)
+            if not isinstance(command, Follow):
+                raise RuntimeError("no way to boxes")
         elif isinstance(command, SetUp):
             doer.set_up(command)
         elif isinstance(command, ChangeRung):
@@ -250,6 +269,22 @@
         elif isinstance(command, SendProbe):
             doer.probe(command)
 
+    def _undone(self, command: Command, why: str) -> None:
+        """The end of what could not be carried out: the host waits for one. It may have run."""
+        now = self.now()
+        if isinstance(command, SetUp):
+            end = SetUpResult(Result.ERROR, 0.0, {}, why=why)
+            self.host.set_up_done(now, command.session.jti, command.attempt, end)
+        elif isinstance(command, SendProbe):
+            self.host.probe_done(now, command.server, Result.ERROR, 0.0, {})
+        elif isinstance(command, Admit):
+            self.host.admitted(now, command.session.jti, plays=False, why="nobody could be asked")
+        elif isinstance(command, Answer):
+            self.unheard(command)
+        else:
+            return
+        self.kick()
+
     def _arm(self, command: Arm) -> None:
         def fire() -> None:
             self._timers.discard(handle)
--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -296,6 +296,15 @@
     def _answer(self, exchange: Exchange, answer: Answer, location: str) -> None:
         if exchange.gone:
             return
+        try:
+            self._write_answer(exchange, answer, location)
+        except Exception:  # a bug met by one answer must not leave its viewer waiting for it
+            if not exchange.answered:
+                exchange.on_gone = None
+                exchange.respond(500, [*_CORS, ("connection", "close")])
+            raise
+
+    def _write_answer(self, exchange: Exchange, answer: Answer, location: str) -> None:
         if answer.kind is Kind.PLAYS and answer.session is not None:
             body = self._document(answer, location)
             if body is not None:
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -87,7 +87,8 @@
         if self.gate is not None:
             left = await self.gate.give_back(min(within_s, _GIVE_BACK_S))
             self.core.log.info("seats given back", left=left)
-        await asyncio.sleep(0)
+        self.core.last_step()
+        await asyncio.sleep(0)  # connections end in order with what that answered
         self.kill()
         return whole
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import pytest
 from hypothesis import settings as hypothesis_settings
@@ -34,6 +35,7 @@
 from fernweir.journal.picture import Picture
 from fernweir.journal.store import Journal, JournalRules
 from tests.helpers import BUDGET, COLD, SETTINGS, entry
+from tests.sockets import until
 
 ALONE = replace(SETTINGS, may_probe=False)
 SEATS = replace(ALONE, classes=(replace(SETTINGS.classes[0], seats=2), SETTINGS.classes[1]))
@@ -648,3 +650,77 @@
     desk.step()
     assert desk.answers() == {first: Kind.FAILED} and desk.host.sessions == 0
     assert len(desk.of(SetUp)) == 2 and len(desk.host.ledger) == 0
+
+
+def core_story(story: Callable[[Core, Mock], Awaitable[None]], **limits: float) -> None:
+    """Plays a story against a core with one box, whose ways and log are stand-ins."""
+
+    async def run() -> None:
+        host = Host(ALONE, 7, HostLimits(margin_ms=0.0, linger_ms=0.0, **limits))
+        core, doer = Core(host, log=Mock()), Mock()
+        core.doer = doer
+        host.box_list(core.now(), ListUpdate(ListKind.FULL, 1, (entry(1),)))
+        await story(core, doer)
+        core.stop()
+
+    asyncio.run(run())
+
+
+def put(core: Core, jti: str, got: list[Answer], wait_ms: float = 4000.0) -> int:
+    ask = Ask(core.ticket(), "dash", jti, "who", "lesson", 5, 0, 4, 0, 3, wait_ms)
+    core.ask(ask, got.append)
+    return ask.ticket
+
+
+def test_a_set_up_or_probe_that_could_not_be_begun_ends_as_one_that_failed() -> None:
+    async def story(core: Core, doer: Mock) -> None:
+        doer.set_up.side_effect = doer.probe.side_effect = ValueError("a fault of this program")
+        got: list[Answer] = []
+        put(core, "a", got)
+        await until(lambda: got)  # long before its time is over
+        assert got[0].kind is Kind.REFUSED and core.host.sessions == 0 and len(core.host.ledger) == 0
+        module = core.host.controller
+        assert not any(one.setting_up or one.probing for one in module.servers.values())
+
+    core_story(story)
+
+
+def test_a_fault_in_telling_one_viewer_costs_no_other_its_answer_and_leaves_no_session() -> None:
+    async def story(core: Core, doer: Mock) -> None:
+        got: list[Answer] = []
+        ask = Ask(core.ticket(), "dash", "a", "who", "lesson", 5, 0, 4, 0, 3, 4000.0)
+        core.ask(ask, Mock(side_effect=ValueError("a fault of this program")))
+        await until(lambda: doer.set_up.called)
+        core.host.set_up_done(core.now(), "a", 0, SetUpResult(Result.OK, 1.0, {}, "manifest"))
+        core.host.close()
+        put(core, "b", got)
+        await until(lambda: got)
+        assert await core.drained(10.0) and core.host.sessions == 0  # nobody heard that it plays
+        await until(lambda: doer.release.called)
+
+    core_story(story)
+
+
+def test_a_batch_that_fails_leaves_what_was_asked_its_time_and_its_answer() -> None:
+    async def story(core: Core, doer: Mock) -> None:
+        got: list[Answer] = []
+        with patch.object(core.host.controller, "handle", side_effect=ValueError("a fault of the module")):
+            put(core, "a", got, 50.0)
+            core.after_step(Mock(side_effect=ValueError("a fault of this program")))
+            await until(lambda: core.log.error.called)
+        await until(lambda: got)
+        assert got[0].kind is Kind.FAILED and got[0].timed_out and core.host.sessions == 0
+
+    core_story(story)
+
+
+def test_what_is_asked_in_the_turn_of_the_stop_is_answered_before_it() -> None:
+    async def story(core: Core, doer: Mock) -> None:
+        got: list[Answer] = []
+        assert await core.drained(10.0)
+        put(core, "a", got)
+        core.last_step()
+        core.stop()
+        assert [one.kind for one in got] == [Kind.REFUSED] and len(core.host.ledger) == 0
+
+    core_story(story)
