One record of a connection to a media server; its connect time can't undo what was written

Cause: `_open` had the connect time in `asyncio.timeout`, `connection_made` had the connection in `made`, and neither asked the other. In the turn in which `up` wrote the set-up the time may end: the waiter of `create_connection` is done or about to be, the task is cancelled all the same, the transport closed, and `_open` says "no connection in time": CONNECT_FAILED, never ran, for a set-up that is at the server. It is set up a second time elsewhere, and the server counts as not reachable. The turn before it is the same: the transport is made, `connection_made` still runs after the task was cancelled. Checked: a test ends the connect time in each of five turns. Ruled out: the turns before the transport is made (nothing is written there, the failure is a true one) and after the coroutine has resumed.

Change: `node/course.py` is the one record (connecting, up, retired, closing, over; onward only), in place of `made`, `retired` and `closing`. The connect time is the connection's own timer, which the coming up cancels; what comes up after it was given up is let go and `up` isn't called. A second end of a connection is none. A stop lets go of what is being made, and the farewell's timer ends with its connection.

Result: in every turn the set-up is at one server once.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -18,6 +18,7 @@
 from fernweir.interface import ListUpdate, NoteKind, Result, ServerState
 from fernweir.node.buffer import Shell
 from fernweir.node.config import Address, NodeConfig
+from fernweir.node.course import At, Course
 from fernweir.node.feed import Feed
 from fernweir.node.frames import Code, Frame, FrameError, Frames, Type, encode
 from fernweir.node.limits import Shares
@@ -220,9 +221,8 @@
 
     def _timed_out(self, link: Link, attempt: Attempt) -> None:
         conn = attempt.conn
-        if conn is not None:
-            # Late or silent, spoilt or stuck: nothing new goes there.
-            conn.retired = conn.retired or attempt.written
+        if conn is not None and attempt.written:
+            conn.course.retire()  # late or silent, spoilt or stuck: nothing new goes there
         result = Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED
         self._finish(link, attempt, SetUpResult(result, self.core.now() - attempt.sent_at, {}))
 
@@ -264,7 +264,7 @@
             return
         test.timer.cancel()
         if test.conn is not None and result is Result.TIMEOUT:
-            test.conn.retired = True
+            test.conn.course.retire()
             test.conn.close_if_spent()
         self._probed(link.server, result, self.core.now() - test.sent_at, report or {})
 
@@ -330,7 +330,7 @@
     def _free(self, link: Link) -> Connection | None:
         """One with nothing open on it; where there may be no more, the one with least."""
         now, most = self.core.now(), self.shares.per_server(len(self.links))
-        good = [one for one in link.conns if not one.retired and one.good(now)]
+        good = [one for one in link.conns if one.good(now)]
         for conn in reversed(good):  # the last used: the others can idle out
             if not conn.attempts:
                 return conn
@@ -341,33 +341,32 @@
     def _connect(self, link: Link) -> Connection:
         conn = Connection(self, link)
         link.conns.append(conn)
-        task = self.core.loop.create_task(self._open(conn))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        conn.task = self.core.loop.create_task(self._open(conn))
+        self._tasks.add(conn.task)
+        conn.task.add_done_callback(self._tasks.discard)
         return conn
 
     async def _open(self, conn: Connection) -> None:
-        link, why = conn.link, ""
         try:
-            async with asyncio.timeout(self.connect_s):
-                await self.core.loop.create_connection(lambda: conn, *link.address)
-            return
-        except TimeoutError:
-            link.watch.unreachable()
-            why = "no connection in time"
-        except ConnectionRefusedError:
-            link.watch.refused()
-            why = "connection refused"
+            await self.core.loop.create_connection(lambda: conn, *conn.link.address)
         except ConnectionResetError:
             # It came up and broke before the loop saw it, as any connection may: somebody listens there.
-            conn.made = True
-            self._alive(link)
-            self.down(conn, "connection reset while new")
-            return
+            if conn.over():
+                self._alive(conn.link)
+                self.down(conn, "connection reset while new")
         except OSError as error:
-            why = error.strerror or str(error)
-        if conn in link.conns:
-            link.conns.remove(conn)
+            if conn.over():
+                self.unmade(conn, error)
+
+    def unmade(self, conn: Connection, error: OSError) -> None:
+        """A connection didn't come up: nothing was written on it."""
+        link, why = conn.link, str(error.strerror or error)
+        if isinstance(error, TimeoutError):
+            link.watch.unreachable()
+        elif isinstance(error, ConnectionRefusedError):
+            link.watch.refused()
+            why = "connection refused"
+        link.conns.remove(conn)
         self._broken(link, lives=False)
         for attempt in list(conn.attempts.values()):
             took = self.core.now() - attempt.sent_at
@@ -399,8 +398,7 @@
         How they ended depends on whether the server lives, which a new connection tells at once.
         """
         link = conn.link
-        if conn in link.conns:
-            link.conns.remove(conn)
+        link.conns.remove(conn)
         for stay in link.stays.values():
             if stay.conn is conn:
                 stay.conn = None
@@ -422,7 +420,7 @@
                     self._tell(link.server, frame.session, frame)
             # What was on its way on a connection that broke comes on the next that opens, and only there.
             missed = bool(link.stays) and not conn.whole
-            if (link.broken or missed) and not any(not one.made for one in link.conns):
+            if (link.broken or missed) and not any(one.course.connecting for one in link.conns):
                 self._connect(link)
             self._look(link)
 
@@ -443,12 +441,12 @@
         stay = link.stays.get(id)
         conn = stay.conn if stay is not None else None
         if conn is None or not conn.usable:
-            conn = next((one for one in link.conns if one.usable and not one.retired), None)
+            conn = next((one for one in link.conns if one.usable and one.course.takes), None)
         if conn is not None:
             conn.say(frame)
             return
         link.letters.append(frame)
-        if not any(not one.made for one in link.conns):
+        if not any(one.course.connecting for one in link.conns):
             self._connect(link)
 
     # --- upkeep ---
@@ -473,8 +471,8 @@
 
     def _look(self, link: Link) -> None:
         now = self.core.now()
-        connected = any(one.usable and not one.retired for one in link.conns)
-        connecting = any(not one.made for one in link.conns)
+        connected = any(one.usable and one.course.takes for one in link.conns)
+        connecting = any(one.course.connecting for one in link.conns)
         holds = bool(link.stays)
         gone = self.core.host.listed.get(link.server, ServerState.GONE) is ServerState.GONE
         verdict, why = link.watch.look(now, holds, connected, connecting), link.watch.why
@@ -497,27 +495,47 @@
 
 
 class Connection(Shell):
-    """One connection to a media server."""
+    """One connection to a media server. Its `course` alone tells where it stands."""
+
+    task: asyncio.Task[None]
 
     def __init__(self, servers: Servers, link: Link) -> None:
         self.servers, self.link = servers, link
+        self.course = Course()
         self.attempts: dict[str, Attempt] = {}
-        self.made = self.retired = self.closing = False
         self.whole = False  # whether it ended in order, with all read that its server wrote
         self.used_at = servers.core.now()
+        self._timer = servers.core.loop.call_later(servers.connect_s, self._late)
         self._frames = Frames()
         self._said: deque[tuple[float, Frame]] = deque(maxlen=_SAID_MOST)
         self._why = "connection closed"
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.made = True
-        self.used_at = self.servers.core.now()
-        if self.servers.stopped:
-            self.abort()
+        if not self.course.came_up():
+            transport.abort()  # type: ignore[attr-defined]
             return
+        self._timer.cancel()
+        self.used_at = self.servers.core.now()
         self.servers.up(self)
 
+    def _late(self) -> None:
+        """The connect time is over; what comes up all the same is let go."""
+        if self.give_up():
+            self.servers.unmade(self, TimeoutError("no connection in time"))
+
+    def give_up(self) -> bool:
+        if not self.course.give_up():
+            return False
+        self._timer.cancel()
+        self.task.cancel()
+        return True
+
+    def over(self) -> bool:
+        """Its end, however it shows; True for the first that does."""
+        self._timer.cancel()
+        return self.course.end()
+
     def bytes_came(self, data: memoryview) -> None:
         servers, why = self.servers, ""
         self.link.watch.heard(servers.core.now())
@@ -532,20 +550,18 @@
             why = str(error)
         if why:
             self._why = f"spoilt: {why}"
-            self.retired = True
+            self.course.retire()
             self.abort()
 
     def good(self, now: float) -> bool:
         """Whether something new may go out here: one long idle may be closed at its other end by now."""
-        if not self.made:
-            return False
-        return self.usable and now - self.used_at < 0.8 * self.servers.idle_ms
+        return self.course.takes and self.usable and now - self.used_at < 0.8 * self.servers.idle_ms
 
     def idle(self, now: float, last: bool) -> bool:
         """Whether it can go: with sessions there, the last one stays to hear by."""
-        if not self.made or self.attempts or (last and self.link.stays):
+        if not self.course.carries or self.attempts or (last and self.link.stays):
             return False
-        return self.retired or now - self.used_at > 0.5 * self.servers.idle_ms
+        return not self.course.takes or now - self.used_at > 0.5 * self.servers.idle_ms
 
     def write(self, data: bytes) -> None:
         if not self.usable:
@@ -563,37 +579,40 @@
 
     def unheard(self, now: float) -> list[Frame]:
         """Releases that its end may have cost. One heard twice does no harm; one unheard leaves a session."""
-        if self.closing and self.whole:
-            return []
         return [frame for at, frame in self._said if now - at < _SAID_MS]
 
     def close_if_spent(self) -> None:
-        if self.retired and not self.attempts:
+        if self.course.at is At.RETIRED and not self.attempts:
             self.close()
 
     @property
     def usable(self) -> bool:
-        return super().usable and not self.closing
+        return self.course.carries and super().usable
 
     def close(self) -> None:
         """Ends this side. What the server has under way, as the end of a session, is still read."""
         if not self.usable:
             return
         assert self.transport is not None
-        self.closing = True
+        self.course.close()
         try:
             self.transport.write_eof()
         except OSError:  # broken already, though the loop has not seen it yet
             self.transport.abort()
             return
-        self.servers.core.loop.call_later(_FAREWELL_S, self.abort)
+        self._timer = self.servers.core.loop.call_later(_FAREWELL_S, self.abort)
 
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
+        else:
+            self.give_up()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.servers.down(self, f"connection reset: {exc}" if exc is not None else self._why)
+        if self.course.at is At.CLOSING and self.whole:
+            self._said.clear()  # both ends were in order: all was heard
+        if self.over():
+            self.servers.down(self, f"connection reset: {exc}" if exc is not None else self._why)
 
     def eof_received(self) -> bool:
         self.whole = True
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import select
+import selectors
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -523,6 +525,21 @@
         self.loop.until(lambda: viewer.look() is not None and id in self.answers)
         return id, line
 
+    def connecting(self) -> int:
+        """Turns until the node is making a connection, and holds it there: its descriptor."""
+        making: list[int] = []
+
+        def begun() -> bool:
+            kept = self.loop.selected.get_map().values()
+            making[:] = [one.fd for one in kept if one.events & selectors.EVENT_WRITE]
+            making[:] = [fd for fd in making if fd not in self.loop.selected.held]
+            return bool(making)
+
+        self.loop.until(begun)
+        self.loop.selected.held.add(making[0])
+        self.loop.arrived(making[0], events=select.POLLOUT)
+        return making[0]
+
     def tally(self) -> None:
         """Nothing is owed or left: ledger, servers against the host, attempts, tests, tasks, faults."""
         self.loop.settle()
