A set-up whose viewer left, or whose server left the list, doesn't wait for its connection

Cause: `Servers.release` returned at once for what isn't in `link.stays`, and that begins with the write: an attempt not written yet stayed in `link.attempts` and at its connection with its timer, until that came up or its time ended. A draining or removed server was noticed as late (`still_wanted` was asked in `_write` alone), so the module could place the session elsewhere only then. A stop left attempts with their timers, and an attempt written in its last turn in `link.broken`. Checked: nothing was written for such a viewer in either case, as the write asked the host; what was wrong is how long it waited and what was left. Ruled out: a second end told to the host (`set_up_done` comes for no session by then).

Change: `release` takes an attempt out whether it is written or not. A connection takes itself out of its link as it ends, in one place; a stop ends attempts, tests and their timers.

Result: the connection that comes up stays for the next set-up. With the fix taken back six tests fail: the tally of the stage finds `attempts={...written=False...}`; `assert wish.id not in link.attempts`; `assert not link.attempts and not link.conns and not link.broken`.

--- a/fernweir/node/course.py
+++ b/fernweir/node/course.py
@@ -50,10 +50,6 @@
         self.at = At.CLOSING
         return True
 
-    def give_up(self) -> bool:
-        """Ends it while it is being made; False if it is up or over."""
-        return self.connecting and self.end()
-
     def end(self) -> bool:
         """False if its end was known already."""
         known, self.at = self.at is At.OVER, At.OVER
--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -124,11 +124,13 @@
 
     def release(self, command: Release) -> None:
         link = self.links.get(command.server)
-        if link is None or command.jti not in link.stays:
-            return  # never written there, or over by the server's own word
+        if link is None:
+            return
         attempt = link.attempts.pop(command.jti, None)
         if attempt is not None:
             self._settle(attempt)
+        if command.jti not in link.stays:
+            return  # never written there, or over by the server's own word
         self._tell(
             command.server, command.jti, Frame(Type.RELEASE, command.jti, {Code.CAUSE: bytes((_GIVEN_UP,))})
         )
@@ -175,17 +177,41 @@
                 for id, stay in list(link.stays.items()):
                     if stay.since < entry.started_at:
                         self._over(link, id, Result.RESET)
+        self.drop_unwanted()
         self.core.kick()
 
+    def drop_unwanted(self) -> None:
+        """What waits for its connection and is wanted no more ends now, not when that comes up."""
+        for link in self.links.values():
+            for attempt in list(link.attempts.values()):
+                if not attempt.written:
+                    self._wanted(link, attempt)
+
     def close(self) -> None:
         self.stopped = True
         for link in self.links.values():
+            for one in (*link.attempts.values(), *link.tests.values()):
+                if one.timer is not None:
+                    one.timer.cancel()
+            link.attempts.clear()
+            link.tests.clear()
             for conn in list(link.conns):
+                conn.attempts.clear()
                 conn.abort()
 
     # --- one attempt ---
 
+    def _wanted(self, link: Link, attempt: Attempt) -> bool:
+        """Asked until it is written; what isn't wanted any more ends here."""
+        if self.core.host.still_wanted(attempt.command.session.jti, attempt.command.attempt):
+            return True
+        took = self.core.now() - attempt.sent_at
+        self._finish(link, attempt, SetUpResult(Result.MOOT, took, {}, why="not wanted any more"))
+        return False
+
     def _carry(self, link: Link, attempt: Attempt) -> None:
+        if not self._wanted(link, attempt):
+            return
         attempt.connects += 1
         conn = attempt.conn = self._free(link) or self._connect(link)
         conn.attempts[attempt.command.session.jti] = attempt
@@ -195,9 +221,6 @@
     def _write(self, link: Link, attempt: Attempt) -> None:
         command, conn = attempt.command, attempt.conn
         ask, jti = command.session, command.session.jti
-        if not self.core.host.still_wanted(jti, command.attempt):
-            self._finish(link, attempt, SetUpResult(Result.MOOT, 0.0, {}, why="not wanted any more"))
-            return
         assert conn is not None and isinstance(ask.body, bytes)
         now = self.core.now()
         left = command.timeout_ms - (now - attempt.sent_at)
@@ -366,7 +389,6 @@
         elif isinstance(error, ConnectionRefusedError):
             link.watch.refused()
             why = "connection refused"
-        link.conns.remove(conn)
         self._broken(link, lives=False)
         for attempt in list(conn.attempts.values()):
             took = self.core.now() - attempt.sent_at
@@ -386,7 +408,8 @@
             if test.conn is conn:
                 conn.write(test.data)
         for attempt in list(conn.attempts.values()):
-            self._write(link, attempt)
+            if self._wanted(link, attempt):
+                self._write(link, attempt)
 
     def _alive(self, link: Link) -> None:
         link.watch.heard(self.core.now())
@@ -398,7 +421,6 @@
         How they ended depends on whether the server lives, which a new connection tells at once.
         """
         link = conn.link
-        link.conns.remove(conn)
         for stay in link.stays.values():
             if stay.conn is conn:
                 stay.conn = None
@@ -456,6 +478,7 @@
             return
         self.core.loop.call_later(_UPKEEP_S, self._upkeep)
         now = self.core.now()
+        self.drop_unwanted()
         for link in list(self.links.values()):
             for conn in list(link.conns):
                 if conn.idle(now, last=len(link.conns) == 1):
@@ -525,16 +548,19 @@
             self.servers.unmade(self, TimeoutError("no connection in time"))
 
     def give_up(self) -> bool:
-        if not self.course.give_up():
+        """Ends it while it is being made; False if it is up or over."""
+        if not self.course.connecting:
             return False
-        self._timer.cancel()
         self.task.cancel()
-        return True
+        return self.over()
 
     def over(self) -> bool:
         """Its end, however it shows; True for the first that does."""
+        if not self.course.end():
+            return False
         self._timer.cancel()
-        return self.course.end()
+        self.link.conns.remove(self)
+        return True
 
     def bytes_came(self, data: memoryview) -> None:
         servers, why = self.servers, ""
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
+from typing import Any
+
 import pytest
 
 from fernweir.node.course import At, Course
+from fernweir.node.jsonl import Message
 from tests.node_scene import FarLine, FarViewer, Stage, staged
 
 
@@ -24,11 +28,20 @@
     return stage.far[stage.sent_to(id)[-1]].line_of(id)
 
 
+def tell(stage: Stage, *lines: dict[str, Any]) -> None:
+    """One event of the feed, taken by the node."""
+    (feed,) = stage.feed.look()
+    last = stage.node.feed.last + 1
+    members = {"index": last, "snapshot": False, "endpoints": list(lines)}
+    feed.write(json.dumps({"n": last, "members": members}).encode() + b"\n")
+    stage.loop.until(lambda: stage.node.feed.last == last)
+
+
 def test_a_connection_goes_onward_only() -> None:
     course = Course()
     course.retire()  # one that is being made is not blamed
     assert course.connecting and not course.carries and not course.close()
-    assert course.came_up() and not course.came_up() and not course.give_up()
+    assert course.came_up() and not course.came_up()
     assert course.takes and course.carries
     course.retire()
     assert course.carries and not course.takes and course.close() and not course.close()
@@ -36,7 +49,7 @@
     course.retire()
     assert course.at is At.OVER
     given_up = Course()
-    assert given_up.give_up() and not given_up.give_up() and not given_up.came_up() and not given_up.end()
+    assert given_up.end() and not given_up.came_up() and not given_up.end()
 
 
 @pytest.mark.parametrize("turns", range(5))
@@ -58,3 +71,51 @@
         given_up = "connect_failed" in stage.log.getvalue()
         assert given_up is (len(lines) == 2) and given_up is (turns < 2)
         assert not [one for one in lines if one is not line and one.heard]
+
+
+@pytest.mark.parametrize("how", ["release", "reset"])
+def test_a_viewer_who_leaves_while_the_connection_comes_up_leaves_nothing_behind(how: str) -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        viewer.send(wish := stage.setup())
+        fd = stage.connecting()
+        viewer.send(Message("release", wish.id, cause=16)) if how == "release" else viewer.reset()
+        stage.loop.until(lambda: not stage.node.core.host.sessions)
+        stage.tally()  # no attempt and no timer of it waits for the connection
+        let_go(stage, fd)
+        stage.loop.advance(2_000.0)
+        assert stage.sent_to(wish.id) == []
+
+
+@pytest.mark.parametrize("status", ["draining", "removed"])
+def test_a_server_taken_off_the_list_while_its_connection_comes_up_is_not_waited_for(status: str) -> None:
+    with staged(servers=2) as stage:
+        viewer = stage.far_viewer()
+        viewer.send(wish := stage.setup())
+        fd = stage.connecting()
+        ((server, link),) = stage.node.servers.links.items()
+        name = stage.node.feed.names[server]
+        tell(stage, stage.line(name, status))
+        assert wish.id not in link.attempts  # ended though the connection is still on its way
+        line = line_of(stage, wish.id)  # elsewhere, with the first one held
+        assert line.server.name != name
+        let_go(stage, fd)
+        stage.loop.settle()
+        line.answer(wish.id)
+        assert answered(stage, viewer, wish.id).startswith(line.server.name)
+        assert len(stage.sent_to(wish.id)) == 1
+
+
+@pytest.mark.parametrize("first", ["stop", "up"])
+def test_a_stop_that_crosses_a_connection_coming_up_leaves_nothing(first: str) -> None:
+    stage = Stage()
+    viewer = stage.far_viewer()
+    viewer.send(wish := stage.setup())
+    let_go(stage, stage.connecting())
+    stage.loop.turn({"stop": 2, "up": 3}[first])
+    stage.node.stop()
+    stage.loop.settle()
+    assert len(stage.sent_to(wish.id)) == (0 if first == "stop" else 1)
+    for link in stage.node.servers.links.values():
+        assert not link.attempts and not link.conns and not link.broken
+    stage.finish()
