--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -190,13 +190,13 @@
     def close(self) -> None:
         self.stopped = True
         for link in self.links.values():
-            for one in (*link.attempts.values(), *link.tests.values()):
-                if one.timer is not None:
-                    one.timer.cancel()
+            for attempt in link.attempts.values():
+                self._settle(attempt)
+            for test in link.tests.values():
+                test.timer.cancel()
             link.attempts.clear()
             link.tests.clear()
             for conn in list(link.conns):
-                conn.attempts.clear()
                 conn.abort()
 
     # --- one attempt ---
