A SIGHUP before a node is ready waits for it, and none meets a node that is half started

Cause: until the handlers stood a SIGHUP ended the process, as its default does: `main` reads the configuration first, and a move told in that time was lost with it. With peers the handlers stood before `await _peers`, so `reload` could move a follower that had not begun, and `start` opened a second connection to the feed. After `asyncio.run` has closed the loop the default is back, so a SIGHUP then ended the process by a signal.

Change: SIGHUP is held back (`pthread_sigmask`) from before the file is read until the handlers stand, which is in the turn in which the node begins to listen and to follow, and again at its end.

Ruled out: ignoring SIGHUP until then (the file read may be the old one); a flag in the follower for whether it has begun. Without peers nothing is awaited between taking the list and listening, so no signal can come between them: handlers run in a turn of the loop only.

Result: a process whose configuration is a pipe, sent SIGHUP while it reads it, gets ready and asks the feed at the new address once. With the change taken back it ends: `the node ended without a word on 'ready'`. A second test stops a node, loads it with SIGTERM, SIGHUP, SIGTERM, the second half of a line, set-ups on an open and on a new connection, one more that closes at once and a release, and lets it go: each has its answer, nothing stands at the server; it passed before as well.

--- a/fernweir/node/program.py
+++ b/fernweir/node/program.py
@@ -29,6 +29,8 @@
     from fernweir.peers.program import Peers
 
 _LOOK_S = 0.005
+# A SIGHUP must never end a node, which is what it does while there is no handler.
+HELD_BACK = (signal.SIGHUP,)
 
 
 class Node:
@@ -136,10 +138,13 @@
 ) -> None:
     node = Node(config, log, environment)
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
-    loop.add_signal_handler(signal.SIGTERM, node.terminate)
     peers = None if file is None else await _peers(node, file)
     node.start()
+    # In the turn in which it begins to listen and to follow, so that none comes to a half of it. A SIGTERM
+    # before ends the process, which has taken nothing; a SIGHUP waits (`HELD_BACK`).
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    loop.add_signal_handler(signal.SIGTERM, node.terminate)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)
     # What was made so far stays for good: the collector need not look at it again.
     gc.collect()
     gc.freeze()
@@ -148,10 +153,12 @@
         await peers.leave(0.0)  # nothing is handed on: it says that it goes, and the end of its record
         await peers.stop()
     await node.finish()
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)  # the loop's end takes the handlers away
 
 
 def main() -> int:
     """`python -m fernweir node`. 2: the configuration can't be used, or the address can't be had."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)  # before the file is read: it may be replaced then
     try:
         config = load(os.environ)
         file = peers_file(config, os.environ)
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from fernweir.node.config import Address
-from fernweir.node.jsonl import Message
+from fernweir.node.jsonl import Message, write
 from tests.node_scene import FeedServer, MediaServer, Scene
 from tests.sockets import until
 from tests.test_node_parts import ROOT, nested
@@ -170,3 +170,79 @@
             await again.wait()
 
     asyncio.run(story())
+
+
+def test_a_sighup_before_a_node_is_ready_waits_for_it_and_moves_the_feed(tmp_path: Path) -> None:
+    """The file is a pipe, so the process is known to be reading it when the signal comes."""
+
+    async def story() -> None:
+        outside = Outside(tmp_path)
+        pipe = tmp_path / "pipe"
+        os.mkfifo(pipe)
+        process = await outside.run(ROUTER_CONFIG=str(pipe))
+        try:
+            there = await asyncio.to_thread(os.open, pipe, os.O_WRONLY)  # returns once it is opened there
+            process.send_signal(signal.SIGHUP)
+            os.write(there, outside.file.read_bytes())
+            os.close(there)
+            await outside.said(process, "ready")
+            feed = FeedServer()
+            await feed.listen()
+            outside.configure(feed.address)
+            await asyncio.to_thread(pipe.write_bytes, outside.file.read_bytes())
+            await until(lambda: feed.asked == [1])
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(20.0):
+                assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(story())
+
+
+def test_a_node_that_stood_still_over_the_word_of_its_end_answers_what_it_finds(tmp_path: Path) -> None:
+    def state(pid: int) -> str:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+
+    async def story() -> None:
+        outside = Outside(tmp_path)
+        process = await outside.run()
+        try:
+            await outside.said(process, "ready")
+            extras = "home:0;copies:4;top:1;viewer:00000000b4d65521"
+            viewer, server = await outside.viewer(), outside.servers["s-0"]
+            stands, half, on_open, on_new, left = (outside.setup(left="600", extras=extras) for _ in range(5))
+            viewer.send(stands)
+            assert (await viewer.answer(stands.id)).type == "answer"
+            late = await outside.viewer()
+            late.write(write(half)[:40])
+            server.script = ["silent"] * 9
+            process.send_signal(signal.SIGSTOP)
+            await until(lambda: state(process.pid) == "T")
+
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            late.write(write(half)[40:])
+            viewer.send(on_open, Message("release", stands.id, cause=16))
+            newcomer, gone = await outside.viewer(), await outside.viewer()
+            newcomer.send(on_new)
+            gone.send(left)
+            gone.close()
+            process.send_signal(signal.SIGCONT)
+
+            async with asyncio.timeout(20.0):
+                assert await process.wait() == 0
+            for connection, wish in ((late, half), (viewer, on_open), (newcomer, on_new)):
+                assert (await connection.answer(wish.id)).type == "release"
+            await until(lambda: not server.writers)
+            assert (stands.id, 16) in server.releases and server.stands == set() and server.out == {}
+            assert not outside.faults
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(story())
