A set-up out at a server taken for lost is given up there before the next attempt begins

Cause: `_look` in node/servers.py ended all attempts at a lost server as reset and cleared `stays` at once, so that the release which the host asks for a turn later met no stay and was never written.

Ruled out by the same log: a second write of one attempt, and a connection that came up as its time ended (no "no connection in time" in the log of that request).

Change: the stays of attempts that are out are kept until the host has them released; what stood there is over as before.

Result: the test, on a stage where two looks' connections are held, fails without the change: `assert [<Type.SETUP: 1>] == [<Type.SETUP:....RELEASE: 12>]`.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -513,12 +513,13 @@
         elif verdict is Verdict.LOST:
             name = self.feed.names.get(link.server)
             self.core.log.warning("server lost", server=name, held=len(link.stays), why=why)
+            # What was out may yet be read there, if it is only cut off: the host gives it up, by its stay.
+            link.stays = {id: stay for id, stay in link.stays.items() if id in link.attempts}
+            link.letters.clear()
             for attempt in list(link.attempts.values()):
                 took, never = now - attempt.sent_at, not attempt.written
                 result = Result.CONNECT_FAILED if never else Result.RESET
                 self._finish(link, attempt, SetUpResult(result, took, {}, why="server lost"))
-            link.stays.clear()
-            link.letters.clear()
             self.core.host.box_lost(now, link.server)
             self.core.kick()
 
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -526,14 +526,18 @@
         self.loop.until(lambda: viewer.look() is not None and id in self.answers)
         return id, line
 
-    def connecting(self) -> int:
-        """Turns until the node is making a connection, and holds it there: its descriptor."""
+    def connecting(self, step_ms: float = 0.0) -> int:
+        """Turns until the node is making a connection, and holds it there: its descriptor.
+
+        The clock goes on by `step_ms` before each turn.
+        """
         making: list[int] = []
 
         def begun() -> bool:
             kept = self.loop.selected.get_map().values()
             making[:] = [one.fd for one in kept if one.events & selectors.EVENT_WRITE]
             making[:] = [fd for fd in making if fd not in self.loop.selected.held]
+            self.loop.jump(0.0 if making else step_ms)
             return bool(making)
 
         self.loop.until(begun)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -10,6 +10,7 @@
 import struct
 import time
 from collections.abc import Callable
+from typing import Any
 
 
 async def until(condition: Callable[[], object], most_s: float = 20.0) -> None:
@@ -28,6 +29,11 @@
         self.held: set[int] = set()
         self.first: list[int] = []
 
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        key = super().unregister(fileobj)
+        self.held.discard(key.fd)  # the number may be another's next
+        return key
+
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         found = [one for one in super().select(timeout) if one[0].fd not in self.held]
         place = {fd: at for at, fd in enumerate(self.first)}
--- a/tests/test_node_crossing.py
+++ b/tests/test_node_crossing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fernweir.node.frames import Type
 from tests.node_scene import staged
 
 
@@ -12,3 +13,24 @@
         assert stage.answers[id].type == "answer"
         line.release(id, 16)
         stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+
+
+def test_a_set_up_out_at_a_server_taken_for_lost_is_given_up_there_before_the_next() -> None:
+    """It may only be cut off, and run what it was sent: two would be out at once."""
+    with staged(2) as stage:
+        loop, viewer = stage.loop, stage.far_viewer()
+        first, home = stage.stands(viewer)
+        loop.advance(2_400)  # short of the silence that a server is given
+        for _ in range(2):  # each look's connection is not seen to come up
+            stage.connecting(step_ms=10.0)
+        id, out = stage.set_up(viewer)
+        assert out.server is home.server and not stage.ends
+        while "server lost" not in stage.log.getvalue():
+            loop.jump(10.0)
+            loop.turn()
+        loop.until(lambda: len(stage.sent_to(id)) == 2)
+        out.look()
+        assert [one.type for one in out.heard if one.session == id] == [Type.SETUP, Type.RELEASE]
+        stage.far[stage.sent_to(id)[0]].line_of(id).answer(id)
+        loop.until(lambda: viewer.look() is not None and id in stage.answers and first in stage.ends)
+        home.ended.add(first)  # its machine is gone, and what played there
