A late word on one attempt is told from the next at the same server by its connection

Cause: all attempts of a session have one id. `said` and `_released` took an answer or a release for the attempt that is out, or the session that stands, whatever connection it came on, and `_free` gave the next attempt at the same server the very connection that the last one had failed on (one server left, or all tried once: the module comes back at once after 34, 47 and 102). And a release that follows a break went on the first connection, the next set-up of the id on the last: the server may read the set-up first and have it ended by the release. Checked: words copied late while the second attempt is out and when it stands. Ruled out: words of sessions whose own connection is gone (they come on any, and are taken as before).

Change: a connection remembers which attempts failed on it (32) and takes none of these sessions again. A word counts for the attempt of that connection; on another only where the attempt's own is gone and no earlier one failed there. A release goes out where the next set-up of its id will go, and a letter just before it.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -21,7 +21,7 @@
 from fernweir.node.course import At, Course
 from fernweir.node.feed import Feed
 from fernweir.node.frames import Code, Frame, FrameError, Frames, Type, encode
-from fernweir.node.limits import Shares
+from fernweir.node.limits import Remembered, Shares
 from fernweir.node.watch import Verdict, Watch, broke
 
 _UPKEEP_S = 0.25
@@ -29,6 +29,7 @@
 _FAREWELL_S = 1.0  # how long a closing connection waits for its other end
 _CONNECTS = 3  # of one set-up whose connections break before it is written, and of one probe
 _WRITE_MOST = 256 * 1024
+_BEFORE_MOST = 32  # failed attempts of one connection that a late word may be of
 _SAID_MOST, _SAID_MS = 64, 1_000.0  # releases that a break may have cost, and for how long
 # Other causes before the answer are as a reset; but who says so lives, and may mean an earlier attempt.
 _BEFORE = {34: Result.FULL, 41: Result.RESET, 47: Result.ERROR, 102: Result.MOOT}
@@ -72,6 +73,11 @@
     conn: Connection | None
     since: float
 
+    @property
+    def heard(self) -> bool:
+        """Whether its server still has that connection to speak on."""
+        return self.conn is not None and self.conn.usable
+
 
 @dataclass(eq=False)
 class Link:
@@ -223,7 +229,7 @@
         if not self._wanted(link, attempt):
             return
         attempt.connects += 1
-        conn = attempt.conn = self._free(link) or self._connect(link)
+        conn = attempt.conn = self._free(link, attempt.command.session.jti) or self._connect(link)
         conn.attempts[attempt.command.session.jti] = attempt
         if conn.usable:
             self._write(link, attempt)
@@ -241,6 +247,9 @@
             Code.RUNG: b"%d" % command.rung,
             Code.DESCRIPTION: ask.body,
         }
+        for letter in [one for one in link.letters if one.session == jti]:
+            link.letters.remove(letter)
+            conn.say(letter)
         # What didn't leave never ran: it looks for a new connection when this one's end is told.
         attempt.written = conn.write(encode(Frame(Type.SETUP, jti, parameters)))
         if attempt.written:
@@ -258,15 +267,17 @@
         if link.attempts.get(jti) is not attempt:
             return
         del link.attempts[jti]
-        self._settle(attempt)
+        self._settle(attempt, well=end.result is Result.OK)
         self._done(attempt.command, end)
 
-    def _settle(self, attempt: Attempt) -> None:
+    def _settle(self, attempt: Attempt, well: bool = False) -> None:
         if attempt.timer is not None:
             attempt.timer.cancel()
         if attempt.conn is not None:
             attempt.conn.attempts.pop(attempt.command.session.jti, None)
             attempt.conn.used_at = self.core.now()
+            if attempt.written and not well:
+                attempt.conn.before.add(attempt.command.session.jti)
 
     def _done(self, command: SetUp, end: SetUpResult) -> None:
         if end.result is not Result.OK:
@@ -307,15 +318,15 @@
             result = Result.OK if frame.cause == 1 else Result.ERROR
             self._test_over(link, id, result, frame.report())
         elif frame.type is Type.ANSWER:
-            attempt = link.attempts.get(id)
-            if attempt is not None and attempt.written:
+            attempt = self._meant(conn, id)
+            if attempt is not None:
                 if Code.DESCRIPTION not in frame.parameters:
                     raise FrameError("an answer without a description")
                 took = now - attempt.sent_at
                 end = SetUpResult(Result.OK, took, frame.report(), frame.text(Code.DESCRIPTION))
                 self._finish(link, attempt, end)
         elif frame.type is Type.RELEASE:
-            self._released(link, frame)
+            self._released(conn, frame)
         elif frame.type is Type.NOTE:
             kind, level = _NOTES.get(frame.text(Code.NOTE)), frame.number(Code.LEVEL)
             held = self.core.host.session(id)
@@ -324,10 +335,21 @@
                 self.core.kick()
         # A second copy, an answer nobody asked for, a release heard: nothing follows from them.
 
-    def _released(self, link: Link, frame: Frame) -> None:
-        id, cause, report = frame.session, frame.cause, frame.report()
-        attempt = link.attempts.get(id)
-        if attempt is not None and attempt.written:
+    def _meant(self, conn: Connection, id: str) -> Attempt | None:
+        """The attempt that a word on this connection is of, if one is out.
+
+        Servers speak on the connection of the set-up while it is there, and a session's attempts at one
+        server have one id: where an earlier one was carried, a word of the id may be late, and its.
+        """
+        attempt = conn.link.attempts.get(id)
+        if attempt is None or not attempt.written:
+            return None
+        return attempt if attempt.conn is conn or (attempt.conn is None and id not in conn.before) else None
+
+    def _released(self, conn: Connection, frame: Frame) -> None:
+        link, id, cause, report = conn.link, frame.session, frame.cause, frame.report()
+        attempt, stay = self._meant(conn, id), link.stays.get(id)
+        if attempt is not None:
             result = _BEFORE.get(cause if cause is not None else -1)
             if result is None:
                 result = broke(lives=True)
@@ -335,7 +357,9 @@
                 link.stays.pop(id, None)
             took = self.core.now() - attempt.sent_at
             self._finish(link, attempt, SetUpResult(result, took, report, why=f"cause {cause}"))
-        elif id in link.stays:
+        elif stay is None or id in link.attempts:
+            return  # heard already; or an earlier attempt's
+        elif stay.conn is conn or id not in conn.before or not stay.heard:
             self._over(link, id, _AFTER.get(cause if cause is not None else -1, Result.RESET))
 
     def _over(self, link: Link, id: str, result: Result) -> None:
@@ -354,10 +378,16 @@
             link = self.links[server] = Link(server, there, Watch(self.settings, self.core.now()))
         return link
 
-    def _free(self, link: Link) -> Connection | None:
-        """One with nothing open on it; where there may be no more, the one with least."""
+    def _free(self, link: Link, id: str = "") -> Connection | None:
+        """One with nothing open on it; where there may be no more, the one with least.
+
+        Never one that carried an earlier attempt of the same session; the one that its release went on.
+        """
         now, most = self.core.now(), self.shares.per_server(len(self.links))
-        good = [one for one in link.conns if one.good(now)]
+        good = [one for one in link.conns if one.good(now) and id not in one.before]
+        for conn in good:
+            if any(frame.session == id for frame in conn.unheard(now)):
+                return conn  # nowhere else would the set-up surely be read after it
         for conn in reversed(good):  # the last used: the others can idle out
             if not conn.attempts:
                 return conn
@@ -405,9 +435,7 @@
         """A connection came up: what waited for it goes out."""
         link = conn.link
         self._alive(link)
-        for letter in link.letters:
-            conn.say(letter)
-        link.letters.clear()
+        self._post(link, conn)
         for test in link.tests.values():
             if test.conn is conn:
                 conn.write(test.data)
@@ -415,6 +443,15 @@
             if self._wanted(link, attempt):
                 self._write(link, attempt)
 
+    def _post(self, link: Link, conn: Connection) -> None:
+        """What waited for a connection goes out; of a session set up anew only just before its set-up."""
+        letters, link.letters = link.letters, []
+        for letter in letters:
+            if letter.session in link.attempts:
+                link.letters.append(letter)
+            else:
+                conn.say(letter)
+
     def _alive(self, link: Link) -> None:
         link.watch.heard(self.core.now())
         self._broken(link, lives=True)
@@ -467,8 +504,8 @@
         if link is None:
             return
         stay = link.stays.get(id)
-        conn = stay.conn if stay is not None else None
-        if conn is None or not conn.usable:
+        conn = stay.conn if stay is not None and stay.heard else self._free(link, id)
+        if conn is None:
             conn = next((one for one in link.conns if one.usable and one.course.takes), None)
         if conn is not None:
             conn.say(frame)
@@ -533,6 +570,7 @@
         self.servers, self.link = servers, link
         self.course = Course()
         self.attempts: dict[str, Attempt] = {}
+        self.before = Remembered(_BEFORE_MOST)  # sessions whose attempts failed here
         self.whole = False  # whether it ended in order, with all read that its server wrote
         self.used_at = servers.core.now()
         self._timer = servers.core.loop.call_later(servers.connect_s, self._late)
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fernweir.node.course import At, Course
+from fernweir.node.frames import Code, Frame, Type, encode
 from fernweir.node.jsonl import Message
 from tests.node_scene import FarLine, FarViewer, Stage, staged
 
@@ -29,6 +30,14 @@
     return stage.far[stage.sent_to(id)[-1]].line_of(id)
 
 
+def heard(stage: Stage, line: FarLine, *frames: Frame) -> None:
+    """A media server says this in one piece, and the node takes it."""
+    fd = stage.loop.near(line.sock)
+    line.write(b"".join(map(encode, frames)))
+    stage.loop.arrived(fd)
+    stage.loop.settle()
+
+
 def tell(stage: Stage, *lines: dict[str, Any]) -> None:
     """One event of the feed, taken by the node."""
     (feed,) = stage.feed.look()
@@ -111,12 +120,15 @@
 def test_a_stop_that_crosses_a_connection_coming_up_leaves_nothing(first: str) -> None:
     stage = Stage()
     viewer = stage.far_viewer()
-    viewer.send(wish := stage.setup())
+    viewer.send(stage.setup())
     let_go(stage, stage.connecting())
     stage.loop.turn({"stop": 2, "up": 3}[first])
     stage.node.stop()
     stage.loop.settle()
-    assert len(stage.sent_to(wish.id)) == (0 if first == "stop" else 1)
+    line = stage.far["s-0"].accept()
+    assert line is not None
+    stage.loop.until(lambda: line.look() is not None and line.over)
+    assert len(line.heard) == (0 if first == "stop" else 1)
     for link in stage.node.servers.links.values():
         assert not link.attempts and not link.conns and not link.broken
     stage.finish()
@@ -171,3 +183,47 @@
         new.answer(wish.id)
         assert answered(stage, viewer, wish.id) == f"{new.server.name} {wish.id}\r\n"
         assert len(stage.sent_to(wish.id)) == 1 and new.server is not line.server
+
+
+@pytest.mark.parametrize("cause", [34, 47])
+@pytest.mark.parametrize("word", ["release", "answer"])
+@pytest.mark.parametrize("second", ["out", "stands"])
+def test_a_late_word_on_an_attempt_isnt_taken_for_the_next_at_the_same_server(
+    cause: int, word: str, second: str
+) -> None:
+    """Both have one id; they differ by their connections."""
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer)
+        line.release(id, cause)
+        stage.loop.until(lambda: len(stage.sent_to(id)) == 2)
+        new = next((one for one in stage.far["s-0"].lines if one is not line), line)
+        line.ended.clear()  # what it ended is the first attempt, and the id stands for the second from now
+        late = Frame(Type.RELEASE, id, {Code.CAUSE: bytes((cause,))})
+        if word == "answer":
+            late = Frame(Type.ANSWER, id, {Code.DESCRIPTION: b"late\r\n"})
+        if second == "out":
+            heard(stage, line, late)
+            assert id in stage.node.viewers.open and len(stage.sent_to(id)) == 2
+        new.answer(id)
+        assert answered(stage, viewer, id) == f"s-0 {id}\r\n"
+        if second == "stands":
+            heard(stage, line, late)
+        assert stage.node.core.host.sessions == 1
+        new.release(id, 16)  # its own connection's word counts
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+
+
+def test_a_release_goes_where_the_set_up_that_follows_it_is_read_after_it() -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        other, busy = stage.set_up(viewer)  # an older connection, with something open
+        id, line = stage.set_up(viewer)
+        line.reset()  # it may stand there, for all that anybody knows
+        stage.loop.until(lambda: len(stage.far["s-0"].setups()) == 3)
+        new = stage.far["s-0"].line_of(id)
+        assert [one.type for one in new.heard] == [Type.RELEASE, Type.SETUP]
+        new.answer(id)
+        answered(stage, viewer, id)
+        busy.answer(other)
+        answered(stage, viewer, other)
