Only a refusal ends a box's sessions, not this front's lack of descriptors or a way that is cut

Cause: `http/client.py` called every connect that failed with an OSError `REFUSED`, and `front/boxes.py` took each but a time-out (told by the words in its detail) for the word that the box's process is gone: with descriptors run out here, no route there, or a connection reset while new, the stream of notes declared the box lost and ended all its sessions, which went on playing. A name that can't be one raised past the handler and left its call in the queue with no connection to come.

Also: a stream of notes opened for a box that is unlisted in that moment stopped itself before it stood in the table, was put there all the same, and no stream was ever opened for that box again: the sessions it gets when it is listed again had neither notes nor ends.

Change: `UNREACHED` for what failed without the peer's word; it never ran, as before. Streams enter the table themselves and are in it until they stop.

Checked with both taken back: `assert (<Outcome.REFUSED> is <Outcome.UNREACHED>)` five times, `KeyError: 4` (the stream is gone, the box taken for lost), `assert 1 not in {1: <_NotesStream>}`. test_gate, test_boxlist and test_peers_fleet pass; who roams from front to front in rehearsals does so for both outcomes.

--- a/fernweir/front/boxes.py
+++ b/fernweir/front/boxes.py
@@ -121,7 +121,7 @@
 
         origin = self.boxes.address(command.server)
         if origin is None:
-            core.loop.call_soon(done, Reply(Outcome.REFUSED, detail="no address"))
+            core.loop.call_soon(done, Reply(Outcome.UNREACHED, detail="no address"))
         else:
             self.pool.request(origin, "GET", "/probe", done, timeout_s=self.times.probe_s)
 
@@ -135,7 +135,7 @@
         """
         origin = self.boxes.address(box)
         if origin is None:
-            self.core.loop.call_soon(done, Reply(Outcome.REFUSED, detail="no address"))
+            self.core.loop.call_soon(done, Reply(Outcome.UNREACHED, detail="no address"))
             return
         target = f"/channels?channel={quote(channel, safe='')}"
         body = json.dumps({"fence": fence, "overlap_ms": overlap_ms, "adopt": list(adopt)}).encode()
@@ -226,7 +226,7 @@
 
     def _listen(self, server: int) -> None:
         if server not in self._streams and not self.closed:
-            self._streams[server] = _NotesStream(self, server)
+            _NotesStream(self, server)
 
 
 def _session(jti: str, attempt: int) -> str:
@@ -245,6 +245,7 @@
         self._tries = 0
         self._heard_at = self._used_at = self.core.loop.time()
         self._stopped = self._doubtful = False
+        client._streams[server] = self  # until `stop`, which may come before this has begun
         self._open()
         self._watch()
 
@@ -310,7 +311,7 @@
         self._call = None
         if self._stopped:
             return
-        if reply.outcome is Outcome.REFUSED and "timed out" not in reply.detail:
+        if reply.outcome is Outcome.REFUSED:
             self._lost(reply.detail)
             return
         times = self.client.times
--- a/fernweir/front/verdict.py
+++ b/fernweir/front/verdict.py
@@ -18,6 +18,7 @@
 
 _BY_OUTCOME = {
     Outcome.REFUSED: Result.CONNECT_FAILED,
+    Outcome.UNREACHED: Result.CONNECT_FAILED,
     Outcome.UNSENT: Result.CONNECT_FAILED,
     Outcome.UNWANTED: Result.MOOT,
     Outcome.RESET: Result.RESET,
--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -23,9 +23,10 @@
 
 
 class Outcome(Enum):
-    """How a call ended. The first three prove that the peer never saw it."""
+    """How a call ended. The first four prove that the peer never saw it."""
 
-    REFUSED = "refused"  # no connection came about
+    REFUSED = "refused"  # the peer's system said that nobody listens there
+    UNREACHED = "unreached"  # no connection came about, which may be this side's doing, or the way's
     UNSENT = "unsent"  # the connection broke, or time ran out, before a byte was written
     UNWANTED = "unwanted"  # the caller no longer wanted it when its turn came
     ANSWERED = "answered"
@@ -38,7 +39,7 @@
 
     @property
     def never_ran(self) -> bool:
-        return self in (Outcome.REFUSED, Outcome.UNSENT, Outcome.UNWANTED)
+        return self in (Outcome.REFUSED, Outcome.UNREACHED, Outcome.UNSENT, Outcome.UNWANTED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,13 +317,15 @@
             made.append(ClientConnection(self, origin))
             return made[0]
 
-        detail = ""
+        outcome, detail = Outcome.UNREACHED, ""
         try:
             async with asyncio.timeout(self.connect_s):
                 await self.loop.create_connection(protocol, *origin)
         except TimeoutError:
             detail = "connect timed out"
-        except OSError as error:
+        except ConnectionRefusedError as error:
+            outcome, detail = Outcome.REFUSED, str(error)
+        except (OSError, UnicodeError) as error:  # the latter: a name that can be none
             detail = str(error)
         finally:
             lane.connecting -= 1
@@ -331,7 +334,7 @@
                 made[0].abort()
             # This attempt stood for one queued call: the oldest is told, the others have their own.
             if len(lane.queue) > lane.connecting:
-                lane.queue.popleft()._finish(Reply(Outcome.REFUSED, detail=detail or "closed"))
+                lane.queue.popleft()._finish(Reply(outcome, detail=detail or "closed"))
             return
         lane.open[made[0]] = None
         made[0].idle_since = self.loop.time()
--- a/fernweir/rehearsal/fleet/roaming.py
+++ b/fernweir/rehearsal/fleet/roaming.py
@@ -16,7 +16,7 @@
         Random(f"{wish.session} {front}").shuffle(others)
         reply = await super().ask(front, wish, shown)
         for other in others:
-            if reply.outcome is not Outcome.REFUSED:
+            if reply.outcome not in (Outcome.REFUSED, Outcome.UNREACHED):
                 break
             reply = await super().ask(other, wish, shown)
         return reply
--- a/tests/test_front_sockets.py
+++ b/tests/test_front_sockets.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import socket
 import struct
 from dataclasses import replace
+from unittest.mock import patch
 
 import pytest
 
@@ -226,6 +228,35 @@
     play(story, PLAN)
 
 
+def test_a_front_that_is_out_of_descriptors_takes_no_box_for_dead() -> None:
+    async def story(scene: Scene) -> None:
+        assert (await scene.ask(scene.wish(play_s=5.0))).status == 200
+        host, client = scene.fronts[0].core.host, scene.fronts[0].boxes
+        box = int(scene.of("box.setup")[0]["box"])
+        await until(lambda: client._streams[box].state.greeted)
+        with patch.object(scene.loop, "create_connection", side_effect=OSError(errno.EMFILE, "too many")):
+            for watcher in list(scene.site.boxes[box]._watchers.values()):
+                watcher.exchange.drop()
+            await until(lambda: client._streams[box]._tries > 1)
+            assert len(host.playing_at(box)) == 1
+        await until(lambda: client._streams[box]._tries == 0)
+        assert len(host.playing_at(box)) == 1
+
+    play(story, PLAN)
+
+
+def test_a_box_unlisted_as_its_set_up_ends_is_heard_again_when_it_is_back() -> None:
+    async def story(scene: Scene) -> None:
+        client, box = scene.fronts[0].boxes, next(iter(scene.site.boxes))
+        with patch.object(client.boxes, "address", return_value=None):
+            client.listen(box)
+        assert box not in client._streams
+        client.listen(box)
+        await until(lambda: client._streams[box].state.greeted)
+
+    play(story, PLAN)
+
+
 def test_a_session_whose_viewer_broke_after_it_ended_its_side_does_not_stand_for_nobody() -> None:
     async def story(scene: Scene) -> None:
         for box in scene.site.boxes:
--- a/tests/test_http_sockets.py
+++ b/tests/test_http_sockets.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import struct
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from unittest.mock import patch
 
 import pytest
 
@@ -313,6 +315,28 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("trouble", "outcome"),
+    [
+        (ConnectionRefusedError(errno.ECONNREFUSED, "refused"), Outcome.REFUSED),
+        (OSError(errno.EMFILE, "too many open files"), Outcome.UNREACHED),
+        (OSError(errno.EHOSTUNREACH, "no route"), Outcome.UNREACHED),
+        (ConnectionResetError(errno.ECONNRESET, "reset while new"), Outcome.UNREACHED),
+        (TimeoutError(), Outcome.UNREACHED),
+        (UnicodeError("label too long"), Outcome.UNREACHED),
+    ],
+)
+def test_only_a_refusal_says_that_nobody_listens_there(trouble: Exception, outcome: Outcome) -> None:
+    async def run() -> None:
+        pool, loop = Pool(), asyncio.get_running_loop()
+        with patch.object(loop, "create_connection", side_effect=trouble):
+            reply = await call(("127.0.0.1", 9), pool)
+        assert reply.outcome is outcome and reply.outcome.never_ran
+        assert [(lane.connecting, len(lane.queue)) for lane in pool._lanes.values()] == [(0, 0)]
+
+    asyncio.run(run())
+
+
 def test_a_call_no_longer_wanted_when_its_turn_comes_is_not_sent() -> None:
     async def story(server: Server, asked: list[Exchange]) -> None:
         pool, done, wanted = Pool(per_origin=1), [], [True]
