Links: a connection that comes up in the turn of the stop is ended; connects given up late, forced in tests

Cause: `Connections.stop` ends what the registry knows. `made` asks whether the links have stopped, and breaks it.

Ruled out, by tests that force it: a connect whose time ends, whose task is cancelled, or whose connection is lost after `connection_made` and before the coroutine goes on. The HTTP client writes only behind that, so the call truly never ran: nothing arrives, the lane is clean, and a lost one is replaced. Links write their hello in `connection_made`; the connection is broken and the lane called again, once, and the message comes once.

--- a/fernweir/peers/link/tcp.py
+++ b/fernweir/peers/link/tcp.py
@@ -171,6 +171,9 @@
     # --- what connections tell ---
 
     def made(self, connection: Connection) -> None:
+        if self._stopped:  # it came up in the turn of the stop, which did not see it
+            connection.abort()
+            return
         if connection.called is None:
             self.counts.accepted += 1
         crowded = self.registry.add(connection)
--- a/tests/test_http_sockets.py
+++ b/tests/test_http_sockets.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from fernweir.http.client import Outcome, Pool, Reply
+from fernweir.http.client import ClientConnection, Outcome, Pool, Reply
 from fernweir.http.parse import Limits
 from fernweir.http.server import Exchange, Server, ServerLimits
 from fernweir.http.sse import EventReader, encode_event
@@ -315,6 +315,56 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("how", ["time ends", "cancelled", "lost"])
+def test_a_connection_that_comes_up_in_the_turn_in_which_it_is_given_up_carries_nothing(how: str) -> None:
+    """In each case it is up, and the coroutine that asked for it hasn't gone on yet."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        heard: list[bytes] = []
+        ended: list[Exception | None] = []
+
+        class Listener(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                heard.append(data)
+
+            def connection_lost(self, exc: Exception | None) -> None:
+                ended.append(exc)
+
+        server = await loop.create_server(Listener, "127.0.0.1", 0)
+        pool, got, limits, made = Pool(), [], [], ClientConnection.connection_made
+
+        def timeout(within_s: float) -> asyncio.Timeout:
+            limits.append(asyncio.Timeout(None))
+            return limits[-1]
+
+        def crossing(connection: ClientConnection, transport: asyncio.BaseTransport) -> None:
+            made(connection, transport)
+            patched.stop()
+            if how == "time ends":
+                limits[0]._on_timeout()
+            elif how == "cancelled":
+                pool.close()
+            else:
+                transport.abort()
+
+        patched = patch.object(ClientConnection, "connection_made", crossing)
+        patched.start()
+        with patch("fernweir.http.client.asyncio.timeout", timeout):
+            pool.request(server.sockets[0].getsockname()[:2], "GET", "/", got.append)
+            await until(lambda: ended and (got or heard))
+        if how == "lost":  # nothing of it was written, and it goes on a connection of its own
+            assert heard and got == [] and len(ended) == 1
+        else:
+            assert [reply.outcome.never_ran for reply in got] == [True] and heard == []
+        (lane,) = pool._lanes.values()
+        assert lane.connecting == 0 and not lane.queue and len(lane.open) == (how == "lost")
+        pool.close()
+        server.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("trouble", "outcome"),
     [
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -16,10 +16,12 @@
 from random import Random
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import Mock, patch
 
 import pytest
 
 from fernweir.peers.base import Address, Message, Send
+from fernweir.peers.link.connection import Connection
 from fernweir.peers.wire.codec import Codec, common
 from fernweir.peers.wire.conversation import Conversation
 from fernweir.peers.wire.frames import frame
@@ -587,6 +589,67 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("how", ["time ends", "lost"])
+def test_a_call_given_up_in_the_turn_in_which_it_came_up_is_made_again_once(how: str) -> None:
+    async def main() -> None:
+        m = load()
+        addresses: dict[str, Address] = {}
+        got: list[int] = []
+        links = {}
+        for name in ("a", "b"):
+            me = m.rules.Identity(name, 1, [KEY], secrets.token_bytes)
+            links[name] = await m.links.Links.start(
+                ("127.0.0.1", 0), me, Codec([(Item,)]), addresses.get,
+                lambda sender, life, message: got.append(message.number),
+            )  # fmt: skip
+            addresses[name] = links[name].address
+        limits: list[asyncio.Timeout] = []
+        made = Connection.connection_made
+
+        def timeout(within_s: float) -> asyncio.Timeout:
+            limits.append(asyncio.Timeout(None))
+            return limits[-1]
+
+        def crossing(connection: Connection, transport: asyncio.BaseTransport) -> None:
+            made(connection, transport)
+            if connection.called is not None:
+                patched.stop()
+                if how == "time ends":
+                    limits[0]._on_timeout()
+                else:
+                    connection.abort()
+
+        patched = patch.object(Connection, "connection_made", crossing)
+        patched.start()
+        with patch("fernweir.peers.link.tcp.asyncio.timeout", timeout):
+            links["a"].send(Send("b", Item(1, b""), whole=True))
+            await until(lambda: got)
+        ways = links["a"].connections
+        assert got == [1] and ways.counts.dialled == 2 and ways._retries == {}
+        await until(lambda: len(ways.registry.all) == len(links["b"].connections.registry.all) == 1)
+        for one in links.values():
+            await one.stop()
+
+    asyncio.run(main())
+
+
+def test_a_connection_that_comes_up_as_the_links_stop_is_ended() -> None:
+    async def main() -> None:
+        m = load()
+        me = m.rules.Identity("a", 1, [KEY], secrets.token_bytes)
+        links = await m.links.Links.start(
+            ("127.0.0.1", 0), me, Codec([(Item,)]), lambda name: None, lambda *what: None
+        )
+        late = Connection(links.connections, None, None)  # accepted, and not made yet
+        await links.stop()
+        transport = Mock(spec=asyncio.Transport)
+        late.connection_made(transport)
+        assert transport.abort.called and not links.connections.registry.all
+        late.connection_lost(None)
+
+    asyncio.run(main())
+
+
 def test_links_on_sockets_carry_both_kinds_and_end_clean() -> None:
     async def main() -> None:
         m = load()
