DASH: who waits for the word of other fronts is answered when its front stops

Cause: a request whose session may be held by another front is no ticket of the core's while that is asked, so `Core.drained` doesn't wait for it, and `kill` reset its connection: taken, and not answered.

Change: the service keeps whom it asked for, and `Front.stop` has them answered as refused before the last step. A word that comes after that finds nobody.

With the call in `Front.stop` taken back the test fails: `ConnectionResetError: [Errno 104] Connection reset by peer`. Not covered: HEAD and DELETE that wait for another front in that moment, which begin nothing.

--- a/fernweir/front/dash.py
+++ b/fernweir/front/dash.py
@@ -89,6 +89,7 @@
         self._signed: OrderedDict[tuple[str, int, int, int, tuple[str, int] | None], tuple[str, float]] = (
             OrderedDict()
         )
+        self._seeking: dict[int, Callable[[Answer | None], None]] = {}  # by ticket: asked of other fronts
         core.carriers[_VIA] = self
 
     # --- viewers ---
@@ -281,7 +282,7 @@
                 self.core.leave(ask.ticket)
 
         def found(answer: Answer | None) -> None:
-            if exchange.gone:
+            if self._seeking.pop(ask.ticket, None) is None or exchange.gone:
                 return
             if answer is not None:
                 self._answer(exchange, answer, location)
@@ -291,8 +292,14 @@
         if finder is None or self.core.host.session(ask.jti) is not None:
             here(ask)
         else:
+            self._seeking[ask.ticket] = found
             finder.ask(ask, found)
 
+    def give_up(self) -> None:
+        """The front stops: who waits for what other fronts say is answered now."""
+        for ticket, found in list(self._seeking.items()):
+            found(Answer(ticket, Kind.REFUSED, "front is stopping", 1_000.0))
+
     def _answer(self, exchange: Exchange, answer: Answer, location: str) -> None:
         if exchange.gone:
             return
--- a/fernweir/front/program.py
+++ b/fernweir/front/program.py
@@ -68,6 +68,7 @@
     use: UseCheck | None = None
     control: _Control | None = None
     peers: Peers | None = None
+    service: DashService | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -87,6 +88,8 @@
         if self.gate is not None:
             left = await self.gate.give_back(min(within_s, _GIVE_BACK_S))
             self.core.log.info("seats given back", left=left)
+        if self.service is not None:
+            self.service.give_up()
         self.core.last_step()
         await asyncio.sleep(0)  # connections end in order with what that answered
         self.kill()
@@ -249,8 +252,9 @@
     follower.start()
     log.info("front listens", host=server.address[0], port=server.address[1])
     return Front(
-        core, server, client, follower, (pool, streams), record, gate, keyring, desk, use, control, peers
-    )
+        core, server, client, follower, (pool, streams), record, gate, keyring, desk, use, control, peers,
+        service,
+    )  # fmt: skip
 
 
 async def _start_peers(
--- a/tests/test_front_sockets.py
+++ b/tests/test_front_sockets.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 from dataclasses import replace
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import pytest
 
@@ -450,6 +450,21 @@
     play(story, PLAN)
 
 
+def test_a_front_told_to_stop_answers_who_waits_for_other_fronts() -> None:
+    async def story(scene: Scene) -> None:
+        front = scene.fronts[0]
+        front.core.finder = Mock()  # says nothing
+        viewer = Leaver(scene, scene.wish())
+        viewer.ask()
+        await until(lambda: front.core.finder.ask.called)
+        read = asyncio.ensure_future(viewer.read())
+        await front.stop(10.0)
+        assert (await read).startswith(b"HTTP/1.1 503 ")
+        front.core.finder.ask.call_args.args[1](None)  # their word comes late
+
+    play(story, PLAN)
+
+
 def test_a_short_link_steps_sessions_down_at_the_box() -> None:
     async def story(scene: Scene) -> None:
         box = await scene.first_choice()
