Nothing goes to an address that the list took away; one idle connection stays to hear by

Cause: `Link.address` was fixed when its link was made, so a server listed again at another address was looked for at its old one for as long as the link lived, also by connections made later. A connection being made when the list changed came up at whoever listened there: at the old process, or, of a server gone from the list, at its successor; then `_look` found the gone server connected, its watch heard it, and its sessions were never over. In `_upkeep` two idle connections closed in one pass, as a closing one still counted as the other: with a session standing there was none to hear it by. Checked: the list changed while a connection was being made and with an idle one; a session whose server breaks and is then replaced at its address. Ruled out: set-ups at the successor (`still_wanted` stops them), releases to it (it knows no such id). Not mended: a gone server's silent but open connection is still looked into by a new one, which may reach a successor; it ends with the old connection.

Change: with each list a link takes its address from the feed; what is being made to another address, or to a gone server, is given up and what waited for it goes on (`_move_on`, shared with `down`); what is up there takes nothing new. A gone server is not connected to for a verdict, a release or a probe's second try. Idle ones close while another can still be heard by.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -188,9 +188,32 @@
                 for id, stay in list(link.stays.items()):
                     if stay.since < entry.started_at:
                         self._over(link, id, Result.RESET)
+        for link in list(self.links.values()):
+            self._relisted(link)
         self.drop_unwanted()
         self.core.kick()
 
+    def _relisted(self, link: Link) -> None:
+        """Where it isn't at the address of before, nothing new goes there: another may listen by now."""
+        there, gone = self.feed.addresses.get(link.server, link.address), self._gone(link)
+        if there == link.address and not gone:
+            return
+        link.address = there
+        for conn in list(link.conns):
+            if conn.give_up():
+                self._move_on(link, conn, "listed elsewhere")
+            elif not gone:
+                conn.course.retire()
+        if gone:
+            self._broken(link, lives=False)
+            link.letters.clear()
+        elif (link.broken or link.letters) and not any(one.course.connecting for one in link.conns):
+            self._connect(link)
+        self._look(link)
+
+    def _gone(self, link: Link) -> bool:
+        return self.core.host.listed.get(link.server, ServerState.GONE) is ServerState.GONE
+
     def drop_unwanted(self) -> None:
         """What waits for its connection and is wanted no more ends now, not when that comes up."""
         for link in self.links.values():
@@ -465,6 +488,21 @@
         for stay in link.stays.values():
             if stay.conn is conn:
                 stay.conn = None
+        self._move_on(link, conn, why)
+        if not self.stopped:
+            for frame in conn.unheard(self.core.now()):
+                if frame.session not in link.stays and frame.session not in link.attempts:  # set up anew
+                    self._tell(link.server, frame.session, frame)
+            # What was on its way on a connection that broke comes on the next that opens, and only there.
+            missed = bool(link.stays) and not conn.whole
+            if self._gone(link):
+                self._broken(link, lives=False)  # who listens there by now tells nothing of it
+            elif (link.broken or missed) and not any(one.course.connecting for one in link.conns):
+                self._connect(link)
+            self._look(link)
+
+    def _move_on(self, link: Link, conn: Connection, why: str) -> None:
+        """What was on a connection that is over waits for a verdict, or goes on another."""
         attempts, conn.attempts = list(conn.attempts.values()), {}
         for attempt in attempts:
             attempt.conn = None
@@ -476,19 +514,11 @@
             else:
                 self._carry(link, attempt)
         for id, test in list(link.tests.items()):
-            if test.conn is conn and test.connects < _CONNECTS and not self.stopped:
+            again = test.connects < _CONNECTS and not self.stopped and not self._gone(link)
+            if test.conn is conn and again:
                 self._carry_test(link, test)  # a connection that broke says nothing of its server
             elif test.conn is conn:
                 self._test_over(link, id, Result.ERROR)
-        if not self.stopped:
-            for frame in conn.unheard(self.core.now()):
-                if frame.session not in link.stays and frame.session not in link.attempts:  # set up anew
-                    self._tell(link.server, frame.session, frame)
-            # What was on its way on a connection that broke comes on the next that opens, and only there.
-            missed = bool(link.stays) and not conn.whole
-            if (link.broken or missed) and not any(one.course.connecting for one in link.conns):
-                self._connect(link)
-            self._look(link)
 
     def _broken(self, link: Link, lives: bool) -> None:
         """A server that lives may have written an answer that was lost: the host has it released there."""
@@ -510,6 +540,8 @@
         if conn is not None:
             conn.say(frame)
             return
+        if self._gone(link):
+            return
         link.letters.append(frame)
         if not any(one.course.connecting for one in link.conns):
             self._connect(link)
@@ -524,11 +556,11 @@
         self.drop_unwanted()
         for link in list(self.links.values()):
             for conn in list(link.conns):
-                if conn.idle(now, last=len(link.conns) == 1):
+                others = any(one.usable for one in link.conns if one is not conn)
+                if conn.idle(now, last=not others):
                     conn.close()
             self._look(link)
-            listed = self.core.host.listed.get(link.server, ServerState.GONE)
-            if listed is ServerState.GONE and not (link.stays or link.attempts or link.tests):
+            if self._gone(link) and not (link.stays or link.attempts or link.tests):
                 for conn in list(link.conns):
                     conn.close()
                 if not link.conns:
@@ -540,7 +572,7 @@
         connected = any(one.usable and one.course.takes for one in link.conns)
         connecting = any(one.course.connecting for one in link.conns)
         holds = bool(link.stays)
-        gone = self.core.host.listed.get(link.server, ServerState.GONE) is ServerState.GONE
+        gone = self._gone(link)
         verdict, why = link.watch.look(now, holds, connected, connecting), link.watch.why
         if holds and gone and not connected:
             # Another may listen at its address by now.
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -4,6 +4,7 @@
 
 import json
 import select
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -11,7 +12,7 @@
 from fernweir.node.course import At, Course
 from fernweir.node.frames import Code, Frame, Type, encode
 from fernweir.node.jsonl import Message
-from tests.node_scene import FarLine, FarViewer, Stage, staged
+from tests.node_scene import PLAIN, FarLine, FarServer, FarViewer, Stage, staged
 
 
 def let_go(stage: Stage, fd: int) -> None:
@@ -106,6 +107,8 @@
         ((server, link),) = stage.node.servers.links.items()
         name = stage.node.feed.names[server]
         tell(stage, stage.line(name, status))
+        if status == "removed":
+            let_go(stage, fd)  # it is given up, and its descriptor the next one's
         assert wish.id not in link.attempts  # ended though the connection is still on its way
         line = line_of(stage, wish.id)  # elsewhere, with the first one held
         assert line.server.name != name
@@ -227,3 +230,58 @@
         answered(stage, viewer, id)
         busy.answer(other)
         answered(stage, viewer, other)
+
+
+def test_of_connections_idle_at_once_the_last_one_stays_to_hear_a_session_by() -> None:
+    with staged(settings=replace(PLAIN, tell_ms=60_000.0)) as stage:
+        viewer = stage.far_viewer()
+        (first, one), (second, other) = stage.set_up(viewer), stage.set_up(viewer)
+        one.answer(first)
+        other.answer(second)
+        for id in (first, second):
+            answered(stage, viewer, id)
+        stage.loop.jump(stage.node.servers.idle_ms * 0.6)
+        stage.loop.settle()
+        (link,) = stage.node.servers.links.values()
+        assert [conn.usable for conn in link.conns].count(True) == 1
+        stage.loop.until(lambda: [line.look() for line in (one, other)] and one.over != other.over)
+        (one if one.over else other).close()
+        stage.loop.until(lambda: len(link.conns) == 1)
+        assert stage.far["s-0"].accept() is None
+
+
+@pytest.mark.parametrize("before", ["connecting", "idle"])
+def test_a_server_listed_at_a_new_address_is_set_up_at_there_only(before: str) -> None:
+    with staged() as stage:
+        viewer, old, new = stage.far_viewer(), stage.far["s-0"], FarServer("s-0")
+        if before == "connecting":
+            viewer.send(wish := stage.setup())
+            fd = stage.connecting()
+        else:
+            id, line = stage.stands(viewer)
+            line.release(id, 16)
+            stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        stage.far["s-0"] = stage.servers["s-0"] = new
+        tell(stage, stage.line("s-0"))
+        if before == "connecting":
+            let_go(stage, fd)
+        else:
+            viewer.send(wish := stage.setup())
+        line_of(stage, wish.id).answer(wish.id)
+        answered(stage, viewer, wish.id)
+        assert wish.id in new.setups() and wish.id not in old.setups()
+        old.close()
+
+
+def test_a_session_of_a_gone_server_isnt_kept_by_a_connection_that_reaches_its_successor() -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.stands(viewer)
+        line.ended.add(id)  # its process ends
+        line.reset()
+        fd = stage.connecting()  # to hear of its session: whoever listens there takes it
+        tell(stage, stage.line("s-0", "removed"), stage.line("s-0") | {"name": "s-new"})
+        let_go(stage, fd)
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        assert stage.ends[id].cause == 41
+        assert not [one for one in stage.far["s-0"].lines if one is not line and one.heard]
