Where servers tell of short lines only, these are no sample of what lines usually carry

Cause: `_short` in brain.py put each short delivery into `usual`, which stands in for lines that nothing is known of. Where servers tell how full their lines are (`Tell`), it is one report among many. Where they don't, as on the other customer's site that reports by probes, nothing else is heard of: after one cut, when viewers crowd onto the servers left, each front took every line for full from then on, at 0.95 with the mark at 0.8, and set all newcomers up at the lowest rung for good.

Change: without `Tell` a short delivery is heard of its own line and is no sample of others.

Without the change the test fails: `assert 2 == 3`.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -93,12 +93,16 @@
         self.own_kb += kb
         self._since.append((now, kb))
 
-    def hear(self, level: float, seen_at: float) -> None:
-        """Takes a report of how it stood at `seen_at`, unless something newer is known."""
+    def hear(self, level: float, seen_at: float, sample: bool = True) -> None:
+        """Takes a report of how it stood at `seen_at`, unless something newer is known.
+
+        `sample`: whether it tells of lines at large, too.
+        """
         if not 0.0 <= level < inf or seen_at < self.told_at:
             return
         self.told, self.told_at = level, seen_at
-        self.usual.hear(level)
+        if sample:
+            self.usual.hear(level)
         if self.own_kb >= FEW * self.capacity_kb:
             ratio = level * self.capacity_kb / self.own_kb
             self.per_own += (ratio - self.per_own) * (LEARN if self.per_own else 1.0)
@@ -761,6 +765,8 @@
         told under the mark. No report tells whether relief of it was enough, so a short delivery
         seen after that is news. Guards against links and uplinks that give less than their weight,
         and against late reports. Harm: a link that shrank since it was told holds its rack low.
+        Where servers don't tell how full their lines are, only short ones are heard of, which is no
+        sample: guards against one shortage holding all newcomers low for good.
         """
         if not 0.0 <= share < 0.98:
             return
@@ -779,7 +785,7 @@
         alone = len(used) == 1 and bool(uplink.feeders)
         link_well = link.fresh(self.now) and link.load(self.now) < MARK
         rack_short = whole_rack or (alone and link_well) or (again and uplink.fresh(self.now))
-        (uplink if rack_short else link).hear(over, seen_at)
+        (uplink if rack_short else link).hear(over, seen_at, sample=self.settings.tell_ms > 0.0)
 
     # --- 3. Rungs of playing sessions ---
 
--- a/tests/test_rungs.py
+++ b/tests/test_rungs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fernweir.interface import Ended, ListKind, ListUpdate, NoteKind, Result, ServerState, SetRung
-from tests.helpers import SETTINGS, Front, entry, rungs
+from tests.helpers import SETTINGS, Front, entry, placed, rungs
 
 
 def test_sessions_step_down_when_the_load_lies_a_step_above_the_mark() -> None:
@@ -196,3 +196,19 @@
             climbed += sum(SETTINGS.rates_kb[one.rung] - 200.0 for one in rungs(front.tick()))
     room = (0.80 - 0.60) * settings.weight_kb
     assert 0.3 * room <= climbed <= 1.0 * room
+
+
+def test_where_only_short_lines_are_heard_of_one_shortage_holds_no_newcomer_low_for_good() -> None:
+    """Servers that tell nothing else: a shortage on one says nothing of the links that no one speaks of."""
+    settings = replace(SETTINGS, tell_ms=0.0, may_probe=False, uplink_kb=None)
+    front = Front(entry(1), entry(2, cell=1), settings=settings)
+    for session in (1, 2):
+        front.take_over(session, 1, 3)
+    for _ in range(6):
+        front.tick(2000.0)
+        front.note(1, 1, NoteKind.DELIVERED, 0.5)
+    for session in (1, 2):
+        front.end(session, 1, Result.OK, closed=True)
+    front.tick(60_000.0)
+    front.start(3)
+    assert front.brain.sessions[3].rung == 3
