A viewer that ended its side: nothing begins for it, and what it never heard ends at its server

Need: from the end of a viewer's side on no attempt may begin for it. `Connection.eof_received` only set a flag and went on for it. Lines to blame besides: `_step` runs before the loop looks at the connection again, so a set-up whose end lay right behind it was sent on; a reset came a turn late, by `connection_lost`; `send` dropped an answer without a word if the connection broke; `end` called `gone`, which dropped open requests with no answer (a half line overdue, mistakes), and `gone` ran again at `connection_lost`; a newcomer let go before `_attach` had no transport to close and was served all the same; a closed connection left the door's count with its descriptor open.

Change: one pure record of a connection, `visit.Visit` (new, open, ending, left, parted, closing, over), which all callbacks ask instead of `_left` and `usable`. While something is open a connection is read to its end in one go, so that the viewer's end is seen before the next batch; it goes to `Core.leave`. An ending connection answers what is open, still hears what is taken back or ended, and refuses set-ups. Words on sessions are known until they are out and not denied: an answer that was not out, or that met the closed end of a viewer that had left (the reset comes behind the write, so the connection is looked at for a second), has its session released and its end told elsewhere; an end that was not out is said elsewhere. The door counts what was closed until it is over.

The present test that a viewer which only ends its side is still answered held the node to go on for it. In its place: the attempt that is out is answered, by its answer or, if it fails, by a refusal with no second set-up; then the connection is closed at once and the session stands.

Ruled out: a session heard before a plain reset is released (it stands: it belongs to no connection); an id asked again on a new connection in the turn of the reset; a release and an answer in one turn, both orders.

Checked: 200 drawn leavings and 48 forced crossings.

A late end of attempt 0 at a server is taken for attempt 2 at the same server; that is `servers.py`, `_released`, and was there before.

--- a/fernweir/node/limits.py
+++ b/fernweir/node/limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Hashable
 from typing import Generic, TypeVar
@@ -31,27 +32,28 @@
 
 
 class Door(Generic[Key]):
-    """Viewers' connections by what they have said: nothing yet, something, or with requests open."""
+    """Viewers' connections by what they have said: nothing yet, something, or with requests open.
+
+    One that was closed counts until it is over: its descriptor is still there, however slowly it is read.
+    """
 
     def __init__(self, most: int) -> None:
         self.most = most
         self._fresh: OrderedDict[Key, float] = OrderedDict()  # connected then, nothing readable yet
         self._idle: OrderedDict[Key, float] = OrderedDict()  # spoke last then, nothing open
         self._busy: dict[Key, int] = {}
+        self._parting: OrderedDict[Key, float] = OrderedDict()  # closed then, not over yet
         self._halves: OrderedDict[Key, float] = OrderedDict()  # a line begun then has no end yet
 
     def __len__(self) -> int:
-        return len(self._fresh) + len(self._idle) + len(self._busy)
+        return len(self._fresh) + len(self._idle) + len(self._busy) + len(self._parting)
 
     def arrive(self, key: Key, now: float) -> Key | None:
         """Lets one in; tells whom to close for it, which may be itself."""
         victim: Key | None = None
         if len(self) >= self.most:
-            if self._fresh:
-                victim = next(iter(self._fresh))
-            elif self._idle:
-                victim = next(iter(self._idle))
-            else:
+            victim = next(itertools.chain(self._parting, self._fresh, self._idle), None)
+            if victim is None:
                 return key
             self.leave(victim)
         self._fresh[key] = now
@@ -84,14 +86,23 @@
         else:
             self._halves.pop(key, None)
 
+    def part(self, key: Key, now: float) -> None:
+        """It was closed, and is not over yet. One let go for another is not known here any more."""
+        if key in self._fresh or key in self._idle or key in self._busy:
+            self.leave(key)
+            self._parting[key] = now
+
+    def parting(self) -> list[Key]:
+        return list(self._parting)
+
     def leave(self, key: Key) -> None:
-        for table in (self._fresh, self._idle, self._busy, self._halves):
+        for table in (self._fresh, self._idle, self._busy, self._parting, self._halves):
             table.pop(key, None)
 
     def overdue(self, now: float) -> list[Key]:
-        """Those that have had their time to say something whole."""
+        """Those that have had their time to say something whole, or to be over."""
         found: dict[Key, None] = {}
-        for table in (self._fresh, self._halves):
+        for table in (self._fresh, self._halves, self._parting):
             for key, since in table.items():
                 if now - since < HUSH_MS:
                     break
--- a/fernweir/node/program.py
+++ b/fernweir/node/program.py
@@ -111,6 +111,7 @@
             self._end.cancel()
         self.follower.stop()
         self.viewers.stop()
+        self.core.last_step()  # what that gave rise to, as the release of what nobody heard of
         self.core.stop()
         self.servers.close()
 
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections import deque
 from math import ceil
@@ -16,12 +17,13 @@
 from fernweir.node.limits import Door, Patience, Remembered
 from fernweir.node.requests import Requests
 from fernweir.node.servers import Servers
+from fernweir.node.visit import Side, Visit
 
 # Causes of Q.850, as far as the platform gives them a meaning of their own.
 NORMAL, REFUSED, BROKEN, UNKNOWN_ID, UNREADABLE = 16, 34, 41, 81, 111
 _ENDS = {Result.OK: NORMAL}
 _WRITE_MOST = 256 * 1024  # a reader who doesn't read is let go
-_BACKLOG, _ACCEPTS = 1024, 64
+_BACKLOG, _ACCEPTS, _READS = 1024, 64, 16
 _SWEEP_S = 0.25
 _TELL_WITHIN_MS = 8_000.0  # PROTOCOL: a release that no connection could carry comes within 8 s of the end
 
@@ -36,7 +38,7 @@
         self.open: dict[str, tuple[int, Connection]] = {}  # set-ups without an answer, by id
         self.home: dict[str, Connection] = {}  # sessions that stand, by the connection they came on
         self.spoken: dict[Connection, None] = {}  # connections that served sessions, newest last
-        self._untold: deque[tuple[float, bytes]] = deque()
+        self._untold: deque[tuple[float, str, bytes]] = deque()
         self._listening: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._made: set[Connection] = set()  # whose transport is there, closing ones too
@@ -77,18 +79,15 @@
         return bool(self.open) or any(one.unsent for one in self._made)
 
     def stop(self) -> None:
-        """Takes nothing more; connections close once what was written on them is out."""
+        """Takes nothing more; connections close. What is not out by now is not heard any more."""
         if self._listening is not None:
             self.core.loop.remove_reader(self._listening.fileno())
             self._listening.close()
             self._listening = None
         for connection in list(self._made):
             connection.close()
-
-    def made(self, connection: Connection) -> None:
-        self._made.add(connection)
-        if self._listening is None:
-            connection.close()
+            if connection.unsent:
+                self.gone(connection, "stopped", broke=False)
 
     def _accept(self) -> None:
         # Own accepting, so that a newcomer is counted before it costs a second descriptor.
@@ -98,16 +97,14 @@
                 sock, _ = self._listening.accept()
             except OSError:
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.came += 1
-            newcomer = Connection(self)
+            newcomer = Connection(self, sock)
             victim = self.door.arrive(newcomer, self.core.now())
             if victim is newcomer:
                 sock.close()
                 continue
             if victim is not None:
-                victim.end()
+                victim.let_go()
             task = self.core.loop.create_task(self._attach(newcomer, sock))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -115,18 +112,23 @@
     async def _attach(self, newcomer: Connection, sock: socket.socket) -> None:
         try:
             await self.core.loop.connect_accepted_socket(lambda: newcomer, sock)
-        except OSError:
-            self.door.leave(newcomer)
+        except OSError as error:
+            self.gone(newcomer, str(error), broke=True)
             sock.close()
 
-    def _sweep(self) -> None:
+    def made(self, connection: Connection) -> None:
+        self._made.add(connection)
         if self._listening is None:
+            connection.close()
+
+    def _sweep(self) -> None:
+        if self._listening is None and not self._made:
             return
         now = self.core.now()
         for connection in self.door.overdue(now):
-            if connection.began:  # to one that said nothing, nothing is said: a request may be on its way
-                connection.refuse(LineError("nothing whole in time"))
-            connection.end()
+            connection.overdue()
+        for connection in self.door.parting():
+            connection.look()
         while self._untold and self._untold[0][0] <= now:
             self._untold.popleft()
         self.core.loop.call_later(_SWEEP_S, self._sweep)
@@ -161,8 +163,11 @@
             return
         if core.host.session(id) is not None or id in self.remembered:
             raise LineError("an id that is in use")
+        if not connection.visit.takes:
+            self._say(id, connection, Answer(ticket, Kind.REFUSED))
+            return
         self.open[id] = (ticket, connection)
-        connection.requests.add(id)
+        connection.visit.requests.add(id)
         self.door.opened(connection)
         core.ask(ask, lambda answer: self._answer(id, answer))
 
@@ -179,22 +184,23 @@
     def _drop(self, id: str) -> None:
         """The viewer of an open set-up wants it no more."""
         ticket, connection = self.open.pop(id)
-        connection.requests.discard(id)
+        connection.visit.requests.discard(id)
         self.door.closed(connection, self.core.now())
         self.core.withdraw(ticket)
-        connection.end_if_left()
+        if connection.visit.spent:  # after the rest of what is being read
+            self.core.loop.call_soon(connection.close_if_spent)
 
     def _answer(self, id: str, answer: Answer) -> None:
         _, connection = self.open.pop(id)
-        connection.requests.discard(id)
+        connection.visit.requests.discard(id)
         self.door.closed(connection, self.core.now())
         self._say(id, connection, answer)
-        connection.end_if_left()
+        connection.close_if_spent()
 
     def _say(self, id: str, connection: Connection, answer: Answer) -> None:
         if answer.kind is Kind.PLAYS:
             assert isinstance(answer.payload, str)
-            connection.send(Message("answer", id, sdp=answer.payload))
+            connection.tell(id, write(Message("answer", id, sdp=answer.payload)))
             self._stands(id, connection)
             return
         self.remembered.add(id)
@@ -209,12 +215,15 @@
 
     def _stands(self, id: str, connection: Connection) -> None:
         self.home[id] = connection
-        connection.sessions.add(id)
+        connection.visit.sessions.add(id)
         connection.patience.well()
+        if not connection.carries:
+            return
         self.spoken.pop(connection, None)
         self.spoken[connection] = None
-        while self._untold:
-            connection.write(self._untold.popleft()[1])
+        untold, self._untold = self._untold, deque()
+        for _, id_over, end in untold:
+            self._tell(id_over, end)
 
     def over(self, over: Over) -> None:
         """What stood is over: its viewer hears on its connection, else on any that served viewers."""
@@ -222,7 +231,8 @@
         self.remembered.add(id)
         connection = self.home.pop(id, None)
         if connection is not None:
-            connection.sessions.discard(id)
+            connection.visit.sessions.discard(id)
+            connection.visit.forget(id)
         if over.by_viewer:
             return
         message = (
@@ -230,45 +240,99 @@
             if over.moved
             else Message("release", id, cause=_ENDS.get(over.result, BROKEN))
         )
-        if connection is None or not connection.usable:
-            connection = next((one for one in reversed(self.spoken) if one.usable), None)
-        if connection is not None:
-            connection.send(message)
-        else:
-            self._untold.append((self.core.now() + _TELL_WITHIN_MS, write(message)))
+        self._tell(id, write(message), connection)
+
+    def _tell(self, id: str, end: bytes, first: Connection | None = None) -> None:
+        for connection in (*([first] if first is not None else ()), *reversed(self.spoken)):
+            if connection.carries and connection.tell(id, end, again=True):
+                return
+        self._untold.append((self.core.now() + _TELL_WITHIN_MS, id, end))
+
+    def left(self, connection: Connection) -> None:
+        """A viewer ended its side, though it may still read: what it asked is answered, nothing begins."""
+        for id in connection.visit.requests:
+            self.core.leave(self.open[id][0])
 
-    def lost(self, connection: Connection, why: str) -> None:
+    def lost(self, connection: Connection, why: str, broke: bool) -> None:
         self._made.discard(connection)
-        self.gone(connection, why)
+        self.gone(connection, why, broke)
 
-    def gone(self, connection: Connection, why: str) -> None:
-        """A connection is over: what is open on it can't be answered, what stands stays."""
-        dropped = list(connection.requests)
+    def gone(self, connection: Connection, why: str, broke: bool) -> None:
+        """A connection is over: what is open on it can't be answered, what stands and was heard stays."""
+        now, visit = self.core.now(), connection.visit
+        unheard = visit.over(now, broke)
+        if unheard is None:
+            return
+        dropped = list(visit.requests)
         if dropped:
             self.core.log.info("connection ended with requests open", requests=len(dropped), why=why)
         for id in dropped:  # not remembered: a viewer may send it again on a new connection
             self._drop(id)
-        for id in connection.sessions:
+        for id in visit.sessions:
             self.home.pop(id, None)
         self.spoken.pop(connection, None)
         self.door.leave(connection)
+        for id, word in unheard.items():
+            if word.end is not None:
+                self._tell(id, word.end)
+                continue
+            # Nobody knows that it stands. That it is over is told all the same, wherever its viewer may hear.
+            self.core.log.info("answer not heard", session=id, why=why)
+            self.core.host.revoke(now, id, "its viewer left")
+            self.core.kick()
 
 
 class Connection(Shell):
-    """One connection from viewers, or from the distributor."""
+    """One connection from viewers, or from the distributor. How far it is, `visit` knows."""
 
-    def __init__(self, viewers: Viewers) -> None:
-        self._viewers = viewers
+    def __init__(self, viewers: Viewers, sock: socket.socket) -> None:
+        self._viewers, self._sock = viewers, sock
         self._lines = Lines()
         self.patience = Patience()
-        self._left = False
+        self.visit = Visit()
         self.began = False
-        self.requests: set[str] = set()  # set-ups without an answer
-        self.sessions: set[str] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._viewers.made(self)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=0)  # so that `resume_writing` says that all is out
+        if self.visit.made():
+            self._viewers.made(self)
+        else:
+            self.transport.abort()
+
+    # --- what comes ---
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Asked for as something came: the end of one that waits is seen now, not as its transport tells it.
+
+        A transport tells of a reset a turn later, after the node's next batch, which might send it on.
+        """
+        self._read_on()
+        return super().get_buffer(sizehint)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Behind what was asked its viewer's end may lie, which the loop's next look finds too late."""
+        super().buffer_updated(nbytes)
+        self._read_on()
+        self.close_if_spent()
+
+    def _read_on(self) -> None:
+        """Reads to the end of what is there while something is open."""
+        for _ in range(_READS):
+            if not (self.visit.requests and self.visit.hears and self.usable):
+                return
+            try:
+                nbytes = self._sock.recv_into(super().get_buffer(-1))
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._broke(str(error))
+                return
+            if nbytes:
+                super().buffer_updated(nbytes)
+            else:
+                self.eof_received()
 
     def bytes_came(self, data: memoryview) -> None:
         viewers, now = self._viewers, self._viewers.core.now()
@@ -280,24 +344,44 @@
         except LineError as error:
             lines, spoilt = self._lines.read, error
         for line in lines:
-            if not self.usable:
+            if not (self.visit.hears and self.usable):
                 return
-            try:
-                message = read(line)
-                viewers.take(self, message)
-                viewers.door.spoke(self, now)
-                self.patience.well()
-            except LineError as error:
-                self.refuse(error)
-                nothing_to_lose = error.id == NO_ID and not self.requests
-                if nothing_to_lose or self.patience.wrong(len(self.requests)):
-                    self.end()
-                    return
-        if spoilt is not None:
-            self.refuse(spoilt)
-            self.end()
-            return
-        viewers.door.half(self, now, self._lines.half)
+            self._line(line, now)
+        if self.visit.takes:
+            if spoilt is None:
+                viewers.door.half(self, now, self._lines.half)
+            else:
+                self.refuse(spoilt)
+                self._take_no_more()
+
+    def _line(self, line: bytes, now: float) -> None:
+        try:
+            self._viewers.take(self, read(line))
+            self._viewers.door.spoke(self, now)
+            self.patience.well()
+        except LineError as error:
+            if not self.visit.takes:
+                if error.id != NO_ID:
+                    self.refuse(error)
+                return
+            self.refuse(error)
+            open_requests = len(self.visit.requests)
+            if (error.id == NO_ID and not open_requests) or self.patience.wrong(open_requests):
+                self._take_no_more()
+
+    def eof_received(self) -> bool:
+        if self.visit.leave():
+            self._viewers.left(self)
+            self.look()
+            self.close_if_spent()
+        return True  # it closes by itself
+
+    # --- what is said ---
+
+    @property
+    def carries(self) -> bool:
+        """Whether the end of any session may be told here."""
+        return self.visit.hears and self.usable
 
     def refuse(self, error: LineError) -> None:
         """Says once that something can't be taken."""
@@ -308,31 +392,94 @@
     def send(self, message: Message) -> None:
         self.write(write(message))
 
-    def write(self, data: bytes) -> None:
-        if not self.usable:
-            return
+    def tell(self, id: str, data: bytes, again: bool = False) -> bool:
+        """Says something of a session, which is to be known if it wasn't heard. False if it can't be said."""
+        said = self.write(data)
+        if said or not again:
+            out = said and not self.unsent
+            self.visit.said(id, self._viewers.core.now(), data if again else None, out)
+        return said
+
+    def write(self, data: bytes) -> bool:
+        """False if the connection has no way for it: it broke, or its reader doesn't read."""
+        if not (self.visit.says and self.usable):
+            return False
         assert self.transport is not None
         self.transport.write(data)
-        if self.transport.get_write_buffer_size() > _WRITE_MOST:
+        if self.unsent > _WRITE_MOST:
             self.transport.abort()
+        return self.usable
+
+    def resume_writing(self) -> None:
+        self.visit.flushed(self._viewers.core.now())
+
+    # --- its end ---
 
     def end(self) -> None:
-        """Closes after what was written is out."""
-        self._viewers.gone(self, "closed here")
-        self.close()
+        """Takes nothing new; closes once what is open is answered, and what was written is out."""
+        self._take_no_more()
+        self.close_if_spent()
+
+    def _take_no_more(self) -> None:
+        self.visit.end()
+        self._viewers.door.half(self, 0.0, False)
+
+    def overdue(self) -> None:
+        """It has had its time to say something whole, or to read what it was told last."""
+        if not self.visit.says:
+            self._drop()
+            return
+        if self.began:  # to one that said nothing, nothing is said: a request may be on its way
+            self.refuse(LineError("nothing whole in time"))
+        self.end()
+
+    def let_go(self) -> None:
+        """Its descriptor is wanted for another."""
+        if self.visit.side is Side.NEW:
+            self._viewers.gone(self, "let go", broke=False)
+            return
+        self.end()
+        self.look()
+        if self.unsent or self.visit.side is Side.PARTED:
+            self._drop()
+
+    def close_if_spent(self) -> None:
+        if self.visit.spent:
+            self.close()
 
     def close(self) -> None:
-        if self.transport is not None:
+        """Nothing more is said. After a viewer's own end, word of its last answers is waited for."""
+        if self.transport is None or not self.visit.says:
+            return
+        now = self._viewers.core.now()
+        self._viewers.door.part(self, now)
+        if not self.visit.close(now):
             self.transport.close()
+            return
+        try:
+            if self.usable and not self.unsent:
+                self.transport.write_eof()
+        except OSError as error:
+            self._broke(str(error))
+        self.look()
+
+    def look(self) -> None:
+        """Whether what was said last met a closed end; a reader would not be told after the other's end."""
+        if not self.usable:
+            return
+        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._broke(os.strerror(error))
+        elif self.visit.side is Side.PARTED and not self.visit.doubtful(self._viewers.core.now()):
+            self._drop()
 
-    def eof_received(self) -> bool:
-        """A viewer that ends its side may still read: what it asked is answered first."""
-        self._left = True
-        return bool(self.requests)
+    def _broke(self, why: str) -> None:
+        self._viewers.gone(self, why, broke=True)
+        self._drop()
 
-    def end_if_left(self) -> None:
-        if self._left and not self.requests and self.transport is not None:
-            self.transport.close()
+    def _drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._viewers.lost(self, str(exc) if exc is not None else "closed there")
+        self._viewers.lost(self, str(exc) if exc is not None else "closed", exc is not None)
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -17,7 +17,7 @@
 from fernweir.interface import Settings
 from fernweir.node.config import Address, NodeConfig
 from fernweir.node.frames import Code, Frame, Frames, Type, encode
-from fernweir.node.jsonl import Message, read, write
+from fernweir.node.jsonl import NO_ID, Message, read, write
 from fernweir.node.logs import NodeLog
 from fernweir.node.program import Node
 from tests.helpers import SETTINGS
@@ -473,7 +473,8 @@
         came = [read(line) for line in lines]
         for message in came:
             self.raw.append(message)
-            self.stage.told(message)
+            if message.id != NO_ID:
+                self.stage.told(message)
         return came
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,7 @@
 from fernweir.node.frames import Code, Frame, Type
 from fernweir.node.jsonl import Message, write
 from fernweir.node.viewers import Viewers
+from fernweir.node.visit import Side
 from tests.node_scene import OFFER, PLAIN, MediaServer, Scene, Told, ViewerConnection, play
 from tests.sockets import until
 
@@ -305,15 +306,18 @@
     play(story)
 
 
-def test_a_viewer_that_only_ends_its_side_is_still_answered() -> None:
+@pytest.mark.parametrize("end", ["answer", "34", "47"])
+def test_a_viewer_that_only_ends_its_side_is_answered_by_what_is_out_and_nothing_begins(end: str) -> None:
     async def story(scene: Scene) -> None:
         viewer, wish, server = await one_under_way(scene)
         viewer._writer.write_eof()
-        await until(lambda: any(one._left for one in scene.node.viewers.door._busy))
-        server.finish(wish.id)
-        assert (await viewer.answer(wish.id)).type == "answer"
-        await until(lambda: viewer.closed)
-        assert scene.node.core.host.sessions == 1
+        (near,) = scene.node.viewers._made
+        await until(lambda: near.visit.side is Side.LEFT)
+        server.play(end, wish.id, server.out[wish.id])
+        assert (await viewer.answer(wish.id)).type == ("answer" if end == "answer" else "release")
+        await until(lambda: viewer.closed)  # told at once that this was all
+        assert scene.node.core.host.sessions == (end == "answer") and len(scene.setups()) == 1
+        assert end == "answer" or viewer.raw[0].cause == 34
 
     play(story)
 
--- /dev/null
+++ b/tests/test_node_crossing_viewers.py
@@ -0,0 +1,589 @@
+"""Viewers' connections at the wrong instant, forced: who leaves, who is let go, what is said too late."""
+
+from __future__ import annotations
+
+import select
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from fernweir.interface import Effect
+from fernweir.node.frames import Code, Frame, Type
+from fernweir.node.jsonl import Message, write
+from fernweir.node.limits import HUSH_MS, Door
+from fernweir.node.viewers import _SWEEP_S, Connection
+from fernweir.node.visit import DOUBT_MS, Side, Visit
+from tests.helpers import SETTINGS
+from tests.node_scene import PLAIN, FarViewer, Stage, staged
+
+SWEEP_MS = _SWEEP_S * 1000.0
+WAYS = ["orderly", "full", "reset", "release"]
+
+
+def leave(viewer: FarViewer, how: str, *ids: str) -> None:
+    """`orderly` may still read, `full` reads no more."""
+    if how == "orderly":
+        viewer.end()
+    elif how == "full":
+        viewer.close()
+    elif how == "reset":
+        viewer.reset()
+    else:
+        viewer.send(*(Message("release", id, cause=16) for id in ids))
+
+
+def near(stage: Stage, viewer: FarViewer) -> int:
+    return stage.loop.near(viewer.sock)
+
+
+def ours(stage: Stage) -> list[Connection]:
+    """The node's ends of viewers' connections."""
+    return list(stage.node.viewers._made)
+
+
+def hears(stage: Stage, viewer: FarViewer, id: str) -> Message:
+    stage.loop.until(lambda: viewer.look() is not None and id in stage.answers)
+    return stage.answers[id]
+
+
+def ask_and_hold(stage: Stage, viewer: FarViewer, *wishes: Message) -> int:
+    """Asks, and keeps the connection to a server that is made for it from coming up."""
+    viewer.send(*wishes)
+    making = stage.connecting()
+    stage.loop.settle()
+    return making
+
+
+def released(stage: Stage, id: str) -> bool:
+    stage.look()
+    return any(id in server.released for server in stage.far.values())
+
+
+# --- a viewer that has left ---
+
+
+def test_what_is_asked_in_the_read_before_a_viewers_end_is_refused_and_not_sent_on() -> None:
+    with staged() as stage:
+        first = stage.far_viewer()
+        stage.stands(first)  # a connection to the server is free: what is placed is written at once
+        viewer = stage.far_viewer()
+        fd, wish = near(stage, viewer), stage.setup()
+        stage.loop.selected.held.add(fd)
+        viewer.send(wish)
+        viewer.end()
+        stage.loop.arrived(fd, events=select.POLLRDHUP)
+        stage.loop.selected.held.clear()
+        answer = hears(stage, viewer, wish.id)
+        assert (answer.type, answer.cause) == ("release", 34)
+        stage.loop.settle()
+        assert stage.sent_to(wish.id) == []
+        stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+
+
+@pytest.mark.parametrize("size", [1, 300])  # more than one read holds: the end lies behind the last of them
+def test_what_is_asked_and_ended_or_reset_in_one_turn_is_not_sent_on(size: int) -> None:
+    for how in WAYS:
+        with staged() as stage:
+            stage.stands(stage.far_viewer())
+            viewer = stage.far_viewer()
+            fd, wishes = near(stage, viewer), [stage.setup() for _ in range(size)]
+            stage.loop.selected.held.add(fd)
+            viewer.send(*wishes)
+            leave(viewer, how, *(wish.id for wish in wishes))
+            stage.loop.arrived(fd)
+            stage.loop.selected.held.clear()
+            stage.loop.settle()
+            sent = [wish.id for wish in wishes if stage.sent_to(wish.id)]
+            assert sent == [], how
+            if how == "orderly":
+                stage.loop.until(lambda v=viewer: v.look() is not None and v.over)
+                assert all(stage.answers[wish.id].cause == 34 for wish in wishes)
+
+
+@pytest.mark.parametrize("how", WAYS)
+@pytest.mark.parametrize("first", ["viewer", "server"])
+def test_who_leaves_while_its_connection_comes_up_is_not_sent_on(how: str, first: str) -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        fd, wish = near(stage, viewer), stage.setup()
+        there = ask_and_hold(stage, viewer, wish)
+        stage.loop.selected.held.add(fd)
+        leave(viewer, how, wish.id)
+        stage.loop.arrived(fd)
+        if first == "viewer":
+            stage.loop.selected.held.discard(fd)
+            stage.loop.settle()
+            assert stage.sent_to(wish.id) == []
+        stage.loop.selected.first = [fd, there]
+        stage.loop.selected.held.clear()  # both in one turn: what the viewer did is seen before `up`
+        stage.loop.advance(300)
+        assert stage.sent_to(wish.id) == []
+        if how == "orderly":
+            assert hears(stage, viewer, wish.id).cause == 34
+
+
+@pytest.mark.parametrize("how", WAYS)
+@pytest.mark.parametrize("first", ["viewer", "server"])
+@pytest.mark.parametrize("effect", [Effect.REPEATABLE, Effect.ONCE])
+def test_who_leaves_beside_a_failing_attempt_gets_no_further_one(
+    how: str, first: str, effect: Effect
+) -> None:
+    settings = replace(PLAIN, classes=tuple(replace(one, effect=effect) for one in PLAIN.classes))
+    with staged(3, settings) as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer)
+        fd, there = near(stage, viewer), stage.loop.near(line.sock)
+        stage.loop.selected.held |= {fd, there}
+        leave(viewer, how, id)
+        line.release(id, 34)  # full: it never ran, so elsewhere it would be tried at once
+        stage.loop.arrived(fd, there)
+        stage.loop.selected.first = [fd, there] if first == "viewer" else [there, fd]
+        stage.loop.selected.held.clear()
+        stage.loop.advance(500)
+        assert len(stage.sent_to(id)) == 1
+        if how == "orderly":
+            assert hears(stage, viewer, id).cause == 34
+        else:
+            assert id not in stage.answers
+
+
+def test_who_leaves_takes_along_only_what_is_its_own_and_an_attempt_that_is_out_is_answered() -> None:
+    """On one connection: one that is out, one whose connection isn't up; and others elsewhere."""
+    with staged() as stage:
+        viewer, other = stage.far_viewer(), stage.far_viewer()
+        out, line = stage.set_up(viewer)
+        others, their_line = stage.set_up(other)
+        waits = stage.setup()
+        ask_and_hold(stage, viewer, waits)
+        viewer.end()
+        stage.loop.settle()
+        stage.loop.selected.held.clear()
+        stage.loop.advance(300)
+        assert stage.sent_to(waits.id) == [] and hears(stage, viewer, waits.id).cause == 34
+        assert not viewer.over  # what is out is still answered here
+        their_line.answer(others)
+        line.answer(out)
+        assert hears(stage, viewer, out).type == hears(stage, other, others).type == "answer"
+        stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+        assert stage.node.core.host.sessions == 2
+
+
+@pytest.mark.parametrize("how", WAYS)
+@pytest.mark.parametrize("first", ["viewer", "server"])
+def test_who_leaves_while_the_module_holds_it_is_not_placed(how: str, first: str) -> None:
+    """It waits for word of a server of which nothing is known; that comes in the turn in which it leaves."""
+    with staged(settings=replace(SETTINGS, fronts=2)) as stage:
+        stage.loop.advance(60_000)
+        viewer = stage.far_viewer()
+        viewer.send(wish := stage.setup())
+        pings: list[Frame] = []
+
+        def asked() -> bool:
+            stage.look()
+            lines = stage.far["s-0"].lines
+            pings[:] = [one for line in lines for one in line.heard if one.type is Type.PING]
+            return bool(pings)
+
+        stage.loop.until(asked)
+        assert stage.node.core.host.session(wish.id) is not None and stage.sent_to(wish.id) == []
+        (line,) = stage.far["s-0"].lines
+        fd, there = near(stage, viewer), stage.loop.near(line.sock)
+        stage.loop.selected.held |= {fd, there}
+        leave(viewer, how, wish.id)
+        line.say(Frame(Type.PONG, pings[0].session, {Code.CAUSE: b"\1", Code.REPORT: b"x0:0.1;x1:0.1"}))
+        stage.loop.arrived(fd, there)
+        stage.loop.selected.first = [fd, there] if first == "viewer" else [there, fd]
+        stage.loop.selected.held.clear()
+        stage.loop.advance(500)
+        assert stage.sent_to(wish.id) == []
+        if how == "orderly":
+            assert hears(stage, viewer, wish.id).cause == 34
+
+
+@pytest.mark.parametrize("seen", ["before the answer", "after the answer", "a sweep after the answer"])
+def test_an_answer_that_a_viewer_who_closed_never_read_ends_its_session(seen: str) -> None:
+    """The write succeeds, and the reset that says nobody was there comes back behind it."""
+    with staged() as stage:
+        viewer, other = stage.far_viewer(), stage.far_viewer()
+        stage.stands(other)
+        id, line = stage.set_up(viewer)
+        fd = near(stage, viewer)
+        if seen != "before the answer":
+            stage.loop.selected.held.add(fd)
+        viewer.close()
+        stage.loop.settle()
+        line.answer(id)
+        stage.loop.until(lambda: id in stage.node.viewers.home or stage.node.core.host.session(id) is None)
+        stage.loop.settle()
+        if seen == "a sweep after the answer":
+            stage.loop.advance(2 * SWEEP_MS)
+        stage.loop.selected.held.clear()
+        stage.loop.until(lambda: released(stage, id))
+        assert stage.node.core.host.sessions == 1 and len(stage.sent_to(id)) == 1
+
+
+def test_an_answer_half_written_to_a_reader_that_breaks_ends_its_session() -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        (ours_,) = ours(stage)
+        id, line = stage.set_up(viewer)
+        # Fill what the kernel takes, so that the answer stays in the node.
+        while not ours_.unsent:
+            ours_.write(write(Message("pong", "0" * 16, cause=1)) * 100)
+        line.answer(id)
+        stage.loop.until(lambda: stage.node.core.host.playing_at(stage.node.core.host.session(id).server))  # type: ignore[union-attr]
+        assert ours_.unsent
+        viewer.reset()
+        stage.loop.until(lambda: released(stage, id))
+        assert stage.node.core.host.sessions == 0
+
+
+def test_a_viewer_that_half_closed_and_read_its_answer_keeps_its_session() -> None:
+    with staged() as stage:
+        viewer, other = stage.far_viewer(), stage.far_viewer()
+        stage.stands(other)
+        id, line = stage.set_up(viewer)
+        viewer.end()
+        stage.loop.settle()
+        line.answer(id)
+        assert hears(stage, viewer, id).type == "answer"
+        stage.loop.until(lambda: viewer.look() is not None and viewer.over)  # told at once that this is all
+        stage.loop.advance(DOUBT_MS + 2 * SWEEP_MS)
+        viewer.close()
+        assert len(ours(stage)) == 1 and stage.node.core.host.sessions == 2
+        line.release(id, 16)  # its end comes on another connection
+        stage.loop.until(lambda: other.look() is not None and id in stage.ends)
+
+
+def test_a_session_heard_before_a_reset_stays() -> None:
+    with staged() as stage:
+        viewer, other = stage.far_viewer(), stage.far_viewer()
+        stage.stands(other)
+        id, line = stage.stands(viewer)
+        viewer.reset()
+        stage.loop.advance(DOUBT_MS)
+        assert stage.node.core.host.sessions == 2 and not released(stage, id)
+        line.release(id, 16)
+        stage.loop.until(lambda: other.look() is not None and id in stage.ends)
+
+
+@pytest.mark.parametrize("up", [True, False])
+def test_who_leaves_after_sigterm_is_not_sent_on_and_what_is_out_is_answered(up: bool) -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        if up:
+            id, line = stage.set_up(viewer)
+        else:
+            wish = stage.setup()
+            id = wish.id
+            ask_and_hold(stage, viewer, wish)
+        stage.node.core.host.close()
+        viewer.end()
+        stage.loop.settle()
+        stage.loop.selected.held.clear()
+        if up:
+            line.answer(id)
+            assert hears(stage, viewer, id).type == "answer"
+        else:
+            stage.loop.advance(300)
+            assert stage.sent_to(id) == [] and hears(stage, viewer, id).cause == 34
+
+
+def test_who_left_goes_first_for_a_newcomer_and_an_open_request_of_its_never() -> None:
+    with staged(sockets=4) as stage:  # two viewers
+        one, two = stage.far_viewer(), stage.far_viewer()
+        id, line = stage.set_up(one)
+        wait, line_two = stage.set_up(two)
+        one.end()
+        stage.loop.settle()
+        turned_away = FarViewer(stage)
+        stage.viewers.append(turned_away)
+        stage.loop.until(lambda: turned_away.look() is not None and turned_away.over)
+        line.answer(id)
+        assert hears(stage, one, id).type == "answer"
+        stage.loop.settle()
+        sides = {side.visit.side for side in ours(stage)}
+        assert sides == {Side.OPEN, Side.PARTED} and len(stage.node.viewers.door) == 2
+        third = FarViewer(stage)
+        stage.viewers.append(third)
+        stage.loop.until(
+            lambda: len(ours(stage)) == 2 and Side.PARTED not in {o.visit.side for o in ours(stage)}
+        )
+        line_two.answer(wait)
+        assert hears(stage, two, wait).type == "answer" and stage.node.core.host.sessions == 2
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_of_drawn_viewers_that_left_none_is_sent_on(seed: int) -> None:
+    """25 forced leavings each, over ways and moments; counted at the servers that would have got it."""
+    draw = Random(seed)
+    cases = 0
+    for _ in range(25):
+        how, moment = draw.choice(WAYS), draw.choice(["read", "coming up", "failing", "in a crowd"])
+        with staged(3) as stage:
+            if moment != "coming up" and draw.random() < 0.5:
+                stage.stands(stage.far_viewer())  # a connection is free
+            viewer = stage.far_viewer()
+            fd = near(stage, viewer)
+            crowd = draw.randrange(1, 6) if moment == "in a crowd" else 1
+            wishes = [stage.setup(key=f"{draw.randrange(99):016x}") for _ in range(crowd)]
+            ids = [wish.id for wish in wishes]
+            before = 0
+            if moment == "failing":
+                stage.loop.selected.held.discard(fd)
+                viewer.send(*wishes)
+                stage.loop.until(lambda s=stage, i=ids: s.sent_to(i[0]))
+                before = 1
+                line = stage.far[stage.sent_to(ids[0])[0]].line_of(ids[0])
+                line.release(ids[0], draw.choice([34, 102]))
+                there = stage.loop.near(line.sock)
+                stage.loop.selected.held |= {fd, there}
+                leave(viewer, how, *ids)
+                stage.loop.arrived(fd, there)
+                stage.loop.selected.first = draw.sample([fd, there], 2)
+            elif moment == "coming up":
+                there = ask_and_hold(stage, viewer, *wishes)
+                stage.loop.selected.held.add(fd)
+                leave(viewer, how, *ids)
+                stage.loop.arrived(fd)
+                stage.loop.selected.first = [fd, there]
+            else:
+                stage.loop.selected.held.add(fd)
+                viewer.send(*wishes)
+                leave(viewer, how, *ids)
+                stage.loop.arrived(fd)
+            stage.loop.selected.held.clear()
+            stage.loop.settle()
+            stage.loop.advance(5_000)
+            assert sum(len(stage.sent_to(id)) for id in ids) == before, (how, moment)
+            cases += 1
+    assert cases == 25
+
+
+# --- who is let go ---
+
+
+def test_a_newcomer_let_go_before_its_transport_is_there_is_not_served() -> None:
+    with staged(sockets=2) as stage:  # one viewer
+        door = stage.node.viewers.door
+        first, second = FarViewer(stage), FarViewer(stage)
+        stage.viewers += [first, second]
+        listening = stage.node.viewers._listening
+        assert listening is not None
+        stage.loop.arrived(listening.fileno())
+        first.send(wish := stage.setup())
+        stage.node.viewers._accept()  # both are in the backlog: the second is let in for the first
+        assert len(door) == 1 and not ours(stage)
+        stage.loop.until(lambda: first.look() is not None and first.over)
+        assert stage.sent_to(wish.id) == [] and len(door) == 1 and len(ours(stage)) == 1
+        assert stage.answers == {}
+        stage.stands(second)
+
+
+def test_a_connection_whose_transport_can_not_be_made_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    with staged() as stage:
+
+        async def fails(*_: object) -> None:
+            raise OSError("no transport")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(stage.loop, "connect_accepted_socket", fails)
+            viewer = FarViewer(stage)
+            stage.viewers.append(viewer)
+            stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+        assert len(stage.node.viewers.door) == 0 and not ours(stage)
+        stage.stands(stage.far_viewer())
+
+
+@pytest.mark.parametrize("how", ["half", "endless", "mistakes"])
+def test_a_connection_ended_by_the_node_answers_what_is_open_first(how: str) -> None:
+    slow = tuple(replace(one, aim_ms=20_000.0, deadline_ms=60_000.0) for one in PLAIN.classes)
+    with staged(settings=replace(PLAIN, classes=slow)) as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer, left="60000")
+        late = stage.setup()
+        if how == "half":
+            viewer.write(b'{"type":"setup"')
+            stage.loop.advance(HUSH_MS + 2 * SWEEP_MS)
+            viewer.write(b"\n")
+        elif how == "endless":
+            viewer.write(b"x" * 20_000 + b"\n")
+        else:
+            viewer.write(b"nothing\n" * 64 + write(late))
+        stage.loop.settle()
+        viewer.look()
+        assert not viewer.over and id in stage.node.viewers.open
+        viewer.send(late) if how != "mistakes" else None
+        assert hears(stage, viewer, late.id).cause == 34  # nothing new is taken here
+        if stage.sent_to(id) == [line.server.name]:
+            line.answer(id)
+        assert hears(stage, viewer, id).type == "answer"
+        stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+        assert stage.sent_to(late.id) == [] and stage.node.core.host.sessions == 1
+        assert len(stage.node.viewers.door) == 0
+
+
+@pytest.mark.parametrize("how", WAYS)
+def test_who_leaves_a_connection_that_the_node_is_ending_is_heard(how: str) -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        wish = stage.setup()
+        ask_and_hold(stage, viewer, wish)
+        viewer.write(b"x" * 20_000 + b"\n")
+        stage.loop.settle()
+        leave(viewer, how, wish.id)
+        stage.loop.settle()
+        stage.loop.selected.held.clear()
+        stage.loop.advance(300)
+        assert stage.sent_to(wish.id) == []
+        if how in ("orderly", "release"):
+            stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+
+
+def test_a_closed_connection_that_is_not_read_keeps_its_place_and_is_dropped() -> None:
+    with staged(sockets=4) as stage:
+        viewer = stage.far_viewer()
+        (one,) = ours(stage)
+        while not one.unsent:
+            one.write(write(Message("pong", "0" * 16, cause=1)) * 100)
+        one.end()
+        stage.loop.settle()
+        assert len(stage.node.viewers.door) == 1 and one.visit.side is Side.CLOSING
+        stage.loop.advance(HUSH_MS + 2 * SWEEP_MS)
+        assert len(stage.node.viewers.door) == 0 and not ours(stage)
+        viewer.close()
+
+
+# --- what is said of sessions ---
+
+
+@pytest.mark.parametrize("first", ["viewer", "server"])
+def test_a_release_of_an_open_set_up_and_its_answer_in_one_turn_leave_nothing(first: str) -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer)
+        fd, there = near(stage, viewer), stage.loop.near(line.sock)
+        stage.loop.selected.held |= {fd, there}
+        viewer.send(Message("release", id, cause=16))
+        line.answer(id)
+        stage.loop.arrived(fd, there)
+        stage.loop.selected.first = [fd, there] if first == "viewer" else [there, fd]
+        stage.loop.selected.held.clear()
+        stage.loop.until(lambda: released(stage, id))
+        stage.loop.settle()
+        viewer.look()
+        assert id not in stage.answers and stage.node.core.host.sessions == 0
+
+
+def test_an_id_asked_again_after_its_connection_broke_is_set_up_once_more() -> None:
+    with staged() as stage:
+        viewer, again = stage.far_viewer(), stage.far_viewer()
+        id, _ = stage.set_up(viewer)
+        fd, fd_again = near(stage, viewer), near(stage, again)
+        stage.loop.selected.held |= {fd, fd_again}
+        viewer.reset()
+        again.send(stage.setup(id))
+        stage.loop.arrived(fd, fd_again)
+        stage.loop.selected.first = [fd, fd_again]
+        stage.loop.selected.held.clear()
+        stage.loop.until(lambda: len(stage.sent_to(id)) == 2)
+        line = stage.far["s-0"].line_of(id)
+        line.answer(id)
+        stage.loop.until(lambda: again.look() is not None and id in stage.answers)
+        assert stage.node.core.host.sessions == 1
+        stage.far["s-0"].lines[0].ended.discard(id)
+
+
+def test_the_end_of_a_session_goes_where_it_can_be_read() -> None:
+    """Not on a connection whose viewer ended its side, nor on one that the kernel shows broken."""
+    with staged() as stage:
+        home, other = stage.far_viewer(), stage.far_viewer()
+        stage.stands(other)
+        id, line = stage.stands(home)
+        waits, line_waits = stage.set_up(home)
+        home.end()
+        stage.loop.settle()
+        line.release(id, 16)
+        stage.loop.until(lambda: other.look() is not None and id in stage.ends)
+        line_waits.answer(waits)
+        assert hears(stage, home, waits).type == "answer"
+
+
+def test_an_end_that_nobody_can_hear_waits_for_the_next_connection_with_a_session() -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.stands(viewer)
+        viewer.close()
+        stage.loop.settle()
+        line.release(id, 16)
+        stage.loop.settle()
+        assert len(stage.node.viewers._untold) == 1
+        later = stage.far_viewer()
+        stage.stands(later)
+        stage.loop.until(lambda: later.look() is not None and id in stage.ends)
+        assert not stage.node.viewers._untold
+
+
+def test_an_end_half_written_to_a_reader_that_breaks_is_said_elsewhere() -> None:
+    with staged() as stage:
+        home, other = stage.far_viewer(), stage.far_viewer()
+        id, line = stage.stands(home)
+        stage.stands(other)
+        (one,) = (one for one in ours(stage) if id in one.visit.sessions)
+        while not one.unsent:
+            one.write(write(Message("pong", "0" * 16, cause=1)) * 100)
+        line.release(id, 16)
+        stage.loop.until(lambda: stage.node.core.host.session(id) is None)
+        stage.loop.settle()
+        assert id not in stage.ends
+        home.reset()
+        stage.loop.until(lambda: other.look() is not None and id in stage.ends)
+
+
+def test_at_an_unknown_server_and_a_test_before_the_start_are_answered_in_kind() -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        stage.node.viewers.ready = False
+        lost = stage.setup(extras="home:0;copies:4;top:0;viewer:00000000b4d65521;at:s-none", left="0")
+        viewer.send(lost, Message("ping", "0" * 15 + "1", cause=0))
+        stage.loop.until(lambda: viewer.look() is not None and len(viewer.raw) == 2)
+        assert [(one.type, one.cause) for one in viewer.raw] == [("release", 41), ("pong", 0)]
+        assert stage.node.core.host.sessions == 0 and stage.sent_to(lost.id) == []
+
+
+# --- the records ---
+
+
+def test_a_visit_denies_only_what_was_said_last_to_one_that_had_closed() -> None:
+    def said(*, left: bool) -> Visit:
+        visit = Visit()
+        assert visit.made()
+        visit.said("old", 0.0, None, True)
+        visit.said("new", DOUBT_MS, None, True)
+        visit.said("end", DOUBT_MS, b"over", False)
+        if left:
+            assert visit.leave() and not visit.leave()
+        return visit
+
+    assert set(said(left=True).over(DOUBT_MS, True) or ()) == {"new", "end"}
+    assert set(said(left=False).over(DOUBT_MS, True) or ()) == {"end"}  # may have been heard: it stands
+    visit = said(left=True)
+    visit.flushed(DOUBT_MS)
+    assert visit.doubtful(DOUBT_MS) and not visit.doubtful(2 * DOUBT_MS)
+    assert visit.over(DOUBT_MS, False) == {} and visit.over(DOUBT_MS, True) is None
+    gone = Visit()
+    assert gone.over(0.0, False) == {} and not gone.made()
+
+
+def test_a_door_counts_what_was_closed_until_it_is_over_and_lets_it_go_first() -> None:
+    door: Door[str] = Door(2)
+    door.arrive("a", 0.0)
+    door.spoke("a", 0.0)
+    door.part("a", 1.0)
+    door.arrive("b", 1.0)
+    assert len(door) == 2 and door.parting() == ["a"]
+    assert door.overdue(HUSH_MS + 1.0) == ["b", "a"]
+    assert door.arrive("c", 2.0) == "a" and len(door) == 2
+    door.part("a", 2.0)  # let go before: not known any more
+    assert len(door) == 2 and not door.parting()
