A viewer that leaves as its connection to a server comes up: the second order is forced too

Cause: the test gave the viewer's descriptor first in both of its cases, so that the connection was never seen up before the viewer's end in one turn.

Change: in the case `server` the new connection comes first in the turn.

With `Core.leave` taken back from `Viewers.left` it fails: `AssertionError: assert ['s-0'] == []` (sent_to).

--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -115,8 +115,8 @@
             stage.loop.selected.held.discard(fd)
             stage.loop.settle()
             assert stage.sent_to(wish.id) == []
-        stage.loop.selected.first = [fd, there]
-        stage.loop.selected.held.clear()  # both in one turn: what the viewer did is seen before `up`
+        stage.loop.selected.first = [fd, there] if first == "viewer" else [there, fd]
+        stage.loop.selected.held.clear()  # for the server: it is up in the very turn, and seen so before
         stage.loop.advance(300)
         assert stage.sent_to(wish.id) == []
         if how == "orderly":
