--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -142,13 +142,14 @@
             self._settle(attempt)
         if command.jti not in link.stays:
             return  # never written there, or over by the server's own word
-        self._tell(
-            command.server, command.jti, Frame(Type.RELEASE, command.jti, {Code.CAUSE: bytes((_GIVEN_UP,))})
-        )
+        self._let_go(link, command.jti)
         stay = link.stays.pop(command.jti, None)
         if stay is not None and stay.conn is not None:
             stay.conn.close_if_spent()
 
+    def _let_go(self, link: Link, id: str) -> None:
+        self._tell(link.server, id, Frame(Type.RELEASE, id, {Code.CAUSE: bytes((_GIVEN_UP,))}))
+
     def probe(self, command: SendProbe) -> None:
         link = self._link(command.server)
         if link is None:
@@ -383,6 +384,8 @@
         elif stay is None or id in link.attempts:
             return  # heard already; or an earlier attempt's
         elif stay.conn is conn or id not in conn.before or not stay.heard:
+            if stay.conn is not conn and id in conn.before:  # whichever it is of, nothing may stay behind
+                self._let_go(link, id)
             self._over(link, id, _AFTER.get(cause if cause is not None else -1, Result.RESET))
 
     def _over(self, link: Link, id: str, result: Result) -> None:
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -41,6 +41,7 @@
         self.rungs: list[tuple[str, str]] = []
         self.pings = self.pings_to_break = 0
         self.out: dict[str, asyncio.StreamWriter] = {}  # set-ups without an end
+        self.refused: list[tuple[Frame, asyncio.StreamWriter]] = []  # refusals said, and where
         self.stands: set[str] = set()  # what it answered, heard whole or not, until it is released
         self.unheard: list[Frame] = []  # said on the next connection that opens, and said when one closes
         self.parting: list[Frame] = []
@@ -124,7 +125,8 @@
         elif move == "half":
             writer.write(encode(answer)[:-5])
         elif move.isdigit():
-            self.say(Frame(Type.RELEASE, id, {Code.CAUSE: bytes((int(move),))}), writer)
+            self.refused.append((Frame(Type.RELEASE, id, {Code.CAUSE: bytes((int(move),))}), writer))
+            self.say(*self.refused[-1])
         else:
             assert move == "silent", move
             return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -616,6 +616,10 @@
                 for id in [id for id, viewer in waits.items() if viewer is gone]:
                     del waits[id]
                 viewers.append(await scene.viewer())
+            elif what == 11 and server.refused:  # a second copy, late: its session may be tried again here
+                again, writer = server.refused[-1]
+                if not writer.transport.is_closing():
+                    server.say(again, writer)
             for _ in range(draw.randrange(3)):
                 await asyncio.sleep(0)
 
@@ -629,7 +633,7 @@
         await until(lambda: not given_up & held().keys())
         assert not any(server.out for server in servers)
 
-    play(story)
+    play(story, servers=1 + seed % 3)  # few: a session's next attempt may go to the same one
 
 
 def test_a_reader_who_does_not_read_is_let_go() -> None:
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -397,3 +397,23 @@
         stage.loop.advance(250.0)  # a refused connection is proof, read at the next upkeep
         stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
         assert stage.ends[id].cause == 41 and len(stage.sent_to(id)) == 1
+
+
+def test_a_late_word_after_the_connection_of_what_stands_broke_leaves_nothing_at_the_server() -> None:
+    """Nobody can tell whose word it is then: the session is over for both."""
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer)
+        line.release(id, 34)
+        stage.loop.until(lambda: len(stage.sent_to(id)) == 2)
+        (new,) = [one for one in stage.far["s-0"].lines if one is not line]
+        line.ended.clear()
+        new.answer(id)
+        answered(stage, viewer, id)
+        fd = stage.loop.near(new.sock)
+        new.reset()
+        stage.loop.arrived(fd)
+        stage.loop.settle()
+        heard(stage, line, Frame(Type.RELEASE, id, {Code.CAUSE: bytes((34,))}))
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        stage.loop.until(lambda: not stage.far["s-0"].standing())
