--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -94,12 +94,12 @@
         self.clock += ms / 1000.0
 
     def near(self, peer: socket.socket) -> int:
-        """The descriptor of the loop's end of a connection, known by the far end's address."""
-        there = peer.getsockname()
+        """The descriptor of the loop's end of a connection, known by the addresses of both ends."""
+        ends = peer.getsockname(), peer.getpeername()
         for fd in self.selected.get_map():
             try:
                 with socket.socket(fileno=os.dup(fd)) as own:
-                    if own.getpeername() == there:
+                    if (own.getpeername(), own.getsockname()) == ends:
                         return fd
             except OSError:
                 continue
