Who ends its side while its connection comes up is refused at once, not at the next look

Cause: `Viewers.left` told the host alone. The attempt that waited for its connection was ended by the upkeep, up to 0.25 s later, or when the connection came up; never sent on, but its viewer waited.

Change: what is wanted no more is dropped in the same turn.

Result: the test, whose clock stands, fails without it: "AssertionError: the condition never came".

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -252,6 +252,7 @@
         """A viewer ended its side, though it may still read: what it asked is answered, nothing begins."""
         for id in connection.visit.requests:
             self.core.leave(self.open[id][0])
+        self.servers.drop_unwanted()  # what waits for its connection is not sent on when that comes up
 
     def lost(self, connection: Connection, why: str, broke: bool) -> None:
         self._made.discard(connection)
--- a/tests/test_node_crossing.py
+++ b/tests/test_node_crossing.py
@@ -34,3 +34,17 @@
         stage.far[stage.sent_to(id)[0]].line_of(id).answer(id)
         loop.until(lambda: viewer.look() is not None and id in stage.answers and first in stage.ends)
         home.ended.add(first)  # its machine is gone, and what played there
+
+
+def test_who_ends_its_side_while_its_connection_comes_up_is_refused_at_once() -> None:
+    """The clock stands: neither the connection's coming up nor a look every so often is waited for."""
+    with staged() as stage:
+        loop, viewer, message = stage.loop, stage.far_viewer(), stage.setup()
+        viewer.send(message)
+        fd = stage.connecting()
+        viewer.end()
+        loop.until(lambda: viewer.look() is not None and message.id in stage.answers)
+        assert (stage.answers[message.id].type, stage.answers[message.id].cause) == ("release", 34)
+        loop.selected.held.discard(fd)
+        loop.settle()
+        assert stage.sent_to(message.id) == []
