One place knows what is done to hear the feed: a reset on `SUB` ended it for good

Cause: `Follower._connect` set `_conn` only as its coroutine resumed, a turn after `connection_made` had written `SUB`. A write that met a reset called `connection_lost` before that; `ended` took the connection for another's, then the dead one became `_conn`, and the feed was never asked again. Whether an opening lives was known by three fields (`_conn`, `_task`, `_again`) that were set at different times. So `move` before `start` opened a connection from a list not yet taken, and `start` a second one beside it. And any line, also an event or a number told before, put the silence off, so a feed that was stuck looked alive.

Change: `asking.Asking` (no I/O, no clock) alone knows the newest opening, by number, and whether it is being connected, up, over with a pause to come, or stopped. Callbacks report as they happen, the resumed coroutine decides nothing, and one timer is set from `due`. Silence ends with the next event or with the last number held, nothing else. The pause after a failure starts from its shortest again after an event or a second in use, no longer after any line: a feed with a bad next event was asked 20 times a second.

Ruled out by forced tests that pass before and after: a move, one or two in one turn, at any turn of an opening; a move in the turn of a retry, both orders; the connect time ending at any turn of an opening; lines of the left connection; half lines that put the silence off; a stop at any turn of an opening. A moved feed whose connections hang is tried four times in 3.6 s of the stage's clock.

--- a/fernweir/node/feed.py
+++ b/fernweir/node/feed.py
@@ -28,6 +28,7 @@
     def __init__(self, settings: Settings, kinds: tuple[str, ...], offset_ms: float) -> None:
         self._settings, self._kinds, self._offset = settings, kinds, offset_ms
         self.last = 0
+        self.fresh = 0  # lines so far that were the next event, or said that the last one held is the last
         self.addresses: dict[int, Address] = {}
         self.names: dict[int, str] = {}
         self.since: dict[int, float] = {}  # Unix ms, as told
@@ -47,6 +48,7 @@
         if isinstance(body, int) and not isinstance(body, bool):
             if body > self.last:
                 raise FeedError(f"events up to {body} are missing, {self.last} is the last held")
+            self.fresh += body == self.last
             return None
         return self._event(body, ListKind.FULL)
 
@@ -67,6 +69,7 @@
         assert isinstance(body, dict)
         update = self._members(body.get("members"), whole)
         self.last = n
+        self.fresh += 1
         return update
 
     def _members(self, members: object, whole: ListKind) -> ListUpdate | None:
--- /dev/null
+++ b/tests/test_node_crossing_feed.py
@@ -0,0 +1,305 @@
+"""Crossings of a node's connection to its control feed, each forced in all orders, and a drawn mess."""
+
+from __future__ import annotations
+
+import json
+import selectors
+import socket
+from typing import Any
+
+import pytest
+
+from fernweir.front.names import number_of
+from fernweir.interface import ServerState
+from fernweir.node.asking import Asking
+from tests.node_scene import FarFeed, Stage, staged
+from tests.sockets import Far
+
+# Turns between the start of a connection and its `SUB`: the descriptor is ready, its future is set, the
+# transport is made, `connection_made`, the opening coroutine resumes. One more, so that the end is passed.
+TURNS = range(7)
+
+
+def connecting(stage: Stage) -> list[int]:
+    """Descriptors of connections that the node is making."""
+    keys = stage.loop.selected.get_map().values()
+    return [key.fd for key in keys if key.events & selectors.EVENT_WRITE]
+
+
+def opening(stage: Stage) -> None:
+    """The feed's connection breaks and the next one has just been begun."""
+    stage.loop.settle()
+    stage.feed.look()[-1].reset()
+    stage.loop.until(lambda: "feed away" in stage.log.getvalue())
+    stage.loop.jump(80.0)  # the first pause is 75 ms at most
+    stage.loop.until(lambda: connecting(stage))
+
+
+def live(*feeds: FarFeed) -> list[tuple[Far, bytes]]:
+    """Connections that are open at both ends, with what was asked on them."""
+    for feed in feeds:
+        feed.look()
+    return [
+        (line, asked)
+        for feed in feeds
+        for line, asked in zip(feed.lines, feed.asked, strict=True)
+        if not line.over
+    ]
+
+
+def change(stage: Stage, n: int, status: str = "draining", **more: object) -> dict[str, Any]:
+    line = {**stage.line("s-0", status), **more}
+    return {"n": n, "members": {"index": n, "snapshot": False, "endpoints": [line]}}
+
+
+def said(event: object) -> bytes:
+    return json.dumps(event).encode() + b"\n"
+
+
+def follows(stage: Stage, feed: FarFeed, last: int = 1) -> None:
+    """One connection there is, it asked from the last number held, and the next event comes in on it."""
+    ((line, asked),) = live(stage.feed, feed) if feed is not stage.feed else live(feed)
+    assert line in feed.lines and asked == b"SUB %d\n" % last
+    line.write(said(change(stage, last + 1)))
+    stage.loop.until(lambda: stage.node.feed.last == last + 1)
+
+
+@pytest.mark.parametrize("turns", TURNS)
+def test_a_feed_that_resets_at_any_turn_of_an_opening_is_asked_again(turns: int) -> None:
+    with staged() as stage:
+        opening(stage)
+        stage.loop.turn(turns)
+        stage.feed.look()[-1].reset()
+        stage.loop.advance(1_000)
+        follows(stage, stage.feed)
+
+
+@pytest.mark.parametrize("late", [True, False])
+@pytest.mark.parametrize("turns", TURNS)
+def test_a_connection_whose_time_ends_as_it_comes_up_is_followed_or_left_and_never_both(
+    turns: int, late: bool
+) -> None:
+    with staged() as stage:
+        opening(stage)
+        stage.loop.turn(turns)
+        if not late:  # the far end of the race: the time ends while the connection is still held
+            stage.loop.selected.held.update(connecting(stage))
+        stage.loop.jump(1_001.0)
+        stage.loop.turn()
+        stage.loop.selected.held.clear()
+        stage.loop.advance(200)
+        follows(stage, stage.feed)
+
+
+@pytest.mark.parametrize("times", [1, 2])
+@pytest.mark.parametrize("turns", TURNS)
+def test_a_feed_that_moves_at_any_turn_of_an_opening_is_asked_at_its_new_address_only(
+    turns: int, times: int
+) -> None:
+    with staged() as stage:
+        opening(stage)
+        stage.loop.turn(turns)
+        other = FarFeed()
+        for _ in range(times):  # in one turn
+            stage.node.follower.move(other.address)
+        for line in stage.feed.look():  # what the old one still says
+            if not line.over:
+                line.write(said(change(stage, 2, "removed")))
+        stage.loop.settle()
+        assert stage.node.feed.last == 1
+        follows(stage, other)
+        assert stage.node.core.host.listed == {number_of("s-0"): ServerState.DRAINING}
+        other.close()
+
+
+@pytest.mark.parametrize("first", ["move", "line"])
+def test_a_line_of_the_old_feed_in_the_turn_of_its_move_counts_if_it_was_read_first(first: str) -> None:
+    with staged() as stage:
+        stage.loop.settle()
+        other, (ours, theirs) = FarFeed(), socket.socketpair()
+        old = stage.feed.look()[-1]
+        stage.loop.add_reader(
+            ours, lambda: (stage.loop.remove_reader(ours), stage.node.follower.move(other.address))
+        )
+        fds = [ours.fileno(), stage.loop.near(old.sock)]
+        stage.loop.selected.first = fds if first == "move" else fds[::-1]
+        old.write(said(change(stage, 2)))
+        theirs.send(b"!")
+        stage.loop.arrived(*fds)
+        stage.loop.settle()
+        follows(stage, other, 1 if first == "move" else 2)
+        for end in (ours, theirs, other):
+            end.close()
+
+
+@pytest.mark.parametrize("after", [-0.001, 0.001])
+def test_a_feed_that_moves_in_the_turn_in_which_a_retry_is_due_is_asked_once(after: float) -> None:
+    with staged() as stage:
+        stage.loop.settle()
+        stage.feed.look()[-1].end()
+        stage.loop.until(lambda: "feed away" in stage.log.getvalue())
+        (retry,) = [one for one in stage.loop.due() if "Follower" in repr(one)]
+        other = FarFeed()
+        stage.loop.call_at(retry.when() + after, stage.node.follower.move, other.address)
+        stage.loop.jump(80.0)  # both are due, and run in one turn
+        stage.loop.advance(3_000)
+        for feed in (stage.feed, other):
+            assert not [line for line in feed.look()[:-1] if not line.over]
+        follows(stage, other)
+        other.close()
+
+
+@pytest.mark.parametrize("turns", TURNS)
+def test_a_node_that_ends_at_any_turn_of_an_opening_asks_nothing_more(turns: int) -> None:
+    with staged() as stage:
+        other = FarFeed()
+        stage.node.terminate()
+        opening(stage)
+        stage.loop.turn(turns)
+        stage.node.follower.stop()
+        stage.node.follower.move(other.address)
+        stage.loop.advance(5_000)
+        assert live(stage.feed, other) == [] and not other.lines
+        other.close()
+
+
+def test_a_feed_that_moves_while_the_node_is_stopping_is_still_followed() -> None:
+    with staged() as stage:
+        other = FarFeed()
+        stage.node.terminate()
+        stage.node.follower.move(other.address)
+        stage.loop.settle()
+        follows(stage, other)
+        stage.loop.advance(4_000)
+        assert stage.node.ended.is_set()
+        other.close()
+
+
+def test_a_feed_that_moves_before_the_node_follows_is_not_asked_from_a_list_it_has_not_taken() -> None:
+    with staged() as stage:
+        other = FarFeed()
+        fresh = type(stage.node.follower)(
+            stage.node.core, stage.node.feed, stage.node.servers, other.address, 1
+        )
+        fresh.move(other.address)
+        stage.loop.advance(1_000)
+        assert other.look() == []
+        fresh.start()
+        stage.loop.settle()
+        assert len(live(other)) == 1
+        fresh.stop()
+        other.close()
+
+
+# What a feed may go on writing that tells nothing: more of a line, old events, numbers below the last.
+@pytest.mark.parametrize(
+    ("start", "word"),
+    [(b"", b""), (b'{"n":2,', b""), (b'{"n":2,', b" "), (b"", b'{"n":1}\n'), (b"", b"0\n"), (b"", b"-7\n")],
+)
+def test_a_feed_that_says_nothing_of_use_is_asked_again_in_under_two_seconds(
+    start: bytes, word: bytes
+) -> None:
+    with staged() as stage:
+        stage.loop.settle()
+        line = stage.feed.look()[-1]
+        line.write(b"1\n" + start)
+        for _ in range(4):
+            stage.loop.advance(490)
+            if not line.over:
+                line.write(word)
+            stage.feed.look()
+        stage.loop.settle()
+        assert len(stage.feed.look()) == 2
+        follows(stage, stage.feed)
+
+
+def test_the_last_number_each_second_is_enough_even_in_two_pieces() -> None:
+    with staged() as stage:
+        stage.loop.settle()
+        line = stage.feed.look()[-1]
+        for _ in range(20):
+            line.write(b"1")
+            stage.loop.advance(500)
+            line.write(b"\n")
+            stage.loop.advance(500)
+        assert len(stage.feed.look()) == 1
+        follows(stage, stage.feed)
+
+
+@pytest.mark.parametrize("end", ["reset", "end", "silence"])
+def test_an_event_broken_off_is_taken_whole_from_the_next_connection_and_once(end: str) -> None:
+    with staged() as stage:
+        stage.loop.settle()
+        told: list[int] = []
+        tell = stage.node.follower.tell
+        stage.node.follower.tell = lambda update: (told.append(update.version), tell(update))[1]  # type: ignore
+        line, event = stage.feed.look()[-1], said(change(stage, 2))
+        line.write(event[:40])
+        stage.loop.settle()
+        if end != "silence":
+            getattr(line, end)()
+        stage.loop.advance(1_900 if end == "silence" else 100)
+        ((line, asked),) = live(stage.feed)
+        assert asked == b"SUB 1\n"
+        line.write(event[40:90])  # goes on where it broke off: no line of ours
+        line.write(b"\n")
+        stage.loop.advance(400)
+        ((line, asked),) = live(stage.feed)
+        assert asked == b"SUB 1\n"
+        line.write(event + event + said(change(stage, 2, "removed")) + said(change(stage, 3, "up")))
+        stage.loop.settle()
+        assert told == [2, 3] and stage.node.feed.last == 3
+        line.write(said(change(stage, 5)))  # a gap
+        stage.loop.advance(100)
+        follows(stage, stage.feed, 3)
+
+
+def test_a_moved_feed_whose_first_connections_hang_is_tried_every_second_until_one_comes_up() -> None:
+    with staged() as stage:
+        stage.loop.settle()
+        stage.loop.advance(1_700)  # silent, and about to be left
+        other = FarFeed()
+        began = stage.loop.clock
+        stage.node.follower.move(other.address)
+        for tries in (1, 2, 3):
+            stage.loop.until(lambda: connecting(stage))
+            stage.loop.selected.held = set(connecting(stage))
+            other.look()
+            assert len(other.lines) == tries and len(live(stage.feed, other)) == 1
+            stage.loop.advance(1_000)
+            stage.loop.selected.held = set()
+            while not connecting(stage):
+                stage.loop.jump(5.0)
+                stage.loop.turn()
+                stage.loop.until(lambda: connecting(stage) or not stage.loop._ready)
+        assert stage.loop.clock - began < 3.6  # 3 x 1.0 s, and 1.5 x (50 + 100 + 200) ms at most
+        stage.loop.settle()
+        follows(stage, other)
+        other.close()
+
+
+def test_an_opening_ends_once_and_a_feed_that_is_of_no_use_is_asked_ever_more_slowly() -> None:
+    asking, now, pauses = Asking(1), 0.0, []
+    for _ in range(40):
+        first = asking.open(now)
+        opening = asking.open(now)  # takes the place of the first
+        assert first is not None and opening is not None and asking.late() == "no connection in time"
+        assert not asking.up(first, now) and not asking.over(first, now)
+        assert asking.up(opening, now) and asking.counts(opening) and asking.late() == "silent"
+        asking.heard(now, told=False)  # the last number, at once; then an event that can't be used
+        assert asking.over(opening, now) and not asking.over(opening, now) and not asking.counts(opening)
+        assert asking.due is not None and asking.late() is None
+        pauses.append(asking.due - now)
+        now = asking.due
+    assert pauses[0] < 0.075 and min(pauses[5:]) >= 0.4 and max(pauses) <= 1.2
+    for told, stood_s in ((True, 0.0), (False, 1.0)):  # an event taken, or a while in use: as at first
+        opening = asking.open(now)
+        assert opening is not None and asking.up(opening, now)
+        asking.heard(now + stood_s, told)
+        assert asking.due == now + stood_s + 1.8
+        asking.over(opening, now)
+        assert asking.due < now + 0.075
+    opening = asking.open(now)
+    asking.stop()
+    assert opening is not None and not asking.up(opening, now) and not asking.over(opening, now)
+    assert asking.due is None and not asking.moved() and asking.open(now) is None
