An event of the feed that can't be read no longer hides all later ones for good

Cause: `Feed._event` raised for an endpoint it can't read (an unknown type or state, say) and kept its number, so the node asked again from before it and got the same event. By the protocol the feed tells its events in order: nothing after that one was ever heard, and the node asked again for ever. Also, with no event held (`and self.last`), any number was taken for the first, so a first event of 7 or of 10**30 was followed though the list before it was missing.

Change: refused the first time, as it may have been spoilt on its way. If the identical line comes again, what can be read of it is taken, the rest is left out, and `feed event not all of use` is logged. A whole list that isn't all there is taken as changes, so that a server whose line can't be read isn't taken for gone. After `SUB 0` the first event has to be 1; what stands under `known` may begin anywhere as before.

Ruled out: passing over a line that has no number, as the next event then is a gap, and is asked for anew at the pace of `asking`. Numbers of 0, below 0 or of thousands of digits, cells and weights out of range: no harm, by test or by reading.

--- a/fernweir/node/follow.py
+++ b/fernweir/node/follow.py
@@ -56,8 +56,10 @@
         if not self._asking.counts(opening):
             return
         for line in lines:
-            last, fresh = self.feed.last, self.feed.fresh
+            last, fresh, left_out = self.feed.last, self.feed.fresh, self.feed.left_out
             update = self.feed.line(line)
+            if self.feed.left_out != left_out:
+                self.core.log.warning("feed event not all of use", n=self.feed.last)
             if self.feed.fresh != fresh:
                 self._asking.heard(self.core.loop.time(), self.feed.last != last)
             if update is not None:
--- a/tests/test_node_crossing_feed.py
+++ b/tests/test_node_crossing_feed.py
@@ -12,6 +12,8 @@
 from fernweir.front.names import number_of
 from fernweir.interface import ServerState
 from fernweir.node.asking import Asking
+from fernweir.node.feed import Feed, FeedError
+from tests.helpers import SETTINGS
 from tests.node_scene import FarFeed, Stage, staged
 from tests.sockets import Far
 
@@ -303,3 +305,40 @@
     asking.stop()
     assert opening is not None and not asking.up(opening, now) and not asking.over(opening, now)
     assert asking.due is None and not asking.moved() and asking.open(now) is None
+
+
+def test_an_event_that_comes_the_same_again_is_taken_as_far_as_it_can_be_read() -> None:
+    with staged(servers=2) as stage:
+        stage.loop.settle()
+        odd = change(stage, 2)
+        odd["members"]["endpoints"] += [{**stage.line("s-1"), "type": "odd"}, 7]
+        odd["members"]["snapshot"] = True  # of a list that isn't all there, what it doesn't name stays
+        no_list = {"n": 3, "members": {"index": "1"}}
+        listed = {number_of("s-0"): ServerState.READY, number_of("s-1"): ServerState.READY}
+        for n, event in ((2, odd), (3, no_list)):
+            for tries, told in enumerate(({**event, "spoilt": 1}, event, event)):  # the first is another
+                ((line, asked),) = live(stage.feed)
+                assert stage.node.core.host.listed == listed
+                assert not tries or asked == b"SUB %d\n" % (n - 1)
+                line.write(b"%d\n" % (n - 1) + said(told))
+                stage.loop.advance(500)
+            assert stage.node.feed.last == n
+            listed[number_of("s-0")] = ServerState.DRAINING
+        assert stage.node.core.host.listed == listed
+        assert stage.log.getvalue().count("not all of use") == 2
+        line.write(said(change(stage, 4)))
+        stage.loop.until(lambda: stage.node.feed.last == 4)
+
+
+def test_a_feed_that_begins_behind_its_first_event_is_asked_for_what_is_missing() -> None:
+    feed = Feed(SETTINGS, ("box",), 0.0)
+    for n in (2, 10**30):
+        with pytest.raises(FeedError):
+            feed.line(b'{"n":%d}' % n)
+    with pytest.raises(FeedError):
+        feed.line(b"9" * 5_000)
+    assert feed.line(b'{"n":0}') is None and feed.line(b'{"n":-3}') is None and feed.fresh == 0
+    assert feed.line(b'{"n":1}') is None and feed.line(b"1") is None and (feed.last, feed.fresh) == (1, 2)
+    known = Feed(SETTINGS, ("box",), 0.0)
+    known.start(({"n": 7}, {"n": 8}), 8)
+    assert known.last == 8
