Drawn mess of the control feed: resets, half lines, silence, moves, late timers

Need: the forced crossings of the feed are the ones that were thought of. 40 seeds draw events (also twice, old, after a gap, in halves), resets, ends, silence, moves to the same or another address, connections held, turns, late timers, and resets and moves between two turns of an opening. After 5 s of the stage's clock without faults one connection is left, each event was applied once and in order, and the list is the feed's; at each calm moment no two connections are open.

--- a/tests/test_node_crossing_feed.py
+++ b/tests/test_node_crossing_feed.py
@@ -5,12 +5,14 @@
 import json
 import selectors
 import socket
+from contextlib import suppress
+from random import Random
 from typing import Any
 
 import pytest
 
 from fernweir.front.names import number_of
-from fernweir.interface import ServerState
+from fernweir.interface import ListUpdate, ServerState
 from fernweir.node.asking import Asking
 from fernweir.node.feed import Feed, FeedError
 from tests.helpers import SETTINGS
@@ -342,3 +344,137 @@
     known = Feed(SETTINGS, ("box",), 0.0)
     known.start(({"n": 7}, {"n": 8}), 8)
     assert known.last == 8
+
+
+DEEDS = (
+    *("event", "event", "event", "twice", "old", "gap", "number", "half", "silent", "reset", "end"),
+    *("move", "move", "hold", "free", "turn", "jump", "advance", "cross", "cross"),
+)
+
+
+class Mess:
+    """Feeds at addresses old and new tell one story; what a seed draws happens to their connections."""
+
+    def __init__(self, stage: Stage, dice: Random) -> None:
+        self.stage, self.dice = stage, dice
+        self.feeds: list[FarFeed] = [stage.feed]
+        self.story = [change(stage, 1, "up")]
+        self.told: dict[int, int] = {}  # a connection, by its feed's place and its own: the last event told
+        self.broken: set[int] = set()  # connections that say nothing more
+        self.applied: list[int] = []
+        self.tell = stage.node.follower.tell
+        stage.node.follower.tell = self.took  # type: ignore[method-assign]
+
+    def took(self, update: ListUpdate) -> None:
+        self.applied.append(update.version)
+        self.tell(update)
+
+    def open(self) -> list[tuple[int, Far, bytes]]:
+        """Connections of the newest address that have asked and are told what comes."""
+        feed = self.feeds[-1]
+        feed.look()
+        pairs = zip(feed.lines, feed.asked, strict=True)
+        return [
+            (id(line), line, asked)
+            for line, asked in pairs
+            if not line.over and id(line) not in self.broken and asked.endswith(b"\n")
+        ]
+
+    def write(self, line: Far, data: bytes) -> None:
+        with suppress(OSError):  # the node has left it
+            line.write(data)
+
+    def serve(self) -> None:
+        for key, line, asked in self.open():
+            assert asked.count(b"\n") == 1
+            for event in self.story[self.told.get(key, int(asked[4:])) :]:
+                self.write(line, said(event))
+            self.told[key] = len(self.story)
+
+    def number(self) -> None:
+        for _, line, _ in self.open():
+            self.write(line, b"%d\n" % len(self.story))
+
+    def act(self) -> None:
+        dice, loop = self.dice, self.stage.loop
+        deed = dice.choice(DEEDS)
+        lines = self.open()
+        if deed == "event":
+            status = dice.choice(["up", "draining"])
+            self.story.append(change(self.stage, len(self.story) + 1, status, weight=len(self.story)))
+        elif deed == "move":
+            self.feeds += [FarFeed()] * (dice.random() < 0.7)
+            for _ in range(dice.choice([1, 1, 2])):
+                self.stage.node.follower.move(self.feeds[-1].address)
+        elif deed == "hold":
+            loop.selected.held.update(connecting(self.stage))
+        elif deed == "free":
+            loop.selected.held.clear()
+        elif deed == "cross":
+            self.cross()
+        elif deed == "turn":
+            loop.turn(dice.randrange(1, 6))
+        elif deed == "jump":
+            loop.jump(dice.choice([20.0, 80.0, 900.0, 2_000.0]))
+        elif deed == "advance":
+            loop.advance(dice.choice([10.0, 100.0, 500.0, 1_000.0]))
+        elif lines:
+            key, line, _ = dice.choice(lines)
+            if deed in ("reset", "end"):
+                getattr(line, deed)()
+            elif deed == "number":
+                self.number()
+            elif deed == "gap":
+                self.write(line, said(change(self.stage, len(self.story) + 2, "removed")))
+            elif deed in ("twice", "old"):
+                self.write(line, said(dice.choice(self.story[: self.told.get(key, 0)] or [0])))
+            elif deed == "half":
+                self.write(
+                    line, said(change(self.stage, len(self.story) + 1, "removed"))[: dice.randrange(60)]
+                )
+            if deed in ("silent", "half", "end"):
+                self.broken.add(key)
+        if dice.random() < 0.6:
+            self.serve()
+
+    def cross(self) -> None:
+        """Something happens between two turns of an opening, if there is one or is to be one."""
+        loop, feed = self.stage.loop, self.feeds[-1]
+        loop.jump(80.0)
+        for _ in range(self.dice.randrange(12)):
+            loop.turn()
+            if connecting(self.stage):
+                break
+        loop.turn(self.dice.randrange(4))
+        if self.dice.random() < 0.7 and (lines := [one for one in feed.look() if not one.over]):
+            lines[-1].reset()
+        elif self.dice.random() < 0.5:
+            self.stage.node.follower.move(feed.address)
+
+    def whole(self) -> None:
+        for _ in range(80):
+            self.act()
+            if self.dice.random() < 0.2:
+                self.calm()
+        self.stage.loop.selected.held.clear()
+        self.story.append(change(self.stage, len(self.story) + 1))
+        for _ in range(50):  # 5 s with no fault more
+            self.serve()
+            self.number()
+            self.stage.loop.advance(100)
+        self.calm()
+        assert len(self.open()) == 1 and self.applied == list(range(2, len(self.story) + 1))
+        assert self.stage.node.core.host.listed == {number_of("s-0"): ServerState.DRAINING}
+        for feed in self.feeds[1:]:
+            feed.close()
+
+    def calm(self) -> None:
+        self.stage.loop.settle()
+        assert len(live(*self.feeds)) <= 1, "two connections to the feed"
+        assert self.applied == list(range(2, len(self.applied) + 2)), "twice, or out of order"
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_whatever_befalls_the_feed_its_list_is_held_once_it_is_well_again(seed: int) -> None:
+    with staged() as stage:
+        Mess(stage, Random(seed)).whole()
