Who takes back what is open and then errs, all in one read, is closed: it stayed for good

Seen: a viewer with a set-up open sends its release and a line that can't be read together. It is answered, nothing more is taken from it, and the connection stays open until the viewer ends it.

Cause: what lies in the kernel is read in `get_buffer` while something is open, so the transport's own read finds nothing and never calls `buffer_updated`, the one place that looked whether the connection is spent. `_drop` asks too, but before the mistake.

Change: `read_on` itself asks at its end, whoever called it; the single read is a method of its own. With the old order its test fails with `AssertionError: the condition never came`.

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -309,31 +309,35 @@
 
         A transport tells of a reset a turn later, after the node's next batch, which might send it on.
         """
-        self._read_on()
+        self.read_on()
         return super().get_buffer(sizehint)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Behind what was asked its viewer's end may lie, which the loop's next look finds too late."""
         super().buffer_updated(nbytes)
-        self._read_on()
-        self.close_if_spent()
+        self.read_on()
 
-    def _read_on(self) -> None:
+    def read_on(self) -> None:
         """Reads to the end of what is there while something is open."""
         for _ in range(_READS):
-            if not (self.visit.requests and self.visit.hears and self.usable):
-                return
-            try:
-                nbytes = self._sock.recv_into(super().get_buffer(-1))
-            except BlockingIOError:
-                return
-            except OSError as error:
-                self._broke(str(error))
-                return
-            if nbytes:
-                super().buffer_updated(nbytes)
-            else:
-                self.eof_received()
+            if not (self.visit.requests and self.visit.hears and self.usable and self._read_more()):
+                break
+        self.close_if_spent()
+
+    def _read_more(self) -> bool:
+        """Whether there was something to read."""
+        try:
+            nbytes = self._sock.recv_into(super().get_buffer(-1))
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self._broke(str(error))
+            return False
+        if nbytes:
+            super().buffer_updated(nbytes)
+        else:
+            self.eof_received()
+        return nbytes > 0
 
     def bytes_came(self, data: memoryview) -> None:
         viewers, now = self._viewers, self._viewers.core.now()
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -123,6 +123,16 @@
             assert hears(stage, viewer, wish.id).cause == 34
 
 
+def test_who_takes_back_what_is_open_before_its_mistakes_is_closed() -> None:
+    """All in one read while something is open, so that nothing is left for the transport's own read."""
+    with staged() as stage:
+        viewer, wish = stage.far_viewer(), stage.setup()
+        ask_and_hold(stage, viewer, wish)
+        viewer.write(write(Message("release", wish.id, cause=16)) + b"nothing\n")
+        stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+        assert [one.cause for one in viewer.raw] == [111] and len(stage.node.viewers.door) == 0
+
+
 @pytest.mark.parametrize("how", WAYS)
 @pytest.mark.parametrize("first", ["viewer", "server"])
 @pytest.mark.parametrize("effect", [Effect.REPEATABLE, Effect.ONCE])
