Who leaves while the loop stands still is not sent on: its connection is read just before the first byte

Seen on the rig: a set-up is read, its viewer leaves (any way), the process stands still for 400 ms, and the batch behind that read sends it on, 400 ms after the viewer left. The same as the connection to the server comes up. asyncio runs what is ready before it looks at descriptors again, so whoever leaves between the two is not seen, and a node with a small share of a core is late by hundreds of milliseconds.

Ruled out: what lies in the socket by the loop's look is read to its end since, and `still_wanted` is asked in time; it only can't know what nobody has read.

To blame: `Servers._carry` and `up` asked the host alone.

The test, both places, four ways of leaving, fails eight times without it, as `assert ['s-0'] == []` where the set-up came to the server.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -107,6 +108,7 @@
         self.connect_s, self.idle_ms = config.connect_ms / 1000.0, config.idle_ms
         self.links: dict[int, Link] = {}
         self.stopped = False
+        self.hear_viewer: Callable[[str], None] = lambda id: None  # reads what its viewer has sent by now
         self._classes = [one.name.encode() for one in config.settings.classes]
         self._tests = 0
         self._started: dict[int, float] = {}
@@ -249,8 +251,13 @@
         self._finish(link, attempt, SetUpResult(Result.MOOT, took, {}, why="not wanted any more"))
         return False
 
+    def _wanted_now(self, link: Link, attempt: Attempt) -> bool:
+        """At the last moment: its viewer may have left since the loop looked, however long ago."""
+        self.hear_viewer(attempt.command.session.jti)
+        return self._wanted(link, attempt)
+
     def _carry(self, link: Link, attempt: Attempt) -> None:
-        if not self._wanted(link, attempt):
+        if not self._wanted_now(link, attempt):
             return
         attempt.connects += 1
         conn = attempt.conn = self._free(link, attempt.command.session.jti) or self._connect(link)
@@ -466,7 +473,7 @@
             if test.conn is conn:
                 conn.write(test.data)
         for attempt in list(conn.attempts.values()):
-            if self._wanted(link, attempt):
+            if self._wanted_now(link, attempt):
                 self._write(link, attempt)
 
     def _post(self, link: Link, conn: Connection) -> None:
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -44,6 +44,7 @@
         self._made: set[Connection] = set()  # whose transport is there, closing ones too
         self.came = 0  # reads and connections so far
         core.on_over = self.over
+        servers.hear_viewer = self.hear
 
     # --- connections ---
 
@@ -248,6 +249,11 @@
                 return
         self._untold.append((self.core.now() + _TELL_WITHIN_MS, id, end))
 
+    def hear(self, id: str) -> None:
+        """Before a set-up is sent on: its viewer may have left since the loop last looked."""
+        if id in self.open:
+            self.open[id][1].read_on()
+
     def left(self, connection: Connection) -> None:
         """A viewer ended its side, though it may still read: what it asked is answered, nothing begins."""
         for id in connection.visit.requests:
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -123,6 +123,35 @@
             assert hears(stage, viewer, wish.id).cause == 34
 
 
+@pytest.mark.parametrize("how", WAYS)
+@pytest.mark.parametrize("where", ["before its batch", "as its connection is up"])
+def test_who_leaves_while_the_loop_stands_still_behind_its_last_look_is_not_sent_on(
+    how: str, where: str
+) -> None:
+    """What is run next in the same turn, as late as it may be, sends nothing on for who has left by then."""
+    with staged() as stage:
+        if where == "before its batch":
+            stage.stands(stage.far_viewer())  # a connection is free: it would be written in that turn
+        viewer, wish = stage.far_viewer(), stage.setup()
+        fd = near(stage, viewer)
+        if where == "before its batch":
+            viewer.send(wish)
+            stage.loop.arrived(fd)
+            while wish.id not in stage.node.viewers.open:
+                stage.loop.turn()
+        else:
+            there = ask_and_hold(stage, viewer, wish)
+            stage.loop.selected.held.discard(there)
+            stage.loop.turn(2)  # it is up, and is told so at the beginning of the next turn
+        leave(viewer, how, wish.id)
+        stage.loop.arrived(fd)
+        stage.loop.jump(400)
+        stage.loop.settle()
+        assert stage.sent_to(wish.id) == []
+        if how == "orderly":
+            assert hears(stage, viewer, wish.id).cause == 34
+
+
 def test_who_takes_back_what_is_open_before_its_mistakes_is_closed() -> None:
     """All in one read while something is open, so that nothing is left for the transport's own read."""
     with staged() as stage:
