Words to viewers leave at once: Nagle's algorithm was in force on every connection of theirs

Seen on the rig: of two words written in a row to one viewer, the second had not come when all was settled.

Cause: asyncio sets `TCP_NODELAY` on a transport whose socket says that its protocol is TCP's. Our listening socket was made with protocol 0, accepted ones inherit that, and asyncio left them alone without a word. So each answer on a connection with another one not acknowledged yet waited for the viewer's delayed acknowledgement.

Ruled out: connections to servers and to the feed (made by asyncio from an address, protocol 6), and the other listeners (`create_server`). docs/races.md said that the loop sets it itself; that was never checked.

The test fails without it with `AssertionError: assert 0` on the socket's option.

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -50,7 +50,8 @@
 
     def listen(self, there: Address) -> None:
         """OSError if the address can't be had."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # With its number, which accepted sockets inherit: by it asyncio knows where to set TCP_NODELAY.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         try:
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import select
+import socket
 from dataclasses import replace
 from random import Random
 
@@ -497,6 +499,13 @@
 # --- what is said of sessions ---
 
 
+def test_what_is_said_leaves_at_once_though_the_last_word_is_not_acknowledged_yet() -> None:
+    with staged() as stage:
+        fd = near(stage, stage.far_viewer())
+        with socket.socket(fileno=os.dup(fd)) as own:
+            assert own.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 @pytest.mark.parametrize("first", ["viewer", "server"])
 def test_a_release_of_an_open_set_up_and_its_answer_in_one_turn_leave_nothing(first: str) -> None:
     with staged() as stage:
