A session ended by its server and its viewer in one turn is told of once, wherever its viewer is

Seen on the rig: a session stands, the connection that it came on is gone, its server ends it and its viewer releases it on another connection in one turn. Server first, the viewer is told 81, no such session, and then 16: two ends of one session, and a mistake is counted against who made none.

Cause: between the host's end of a session and the word of it (`over`), only `home` knew that it had stood, and `home` forgot it with its connection. Now it keeps whatever stands until its end is told, without a connection where that is gone: one table, no new one.

Ruled out: viewer first, and a home that is still there (both tested, both right before).

The test fails without it in that one of its four cases: `assert 'no such session' not in '{"at": ...`.

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -36,7 +36,8 @@
         self.ready = False
         self.remembered = Remembered()
         self.open: dict[str, tuple[int, Connection]] = {}  # set-ups without an answer, by id
-        self.home: dict[str, Connection] = {}  # sessions that stand, by the connection they came on
+        # Sessions that stand, by the connection they came on while that is there, until their end is told.
+        self.home: dict[str, Connection | None] = {}
         self.spoken: dict[Connection, None] = {}  # connections that served sessions, newest last
         self._untold: deque[tuple[float, str, bytes]] = deque()
         self._listening: socket.socket | None = None
@@ -277,7 +278,7 @@
         for id in dropped:  # not remembered: a viewer may send it again on a new connection
             self._drop(id)
         for id in visit.sessions:
-            self.home.pop(id, None)
+            self.home[id] = None
         self.spoken.pop(connection, None)
         self.door.leave(connection)
         for id, word in unheard.items():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -57,7 +57,7 @@
         second.send(other)
         await second.answer(other.id)
         first.close()
-        await until(lambda: wish.id not in scene.node.viewers.home)
+        await until(lambda: scene.node.viewers.home.get(wish.id) is None)
         server = scene.servers[name]
         server.say(Frame(Type.RELEASE, wish.id, {Code.CAUSE: bytes((16,))}))
         await until(lambda: wish.id in scene.ends)  # on the other's connection
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -558,6 +558,29 @@
         assert hears(stage, home, waits).type == "answer"
 
 
+@pytest.mark.parametrize("first", ["viewer", "server"])
+@pytest.mark.parametrize("home", [True, False])
+def test_a_session_that_both_sides_end_in_one_turn_is_told_of_once(first: str, home: bool) -> None:
+    """Whether the connection that it came on is still there or not."""
+    with staged() as stage:
+        viewer, other = stage.far_viewer(), stage.far_viewer()
+        stage.stands(other)
+        id, line = stage.stands(viewer)
+        if not home:
+            viewer.reset()
+            stage.loop.settle()
+        fd, there = near(stage, other), stage.loop.near(line.sock)
+        stage.loop.selected.held |= {fd, there}
+        other.send(Message("release", id, cause=16))
+        line.release(id, 16)
+        stage.loop.arrived(fd, there)
+        stage.loop.selected.first = [fd, there] if first == "viewer" else [there, fd]
+        stage.loop.selected.held.clear()
+        stage.loop.settle()
+        assert "no such session" not in stage.log.getvalue()
+        assert id not in stage.node.viewers.home and stage.node.core.host.sessions == 1
+
+
 def test_an_end_that_nobody_can_hear_waits_for_the_next_connection_with_a_session() -> None:
     with staged() as stage:
         viewer = stage.far_viewer()
