A line has its time from its own beginning: a stream of whole lines could be ended as silence

Seen on the rig: each write ends a line and begins the next, four times within 4 s. After 2.5 s the connection is told "nothing whole in time" and ended, though a whole line came each second; new set-ups on it are refused.

Cause: `Door.half` keeps the time of the first half, which is right while that line grows, and was told only of "half or not" after each read: lines that ended in between did not count.

Ruled out: `spoke`, which had counted them all, but has no say over halves. A line that never ends is still overdue after 2.5 s (the end of the same test).

The test fails without it with `BrokenPipeError: [Errno 32] Broken pipe`, as the viewer writes its fourth line.

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -362,6 +362,8 @@
             self._line(line, now)
         if self.visit.takes:
             if spoilt is None:
+                if lines:  # what is half by now began after them
+                    viewers.door.half(self, now, False)
                 viewers.door.half(self, now, self._lines.half)
             else:
                 self.refuse(spoilt)
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -482,6 +482,20 @@
             stage.loop.until(lambda: viewer.look() is not None and viewer.over)
 
 
+def test_a_line_has_its_time_from_its_own_beginning() -> None:
+    """Each read ends in the middle of the next line, as under a stream of them: that is no silence."""
+    with staged() as stage:
+        viewer, data = stage.far_viewer(), write(Message("ping", f"{1:016x}", cause=0))
+        viewer.write(data[:10])
+        for _ in range(4):
+            stage.loop.advance(0.4 * HUSH_MS)
+            viewer.write(data[10:] + data[:10])
+        stage.loop.settle()
+        assert [one.type for one in viewer.look()] == ["pong"] * 4 and not viewer.over
+        stage.loop.advance(HUSH_MS + 2 * SWEEP_MS)  # but the last one never ends
+        stage.loop.until(lambda: viewer.look() is not None and viewer.over)
+
+
 def test_a_closed_connection_that_is_not_read_keeps_its_place_and_is_dropped() -> None:
     with staged(sockets=4) as stage:
         viewer = stage.far_viewer()
