A release read before its set-up, which lies on another connection, leaves no second answer

Seen on the rig: a viewer's set-up and its release of it come on two connections in one turn. With the release read first it was told 81, no such session; then the set-up was sent on, and answered a second time.

Cause: whoever is told that an id is unknown has had an answer for it, and nobody kept that. The id is remembered now like any other that was answered, so the set-up is refused as one whose id is in use.

Ruled out: set-up first (taken back, nothing is told); both in one read of one connection, as the issue's viewers send them in order. Not changed: `at` for such an id still counts, as what plays must be known.

The test fails without it, release first, with `AssertionError: assert ['s-0'] == []`.

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -182,6 +182,7 @@
         elif core.host.release(core.now(), id):
             core.kick()
         elif id not in self.remembered and id not in self.home:  # there: its end is about to be told
+            self.remembered.add(id)  # its set-up may lie unread on another connection: this was its answer
             raise LineError("no such session", id)
 
     def _drop(self, id: str) -> None:
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -538,6 +538,24 @@
         assert id not in stage.answers and stage.node.core.host.sessions == 0
 
 
+@pytest.mark.parametrize("first", ["set-up", "release"])
+def test_a_set_up_and_its_release_on_two_connections_in_one_turn_leave_nothing(first: str) -> None:
+    with staged() as stage:
+        stage.stands(stage.far_viewer())
+        viewer, other = stage.far_viewer(), stage.far_viewer()
+        fd, fd_other, wish = near(stage, viewer), near(stage, other), stage.setup()
+        stage.loop.selected.held |= {fd, fd_other}
+        viewer.send(wish)
+        other.send(Message("release", wish.id, cause=16))
+        stage.loop.arrived(fd, fd_other)
+        stage.loop.selected.first = [fd, fd_other] if first == "set-up" else [fd_other, fd]
+        stage.loop.selected.held.clear()
+        stage.loop.settle()
+        assert stage.sent_to(wish.id) == []
+        told = [one.cause for one in (*viewer.look(), *other.look()) if one.id == wish.id]
+        assert told == ([] if first == "set-up" else [81])  # once at the most
+
+
 def test_an_id_asked_again_after_its_connection_broke_is_set_up_once_more() -> None:
     with staged() as stage:
         viewer, again = stage.far_viewer(), stage.far_viewer()
