Before a viewer's connection goes for a newcomer, or as overdue, what lies unread on it is heard

Seen on the rig: all places are taken, the loop was late, and a set-up on a silent or idle connection and a newcomer are found in one turn. With the newcomer first, that connection is closed with its set-up unread: a reset, no answer, and by the protocol it goes again only if it came within 50 ms.

Cause: who goes was chosen by what had been read, whatever lay in the kernel. `_accept` and `_sweep` now have the connections in question read first (`Connection.hear`) and ask the door again; the door still chooses alone (`Door.first`).

Ruled out: viewer first (tested, was right). Not changed: a newcomer whose transport isn't made can't be read.

Without it three of five tests fail, each with `AssertionError: the condition never came`.

--- a/fernweir/node/limits.py
+++ b/fernweir/node/limits.py
@@ -48,11 +48,19 @@
     def __len__(self) -> int:
         return len(self._fresh) + len(self._idle) + len(self._busy) + len(self._parting)
 
+    @property
+    def full(self) -> bool:
+        return len(self) >= self.most
+
+    def first(self) -> Key | None:
+        """Who would go first for a newcomer, if anybody would."""
+        return next(itertools.chain(self._parting, self._fresh, self._idle), None)
+
     def arrive(self, key: Key, now: float) -> Key | None:
         """Lets one in; tells whom to close for it, which may be itself."""
         victim: Key | None = None
-        if len(self) >= self.most:
-            victim = next(itertools.chain(self._parting, self._fresh, self._idle), None)
+        if self.full:
+            victim = self.first()
             if victim is None:
                 return key
             self.leave(victim)
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -102,6 +102,7 @@
                 return
             self.came += 1
             newcomer = Connection(self, sock)
+            self._hear_first()
             victim = self.door.arrive(newcomer, self.core.now())
             if victim is newcomer:
                 sock.close()
@@ -112,6 +113,16 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _hear_first(self) -> None:
+        """Who would go for a newcomer is heard before: with a request of its unread, it would be lost."""
+        for _ in range(len(self.door)):
+            first = self.door.first() if self.door.full else None
+            if first is None:
+                return
+            first.hear()
+            if self.door.first() is first:
+                return
+
     async def _attach(self, newcomer: Connection, sock: socket.socket) -> None:
         try:
             await self.core.loop.connect_accepted_socket(lambda: newcomer, sock)
@@ -128,6 +139,8 @@
         if self._listening is None and not self._made:
             return
         now = self.core.now()
+        for connection in self.door.overdue(now):
+            connection.hear()  # a late loop may have left unread what it said in time
         for connection in self.door.overdue(now):
             connection.overdue()
         for connection in self.door.parting():
@@ -326,6 +339,12 @@
         super().buffer_updated(nbytes)
         self.read_on()
 
+    def hear(self) -> None:
+        """Reads what has come by now, whatever of it the loop has seen."""
+        if self.visit.hears and self.usable:
+            self._read_more()
+            self.read_on()
+
     def read_on(self) -> None:
         """Reads to the end of what is there while something is open."""
         for _ in range(_READS):
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -422,6 +422,49 @@
         stage.stands(second)
 
 
+@pytest.mark.parametrize("spoke", [False, True])
+@pytest.mark.parametrize("first", ["newcomer", "viewer"])
+def test_a_connection_with_a_request_unread_is_not_let_go_for_a_newcomer(spoke: bool, first: str) -> None:
+    """Both in one turn, as after a stop of the process; another one, that is silent, goes."""
+    with staged(sockets=4) as stage:  # two viewers
+        viewer, silent = stage.far_viewer(), stage.far_viewer()
+        if spoke:
+            for one in (viewer, silent):
+                one.send(Message("ping", "0" * 15 + "1", cause=0))
+                stage.loop.settle()
+        fd, wish, listening = near(stage, viewer), stage.setup(), stage.node.viewers._listening
+        assert listening is not None
+        stage.loop.selected.held |= {fd, listening.fileno()}
+        viewer.send(wish)
+        newcomer = FarViewer(stage)
+        stage.viewers.append(newcomer)
+        stage.loop.arrived(fd, listening.fileno())
+        order = [listening.fileno(), fd]
+        stage.loop.selected.first = order if first == "newcomer" else order[::-1]
+        stage.loop.selected.held.clear()
+        stage.loop.until(lambda: silent.look() is not None and silent.over)
+        stage.loop.until(lambda: stage.sent_to(wish.id))
+        stage.far[stage.sent_to(wish.id)[0]].line_of(wish.id).answer(wish.id)
+        assert hears(stage, viewer, wish.id).type == "answer"
+        stage.stands(newcomer)
+
+
+def test_a_line_that_ends_in_time_is_heard_before_a_late_loop_calls_it_overdue() -> None:
+    with staged() as stage:
+        viewer, wish = stage.far_viewer(), stage.setup()
+        fd, data = near(stage, viewer), write(wish)
+        viewer.write(data[:40])
+        stage.loop.settle()
+        stage.loop.selected.held.add(fd)  # the loop doesn't look before its sweep is due
+        viewer.write(data[40:])
+        stage.loop.arrived(fd)
+        stage.loop.jump(2 * HUSH_MS)
+        stage.loop.until(lambda: stage.sent_to(wish.id))
+        stage.loop.selected.held.clear()
+        stage.far["s-0"].line_of(wish.id).answer(wish.id)
+        assert hears(stage, viewer, wish.id).type == "answer"
+
+
 def test_a_connection_whose_transport_can_not_be_made_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     with staged() as stage:
 
