A server that went and came back before a start is reached: known events are told one by one

Seen in a reading of the start, then forced: with `known` of three events, a server listed, removed and listed again under its name, a node that starts has it as READY in the host and has no address for it. Each attempt there ends as moot ("not listed"), so set-ups wait out their time or are refused, until the server's next event. On a running node the same three events do no harm.

Checked and ruled out: the feed's lines (`Follower.lines` tells each event before it reads the next); two addresses of one server in `known` (the last one counts in either order); the module (it places there).

To blame: `Feed.start` read all events first, so `addresses` held the state after the last, and `Node.start` told them to `Servers.listed` afterwards, which forgets a gone server that has no link: the address that the later event had brought.

Change: `Feed.start` hands each update out before it reads the next, as the feed's lines do.

Test: `test_a_server_that_went_and_came_back_before_a_start_can_be_reached`.

--- a/fernweir/node/feed.py
+++ b/fernweir/node/feed.py
@@ -10,6 +10,7 @@
 
 import json
 import math
+from collections.abc import Iterator
 from typing import Any
 
 from fernweir.front.names import number_of
@@ -37,16 +38,18 @@
         self.names: dict[int, str] = {}
         self.since: dict[int, float] = {}  # Unix ms, as told
 
-    def start(self, known: tuple[object, ...], last: int) -> list[ListUpdate]:
-        """The events of the configuration, whose first holds the whole list."""
-        updates = []
+    def start(self, known: tuple[object, ...], last: int) -> Iterator[ListUpdate]:
+        """The events of the configuration, whose first holds the whole list.
+
+        As on the feed each is told before the next is read: what is heard of a server's end forgets it, and
+        a later event may bring it back.
+        """
         for event in known:
             if not self.last and isinstance(event, dict) and isinstance(event.get("n"), int):
                 self.last = max(event["n"] - 1, 0)  # what is known may begin anywhere
             if self._next(event) and (update := self._event(event, ListKind.CACHED)) is not None:
-                updates.append(update)
+                yield update
         self.last = max(self.last, last)
-        return updates
 
     def line(self, line: bytes) -> ListUpdate | None:
         """One line of the feed. FeedError if the node has to ask again."""
--- a/tests/test_node_crossing_feed.py
+++ b/tests/test_node_crossing_feed.py
@@ -6,6 +6,7 @@
 import selectors
 import socket
 from contextlib import suppress
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -14,6 +15,7 @@
 from fernweir.front.names import number_of
 from fernweir.interface import ListUpdate, ServerState
 from fernweir.node.asking import Asking
+from fernweir.node.config import NodeConfig
 from fernweir.node.feed import Feed, FeedError
 from tests.helpers import SETTINGS
 from tests.node_scene import FarFeed, Stage, staged
@@ -342,8 +344,33 @@
     assert feed.line(b'{"n":0}') is None and feed.line(b'{"n":-3}') is None and feed.fresh == 0
     assert feed.line(b'{"n":1}') is None and feed.line(b"1") is None and (feed.last, feed.fresh) == (1, 2)
     known = Feed(SETTINGS, ("box",), 0.0)
-    known.start(({"n": 7}, {"n": 8}), 8)
-    assert known.last == 8
+    assert list(known.start(({"n": 7}, {"n": 8}), 8)) == [] and known.last == 8
+
+
+class Knowing(Stage):
+    """A node that starts with a list on which something has happened already."""
+
+    def __init__(self, *later: dict[str, Any]) -> None:
+        self.later = later
+        super().__init__()
+
+    def config(self, seed: int = 7) -> NodeConfig:
+        base = super().config(seed)
+        lines = [{**self.line("s-0"), **one} for one in self.later]
+        events = [
+            {"n": n, "members": {"index": n, "snapshot": False, "endpoints": [line]}}
+            for n, line in enumerate(lines, 2)
+        ]
+        return replace(base, known=(*base.known, *events), known_n=len(events) + 1)
+
+
+def test_a_server_that_went_and_came_back_before_a_start_can_be_reached() -> None:
+    stage = Knowing({"status": "removed"}, {"since_ms": 1_000})
+    assert stage.node.core.host.listed.keys() == stage.node.feed.addresses.keys() != set()
+    stage.stands(stage.far_viewer())
+    assert len(stage.feed.look()) == 1 and stage.feed.asked == [b"SUB 3\n"]
+    stage.tally()
+    stage.finish()
 
 
 DEEDS = (
