A known event that can't be read keeps no node from starting: the rest of it is taken

Seen in a reading of the start, then forced: an endpoint under `known` of a kind that the settings don't name (or without a weight, or with a state of another name) ends the start with exit 2. The same event on the feed is left out by the nodes that run (it comes the same again), so a fleet goes on and none of its nodes could be restarted until the platform drops the event.

Checked and ruled out: a gap, or an event without a number, under `known` still ends the start, as what is missing can't be known of; a whole list of which a part can't be read is still a whole list at a start (nothing was held before); the last number is kept, so the feed is asked from behind the event.

To blame: `Feed.start` called `_event` without `partly`, which only `Feed.line` did on the second copy.

Change: `Feed._rest_of` takes what can be read, for both; the start logs `known events not all of use`.

Test: `test_a_known_event_that_can_not_be_read_keeps_no_node_from_starting`. With the fix taken back: E fernweir.node.config.ConfigError: known: an endpoint that can't be read

--- a/fernweir/node/feed.py
+++ b/fernweir/node/feed.py
@@ -2,8 +2,8 @@
 
 An event is applied once and in order. Doubles are passed over; after a gap, or where the feed's last number
 shows that something is missing, or where a line can't be read, the node has to ask again from its last.
-An event that comes the same again was not spoilt on its way: what can be read of it is taken, the rest is
-left out, since no later event would ever be heard otherwise.
+An event that comes the same again, or that the configuration holds, was not spoilt on its way: what can be
+read of it is taken, the rest is left out, since no later event would ever be heard, and no node would start.
 """
 
 from __future__ import annotations
@@ -47,7 +47,13 @@
         for event in known:
             if not self.last and isinstance(event, dict) and isinstance(event.get("n"), int):
                 self.last = max(event["n"] - 1, 0)  # what is known may begin anywhere
-            if self._next(event) and (update := self._event(event, ListKind.CACHED)) is not None:
+            if not self._next(event):
+                continue
+            try:
+                update = self._event(event, ListKind.CACHED)
+            except FeedError:  # it would be the same from the feed, and nodes that run have left it out
+                update = self._rest_of(event, ListKind.CACHED)
+            if update is not None:
                 yield update
         self.last = max(self.last, last)
 
@@ -70,8 +76,7 @@
             if line != self._refused:
                 self._refused = line
                 raise
-        self.left_out += 1
-        return self._event(body, ListKind.FULL, partly=True)
+        return self._rest_of(body, ListKind.FULL)
 
     def forget(self, server: int) -> None:
         """A gone server with nothing left here."""
@@ -88,6 +93,11 @@
             raise FeedError(f"event {n} comes after {self.last}")
         return n > self.last
 
+    def _rest_of(self, body: Any, whole: ListKind) -> ListUpdate | None:
+        """What can be read of an event that was not spoilt on its way."""
+        self.left_out += 1
+        return self._event(body, whole, partly=True)
+
     def _event(self, body: Any, whole: ListKind, partly: bool = False) -> ListUpdate | None:
         update = self._members(body.get("members"), whole, partly)
         self.last = body["n"]
--- a/fernweir/node/program.py
+++ b/fernweir/node/program.py
@@ -59,6 +59,8 @@
                 self.follower.tell(update)
         except FeedError as error:
             raise ConfigError(f"known: {error}") from None
+        if self.feed.left_out:
+            self.log.warning("known events not all of use", events=self.feed.left_out)
         self.viewers.listen(self.config.listen)
         self.follower.start()
         self.core.after_step(self._ready)
--- a/tests/test_node_crossing_feed.py
+++ b/tests/test_node_crossing_feed.py
@@ -373,6 +373,17 @@
     stage.finish()
 
 
+def test_a_known_event_that_can_not_be_read_keeps_no_node_from_starting() -> None:
+    """A node that runs has left it out; one that starts again beside it must not end over it."""
+    stage = Knowing({"status": "removed", "type": "odd"}, {"status": "draining"})
+    assert stage.node.core.host.listed == {number_of("s-0"): ServerState.DRAINING}
+    assert stage.node.feed.last == 3 and stage.log.getvalue().count("known events not all of use") == 1
+    stage.tally()
+    stage.finish()
+    with pytest.raises(FeedError):  # what is missing can't be known of
+        list(Feed(SETTINGS, ("box",), 0.0).start(({"n": 1}, {"n": 3}), 3))
+
+
 DEEDS = (
     *("event", "event", "event", "twice", "old", "gap", "number", "half", "silent", "reset", "end"),
     *("move", "move", "hold", "free", "turn", "jump", "advance", "cross", "cross"),
