What a server refused before it held anything doesn't end the sessions told there with `at`

Checked and ruled out: sessions of the node's own set-ups are written on a connection that is up, which clears the record (`Watch.heard`); the upkeep (250 ms) clears it while nothing is held; a refusal that comes while the session is held is proof, as before (the second order of the test).

To blame: `Watch` keeps what looks found until the next look, and `Servers.take_over` let a first session begin under it.

Change: the first session told with `at` to a server of which nothing is held gets a watch of its own.

Test: `test_what_a_server_refused_before_it_held_anything_does_not_end_what_it_holds`. With the fix taken back: E assert ('server lost' in '{...,"event": "server lost", "server": "s-0", "held": 1, "why": "connection refused"}\n') is False

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -173,6 +173,8 @@
             return False
         link = self._link(server)
         assert link is not None
+        if not link.stays:  # what was found there before says nothing of what plays there now
+            link.watch = Watch(self.settings, now)
         link.stays[ask.jti] = Stay(None, now)
         self.core.kick()
         return True
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -4,6 +4,7 @@
 
 import json
 import select
+import socket
 from dataclasses import replace
 from typing import Any
 
@@ -417,3 +418,28 @@
         heard(stage, line, Frame(Type.RELEASE, id, {Code.CAUSE: bytes((34,))}))
         stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
         stage.loop.until(lambda: not stage.far["s-0"].standing())
+
+
+@pytest.mark.parametrize("first", ["the refusal", "the session"])
+def test_what_a_server_refused_before_it_held_anything_does_not_end_what_it_holds(first: str) -> None:
+    """Its process ended and another listens: a session that plays there by the platform's word is its own."""
+    with staged() as stage:
+        viewer, server = stage.far_viewer(), stage.far["s-0"]
+        there = server.address
+        server.kill()
+        viewer.send(stage.setup())
+        stage.loop.until(lambda: "connection refused" in stage.log.getvalue())
+        plays = stage.setup(extras="home:0;copies:4;top:0;viewer:00000000b4d65521;at:s-0")
+        if first == "the session":
+            viewer.send(plays)
+            stage.loop.until(lambda: stage.node.core.host.session(plays.id))
+        stage.loop.advance(0.0 if first == "the refusal" else 300.0)
+        server.listener = socket.create_server(there)
+        server.listener.setblocking(False)
+        if first == "the refusal":
+            viewer.send(plays)
+            stage.loop.until(lambda: stage.node.core.host.session(plays.id))
+        stage.loop.advance(600.0)
+        lost = first == "the session"  # a refusal while it is held is proof
+        assert ("server lost" in stage.log.getvalue()) is lost
+        assert (stage.node.core.host.session(plays.id) is None) is lost
