Connections late at one moment are one failed look, and none while the server speaks

Seen by reading, then forced: two set-ups that begin connections to a server at once, both late, ended all sessions of that server as lost, though its open connection had spoken a moment before. Each late connection counted as a look of its own, and two were proof whatever was heard on the others.

To blame: `Watch.unreachable` counted without asking when the connection was begun, and `Watch.look` asked for the count before it asked whether something speaks.

A refused connection stays proof by itself. Ruled out: a wider count of looks, which would find each real loss later.

Now a late connection counts if it was begun after the last one that counted was given up and after the last word heard, and the count proves nothing while an open connection speaks.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -454,7 +454,7 @@
         """A connection didn't come up: nothing was written on it."""
         link, why = conn.link, str(error.strerror or error)
         if isinstance(error, TimeoutError):
-            link.watch.unreachable()
+            link.watch.unreachable(conn.begun, self.core.now())
         elif isinstance(error, ConnectionRefusedError):
             link.watch.refused()
             why = "connection refused"
@@ -616,7 +616,7 @@
         self.attempts: dict[str, Attempt] = {}
         self.before = Remembered(_BEFORE_MOST)  # sessions whose attempts failed here
         self.whole = False  # whether it ended in order, with all read that its server wrote
-        self.used_at = servers.core.now()
+        self.begun = self.used_at = servers.core.now()
         self._timer = servers.core.loop.call_later(servers.connect_s, self._late)
         self._frames = Frames()
         self._said: deque[tuple[float, Frame]] = deque(maxlen=_SAID_MOST)
--- a/fernweir/node/watch.py
+++ b/fernweir/node/watch.py
@@ -37,26 +37,30 @@
     def __init__(self, settings: Settings, now: float) -> None:
         told = settings.tell_ms + settings.seen_after_ms if settings.tell_ms > 0.0 else _QUIET_ABSENT_MS
         self._quiet_ms = told + settings.period_ms
-        self._heard_at = now
+        self._heard_at = self._failed_at = now
         self._failed = 0
+        self._ended = False  # its process is: that needs no silence as proof
         self.why = ""  # what the last look found
 
     def heard(self, now: float) -> None:
         """Bytes came, or a connection came up."""
-        self._heard_at, self._failed = now, 0
+        self._heard_at, self._failed, self._ended = now, 0, False
 
     def refused(self) -> None:
-        self._failed, self.why = _FAILED_LOOKS, "connection refused"
+        self._ended, self.why = True, "connection refused"
 
-    def unreachable(self) -> None:
-        self._failed, self.why = self._failed + 1, "no connection comes up"
+    def unreachable(self, begun: float, now: float) -> None:
+        """A connection never came up. Of those that were on their way at once, or that something was heard
+        beside, the same few packets may be to blame: they are no further look."""
+        self.why = "no connection comes up"
+        if begun >= max(self._heard_at, self._failed_at):
+            self._failed, self._failed_at = self._failed + 1, now
 
     def look(self, now: float, holds: bool, connected: bool, connecting: bool) -> Verdict:
-        if not holds:
-            self._heard_at, self._failed = now, 0  # silence towards those without sessions there says nothing
+        if not holds:  # silence towards those without sessions there says nothing
+            self.heard(now)
             return Verdict.WELL
-        if self._failed >= _FAILED_LOOKS:
+        speaks = connected and now - self._heard_at < self._quiet_ms
+        if self._ended or (self._failed >= _FAILED_LOOKS and not speaks):
             return Verdict.LOST
-        if connecting or (connected and now - self._heard_at < self._quiet_ms):
-            return Verdict.WELL
-        return Verdict.LOOK
+        return Verdict.WELL if connecting or speaks else Verdict.LOOK
