A log line that can't be written costs no request: it is dropped where logs are written

Seen in a reading of what a line on standard error can raise, then forced: where the reader of the log is gone (EPIPE) or its disk is full (ENOSPC), `print` raises, and each caller pays. `Servers._done` writes the line on a failed attempt before it tells the host, so the attempt's end never comes: the viewer waits out its time, the module holds the attempt, the server's connection is ended. `Core._step` writes of a failed batch from within an `except`, so no wake-up is set and no deadline kept. `Node.terminate` writes before it sets the time of the end, so the node would not end before SIGKILL.

Checked and ruled out: order alone (every caller would have to write last, and the next one added would not); a log that is never read, whose pipe is full, still blocks: the platform reads it, 50 lines a second are written at most, and a pipe that doesn't block would be so for all who share it.

To blame: `NodeLog._write` let the OSError through.

Change: it drops the line; it alone owns the stream.

Test: `test_a_log_that_can_not_be_written_costs_no_answer`. With the fix taken back: stage.loop.until(lambda: len(stage.sent_to(id)) == 2) E AssertionError: the condition never came

--- a/fernweir/node/logs.py
+++ b/fernweir/node/logs.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TextIO
 
 _LINES_A_SECOND = 50
@@ -40,4 +41,5 @@
             return
         self._lines += 1
         line = {"at": round(now, 3), "node": self._name, "level": level, "event": event, **fields}
-        print(json.dumps(line, default=str), file=self._stream, flush=True)
+        with suppress(OSError):  # whoever read it is gone, or its disk is full: no request is to pay for that
+            print(json.dumps(line, default=str), file=self._stream, flush=True)
--- a/tests/test_node_crossing.py
+++ b/tests/test_node_crossing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from io import StringIO
+
 from fernweir.node.frames import Type
 from tests.node_scene import staged
 
@@ -48,3 +50,28 @@
         loop.selected.held.discard(fd)
         loop.settle()
         assert stage.sent_to(message.id) == []
+
+
+class NoLog(StringIO):
+    """Whoever read the log is gone."""
+
+    def write(self, text: str) -> int:
+        raise BrokenPipeError("nobody reads")
+
+
+def test_a_log_that_can_not_be_written_costs_no_answer() -> None:
+    with staged(2) as stage:
+        stage.node.log._stream = NoLog()
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer)
+        line.release(id, 41)  # a failed attempt is written down
+        line.ended.discard(id)
+        stage.loop.until(lambda: len(stage.sent_to(id)) == 2)
+        (again,) = {stage.far[name].line_of(id) for name in stage.sent_to(id)} - {line}
+        again.answer(id)
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.answers)
+        assert stage.answers[id].type == "answer"
+        stage.node.reload()  # of a configuration that can't be read
+        stage.node.terminate()
+        stage.loop.advance(stage.node.ending.plays_ms)
+        assert stage.node.ended.is_set()
