A viewer whose `at` names an unknown server is told its end once, whatever it says meanwhile

Checked and ruled out: ids that were refused, released or over are in `remembered`, so a late word on them is no mistake; an `at` that is taken is held, and its release is heard.

To blame: `Viewers._set_up` wrote the end of an `at` that isn't taken without remembering its id.

Change: it is remembered, as every other end is.

Test: in `test_at_an_unknown_server_and_a_test_before_the_start_are_answered_in_kind`. With the fix taken back: E AssertionError: assert (1 == 0) E + where 1 = len([Message(type='release', id='', fields={}, cause=81, sdp=None)])

--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -175,6 +175,7 @@
             if self.servers.take_over(ask, at):
                 self._stands(id, connection)
             elif core.host.session(id) is None:
+                self.remembered.add(id)  # its viewer may end it meanwhile: one end is enough
                 connection.send(Message("release", id, cause=BROKEN))
             return
         if core.host.session(id) is not None or id in self.remembered:
