A release that found no connection goes out on whichever there is, and one is made until it does

To blame: `letters` had no owner but `up`; `_broken` dropped stays for any connection that failed; `down` told releases again only after set-ups had been carried on.

Now `_look` owns what waits: it goes out on any connection that takes something, else a connection is made for it, as for sessions that stand, and two failed looks end that. What a lost server that may only be cut off may hold (`kept`) goes with the next connection that comes up, none is made for it. A refusal clears all, as does the list. A set-up is preceded by what its session was to hear, also by what a broken connection swallowed.

Ruled out: a timer of its own for releases, as the watch already tells when a server is looked for.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -91,7 +91,8 @@
     attempts: dict[str, Attempt] = field(default_factory=dict)
     stays: dict[str, Stay] = field(default_factory=dict)
     tests: dict[str, Test] = field(default_factory=dict)
-    letters: list[Frame] = field(default_factory=list)  # for the next connection that comes up
+    letters: list[Frame] = field(default_factory=list)  # that found no connection: one is made for them
+    kept: list[Frame] = field(default_factory=list)  # of a lost server: for the next that comes up
 
     @property
     def broken(self) -> list[Attempt]:
@@ -150,7 +151,7 @@
             stay.conn.close_if_spent()
 
     def _let_go(self, link: Link, id: str) -> None:
-        self._tell(link.server, id, Frame(Type.RELEASE, id, {Code.CAUSE: bytes((_GIVEN_UP,))}))
+        self._tell(link.server, id, _given_up(id))
 
     def probe(self, command: SendProbe) -> None:
         link = self._link(command.server)
@@ -212,6 +213,7 @@
         if gone:
             self._broken(link, lives=False)
             link.letters.clear()
+            link.kept.clear()
         elif (link.broken or link.letters) and not any(one.course.connecting for one in link.conns):
             self._connect(link)
         self._look(link)
@@ -280,9 +282,10 @@
             Code.RUNG: b"%d" % command.rung,
             Code.DESCRIPTION: ask.body,
         }
-        for letter in [one for one in link.letters if one.session == jti]:
-            link.letters.remove(letter)
+        broke = [one for other in link.conns if not other.usable for one in other.unheard(now)]
+        for letter in [one for one in (*link.letters, *broke) if one.session == jti]:
             conn.say(letter)
+        link.letters = [one for one in link.letters if one.session != jti]
         # What didn't leave never ran: it looks for a new connection when this one's end is told.
         attempt.written = conn.write(encode(Frame(Type.SETUP, jti, parameters)))
         if attempt.written:
@@ -457,6 +460,7 @@
             link.watch.unreachable(conn.begun, self.core.now())
         elif isinstance(error, ConnectionRefusedError):
             link.watch.refused()
+            self._nothing_stands(link)
             why = "connection refused"
         self._broken(link, lives=False)
         for attempt in list(conn.attempts.values()):
@@ -470,6 +474,7 @@
         """A connection came up: what waited for it goes out."""
         link = conn.link
         self._alive(link)
+        link.letters[:0], link.kept = link.kept, []
         self._post(link, conn)
         for test in link.tests.values():
             if test.conn is conn:
@@ -479,7 +484,7 @@
                 self._write(link, attempt)
 
     def _post(self, link: Link, conn: Connection) -> None:
-        """What waited for a connection goes out; of a session set up anew only just before its set-up."""
+        """What found no connection goes out; of a session that is set up anew only just before its set-up."""
         letters, link.letters = link.letters, []
         for letter in letters:
             if letter.session in link.attempts:
@@ -487,6 +492,13 @@
             else:
                 conn.say(letter)
 
+    def _nothing_stands(self, link: Link) -> None:
+        """Its process is over, and with it all that it held: nothing is owed there."""
+        link.letters.clear()
+        link.kept.clear()
+        for attempt in link.broken:
+            link.stays.pop(attempt.command.session.jti, None)
+
     def _alive(self, link: Link) -> None:
         link.watch.heard(self.core.now())
         self._broken(link, lives=True)
@@ -500,11 +512,10 @@
         for stay in link.stays.values():
             if stay.conn is conn:
                 stay.conn = None
+        # Said again, and before a set-up that goes on elsewhere; not where its session is set up anew by now.
+        link.letters += [one for one in conn.unheard(self.core.now()) if one.session not in link.stays]
         self._move_on(link, conn, why)
         if not self.stopped:
-            for frame in conn.unheard(self.core.now()):
-                if frame.session not in link.stays and frame.session not in link.attempts:  # set up anew
-                    self._tell(link.server, frame.session, frame)
             # What was on its way on a connection that broke comes on the next that opens, and only there.
             missed = bool(link.stays) and not conn.whole
             if self._gone(link):
@@ -536,8 +547,6 @@
         """A server that lives may have written an answer that was lost: the host has it released there."""
         for attempt in link.broken:
             took = self.core.now() - attempt.sent_at
-            if not lives:
-                link.stays.pop(attempt.command.session.jti, None)
             self._finish(link, attempt, SetUpResult(broke(lives), took, {}, why=attempt.broke))
 
     def _tell(self, server: int, id: str, frame: Frame) -> None:
@@ -546,17 +555,18 @@
         if link is None:
             return
         stay = link.stays.get(id)
-        conn = stay.conn if stay is not None and stay.heard else self._free(link, id)
-        if conn is None:
-            conn = next((one for one in link.conns if one.usable and one.course.takes), None)
+        conn = stay.conn if stay is not None and stay.heard else self._any(link, id)
         if conn is not None:
             conn.say(frame)
-            return
-        if self._gone(link):
-            return
-        link.letters.append(frame)
-        if not any(one.course.connecting for one in link.conns):
-            self._connect(link)
+        elif not self._gone(link):
+            link.letters.append(frame)
+            if not any(one.course.connecting for one in link.conns):
+                self._connect(link)
+
+    def _any(self, link: Link, id: str = "") -> Connection | None:
+        """One to say something on, if there is any."""
+        there = (one for one in link.conns if one.usable and one.course.takes)
+        return self._free(link, id) or next(there, None)
 
     # --- upkeep ---
 
@@ -580,29 +590,40 @@
                     self.feed.forget(link.server)
 
     def _look(self, link: Link) -> None:
-        now = self.core.now()
-        connected = any(one.usable and one.course.takes for one in link.conns)
+        now, gone, conn = self.core.now(), self._gone(link), self._any(link)
+        if link.letters and conn is not None:
+            self._post(link, conn)
+        elif gone:
+            link.letters.clear()  # another may listen at its address by now
         connecting = any(one.course.connecting for one in link.conns)
-        holds = bool(link.stays)
-        gone = self._gone(link)
+        holds, connected = bool(link.stays or link.letters), conn is not None
         verdict, why = link.watch.look(now, holds, connected, connecting), link.watch.why
         if holds and gone and not connected:
-            # Another may listen at its address by now.
-            verdict, why = Verdict.LOST, "gone from the list, its connections ended"
+            verdict, why = Verdict.ENDED, "gone from the list, its connections ended"
         if verdict is Verdict.LOOK:
             self._connect(link)
-        elif verdict is Verdict.LOST:
+        elif verdict in (Verdict.ENDED, Verdict.LOST):
             name = self.feed.names.get(link.server)
             self.core.log.warning("server lost", server=name, held=len(link.stays), why=why)
-            # What was out may yet be read there, if it is only cut off: the host gives it up, by its stay.
-            link.stays = {id: stay for id, stay in link.stays.items() if id in link.attempts}
-            link.letters.clear()
-            for attempt in list(link.attempts.values()):
-                took, never = now - attempt.sent_at, not attempt.written
-                result = Result.CONNECT_FAILED if never else Result.RESET
-                self._finish(link, attempt, SetUpResult(result, took, {}, why="server lost"))
-            self.core.host.box_lost(now, link.server)
-            self.core.kick()
+            self._lost(link, now, cut_off=verdict is Verdict.LOST)
+
+    def _lost(self, link: Link, now: float, cut_off: bool) -> None:
+        """All there is over. What is only cut off is released when one comes up; none is made for it."""
+        # What was out may be read there yet: the host gives it up, by its stay.
+        stays, link.stays = link.stays, {id: one for id, one in link.stays.items() if id in link.attempts}
+        if cut_off:
+            link.kept += link.letters + [_given_up(id) for id in stays if id not in link.attempts]
+        link.letters.clear()
+        for attempt in list(link.attempts.values()):
+            took, never = now - attempt.sent_at, not attempt.written
+            result = Result.CONNECT_FAILED if never else Result.RESET
+            self._finish(link, attempt, SetUpResult(result, took, {}, why="server lost"))
+        self.core.host.box_lost(now, link.server)
+        self.core.kick()
+
+
+def _given_up(id: str) -> Frame:
+    return Frame(Type.RELEASE, id, {Code.CAUSE: bytes((_GIVEN_UP,))})
 
 
 class Connection(Shell):
--- a/fernweir/node/watch.py
+++ b/fernweir/node/watch.py
@@ -28,7 +28,8 @@
 class Verdict(Enum):
     WELL = "well"
     LOOK = "look"  # open a new connection
-    LOST = "lost"
+    LOST = "lost"  # nothing gets through
+    ENDED = "ended"  # its process is over
 
 
 class Watch:
@@ -61,6 +62,11 @@
             self.heard(now)
             return Verdict.WELL
         speaks = connected and now - self._heard_at < self._quiet_ms
-        if self._ended or (self._failed >= _FAILED_LOOKS and not speaks):
-            return Verdict.LOST
-        return Verdict.WELL if connecting or speaks else Verdict.LOOK
+        if self._ended:
+            verdict = Verdict.ENDED
+        elif self._failed >= _FAILED_LOOKS and not speaks:
+            verdict = Verdict.LOST
+        else:
+            return Verdict.WELL if connecting or speaks else Verdict.LOOK
+        self._failed, self._ended = 0, False  # told once
+        return verdict
