Nothing new goes on connections of a server that was lost, refused one, or has started since

Such a connection stays `UP`, and idle it is the first choice for the next set-up or test: its machine is gone, and the node learns it by the end of that one's time, one attempt for each such connection, or by its reset, as a server's error.

To blame: `_look` ended what stood at a lost server, `listed` what was older than its start, and neither told the connections. Checked: those that break by themselves were let go of before; those cut off or of a machine that vanished stay silent for good.

Now they are retired in these three places: what is on them is seen through, nothing new begins there, and the upkeep ends them. Ruled out: aborting them, as what a server that is only cut off had said may still be read.

A test also holds that a server taken for lost by silence hears the releases of what it may hold once a connection comes up, and that none is made for them.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -191,6 +191,9 @@
             elif entry.started_at:
                 self._started[entry.server] = entry.started_at
             if link is not None and entry.started_at > before:
+                for conn in link.conns:
+                    if conn.up_at < entry.started_at:
+                        conn.course.retire()
                 for id, stay in list(link.stays.items()):
                     if stay.since < entry.started_at:
                         self._over(link, id, Result.RESET)
@@ -496,9 +499,15 @@
         """Its process is over, and with it all that it held: nothing is owed there."""
         link.letters.clear()
         link.kept.clear()
+        self._retire(link)
         for attempt in link.broken:
             link.stays.pop(attempt.command.session.jti, None)
 
+    def _retire(self, link: Link) -> None:
+        """Nothing new goes on its connections: their other ends are gone, though nobody may ever say so."""
+        for conn in link.conns:
+            conn.course.retire()
+
     def _alive(self, link: Link) -> None:
         link.watch.heard(self.core.now())
         self._broken(link, lives=True)
@@ -614,6 +623,7 @@
         if cut_off:
             link.kept += link.letters + [_given_up(id) for id in stays if id not in link.attempts]
         link.letters.clear()
+        self._retire(link)
         for attempt in list(link.attempts.values()):
             took, never = now - attempt.sent_at, not attempt.written
             result = Result.CONNECT_FAILED if never else Result.RESET
@@ -637,7 +647,7 @@
         self.attempts: dict[str, Attempt] = {}
         self.before = Remembered(_BEFORE_MOST)  # sessions whose attempts failed here
         self.whole = False  # whether it ended in order, with all read that its server wrote
-        self.begun = self.used_at = servers.core.now()
+        self.begun = self.up_at = self.used_at = servers.core.now()
         self._timer = servers.core.loop.call_later(servers.connect_s, self._late)
         self._frames = Frames()
         self._said: deque[tuple[float, Frame]] = deque(maxlen=_SAID_MOST)
@@ -649,7 +659,7 @@
             transport.abort()  # type: ignore[attr-defined]
             return
         self._timer.cancel()
-        self.used_at = self.servers.core.now()
+        self.up_at = self.used_at = self.servers.core.now()
         self.servers.up(self)
 
     def _late(self) -> None:
--- a/tests/test_node_crossing_lost.py
+++ b/tests/test_node_crossing_lost.py
@@ -7,7 +7,7 @@
 from fernweir.node.frames import Type
 from fernweir.node.jsonl import Message
 from tests.node_scene import FarLine, FarViewer, Stage, staged
-from tests.test_node_crossing_servers import answered, let_go
+from tests.test_node_crossing_servers import answered, let_go, tell
 
 HALF = slice(0, -5)
 
@@ -94,6 +94,66 @@
         answered(stage, viewer, other)
 
 
+def lost(stage: Stage) -> None:
+    """Two looks' connections never come up, the clock going on; the open ones are silent."""
+    stage.loop.advance(2_400.0)  # short of the silence that a server is given
+    for _ in range(2):
+        stage.connecting(step_ms=10.0)
+    while "server lost" not in stage.log.getvalue():
+        stage.loop.jump(10.0)
+        stage.loop.turn()
+
+
+def test_what_stands_at_a_server_taken_for_lost_is_released_there_once_it_is_back() -> None:
+    """It may have been cut off only, and its sessions were told over."""
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.stands(viewer)
+        lost(stage)
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        stage.loop.advance(1_000.0)
+        assert len(line.server.lines) == 1 and id in line.server.standing()  # nothing is made for it
+        wish, new = stage.set_up(viewer)
+        assert id in {one.session for one in new.heard if one.type is Type.RELEASE}
+        new.answer(wish)
+        answered(stage, viewer, wish)
+
+
+def test_nothing_new_goes_on_the_connections_of_a_server_taken_for_lost() -> None:
+    """Its machine may be another by now; a connection of before tells that by a set-up's time-out."""
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.stands(viewer)
+        lost(stage)
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        line.ended.add(id)
+        stage.loop.advance(1_000.0)
+        wish, new = stage.set_up(viewer)
+        assert new is not line
+        new.answer(wish)
+        answered(stage, viewer, wish)
+
+
+def test_nothing_new_goes_on_connections_from_before_a_servers_start() -> None:
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.stands(viewer)
+        line.ended.add(id)
+        stage.loop.advance(100.0)
+        started = stage.loop.clock * 1000.0 + stage.node.feed._offset
+        tell(stage, stage.line("s-0", since_ms=started))
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        stage.loop.advance(1_000.0)
+        wish, new = stage.set_up(viewer)
+        assert new is not line
+        new.answer(wish)
+        answered(stage, viewer, wish)
+        other, again = stage.set_up(viewer)
+        assert again is new
+        again.answer(other)
+        answered(stage, viewer, other)
+
+
 def test_connections_that_are_late_at_once_are_one_failed_look() -> None:
     with staged() as stage:
         viewer = stage.far_viewer()
