A silent server is taken for lost within 8 s, whatever the settings say

With no ConnectTimeout a connection is waited for as long as the longest deadline, so that one look alone may take 30 s.

To blame: `Watch.__init__`, whose silence follows Tell alone, and `Servers._look`, which counts any connection being made, and so one that a set-up waits for, as a look that is under way.

Now the silence ends early enough for its looks to be over within 7.5 s of the last word, a look waits 1 s for its connection at most, and a connection begun before that holds no look up. Nothing changes where a note's usual time and the connect time are short, as Tell 4.8 s and 250 ms.

The test of connections idle at once had relied on a silence of 60 s; it now takes a shorter idle time.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -23,9 +23,9 @@
 from fernweir.node.feed import Feed
 from fernweir.node.frames import Code, Frame, FrameError, Frames, Type, encode
 from fernweir.node.limits import Remembered, Shares
-from fernweir.node.watch import Verdict, Watch, broke
+from fernweir.node.watch import EVERY_MS, Verdict, Watch, broke
 
-_UPKEEP_S = 0.25
+_UPKEEP_S = EVERY_MS / 1000.0
 _GIVEN_UP = 16
 _FAREWELL_S = 1.0  # how long a closing connection waits for its other end
 _CONNECTS = 3  # of one set-up whose connections break before it is written, and of one probe
@@ -175,7 +175,7 @@
         link = self._link(server)
         assert link is not None
         if not link.stays:  # what was found there before says nothing of what plays there now
-            link.watch = Watch(self.settings, now)
+            link.watch = self._watch()
         link.stays[ask.jti] = Stay(None, now)
         self.core.kick()
         return True
@@ -416,9 +416,12 @@
     def _link(self, server: int) -> Link | None:
         link, there = self.links.get(server), self.feed.addresses.get(server)
         if link is None and there is not None:
-            link = self.links[server] = Link(server, there, Watch(self.settings, self.core.now()))
+            link = self.links[server] = Link(server, there, self._watch())
         return link
 
+    def _watch(self) -> Watch:
+        return Watch(self.settings, self.connect_s * 1000.0, self.core.now())
+
     def _free(self, link: Link, id: str = "") -> Connection | None:
         """One with nothing open on it; where there may be no more, the one with least.
 
@@ -436,8 +439,8 @@
             return min(good, key=lambda one: len(one.attempts))
         return None
 
-    def _connect(self, link: Link) -> Connection:
-        conn = Connection(self, link)
+    def _connect(self, link: Link, within_s: float | None = None) -> Connection:
+        conn = Connection(self, link, self.connect_s if within_s is None else within_s)
         link.conns.append(conn)
         conn.task = self.core.loop.create_task(self._open(conn))
         self._tasks.add(conn.task)
@@ -604,13 +607,15 @@
             self._post(link, conn)
         elif gone:
             link.letters.clear()  # another may listen at its address by now
-        connecting = any(one.course.connecting for one in link.conns)
+        # One that a set-up waits for may take far longer than a look: it holds a look up no longer than that.
+        recent = [one for one in link.conns if now - one.begun <= link.watch.look_ms]
+        connecting = any(one.course.connecting for one in recent)
         holds, connected = bool(link.stays or link.letters), conn is not None
         verdict, why = link.watch.look(now, holds, connected, connecting), link.watch.why
         if holds and gone and not connected:
             verdict, why = Verdict.ENDED, "gone from the list, its connections ended"
         if verdict is Verdict.LOOK:
-            self._connect(link)
+            self._connect(link, link.watch.look_ms / 1000.0)
         elif verdict in (Verdict.ENDED, Verdict.LOST):
             name = self.feed.names.get(link.server)
             self.core.log.warning("server lost", server=name, held=len(link.stays), why=why)
@@ -641,14 +646,14 @@
 
     task: asyncio.Task[None]
 
-    def __init__(self, servers: Servers, link: Link) -> None:
+    def __init__(self, servers: Servers, link: Link, within_s: float) -> None:
         self.servers, self.link = servers, link
         self.course = Course()
         self.attempts: dict[str, Attempt] = {}
         self.before = Remembered(_BEFORE_MOST)  # sessions whose attempts failed here
         self.whole = False  # whether it ended in order, with all read that its server wrote
         self.begun = self.up_at = self.used_at = servers.core.now()
-        self._timer = servers.core.loop.call_later(servers.connect_s, self._late)
+        self._timer = servers.core.loop.call_later(within_s, self._late)
         self._frames = Frames()
         self._said: deque[tuple[float, Frame]] = deque(maxlen=_SAID_MOST)
         self._why = "connection closed"
--- a/fernweir/node/watch.py
+++ b/fernweir/node/watch.py
@@ -4,6 +4,9 @@
 is looked into by a new connection, which costs a server nothing. A refused one proves that the process is
 gone; ones that never come up, with nothing heard on any other, that the machine is. A connection that broke
 proves nothing: it is replaced.
+
+Whatever the settings say of notes and of connecting, that proof is there in time: an end that no server could
+tell has to be told within 8 s of it (PROTOCOL, The rules on sockets).
 """
 
 from __future__ import annotations
@@ -14,6 +17,9 @@
 
 _FAILED_LOOKS = 2  # a single packet can be lost
 _QUIET_ABSENT_MS = 3_000.0  # where the settings name no notes
+_PROOF_WITHIN_MS = 7_500.0  # of the last word: the rest of the 8 s is the node's own, to tell the end
+_LOOK_MS = 1_000.0  # what a look waits at most for its connection, however long a set-up's is waited for
+EVERY_MS = 250.0  # how often `look` is asked
 
 
 def broke(lives: bool) -> Result:
@@ -35,9 +41,12 @@
 class Watch:
     """One server."""
 
-    def __init__(self, settings: Settings, now: float) -> None:
+    def __init__(self, settings: Settings, connect_ms: float, now: float) -> None:
         told = settings.tell_ms + settings.seen_after_ms if settings.tell_ms > 0.0 else _QUIET_ABSENT_MS
-        self._quiet_ms = told + settings.period_ms
+        self.look_ms = min(connect_ms, _LOOK_MS)
+        # One more than it takes: the first may wait for a connection that was begun just before.
+        looks_ms = (_FAILED_LOOKS + 1) * (self.look_ms + EVERY_MS)
+        self._quiet_ms = min(told + settings.period_ms, _PROOF_WITHIN_MS - looks_ms)
         self._heard_at = self._failed_at = now
         self._failed = 0
         self._ended = False  # its process is: that needs no silence as proof
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -4,6 +4,7 @@
 
 import json
 import select
+import selectors
 import socket
 from dataclasses import replace
 from typing import Any
@@ -235,6 +236,7 @@
 
 def test_of_connections_idle_at_once_the_last_one_stays_to_hear_a_session_by() -> None:
     with staged(settings=replace(PLAIN, tell_ms=60_000.0)) as stage:
+        stage.node.servers.idle_ms = 8_000.0  # idle before silence is looked into
         viewer = stage.far_viewer()
         (first, one), (second, other) = stage.set_up(viewer), stage.set_up(viewer)
         one.answer(first)
@@ -251,6 +253,37 @@
         assert stage.far["s-0"].accept() is None
 
 
+@pytest.mark.parametrize("asked", [False, True])
+@pytest.mark.parametrize("connect_ms", [30.0, 2_000.0, 30_000.0])
+@pytest.mark.parametrize("tell_ms", [0.0, 250.0, 13_000.0])
+def test_the_end_of_a_session_at_a_silent_server_is_told_in_time_whatever_the_settings(
+    tell_ms: float, connect_ms: float, asked: bool
+) -> None:
+    """Its machine vanished, and nobody says so: what stood there is over, and told to be within 8 s.
+
+    Nor may the connection of a set-up, waited for as long as its settings say, hold that up.
+    """
+    with staged(settings=replace(PLAIN, tell_ms=tell_ms)) as stage:
+        stage.node.servers.connect_s = connect_ms / 1000.0
+        loop, viewer = stage.loop, stage.far_viewer()
+        id, line = stage.stands(viewer)
+        line.ended.add(id)
+        last = loop.clock
+        while stage.node.core.host.session(id) is not None:
+            kept = loop.selected.get_map().values()
+            loop.selected.held.update(one.fd for one in kept if one.events & selectors.EVENT_WRITE)
+            loop.jump(25.0)
+            loop.turn()
+            assert loop.clock < last + 8.0
+            if asked and loop.clock > last + 3.5:
+                asked = False
+                viewer.send(stage.setup(), stage.setup())  # the second finds no connection free
+                loop.until(lambda: len(stage.node.viewers.open) == 2)
+        loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        assert stage.ends[id].cause == 41
+        loop.advance(4_000.0)  # what was asked has its answer
+
+
 @pytest.mark.parametrize("before", ["connecting", "idle"])
 def test_a_server_listed_at_a_new_address_is_set_up_at_there_only(before: str) -> None:
     with staged() as stage:
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -696,7 +696,9 @@
         stage.loop.until(lambda: viewer.look() is not None and len(viewer.raw) == 2)
         assert [(one.type, one.cause) for one in viewer.raw] == [("release", 41), ("pong", 0)]
         assert stage.node.core.host.sessions == 0 and stage.sent_to(lost.id) == []
-        viewer.send(Message("release", lost.id, cause=16))  # crossed the word of its end, or is written beside it
+        viewer.send(
+            Message("release", lost.id, cause=16)
+        )  # crossed the word of its end, or is written beside it
         stage.loop.settle()
         assert len(viewer.look()) == 0 and viewer.raw[-1].type == "pong"
 
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -196,7 +196,7 @@
 
 
 def test_a_server_is_lost_by_proof_only() -> None:
-    watch = Watch(SETTINGS, 0.0)
+    watch = Watch(SETTINGS, 250.0, 0.0)
     quiet = SETTINGS.tell_ms + SETTINGS.seen_after_ms + SETTINGS.period_ms
     assert watch.look(1e6, holds=False, connected=False, connecting=False) is Verdict.WELL
     watch.heard(0.0)
