--- a/tests/test_node_crossing_stop.py
+++ b/tests/test_node_crossing_stop.py
@@ -249,6 +249,25 @@
         assert task.done() and plays.id in stage.far["s-0"].released
 
 
+def test_a_release_for_a_server_that_refuses_keeps_no_node_from_its_end() -> None:
+    with staged() as stage:
+        viewer, server = stage.far_viewer(), stage.far["s-0"]
+        plays = stage.setup(extras="home:0;copies:4;top:0;viewer:00000000b4d65521;at:s-0")
+        viewer.send(plays)
+        stage.loop.until(lambda: stage.node.core.host.sessions)
+        stage.node.terminate()
+        stage.loop.advance(stage.node.ending.plays_ms - 20.0)
+        server.kill()
+        viewer.send(Message("release", plays.id, cause=16))
+        stage.loop.until(lambda: not stage.node.core.host.sessions)
+        (link,) = stage.node.servers.links.values()
+        stage.loop.until(lambda: not link.conns)  # the one made for it was refused
+        stage.loop.advance(20.0)
+        task = over(stage)
+        stage.loop.advance(5.0)
+        assert task.done()
+
+
 def test_a_second_word_of_the_end_changes_nothing() -> None:
     with staged() as stage:
         stage.node.terminate()
