What has waited beyond its time is not sent on, however late the loop comes to its timer

To blame: `Servers.up` asked whether it is wanted, not what time it is. `_wanted_now`, the last moment before the first byte, takes the attempt's timer for run if it is due.

The test fails without it with `AssertionError: assert ['s-0'] == []`: sent on after its time.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -259,8 +259,11 @@
         return False
 
     def _wanted_now(self, link: Link, attempt: Attempt) -> bool:
-        """At the last moment: its viewer may have left since the loop looked, however long ago."""
+        """At the last moment: its viewer may have left, or its time run out, since the loop looked."""
         self.hear_viewer(attempt.command.session.jti)
+        if self.core.now() - attempt.sent_at > attempt.command.timeout_ms:
+            self._timed_out(link, attempt)  # its timer is due, and late as the loop is
+            return False
         return self._wanted(link, attempt)
 
     def _carry(self, link: Link, attempt: Attempt) -> None:
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -154,6 +154,18 @@
             assert hears(stage, viewer, wish.id).cause == 34
 
 
+def test_what_waits_beyond_its_time_while_the_loop_stands_still_is_not_sent_on() -> None:
+    """The connection to its server is up, and told so before timers are looked at."""
+    with staged() as stage:
+        viewer, wish = stage.far_viewer(), stage.setup(left="1000")
+        there = ask_and_hold(stage, viewer, wish)
+        stage.loop.selected.held.discard(there)
+        stage.loop.turn(2)
+        stage.loop.jump(1_001)
+        assert hears(stage, viewer, wish.id).cause == 41  # not in time
+        assert stage.sent_to(wish.id) == []
+
+
 def test_who_takes_back_what_is_open_before_its_mistakes_is_closed() -> None:
     """All in one read while something is open, so that nothing is left for the transport's own read."""
     with staged() as stage:
