A release is said again where the other end never answered this side's end of its connection

A set-up times out at a server that is cut off; its release lies on that connection, this side ends it, and a second later it is let go. If the server's answer comes then, the kernel resets the connection, and the release may never have been read. Nobody said it again.

To blame: `Connection.unheard` counted the last second to the moment of the break, and a farewell lasts just that second, so what was said before it was always too old.

Now the second counts to this side's end: a farewell that the other end never answers says again, on another connection, what was said in the second before it. One that is answered says nothing, as before. Ruled out: keeping the connection until the other end ends, as a hung server may never do that, and descriptors are few.

Without the change: `assert [[]] == [[<Type.RELEASE: 12>]]`.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -660,6 +661,7 @@
         self._frames = Frames()
         self._said: deque[tuple[float, Frame]] = deque(maxlen=_SAID_MOST)
         self._why = "connection closed"
+        self._closed_at = math.inf  # when this side ended
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -734,8 +736,11 @@
         self.write(encode(frame))
 
     def unheard(self, now: float) -> list[Frame]:
-        """Releases that its end may have cost. One heard twice does no harm; one unheard leaves a session."""
-        return [frame for at, frame in self._said if now - at < _SAID_MS]
+        """Releases that its end may have cost. One heard twice does no harm; one unheard leaves a session.
+
+        Where the other end never answered this side's, nothing tells what it read of the time before that.
+        """
+        return [frame for at, frame in self._said if min(now, self._closed_at) - at < _SAID_MS]
 
     def close_if_spent(self) -> None:
         if self.course.at is At.RETIRED and not self.attempts:
@@ -751,6 +756,7 @@
             return
         assert self.transport is not None
         self.course.close()
+        self._closed_at = self.servers.core.now()
         try:
             self.transport.write_eof()
         except OSError:  # broken already, though the loop has not seen it yet
--- a/tests/test_node_crossing_lost.py
+++ b/tests/test_node_crossing_lost.py
@@ -167,3 +167,22 @@
         assert "server lost" not in stage.log.getvalue() and id not in stage.ends
         line.answer(first)
         answered(stage, viewer, first)
+
+
+def test_a_release_on_a_connection_whose_other_end_never_ends_is_said_again() -> None:
+    """A cut may hold it, and the end of this side beside an answer that comes late drops it."""
+    with staged(servers=2) as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.set_up(viewer)
+        (link,) = stage.node.servers.links.values()
+        stage.loop.advance(link.attempts[id].command.timeout_ms)
+        stage.loop.until(lambda: len(stage.sent_to(id)) == 2)
+        new = next(one for one in stage.far.values() if one is not line.server).line_of(id)
+        new.answer(id)
+        answered(stage, viewer, id)
+        assert not link.attempts and Type.RELEASE in [one.type for one in line.heard]
+        stage.loop.advance(2_000.0)  # this side's end is not answered
+        line.server.look()
+        assert [[one.type for one in other.heard] for other in line.server.lines if other is not line] == [
+            [Type.RELEASE]
+        ]
