Drawn mess of cuts that heal, connections that are late or never up, and answers in pieces

The drawn mess of tests/test_node.py has neither cuts nor late connections, as its loop and servers run by themselves; so it missed releases that waited for a connection that never came. This one is played on the stepped stage: servers are cut off in both directions and heal, one connection in four comes up late or never, answers come in pieces, with a reset, an end or half of them behind, servers end sessions while they are cut off. At the end what the node holds is what stands at the servers, but for what it keeps for a lost server's next connection.

--- a/tests/test_node_crossing_lost.py
+++ b/tests/test_node_crossing_lost.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import os
+import selectors
+import socket
+from random import Random
+from typing import Any
+
 import pytest
 
-from fernweir.node.frames import Type
+from fernweir.front.names import number_of
+from fernweir.node.frames import Code, Frame, Type, encode
 from fernweir.node.jsonl import Message
-from tests.node_scene import FarLine, FarViewer, Stage, staged
+from tests.node_scene import FarLine, FarServer, FarViewer, Stage, staged
 from tests.test_node_crossing_servers import answered, let_go, tell
 
 HALF = slice(0, -5)
@@ -186,3 +193,174 @@
         assert [[one.type for one in other.heard] for other in line.server.lines if other is not line] == [
             [Type.RELEASE]
         ]
+
+
+class Drawn:
+    """One media server of a drawn mess: what it holds, in the order in which it read what it was told."""
+
+    def __init__(self, far: FarServer, draw: Random) -> None:
+        self.far, self.draw, self.cut = far, draw, False
+        self.out: dict[str, FarLine] = {}
+        self.stands: set[str] = set()
+        self.ends: list[Frame] = []  # also said on each next connection that opens
+        self.rests: list[tuple[FarLine, bytes]] = []  # second pieces of answers
+
+    def look(self, calm: bool) -> None:
+        """Reads and acts, unless it is cut off: then all waits, in both directions."""
+        if self.cut:
+            return
+        while (line := self.far.accept()) is not None:
+            for end in self.ends:
+                self.write(line, encode(end))
+        for line, rest in self.rests:
+            self.write(line, rest)
+        self.rests.clear()
+        for line in self.far.lines:
+            for frame in line.look():
+                if frame.type is Type.SETUP:
+                    assert frame.session not in self.out, "two attempts out at one server"
+                    self.out[frame.session] = line
+                elif frame.type is Type.RELEASE:
+                    self.out.pop(frame.session, None)
+                    self.stands.discard(frame.session)
+            if line.over:
+                self.give_up(line)
+        for id, line in list(self.out.items()):
+            if id in self.out and (calm or self.draw.random() < 0.4):
+                self.act(id, line, "answer" if calm else self.draw.choice(ACTS))
+        if not calm and self.stands and self.draw.random() < 0.05:
+            self.end(self.draw.choice(sorted(self.stands)))
+
+    def act(self, id: str, line: FarLine, what: str) -> None:
+        data = encode(Frame(Type.ANSWER, id, {Code.DESCRIPTION: b"one\r\n"}))
+        if what == "silent":
+            return
+        del self.out[id]
+        if what in ("34", "47"):
+            self.write(line, encode(Frame(Type.RELEASE, id, {Code.CAUSE: bytes((int(what),))})))
+        elif what == "gone":
+            line.reset()
+            self.give_up(line)
+        else:
+            cut = self.draw.randrange(1, len(data)) if what in ("pieces", "broken", "half") else len(data)
+            if not self.write(line, data[:cut]):
+                return
+            self.stands.add(id)
+            if what == "pieces":
+                self.rests.append((line, data[cut:]))
+            elif what != "answer":  # a break, or an end, behind it: seen in one turn
+                line.reset() if what in ("broken", "reset") else line.end()
+                self.give_up(line)
+
+    def end(self, id: str) -> None:
+        self.stands.remove(id)
+        self.ends.append(Frame(Type.RELEASE, id, {Code.CAUSE: bytes((16,))}))
+        for line in [one for one in self.far.lines if not one.over][-1:]:
+            self.write(line, encode(self.ends[-1]))
+
+    def write(self, line: FarLine, data: bytes) -> bool:
+        """Whether the connection took it; one that the node has ended gives up what is open on it."""
+        try:
+            if not line.over:
+                line.write(data)
+        except OSError:
+            line.close()
+            self.give_up(line)
+        return not line.over
+
+    def give_up(self, line: FarLine) -> None:
+        """A closed connection gives up the set-ups open on it."""
+        for id in [id for id, there in self.out.items() if there is line]:
+            del self.out[id]
+
+
+ACTS = (
+    ["answer"] * 6
+    + ["silent"] * 4
+    + ["pieces", "pieces", "broken", "half", "reset", "end", "34", "47", "gone"]
+)
+
+
+class Mess:
+    """A stage whose servers are cut off and heal, and some of whose connections come up late or never."""
+
+    def __init__(self, stage: Stage, draw: Random) -> None:
+        self.stage, self.draw, self.calm = stage, draw, False
+        self.servers = {far.address: Drawn(far, draw) for far in stage.far.values()}
+        self.late: dict[tuple[int, Any], float] = {}  # a connection being made: until when it is held
+
+    def hold(self) -> None:
+        loop = self.stage.loop
+        loop.selected.held.clear()
+        for key in list(loop.selected.get_map().values()):
+            try:
+                with socket.socket(fileno=os.dup(key.fd)) as own:
+                    server, name = self.servers.get(own.getpeername()), (key.fd, own.getsockname())
+            except OSError:
+                continue
+            if server is None:
+                continue
+            if key.events & selectors.EVENT_WRITE and name not in self.late:
+                late = 0.0 if self.calm or self.draw.random() < 0.75 else self.draw.choice([0.1, 0.24, 9.0])
+                self.late[name] = loop.clock + late
+            if server.cut or self.late.get(name, 0.0) > loop.clock:
+                loop.selected.held.add(key.fd)
+
+    def step(self, ms: float) -> None:
+        self.stage.loop.jump(ms)
+        for _ in range(4):
+            self.hold()
+            self.stage.loop.turn()
+        for server in self.servers.values():
+            server.look(self.calm)
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_after_cuts_that_heal_and_connections_that_are_late_nothing_stands_that_nobody_holds(
+    seed: int,
+) -> None:
+    draw = Random(seed)
+    with staged(servers=1 + seed % 3) as stage:
+        mess, viewer = Mess(stage, draw), stage.far_viewer()
+        asked, given_up, host = list[str](), set[str](), stage.node.core.host
+        for _ in range(300):
+            what, server = draw.random(), draw.choice(list(mess.servers.values()))
+            if what < 0.3:
+                viewer.send(wish := stage.setup(key=f"{draw.randrange(9):016x}"))
+                asked.append(wish.id)
+            elif what < 0.36 and (open_ := [id for id in asked if id not in stage.answers]):
+                given_up.add(tired := draw.choice(open_))
+                viewer.send(Message("release", tired, cause=16))
+            elif what < 0.4:
+                server.cut = not server.cut
+            elif (
+                what < 0.43
+                and not server.cut
+                and (there := [one for one in server.far.lines if not one.over])
+            ):
+                (line := draw.choice(there)).reset()
+                server.give_up(line)
+            mess.step(draw.choice([1.0, 10.0, 60.0]))
+            viewer.look()
+        mess.calm = True
+        for server in mess.servers.values():
+            server.cut = False
+        links, names = (
+            stage.node.servers.links,
+            {number_of(far.name): far.address for far in stage.far.values()},
+        )
+
+        def settled() -> bool:
+            mess.step(20.0)
+            viewer.look()
+            if any(id not in stage.answers and id not in given_up for id in asked):
+                return False
+            for number, there in names.items():
+                server, held = mess.servers[there], set(host.playing_at(number))
+                kept = {one.session for one in links[number].kept} if number in links else set()
+                if server.out or not held <= server.stands <= held | kept:
+                    return False
+            return True
+
+        stage.loop.until(settled)
+        viewer.close()
