--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -567,6 +567,13 @@
             assert server.standing() <= held, f"{name} holds {server.standing() - held}, which nobody holds"
         for link in servers.links.values():
             assert not link.attempts and not link.tests and not link.broken, link
+        viewers, door = self.node.viewers, self.node.viewers.door
+        tables = (door._fresh, door._idle, door._busy, door._parting, door._halves, viewers.spoken)
+        assert all(viewers._made.issuperset(table) for table in tables), tables
+        assert not door._busy and not any(one.visit.requests for one in viewers._made)
+        assert set(viewers.home) <= set(core.host.held()) and not core.host._by_ticket
+        taking, there = (one.visit.takes for one in viewers._made), (not one.over for one in self.viewers)
+        assert sum(taking) <= sum(there), "connections of viewers that are gone"
 
     def finish(self) -> None:
         """The node stops: what is left of it is nothing, descriptor, timer or task."""
--- /dev/null
+++ b/tests/test_bench_left.py
@@ -0,0 +1,15 @@
+"""Clients that leave while their request waits: each way at each place once, as `bench.left` plays them."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.left import PLACES, WAYS, one
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_nothing_is_sent_on_for_who_has_left_wherever_it_waits(way: str) -> None:
+    for place in PLACES:
+        if place.name != "behind a long burst" and not (way == "time" and place.unread):
+            found = one(place, way, f"1 {place.name} {way} 0")
+            assert (found.late, found.standing, found.fault) == (0, 0, ""), place.name
