The end of an attempt that failed, said on a new connection, leaves nothing of the next one

An answer breaks off, its attempt is released and the next one stands at the same server. That server had ended the first by itself meanwhile and says so on a new connection, as the protocol has it: the node took it for the end of what stands, told the viewer, and left the session at the server.

To blame: `_released` asked only the connection on which the word came whether it had carried an earlier attempt. The link knows that, wherever the attempt was carried; now it is asked. What can't be told apart is over, and is released at the server, as on older connections. Ruled out: releasing whenever another connection tells of an end, which would answer each ordinary end whose connection idled out.

Without the change: `assert <Type.SETUP: 1> is <Type.RELEASE: 12>`

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -92,6 +92,7 @@
     attempts: dict[str, Attempt] = field(default_factory=dict)
     stays: dict[str, Stay] = field(default_factory=dict)
     tests: dict[str, Test] = field(default_factory=dict)
+    before: Remembered = field(default_factory=lambda: Remembered(_BEFORE_MOST))  # as on each connection
     letters: list[Frame] = field(default_factory=list)  # that found no connection: one is made for them
     kept: list[Frame] = field(default_factory=list)  # of a lost server: for the next that comes up
 
@@ -310,6 +311,8 @@
         if link.attempts.get(jti) is not attempt:
             return
         del link.attempts[jti]
+        if attempt.written and end.result is not Result.OK:
+            link.before.add(jti)
         self._settle(attempt, well=end.result is Result.OK)
         self._done(attempt.command, end)
 
@@ -403,7 +406,7 @@
         elif stay is None or id in link.attempts:
             return  # heard already; or an earlier attempt's
         elif stay.conn is conn or id not in conn.before or not stay.heard:
-            if stay.conn is not conn and id in conn.before:  # whichever it is of, nothing may stay behind
+            if stay.conn is not conn and id in link.before:  # whichever it is of, nothing may stay behind
                 self._let_go(link, id)
             self._over(link, id, _AFTER.get(cause if cause is not None else -1, Result.RESET))
 
--- a/tests/test_node_crossing_lost.py
+++ b/tests/test_node_crossing_lost.py
@@ -195,6 +195,28 @@
         ]
 
 
+def test_the_end_of_a_failed_attempt_said_on_a_new_connection_leaves_nothing_of_the_next() -> None:
+    """Whose end it is can't be told, though the connection of the session that stands is there."""
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        id, line = half_answered(stage, viewer)
+        stage.loop.until(lambda: len(stage.sent_to(id)) == 2)
+        (_, again) = line.server.lines
+        again.answer(id)
+        answered(stage, viewer, id)
+        (first, _), (second, new) = stage.set_up(viewer), stage.set_up(viewer)
+        assert new is not again
+        new.say(Frame(Type.RELEASE, id, {Code.CAUSE: bytes((16,))}))
+        stage.loop.until(lambda: viewer.look() is not None and id in stage.ends)
+        stage.loop.settle()
+        again.look()
+        assert [one.type for one in again.heard if one.session == id][-1] is Type.RELEASE
+        again.answer(first)
+        new.answer(second)
+        for one in (first, second):
+            answered(stage, viewer, one)
+
+
 class Drawn:
     """One media server of a drawn mess: what it holds, in the order in which it read what it was told."""
 
