Who asked as the process began to stand still isn't taken for a silent newcomer

The set-up got no answer, its connection was closed in order. Any stand of 2.5 s does it, as that of a machine which gives a node no processor.

To blame: `Viewers._accept` starts the newcomer's time (`Door.arrive`), its transport comes two turns later, and its reader one call after that. `_sweep`, due in the turn of the transport, found it overdue and unread: `overdue` ended it, and nothing being open it was closed.

Change: `Door.made` starts that time when the transport is there.

Test: `test_who_asked_as_the_process_began_to_stand_still_is_not_taken_for_silent`, the stand after each of five turns. With the fix taken back, after one turn: E assert not True E + where True = <tests.node_scene.FarViewer object>.over

--- a/fernweir/node/limits.py
+++ b/fernweir/node/limits.py
@@ -67,6 +67,11 @@
         self._fresh[key] = now
         return victim
 
+    def made(self, key: Key, now: float) -> None:
+        """From now on it can be read: its time to say something begins, however long it waited for that."""
+        if self._fresh.pop(key, None) is not None:
+            self._fresh[key] = now
+
     def spoke(self, key: Key, now: float) -> None:
         """Something readable came."""
         if (self._fresh.pop(key, None) is not None or key in self._idle) and key not in self._busy:
--- a/fernweir/node/viewers.py
+++ b/fernweir/node/viewers.py
@@ -132,6 +132,7 @@
 
     def made(self, connection: Connection) -> None:
         self._made.add(connection)
+        self.door.made(connection, self.core.now())
         if self._listening is None:
             connection.close()
 
--- a/tests/test_node_crossing_viewers.py
+++ b/tests/test_node_crossing_viewers.py
@@ -715,6 +715,23 @@
         assert len(viewer.look()) == 0 and viewer.raw[-1].type == "pong"
 
 
+@pytest.mark.parametrize("turns", range(5))
+def test_who_asked_as_the_process_began_to_stand_still_is_not_taken_for_silent(turns: int) -> None:
+    """Accepted, and not read yet: the time in which it is to say something passes meanwhile."""
+    with staged() as stage:
+        viewer, wish = FarViewer(stage), stage.setup()
+        stage.viewers.append(viewer)
+        viewer.send(wish)
+        stage.loop.until(lambda: len(stage.node.viewers.door))
+        stage.loop.turn(turns)
+        stage.loop.jump(HUSH_MS + 1.0)
+        stage.loop.until(lambda: viewer.look() or viewer.over or stage.sent_to(wish.id))
+        assert not viewer.over
+        if wish.id not in stage.answers:
+            stage.far["s-0"].line_of(wish.id).answer(wish.id)
+        stage.loop.until(lambda: viewer.look() is not None and wish.id in stage.answers)
+
+
 # --- the records ---
 
 
