--- a/bench/restarts.py
+++ b/bench/restarts.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 import sys
@@ -26,6 +27,7 @@
 import traceback
 from asyncio.subprocess import Process
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -112,10 +114,16 @@
             return
         self.ended_at = time.time()
         self.ledger.note("KILL" if self.kill else "TERM")
-        self.process.send_signal(signal.SIGKILL if self.kill else signal.SIGTERM)
+        self.signal(signal.SIGKILL if self.kill else signal.SIGTERM)
 
     # --- the process ---
 
+    def signal(self, number: int) -> None:
+        """Not by `send_signal`, which may reap the process beside the loop that waits for it."""
+        if self.process is not None and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
+
     async def start(self) -> None:
         story = self.story
         story.configure()
@@ -280,13 +288,13 @@
                 story.file.unlink()
             else:
                 story.file.write_bytes(whole[: len(whole) // 2] if bad == "half" else b"[]")
-            self.process.send_signal(signal.SIGHUP)
+            self.signal(signal.SIGHUP)
             if self.ready.is_set() and not self._stopped and not self.ended_at:
                 before = self.log["new configuration not used"]
                 await self.wait(lambda: self.log["new configuration not used"] > before, "word of a bad file")
         await self.story.move()
         for _ in range(times):
-            self.process.send_signal(signal.SIGHUP)
+            self.signal(signal.SIGHUP)
         self.happened("reload")
         if self.ready.is_set() and not self._stopped and not self.ended_at and self.dice.random() < 0.5:
             feed = self.story.feed
@@ -303,8 +311,8 @@
 
     async def turned(self) -> None:
         """Until the node has answered a test that is sent now: all before it has been read."""
-        first = self.viewers[0]
-        if self._stopped or not first.open or first.half is not None:
+        first = self.viewers[0] if self.viewers else None
+        if self._stopped or first is None or not first.open or first.half is not None:
             return
         before = self.ledger.pongs
         first.write(write(Message("ping", NO_ID, cause=0)))
@@ -315,7 +323,7 @@
         if self.process.returncode is None and not self._stopped:
             self._stopped = time.time()
             self.ledger.note("STOP")
-            self.process.send_signal(signal.SIGSTOP)
+            self.signal(signal.SIGSTOP)
             self.happened("stopped")
 
     def go_on(self) -> None:
@@ -325,7 +333,7 @@
             self._stopped = 0.0
             self.ledger.note("CONT")
             if self.process.returncode is None:
-                self.process.send_signal(signal.SIGCONT)
+                self.signal(signal.SIGCONT)
 
     # --- the whole ---
 
@@ -337,7 +345,10 @@
             if not await self.began():
                 return
             while not self.viewers or not self.viewers[0].open:
-                self.viewers.insert(0, await self.viewer() or self.viewers.pop())
+                if (first := await self.viewer()) is None:
+                    break  # the process ended meanwhile
+                self.viewers.remove(first)
+                self.viewers.insert(0, first)
             for _ in range(dice.randrange(5, 80)):
                 if self.ended_at:
                     break
@@ -353,7 +364,7 @@
         finally:
             self.go_on()
             if self.process.returncode is None:
-                self.process.kill()
+                self.signal(signal.SIGKILL)
             await self.process.wait()
             await self._reader
         await self._reckon()
@@ -384,7 +395,7 @@
                 self.go_on()
             await self.act(new=since < NEW_S, asks=asks)
             if dice.random() < 0.05:
-                process.send_signal(dice.choice((signal.SIGTERM, signal.SIGHUP)))
+                self.signal(dice.choice((signal.SIGTERM, signal.SIGHUP)))
             if since > still:
                 continue
             if dice.random() < 0.3:
