A server that breaks each new connection is looked at with the upkeep, not without a pause

Looked for by reading what may run without a pause: where sessions stand, `Servers.down` made a new connection at once after each that broke, and so did `Watch.look` where none was left. Forced on the rig: a server that takes each connection and resets it is come back to 66 times in 200 turns of the loop.

Now the watch alone says when to look, also for what a broken connection may have cost (`missed`): once at once, then not before the next upkeep, unless the look's connection never came up. What comes up settles it.

Without the change: `assert 66 == 1`.

--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -486,7 +486,8 @@
     def up(self, conn: Connection) -> None:
         """A connection came up: what waited for it goes out."""
         link = conn.link
-        self._alive(link)
+        link.watch.came_up(self.core.now())
+        self._broken(link, lives=True)
         link.letters[:0], link.kept = link.kept, []
         self._post(link, conn)
         for test in link.tests.values():
@@ -536,11 +537,11 @@
         link.letters += [one for one in conn.unheard(self.core.now()) if one.session not in link.stays]
         self._move_on(link, conn, why)
         if not self.stopped:
-            # What was on its way on a connection that broke comes on the next that opens, and only there.
-            missed = bool(link.stays) and broke
+            if link.stays and broke:
+                link.watch.missed()
             if self._gone(link):
                 self._broken(link, lives=False)  # who listens there by now tells nothing of it
-            elif (link.broken or missed) and not any(one.course.connecting for one in link.conns):
+            elif link.broken and not any(one.course.connecting for one in link.conns):
                 self._connect(link)
             self._look(link)
 
--- a/fernweir/node/watch.py
+++ b/fernweir/node/watch.py
@@ -50,32 +50,48 @@
         self._heard_at = self._failed_at = now
         self._failed = 0
         self._ended = False  # its process is: that needs no silence as proof
+        self._missed = False  # a connection broke, and none has come up since
+        self._looked_at = -EVERY_MS
         self.why = ""  # what the last look found
 
     def heard(self, now: float) -> None:
         """Bytes came, or a connection came up."""
         self._heard_at, self._failed, self._ended = now, 0, False
 
+    def came_up(self, now: float) -> None:
+        """A connection did: what was on its way on one that broke is said there."""
+        self.heard(now)
+        self._missed = False
+
+    def missed(self) -> None:
+        """A connection broke: what was on its way on it comes on the next that opens, and only there."""
+        self._missed = True
+
     def refused(self) -> None:
         self._ended, self.why = True, "connection refused"
 
     def unreachable(self, begun: float, now: float) -> None:
         """A connection never came up. Of those that were on their way at once, or that something was heard
         beside, the same few packets may be to blame: they are no further look."""
-        self.why = "no connection comes up"
+        self.why, self._looked_at = "no connection comes up", -EVERY_MS
         if begun >= max(self._heard_at, self._failed_at):
             self._failed, self._failed_at = self._failed + 1, now
 
     def look(self, now: float, holds: bool, connected: bool, connecting: bool) -> Verdict:
+        """What is to be done now. A look whose connection comes up and breaks is not made again at once: a
+        server that breaks each would take all of the node's time."""
         if not holds:  # silence towards those without sessions there says nothing
-            self.heard(now)
+            self.came_up(now)
             return Verdict.WELL
         speaks = connected and now - self._heard_at < self._quiet_ms
         if self._ended:
             verdict = Verdict.ENDED
         elif self._failed >= _FAILED_LOOKS and not speaks:
             verdict = Verdict.LOST
+        elif connecting or (speaks and not self._missed) or now - self._looked_at < EVERY_MS:
+            return Verdict.WELL
         else:
-            return Verdict.WELL if connecting or speaks else Verdict.LOOK
+            self._looked_at = now
+            return Verdict.LOOK
         self._failed, self._ended = 0, False  # told once
         return verdict
--- a/tests/test_node_crossing_lost.py
+++ b/tests/test_node_crossing_lost.py
@@ -13,6 +13,7 @@
 from fernweir.front.names import number_of
 from fernweir.node.frames import Code, Frame, Type, encode
 from fernweir.node.jsonl import Message
+from fernweir.node.watch import EVERY_MS
 from tests.node_scene import FarLine, FarServer, FarViewer, Stage, staged
 from tests.test_node_crossing_servers import answered, let_go, tell
 
@@ -217,6 +218,39 @@
             answered(stage, viewer, one)
 
 
+@pytest.mark.parametrize("speaks", [True, False])
+def test_a_server_that_breaks_each_new_connection_is_not_looked_at_without_a_pause(speaks: bool) -> None:
+    """Each such look is over within a turn or two: without a pause they took all of the node's time."""
+    with staged() as stage:
+        viewer = stage.far_viewer()
+        (id, line), (other, there) = stage.set_up(viewer), stage.set_up(viewer)
+        line.answer(id)
+        there.answer(other)
+        for one in (id, other):
+            answered(stage, viewer, one)
+        if not speaks:
+            viewer.send(Message("release", other, cause=16))
+            stage.loop.until(lambda: other in there.server.released)
+            there.reset()
+            stage.loop.settle()
+        before = len(line.server.lines)
+        line.reset()
+
+        def breaks(turns: int) -> int:
+            for _ in range(turns):
+                while (new := line.server.accept()) is not None:
+                    new.reset()
+                stage.loop.turn()
+            return len(line.server.lines) - before
+
+        assert breaks(200) == 1
+        stage.loop.jump(EVERY_MS)
+        assert breaks(200) == 2
+        stage.loop.jump(EVERY_MS)
+        stage.loop.until(lambda: line.server.accept() is not None)  # that one stays
+        assert {id} <= set(stage.node.core.host.held())
+
+
 class Drawn:
     """One media server of a drawn mess: what it holds, in the order in which it read what it was told."""
 
