Connections to all servers keep to their part of the descriptors: the longest unused go first

Checked and ruled out: viewers' part (the door keeps it), the bound a server (at least two each, so two times the servers in all), idle connections going by themselves (half of the settings' idle time, never where none is told). To blame: nothing counted connections of all links together.

What carries or tests something, and the last one by which sessions are heard, stays. Ruled out: closing one for each that is made, as a burst then closes what it needs next.

Without the change: `assert 15 <= 8`.

--- a/fernweir/node/limits.py
+++ b/fernweir/node/limits.py
@@ -25,6 +25,9 @@
         # Honest viewers hold a third of the limit at most (PROTOCOL), so half leaves room for others.
         self.viewers = max(sockets // 2, 1)
         self.servers = max(sockets // 3, 1)
+        # What is over of the two serves idle connections to media servers too, but for a twelfth: listening,
+        # feed, loop, log, and peers where there are some.
+        self.servers_most = max(sockets - self.viewers - sockets // 12, self.servers)
 
     def per_server(self, servers: int) -> int:
         """Connections to one media server, at least one to place on and one to hear by."""
--- a/fernweir/node/servers.py
+++ b/fernweir/node/servers.py
@@ -96,6 +96,10 @@
     letters: list[Frame] = field(default_factory=list)  # that found no connection: one is made for them
     kept: list[Frame] = field(default_factory=list)  # of a lost server: for the next that comes up
 
+    def heard_by(self, conn: Connection) -> bool:
+        """Whether its sessions are heard on this one alone."""
+        return not any(one.usable for one in self.conns if one is not conn)
+
     @property
     def broken(self) -> list[Attempt]:
         """Those that wait for word whether the server lives."""
@@ -597,10 +601,10 @@
         self.core.loop.call_later(_UPKEEP_S, self._upkeep)
         now = self.core.now()
         self.drop_unwanted()
+        self._make_room()
         for link in list(self.links.values()):
             for conn in list(link.conns):
-                others = any(one.usable for one in link.conns if one is not conn)
-                if conn.idle(now, last=not others):
+                if conn.idle(now, link.heard_by(conn)):
                     conn.close()
             self._look(link)
             if self._gone(link) and not (link.stays or link.attempts or link.tests):
@@ -610,6 +614,17 @@
                     del self.links[link.server]
                     self.feed.forget(link.server)
 
+    def _make_room(self) -> None:
+        """Of more connections than servers may have in all, those longest unused go before they idle out."""
+        conns = [one for link in self.links.values() for one in link.conns if one.course.at is not At.CLOSING]
+        over = len(conns) - self.shares.servers_most
+        for conn in sorted(conns, key=lambda one: one.used_at):
+            if over <= 0:
+                return
+            if conn.spare(conn.link.heard_by(conn)):
+                conn.close()
+                over -= 1
+
     def _look(self, link: Link) -> None:
         now, gone, conn = self.core.now(), self._gone(link), self._any(link)
         if link.letters and conn is not None:
@@ -718,11 +733,15 @@
         """Whether something new may go out here: one long idle may be closed at its other end by now."""
         return self.course.takes and self.usable and now - self.used_at < 0.8 * self.servers.idle_ms
 
+    def spare(self, last: bool) -> bool:
+        """Whether nothing is on it: with sessions there, the last one stays to hear by."""
+        tested = any(one.conn is self for one in self.link.tests.values())
+        return self.course.carries and not (self.attempts or tested or (last and self.link.stays))
+
     def idle(self, now: float, last: bool) -> bool:
-        """Whether it can go: with sessions there, the last one stays to hear by."""
-        if not self.course.carries or self.attempts or (last and self.link.stays):
-            return False
-        return not self.course.takes or now - self.used_at > 0.5 * self.servers.idle_ms
+        """Whether it can go."""
+        unused = now - self.used_at > 0.5 * self.servers.idle_ms
+        return self.spare(last) and (unused or not self.course.takes)
 
     def write(self, data: bytes) -> bool:
         """Whether it left, or will unless the connection breaks. False: its last byte never does."""
--- a/tests/test_node_crossing_servers.py
+++ b/tests/test_node_crossing_servers.py
@@ -7,6 +7,7 @@
 import selectors
 import socket
 from dataclasses import replace
+from math import inf
 from typing import Any
 
 import pytest
@@ -14,6 +15,7 @@
 from fernweir.node.course import At, Course
 from fernweir.node.frames import Code, Frame, Type, encode
 from fernweir.node.jsonl import Message
+from fernweir.node.watch import EVERY_MS
 from tests.node_scene import PLAIN, FarLine, FarServer, FarViewer, Stage, staged
 
 
@@ -256,6 +258,35 @@
         assert stage.far["s-0"].accept() is None
 
 
+def test_many_servers_of_a_node_with_few_descriptors_keep_to_their_part_of_them() -> None:
+    """What is unused longest goes; viewers and the feed keep their own part, and sessions are heard on."""
+    with staged(servers=6, sockets=18) as stage:
+        viewer, servers = stage.far_viewer(), stage.node.servers
+        servers.idle_ms = inf
+        most = 0
+        for title in range(8):
+            wishes = [stage.setup(key=f"{title:016x}") for _ in range(3)]
+            viewer.send(*wishes)  # a connection to itself for each
+            for id in [one.id for one in wishes]:
+                line = line_of(stage, id)
+                line.answer(id)
+                answered(stage, viewer, id)
+                if title:  # the first ones go on
+                    line.release(id, 16)
+            most = max(most, sum(len(one.conns) for one in servers.links.values()))
+            stage.loop.until(lambda: stage.node.core.host.sessions == 3)
+        assert most > servers.shares.servers_most == 8
+        stage.loop.advance(2.5 * EVERY_MS)
+        for far in stage.far.values():
+            for line in far.lines:
+                if line.look() is not None and line.over:
+                    line.close()
+        stage.loop.settle()
+        links = servers.links.values()
+        assert sum(one.usable for link in links for one in link.conns) <= servers.shares.servers_most
+        assert all(any(one.usable for one in link.conns) for link in links if link.stays)
+
+
 @pytest.mark.parametrize("asked", [False, True])
 @pytest.mark.parametrize("connect_ms", [30.0, 2_000.0, 30_000.0])
 @pytest.mark.parametrize("tell_ms", [0.0, 250.0, 13_000.0])
