Test processes have a loopback host of their own: 8 of 50 runs side by side had failed on a shared one

Seen: the tests of the crossings 50 times over, 8 at once beside load: 8 runs with a failure, 7 tests, none twice but one. `Address already in use` as a server listens again at its address or the node at a port from the kernel, and `no such connection`: the stand-in had accepted another process's connection, which still came back to the port of a listener that was closed there. All listened on 127.0.0.1. Checked: each of them passes alone; nothing of the node's.

Now whatever the rig listens on lies on a loopback host that follows from the process's number, as it did for the address of a node that is started as a process. Assertions unchanged.

--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -21,7 +21,7 @@
 from fernweir.node.logs import NodeLog
 from fernweir.node.program import Node
 from tests.helpers import SETTINGS
-from tests.sockets import Far, SteppedLoop, until
+from tests.sockets import HOST, Far, SteppedLoop, until
 
 OFFER = "9d41c07a\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0\r\n"
 PLAIN = replace(SETTINGS, may_probe=False)
@@ -49,7 +49,7 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self, port: int = 0) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._serve, HOST, port)
 
     @property
     def address(self) -> Address:
@@ -150,7 +150,7 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
 
     @property
     def address(self) -> Address:
@@ -244,7 +244,7 @@
     def config(self, seed: int = 7) -> NodeConfig:
         lines = [self.line(name) for name in self.servers]
         first = {"n": 1, "members": {"index": 1, "snapshot": True, "endpoints": lines}}
-        listen = ("127.0.0.1", 0)
+        listen = (HOST, 0)
         return NodeConfig(
             "n",
             listen,
@@ -327,7 +327,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.lines: list[FarLine] = []  # connections accepted so far
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server((HOST, 0))
         self.listener.setblocking(False)
 
     @property
@@ -430,7 +430,7 @@
     def __init__(self) -> None:
         self.lines: list[Far] = []
         self.asked: list[bytes] = []  # what each accepted connection has written, `SUB N`
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server((HOST, 0))
         self.listener.setblocking(False)
 
     @property
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,6 +12,11 @@
 from collections.abc import Callable
 from typing import Any
 
+# A loopback host of this process's own: on a shared one, what another process still comes back to after a
+# listener of its was closed would reach whoever the kernel gave that port next.
+_HIGH, _LOW = divmod(os.getpid() % 62_500, 250)
+HOST = f"127.78.{_HIGH + 1}.{_LOW + 1}"
+
 
 async def until(condition: Callable[[], object], most_s: float = 20.0) -> None:
     """Lets the loop run until the condition holds; fails only after a time far beyond any real wait."""
