What an uplink has taken since its last report is kept no longer than that report tells

Ruled out before: slow single callbacks, the collector, connections without a pause.

A report of twice the fading time ago has no weight in `load` (`faded` is 1). So what is older is dropped, and the sum not made: the decisions are meant to be the same to the bit. Without the change the test fails with `assert 5000 == 40`.

--- a/fernweir/brain.py
+++ b/fernweir/brain.py
@@ -92,6 +92,8 @@
     def add(self, now: float, kb: float) -> None:
         self.own_kb += kb
         self._since.append((now, kb))
+        while self._since[0][0] <= now - 2.0 * self.fade_ms:  # no report seen before that tells anything
+            self._since.popleft()
 
     def hear(self, level: float, seen_at: float, sample: bool = True) -> None:
         """Takes a report of how it stood at `seen_at`, unless something newer is known.
@@ -130,7 +132,7 @@
             learnt, own = self.per_own > 0.0, self.own_kb / self.capacity_kb
             guess = own * self.per_own if learnt and own >= FEW else max(self.usual.level, own)
         guess = min(guess, RELIEVED)
-        if self.told is None:
+        if self.told is None or now - self.told_at >= 2.0 * self.fade_ms:
             return guess
         known = max(self.told + sum(kb for _, kb in self._since) / self.capacity_kb, 0.0)
         faded = min(max((now - self.told_at) / self.fade_ms - 1.0, 0.0), 1.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fernweir.brain import Meter, Usual
 from fernweir.interface import (
     Ended,
     ListKind,
@@ -262,3 +263,15 @@
     front.send(TimerFired(1))
     front.note(1, place.server, NoteKind.LINK, 0.5)
     assert not server.lost and front.brain.guards.warmth(server, front.now) == 1.0
+
+
+def test_what_a_line_has_taken_since_a_report_is_kept_no_longer_than_that_report_tells() -> None:
+    """An uplink may be told of once a day: what is put there since must not be summed up for ever."""
+    line = Meter(1_000.0, Usual(), fade_ms=2_000.0)
+    line.hear(0.4, seen_at=0.0)
+    for step in range(1, 5_001):
+        line.add(step * 100.0, 1.0 if step % 2 else -1.0)
+    assert len(line._since) == 40  # of twice the fading
+    line.hear(0.3, seen_at=498_000.0)
+    line.add(500_000.0, 100.0)
+    assert line.load(500_000.0) == pytest.approx(0.4)
