--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -5,6 +5,7 @@
 import json
 import math
 import shlex
+import shutil
 import subprocess
 import sys
 import tomllib
@@ -268,3 +269,25 @@
         },
     )  # fmt: skip
     assert done.returncode == 2 and done.stderr == "fernweir node: /nowhere.json: No such file or directory\n"
+
+
+def test_the_script_for_sites_lays_what_the_kit_has_or_names_what_is_missing(tmp_path: Path) -> None:
+    """In a copy of what it needs: the repository's own folder stays as it is."""
+    script, kit = tmp_path / "root/scripts/sites", tmp_path / "given/kit/more/mass/other"
+    script.parent.mkdir(parents=True)
+    shutil.copy(ROOT / "scripts/sites", script)
+    there = tmp_path / "root/deploy/sites"
+    there.mkdir(parents=True)
+    kit.mkdir(parents=True)
+    (kit / "real.json").write_text("1")
+    done = subprocess.run([script], capture_output=True, text=True, check=False)
+    assert done.returncode == 1 and done.stderr.count("\n") == 1
+    assert "wire.json unlock.txt in ../given/kit/more/mass/other" in done.stderr and not list(there.iterdir())
+    for name in ("wire.json", "unlock.txt"):
+        (kit / name).write_text(name)
+        (kit / name).chmod(0o444)
+    for _ in range(2):  # what was laid before is laid anew
+        subprocess.run([script], check=True)
+    assert {one.name for one in there.iterdir()} == {"real.json", "wire.json", "unlock.txt"}
+    ignored = (ROOT / ".gitignore").read_text().splitlines()
+    assert {f"deploy/sites/{one.name}" for one in there.iterdir()} <= set(ignored)
