--- a/review/harness/node.py
+++ b/review/harness/node.py
@@ -19,6 +19,7 @@
 Address = tuple[str, int]
 _TEST_INTERVAL_S = 0.05
 _MAX_TESTS = 400
+_SOCKETS = 256  # the descriptor limit in the configuration
 
 
 def free_address() -> Address:
@@ -41,14 +42,16 @@
     Args:
         record: The record of the run.
         settings: The settings object of the configuration.
-        sockets: The descriptor limit in the configuration.
+        standard_error: Where the node writes its log. By default the record gets the lines.
     """
 
-    def __init__(self, record: Record, settings: dict[str, Any], sockets: int = 256) -> None:
+    def __init__(
+        self, record: Record, settings: dict[str, Any], standard_error: int = asyncio.subprocess.PIPE
+    ) -> None:
         self.address = free_address()
         self._record = record
         self._settings = settings
-        self._sockets = sockets
+        self._standard_error = standard_error
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._config = Path(self._folder.name) / "config.json"
         self._process: asyncio.subprocess.Process | None = None
@@ -64,7 +67,7 @@
         """Writes the configuration, as at a start or before SIGHUP."""
         body = {
             "name": "n3", "listen": text_of(self.address), "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self._sockets}, "feed": text_of(feed),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": _SOCKETS}, "feed": text_of(feed),
             "known": {"n": events[-1]["n"], "events": events}, "settings": self._settings,
         }  # fmt: skip
         fresh = self._config.with_suffix(".new")
@@ -79,9 +82,10 @@
             "ROUTER_LISTEN": text_of(self.address), "ROUTER_CONFIG": str(self._config),
         }  # fmt: skip
         self._process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", command, cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
+            "/bin/sh", "-c", command, cwd=ROOT, env=environment, stderr=self._standard_error
         )
-        self._log_task = asyncio.create_task(self._copy_log())
+        if self._process.stderr is not None:
+            self._log_task = asyncio.create_task(self._copy_log(self._process.stderr))
         for _ in range(_MAX_TESTS):
             if await self._passes_test():
                 self._record.write("platform", f"node n3 is ready, pid {self.pid}")
@@ -123,8 +127,6 @@
         finally:
             writer.close()
 
-    async def _copy_log(self) -> None:
-        assert self._process is not None
-        assert self._process.stderr is not None
-        while line := await self._process.stderr.readline():
+    async def _copy_log(self, log: asyncio.StreamReader) -> None:
+        while line := await log.readline():
             self._record.write("node log", line.decode(errors="replace").rstrip())
