Send the feed's last number once a second in the review's stand-in

Cause: the stand-in wrote the number behind every event, more often than the protocol page says. The checks and bounds stay.

--- a/review/harness/feed.py
+++ b/review/harness/feed.py
@@ -81,18 +81,21 @@
 
     async def _send(self, writer: asyncio.StreamWriter, last: int) -> None:
         await self.before_first_line()
+        number_due_at = self.record.now()
         with suppress(OSError):
             while True:
                 for event in self.events[last:]:
                     writer.write(json.dumps(event, separators=(",", ":")).encode() + b"\n")
                     self.record.write("feed", f"-> node  event {event['n']}")
                 last = len(self.events)
-                writer.write(b"%d\n" % last)
+                if self.record.now() >= number_due_at:
+                    writer.write(b"%d\n" % last)
+                    number_due_at += NUMBER_INTERVAL_S
                 await writer.drain()
-                await self._wait_for_event_after(last)
+                await self._wait_for_event_after(last, number_due_at - self.record.now())
 
-    async def _wait_for_event_after(self, last: int) -> None:
+    async def _wait_for_event_after(self, last: int, seconds: float) -> None:
         """Waits for a newer event, but at most until the next line with the last number is due."""
         with suppress(TimeoutError):
-            async with asyncio.timeout(NUMBER_INTERVAL_S), self._changed:
+            async with asyncio.timeout(max(seconds, 0.0)), self._changed:
                 await self._changed.wait_for(lambda: len(self.events) > last)
