Move load estimation and the state of servers and sessions out of the controller

`LoadEstimator` and `TypicalLoad` are in fernweir/load_estimator.py now, `Server` and `Session` in fernweir/controller_state.py; the classes are unchanged.

No behaviour changes: 580 tests of decisions, golden samples, wire, names and contracts pass.

--- a/fernweir/controller.py
+++ b/fernweir/controller.py
@@ -9,18 +9,22 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 from hashlib import blake2b
 from math import inf, log
 from random import Random
 
 from fernweir import interface
+from fernweir.controller_state import Server, Session
 from fernweir.interface import RESULT_LABELS, Idempotency, NoticeKind, Result, ServerState, Settings, Viewer
+from fernweir.load_estimator import (
+    DOWNSWITCH_STEP,
+    DOWNSWITCH_TARGET,
+    TARGET_UTILIZATION,
+    LoadEstimator,
+    TypicalLoad,
+)
 
-TARGET_UTILIZATION = 0.80  # links and uplinks accept sessions below this load; the rest absorbs bursts
-DOWNSWITCH_STEP = 0.20  # sessions go down one rung for each full step of load above the target
-DOWNSWITCH_TARGET = TARGET_UTILIZATION + 0.75 * DOWNSWITCH_STEP  # load to shed down to; avoids overshoot
 FULL_BACKOFF_MS = 5_000.0  # pause in placement after a FULL result or a shortfall; a few report intervals
 SHORTFALL_WINDOW_MS = 1_500.0  # shortfalls within it count as simultaneous: reports differ in age
 SHORTFALL_RATIO = 0.98  # delivered over demanded; above this the difference is measurement noise
@@ -30,10 +34,8 @@
 ATTEMPT_TIMEOUT_IN_OBJECTIVES = 0.5  # in latency objectives; leaves time for a retry within the objective
 EJECTION_IN_OBJECTIVES = 1.0  # first ejection, in latency objectives; doubles with each failure in a row
 MAX_EJECTION_DOUBLINGS = 3  # limits an ejection to eight times the first
-EWMA_WEIGHT = 0.2  # weight of the newest report in a moving average over about five reports
 ARRIVAL_WINDOW_MS = 10_000.0  # for counting arrivals if no retry budget sets a window
 THUNDERING_HERD_FACTOR = 4.0  # expected peak of a warming server's arrivals over its equal share
-MIN_OWN_RATIO = 0.05  # of the capacity; a smaller own demand is no basis to estimate the total
 FORGET_REMOVED_AFTER_MS = 60_000.0  # longer than a restart of a server takes
 MAX_PLAYED_TITLES = 4096  # limits the memory for titles that have played
 MAINTENANCE_TOKEN = 1
@@ -53,192 +55,6 @@
     return exponential_draw(title, server.server_id) / server.weight, server.server_id
 
 
-# --- Load estimation ------------------------------------------------------------------------------
-
-
-@dataclass(slots=True, eq=False)
-class TypicalLoad:
-    """Moving averages of the reported loads of all links, or of all uplinks; used for one without a report.
-
-    Loaded links are reported more often, by every front with a session there. Therefore `mean`, used for
-    single links, is biased high. `harmonic_mean`, used for sums of links, weights each report by the inverse
-    of its load, or else the busiest servers would make a rack seem full; health checks bias this mean low.
-    """
-
-    first_weight: float = EWMA_WEIGHT  # weight of the first report in `mean`
-    mean: float = 0.0
-    harmonic_mean: float = 0.0
-
-    def observe(self, load: float) -> None:
-        """Adds a reported load to the averages."""
-        weight = EWMA_WEIGHT if self.mean else self.first_weight
-        self.mean += (min(load, 1.0 / TARGET_UTILIZATION) - self.mean) * weight
-        observed = 1.0 / max(load, MIN_OWN_RATIO)
-        previous = 1.0 / self.harmonic_mean if self.harmonic_mean else observed
-        self.harmonic_mean = 1.0 / (previous + (observed - previous) * EWMA_WEIGHT)
-
-
-class LoadEstimator:
-    """Estimates the load of a link or uplink from its last report and this front's rate changes since."""
-
-    def __init__(
-        self, capacity_kbyte_s: float, typical: TypicalLoad, decay_ms: float, front_count: int = 1
-    ) -> None:
-        self.capacity_kbyte_s = max(capacity_kbyte_s, 1.0)
-        self.front_count = front_count
-        self.slow_start_until = -inf
-        self.typical, self.decay_ms = typical, decay_ms
-        self.own_kbyte_s = self.total_to_own_ratio = 0.0
-        self.reported_load: float | None = None
-        self.reported_at = self.shed_at = -inf
-        self.member_links: list[LoadEstimator] = []  # set for an uplink that is not reported itself
-        self._own_changes: deque[tuple[float, float]] = deque()
-
-    def add_own_rate(self, now: float, rate_kbyte_s: float) -> None:
-        """Adds a change, positive or negative, to the total rate of this front's sessions."""
-        self.own_kbyte_s += rate_kbyte_s
-        self._own_changes.append((now, rate_kbyte_s))
-        while self._own_changes[0][0] <= now - 2.0 * self.decay_ms:  # no report older than this is used
-            self._own_changes.popleft()
-
-    def observe(self, load: float, observed_at: float, is_sample: bool = True) -> None:
-        """Records a report of time `observed_at` unless a newer one exists; a sample updates `typical`."""
-        if not 0.0 <= load < inf or observed_at < self.reported_at:
-            return
-        self.reported_load, self.reported_at = load, observed_at
-        if is_sample:
-            self.typical.observe(load)
-        if self.own_kbyte_s >= MIN_OWN_RATIO * self.capacity_kbyte_s:
-            ratio = load * self.capacity_kbyte_s / self.own_kbyte_s
-            weight = EWMA_WEIGHT if self.total_to_own_ratio else 1.0
-            self.total_to_own_ratio += (ratio - self.total_to_own_ratio) * weight
-        while self._own_changes and self._own_changes[0][0] <= observed_at:
-            self._own_changes.popleft()
-
-    def forget_report(self) -> None:
-        """Discards the last report, because it describes a process that has ended."""
-        self.reported_load, self.reported_at = None, -inf
-        self._own_changes.clear()
-
-    def load(self, now: float) -> float:
-        """Returns the last report plus own changes; a stale report is blended with the prior estimate."""
-        prior = min(self._prior_load(now), DOWNSWITCH_TARGET)  # a higher load would have been reported
-        if self.reported_load is None or now - self.reported_at >= 2.0 * self.decay_ms:
-            return prior
-        own_change_kbyte_s = sum(rate for _, rate in self._own_changes)
-        known = max(self.reported_load + own_change_kbyte_s / self.capacity_kbyte_s, 0.0)
-        decay = min(max((now - self.reported_at) / self.decay_ms - 1.0, 0.0), 1.0)
-        return known * (1.0 - decay) + prior * decay
-
-    def _prior_load(self, now: float) -> float:
-        """Estimates the load without the last report.
-
-        A process in slow start began without sessions; other fronts are assumed to have placed as many on it
-        as this one. Otherwise, the own load is scaled by the observed ratio of total to own load or, if there
-        are few own sessions, the typical load is returned.
-        """
-        if self.member_links:
-            return sum(link.demand_kbyte_s(now) for link in self.member_links) / self.capacity_kbyte_s
-        if now < self.slow_start_until:
-            return self.own_kbyte_s * self.front_count / self.capacity_kbyte_s
-        own_load = self.own_kbyte_s / self.capacity_kbyte_s
-        if self.total_to_own_ratio > 0.0 and own_load >= MIN_OWN_RATIO:
-            return own_load * self.total_to_own_ratio
-        return max(self.typical.mean, own_load)
-
-    def has_recent_report(self, now: float) -> bool:
-        """Whether the last report is recent enough to count fully."""
-        return self.reported_load is not None and now - self.reported_at < self.decay_ms
-
-    def demand_kbyte_s(self, now: float) -> float:
-        """Returns the rate that the link adds to an unreported uplink, at most the link's capacity."""
-        if self.has_recent_report(now):
-            return min(self.load(now), 1.0) * self.capacity_kbyte_s
-        load = max(self.typical.harmonic_mean, self.own_kbyte_s / self.capacity_kbyte_s)
-        return min(load, 1.0) * self.capacity_kbyte_s
-
-    def load_with(self, now: float, rate_kbyte_s: float) -> float:
-        """Returns the load with an additional rate."""
-        return self.load(now) + rate_kbyte_s / self.capacity_kbyte_s
-
-
-# --- Servers and sessions -------------------------------------------------------------------------
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """The state of one media server as observed by this front."""
-
-    server_id: int
-    link: LoadEstimator
-    uplink: LoadEstimator
-    stream_slots: int
-    rack: int
-    state: ServerState = ServerState.READY
-    started_at: float = 0.0
-    zone: int = 0
-    weight: float = 1.0
-    sessions: dict[int, Session] = field(default_factory=dict)
-    attempts_in_flight: int = 0
-    full_until: float = -inf
-    shortfall_at: float = -inf
-    consecutive_failures: int = 0
-    ejected_until: float = -inf
-    is_checking_health: bool = False
-    upswitch_report_at: float = -inf  # time of the report that set the upswitch budget
-    upswitch_budget_kbyte_s: float = 0.0
-    is_presumed_dead: bool = False
-    suspected_at: float = -inf
-    removed_at: float = inf
-    warming_since: float = -inf
-    last_attempt_at: float = -inf
-
-    def headroom(self, now: float, slow_start_factor: float) -> tuple[float, float]:
-        """Returns a sort key by headroom: the unused rate below the target, then the lower load.
-
-        Ordering by a ratio would make all fronts prefer the smallest links at once. Above the target,
-        wide and narrow links of the same load rank equally. The capacity of a warming server is scaled by its
-        slow-start factor: otherwise it would have the most headroom and reject the sessions placed on it.
-        """
-        link, uplink = self.link.load(now) / slow_start_factor, self.uplink.load(now)
-        link_kbyte_s = self.link.capacity_kbyte_s * slow_start_factor
-        link_headroom = (TARGET_UTILIZATION - link) * link_kbyte_s
-        uplink_headroom = (TARGET_UTILIZATION - uplink) * self.uplink.capacity_kbyte_s
-        return max(min(link_headroom, uplink_headroom), 0.0), -max(link, uplink)
-
-    def load(self, now: float) -> float:
-        """Returns the higher of the loads of its link and uplink."""
-        return max(self.link.load(now), self.uplink.load(now))
-
-    def has_recent_reports(self, now: float) -> bool:
-        """Whether link and uplink have recent reports; an uplink with member links needs none."""
-        return all(one.member_links or one.has_recent_report(now) for one in (self.link, self.uplink))
-
-
-@dataclass(slots=True, eq=False)
-class Session:
-    """The state of a session from its request to its end."""
-
-    viewer: Viewer
-    session_class: interface.SessionClass
-    arrived_at: float
-    reply_deadline: float
-    rung: int
-    top_rung: int
-    server: Server | None = None
-    attempts: int = 0
-    is_in_flight: bool = False  # an attempt is open
-    is_playing: bool = False
-    may_have_run: bool = False
-    attempted_servers: list[int] = field(default_factory=list)
-    upswitched_at: float = 0.0
-    downswitched_at: float = -inf
-    has_start_report: bool = False
-    is_at_recovered_rung: bool = False
-    has_awaited_health_check: bool = False
-    last_error_server: Server | None = None
-
-
 # --- Safety rules ---------------------------------------------------------------------------------
 
 
--- a/fernweir/front/explain.py
+++ b/fernweir/front/explain.py
@@ -10,7 +10,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from fernweir.controller import Controller, Server, Session
+from fernweir.controller import Controller
+from fernweir.controller_state import Server, Session
 from fernweir.interface import SERVER_STATE_LABELS, ServerState
 
 _MAX_REASONS = 65_536
