Visit only the changed servers at a list change, and only the holders at a set-up

Second and third on the same path: _forget_if_removed visited all known servers at each event, and _ranked_candidates all servers, also removed ones, at each set-up (twice with _needs_health_check).

Change: UplinkDivision keeps the sums of link capacity of each rack and of all, exact as integers, and the capacity of an uplink is computed when it is read. ServerTable indexes listed servers by zone and removed ones by the time of their removal. As before, the last division stays while no server is listed. Estimators have slots and no deque.

One test of the estimator names LinkEstimator in place of LoadEstimator, which is abstract now.

--- a/fernweir/controller.py
+++ b/fernweir/controller.py
@@ -21,9 +21,12 @@
     DOWNSWITCH_STEP,
     DOWNSWITCH_TARGET,
     TARGET_UTILIZATION,
+    LinkEstimator,
     LoadEstimator,
     TypicalLoad,
 )
+from fernweir.server_table import ServerTable
+from fernweir.uplink_capacity import UplinkDivision, UplinkEstimator
 
 FULL_BACKOFF_MS = 5_000.0  # pause in placement after a FULL result or a shortfall; a few report intervals
 SHORTFALL_WINDOW_MS = 1_500.0  # shortfalls within it count as simultaneous: reports differ in age
@@ -152,7 +155,6 @@
         self.settings = settings
         self.safety_rules = SafetyRules(settings, seed)
         self.rng = Random(seed)
-        self.servers: dict[int, Server] = {}
         self.sessions: dict[int, Session] = {}
         self.upswitch_priorities: Counter[float] = Counter()  # count of playing sessions by priority
         self.sessions_by_rack: list[dict[int, Session]] = [{} for _ in range(settings.rack_count)]
@@ -163,9 +165,10 @@
         self.decay_ms = 2.0 * max(report_cycle_ms, MAINTENANCE_INTERVAL_MS)
         self.report_age_ms = settings.report_delay_ms + MAINTENANCE_INTERVAL_MS
         self.typical_link_load, self.typical_uplink_load = TypicalLoad(), TypicalLoad(first_weight=1.0)
-        self.total_uplink_kbyte_s = total = (settings.uplink_rate_kbyte_s or inf) * settings.rack_count
-        typical = self.typical_uplink_load
-        self.uplinks = [LoadEstimator(total, typical, self.decay_ms) for _ in range(settings.rack_count)]
+        total_uplink_kbyte_s = (settings.uplink_rate_kbyte_s or inf) * settings.rack_count
+        self.uplink_division = UplinkDivision(settings.rack_count, total_uplink_kbyte_s)
+        self.uplinks = [self._new_uplink(rack) for rack in range(settings.rack_count)]
+        self.server_table = ServerTable(settings.zone_count, self.uplink_division)
         objectives = (session_class.latency_objective_ms for session_class in settings.classes)
         self.shortest_objective_ms = min(objectives, default=1000.0)
         self.handlers: dict[type, Callable[..., None]] = {
@@ -183,6 +186,11 @@
         self.actions: list[interface.Action] = []
         self.rung_changes: dict[int, None] = {}  # an ordered set of sessions, by first change
 
+    @property
+    def servers(self) -> dict[int, Server]:
+        """The known servers by number, with those that were removed from the endpoint list recently."""
+        return self.server_table.by_id
+
     def handle(self, now_ms: float, events: list[interface.Event]) -> list[interface.Action]:
         """Processes the events since the last call, in order, and returns the actions to execute, in order.
 
@@ -212,48 +220,38 @@
             return
         if update.kind is not interface.EndpointListKind.DELTA:
             listed = {endpoint.server for endpoint in update.entries}
-            for server in self.servers.values():
-                if server.server_id not in listed:
-                    server.state = ServerState.REMOVED
+            self.server_table.remove_unlisted(listed, self.now)
         for endpoint in update.entries:
             self._apply_endpoint(endpoint)
-        for server in list(self.servers.values()):
-            self._forget_if_removed(server)
-        self._divide_uplink_capacity()
-
-    def _forget_if_removed(self, server: Server) -> None:
-        """Forgets a server removed long ago; otherwise, replaced servers would slow down each placement."""
-        if server.state is not ServerState.REMOVED:
-            server.removed_at = inf
-            return
-        server.removed_at = min(server.removed_at, self.now)
-        has_attempts = server.attempts_in_flight or server.is_checking_health
-        is_in_use = server.sessions or has_attempts or server.server_id in self.awaiting_health_check
-        if self.now - server.removed_at > FORGET_REMOVED_AFTER_MS and not is_in_use:
-            del self.servers[server.server_id]
-            self.watched_servers.pop(server.server_id, None)
-
-    def _divide_uplink_capacity(self) -> None:
-        """Divides the uplink capacity among racks by link capacity; sets the links of unreported uplinks."""
-        listed = [server for server in self.servers.values() if server.state is not ServerState.REMOVED]
-        self.safety_rules.ready_servers = max(sum(one.state is ServerState.READY for one in listed), 1)
-        total_kbyte_s = sum(server.link.capacity_kbyte_s for server in listed)
-        for rack, uplink in enumerate(self.uplinks if listed else ()):
-            links = [server.link for server in listed if server.rack == rack]
-            share = sum(link.capacity_kbyte_s for link in links) / total_kbyte_s
-            uplink.capacity_kbyte_s = max(1.0, share * self.total_uplink_kbyte_s)
-            if "x1" not in self.settings.report_fields:
-                uplink.member_links = links
+        self._forget_removed_servers()
+        self.uplink_division.divide()
+        self.safety_rules.ready_servers = max(self.server_table.ready_count, 1)
+
+    def _forget_removed_servers(self) -> None:
+        """Forgets the servers that were removed long ago and are not in use, to limit the memory."""
+        for server in self.server_table.removed_before(self.now - FORGET_REMOVED_AFTER_MS):
+            has_attempts = server.attempts_in_flight or server.is_checking_health
+            is_in_use = server.sessions or has_attempts or server.server_id in self.awaiting_health_check
+            if not is_in_use:
+                self.server_table.forget(server)
+                self.watched_servers.pop(server.server_id, None)
 
     def _apply_endpoint(self, endpoint: interface.Endpoint) -> None:
         server = self.servers.get(endpoint.server)
         if server is None:
-            server = self.servers[endpoint.server] = self._new_server(endpoint)
+            server = self._new_server(endpoint)
+            self.server_table.add(server)
             self._on_process_start(server, endpoint.started_at)
         elif endpoint.started_at > server.started_at:
             self._on_process_start(server, endpoint.started_at)
             server.link.forget_report()
-        server.state, server.zone, server.weight = endpoint.state, endpoint.zone, max(endpoint.weight, 1e-3)
+        server.weight = max(endpoint.weight, 1e-3)
+        self.server_table.set_state(server, endpoint.state, endpoint.zone, self.now)
+
+    def _new_uplink(self, rack: int) -> UplinkEstimator:
+        is_reported = "x1" in self.settings.report_fields
+        typical = self.typical_uplink_load
+        return UplinkEstimator(self.uplink_division, rack, typical, self.decay_ms, is_reported=is_reported)
 
     def _new_server(self, endpoint: interface.Endpoint) -> Server:
         settings, rack = self.settings, endpoint.zone % self.settings.rack_count
@@ -261,7 +259,7 @@
         stream_slots = slots[endpoint.server_type] if endpoint.server_type < len(slots) else 1
         weight = endpoint.weight if endpoint.weight > 0 else 1.0
         link_kbyte_s = settings.link_rate_per_weight_kbyte_s * weight
-        link = LoadEstimator(link_kbyte_s, self.typical_link_load, self.decay_ms, settings.front_count)
+        link = LinkEstimator(link_kbyte_s, self.typical_link_load, self.decay_ms, settings.front_count)
         return Server(endpoint.server, link, self.uplinks[rack], stream_slots, rack)
 
     def _on_process_start(self, server: Server, started_at: float) -> None:
@@ -324,16 +322,17 @@
         has_time = session.reply_deadline - self.now >= session.session_class.latency_objective_ms
         if not (may_check and has_time) or session.attempts > 0 or session.has_awaited_health_check:
             return False
-        candidates, oldest = self._ranked_candidates(session), self.now - self.decay_ms
-        unknown = [one for one in candidates if not one.sessions and one.link.reported_at < oldest]
-        return server in unknown and 2 * len(unknown) > len(candidates)
+        holders, oldest = self._holders(session), self.now - self.decay_ms
+        unknown = [one for one in holders if not one.sessions and one.link.reported_at < oldest]
+        return server in unknown and 2 * len(unknown) > len(holders)
 
     def _ranked_candidates(self, session: Session) -> list[Server]:
         """Returns the listed servers that have the title, ordered by rendezvous hashing as on all fronts."""
-        viewer, zones, removed = session.viewer, self.settings.zone_count, ServerState.REMOVED
-        listed = [server for server in self.servers.values() if server.state is not removed]
-        holders = [server for server in listed if (server.zone - viewer.first_zone) % zones < viewer.replicas]
-        return sorted(holders, key=partial(rendezvous_score, viewer.title))
+        return sorted(self._holders(session), key=partial(rendezvous_score, session.viewer.title))
+
+    def _holders(self, session: Session) -> list[Server]:
+        """Returns the listed servers that have the session's title."""
+        return self.server_table.holders(session.viewer.first_zone, session.viewer.replicas)
 
     def _fair_rung(self, server: Server, session: Session) -> int:
         """Returns the top rung, or a lower one while most own sessions are below their top rungs.
--- a/fernweir/controller_state.py
+++ b/fernweir/controller_state.py
@@ -6,7 +6,8 @@
 from math import inf
 
 from fernweir.interface import ServerState, SessionClass, Viewer
-from fernweir.load_estimator import TARGET_UTILIZATION, LoadEstimator
+from fernweir.load_estimator import TARGET_UTILIZATION, LinkEstimator
+from fernweir.uplink_capacity import UplinkEstimator
 
 
 @dataclass(slots=True, eq=False)
@@ -14,8 +15,8 @@
     """The state of one media server as observed by this front."""
 
     server_id: int
-    link: LoadEstimator
-    uplink: LoadEstimator
+    link: LinkEstimator
+    uplink: UplinkEstimator
     stream_slots: int
     rack: int
     state: ServerState = ServerState.READY
--- a/fernweir/load_estimator.py
+++ b/fernweir/load_estimator.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections import deque
+from abc import ABC, abstractmethod
+from collections.abc import Collection
 from dataclasses import dataclass
 from math import inf
 
@@ -39,28 +40,39 @@
         self.harmonic_mean = 1.0 / (previous + (observed - previous) * EWMA_WEIGHT)
 
 
-class LoadEstimator:
+class LoadEstimator(ABC):
     """Estimates the load of a link or uplink from its last report and this front's rate changes since."""
 
-    def __init__(
-        self, capacity_kbyte_s: float, typical: TypicalLoad, decay_ms: float, front_count: int = 1
-    ) -> None:
-        self.capacity_kbyte_s = max(capacity_kbyte_s, 1.0)
-        self.front_count = front_count
-        self.slow_start_until = -inf
+    __slots__ = (
+        "_own_changes",
+        "decay_ms",
+        "own_kbyte_s",
+        "reported_at",
+        "reported_load",
+        "shed_at",
+        "total_to_own_ratio",
+        "typical",
+    )
+
+    member_links: Collection[LoadEstimator] = ()  # of an uplink that is not reported itself
+
+    def __init__(self, typical: TypicalLoad, decay_ms: float) -> None:
         self.typical, self.decay_ms = typical, decay_ms
         self.own_kbyte_s = self.total_to_own_ratio = 0.0
         self.reported_load: float | None = None
         self.reported_at = self.shed_at = -inf
-        self.member_links: list[LoadEstimator] = []  # set for an uplink that is not reported itself
-        self._own_changes: deque[tuple[float, float]] = deque()
+        self._own_changes: list[tuple[float, float]] = []  # times and rates, oldest first
+
+    @property
+    @abstractmethod
+    def capacity_kbyte_s(self) -> float:
+        """The rate that it can carry."""
 
     def add_own_rate(self, now: float, rate_kbyte_s: float) -> None:
         """Adds a change, positive or negative, to the total rate of this front's sessions."""
         self.own_kbyte_s += rate_kbyte_s
         self._own_changes.append((now, rate_kbyte_s))
-        while self._own_changes[0][0] <= now - 2.0 * self.decay_ms:  # no report older than this is used
-            self._own_changes.popleft()
+        self._drop_own_changes(now - 2.0 * self.decay_ms)  # no report older than this is used
 
     def observe(self, load: float, observed_at: float, is_sample: bool = True) -> None:
         """Records a report of time `observed_at` unless a newer one exists; a sample updates `typical`."""
@@ -73,8 +85,7 @@
             ratio = load * self.capacity_kbyte_s / self.own_kbyte_s
             weight = EWMA_WEIGHT if self.total_to_own_ratio else 1.0
             self.total_to_own_ratio += (ratio - self.total_to_own_ratio) * weight
-        while self._own_changes and self._own_changes[0][0] <= observed_at:
-            self._own_changes.popleft()
+        self._drop_own_changes(observed_at)
 
     def forget_report(self) -> None:
         """Discards the last report, because it describes a process that has ended."""
@@ -94,14 +105,9 @@
     def _prior_load(self, now: float) -> float:
         """Estimates the load without the last report.
 
-        A process in slow start began without sessions; other fronts are assumed to have placed as many on it
-        as this one. Otherwise, the own load is scaled by the observed ratio of total to own load or, if there
-        are few own sessions, the typical load is returned.
+        The own load is scaled by the observed ratio of total to own load or, if there are few own sessions,
+        the typical load is returned.
         """
-        if self.member_links:
-            return sum(link.demand_kbyte_s(now) for link in self.member_links) / self.capacity_kbyte_s
-        if now < self.slow_start_until:
-            return self.own_kbyte_s * self.front_count / self.capacity_kbyte_s
         own_load = self.own_kbyte_s / self.capacity_kbyte_s
         if self.total_to_own_ratio > 0.0 and own_load >= MIN_OWN_RATIO:
             return own_load * self.total_to_own_ratio
@@ -111,13 +117,57 @@
         """Whether the last report is recent enough to count fully."""
         return self.reported_load is not None and now - self.reported_at < self.decay_ms
 
+    def load_with(self, now: float, rate_kbyte_s: float) -> float:
+        """Returns the load with an additional rate."""
+        return self.load(now) + rate_kbyte_s / self.capacity_kbyte_s
+
+    def _drop_own_changes(self, until: float) -> None:
+        count = 0
+        for changed_at, _ in self._own_changes:
+            if changed_at > until:
+                break
+            count += 1
+        del self._own_changes[:count]
+
+
+class LinkEstimator(LoadEstimator):
+    """Estimates the load of a media server's link.
+
+    Args:
+        capacity_kbyte_s: The rate that the link can carry.
+        typical: The typical load of links.
+        decay_ms: The age from which a report counts less.
+        front_count: The number of fronts.
+
+    Attributes:
+        slow_start_until: When the slow start of the server's process ends.
+    """
+
+    __slots__ = ("capacity_kbyte_s", "front_count", "slow_start_until")
+
+    capacity_kbyte_s: float
+
+    def __init__(
+        self, capacity_kbyte_s: float, typical: TypicalLoad, decay_ms: float, front_count: int = 1
+    ) -> None:
+        super().__init__(typical, decay_ms)
+        self.capacity_kbyte_s = max(capacity_kbyte_s, 1.0)
+        self.front_count = front_count
+        self.slow_start_until = -inf
+
+    def _prior_load(self, now: float) -> float:
+        """Estimates the load without the last report.
+
+        A process in slow start began without sessions; other fronts are assumed to have placed as many on it
+        as this one.
+        """
+        if now < self.slow_start_until:
+            return self.own_kbyte_s * self.front_count / self.capacity_kbyte_s
+        return super()._prior_load(now)
+
     def demand_kbyte_s(self, now: float) -> float:
         """Returns the rate that the link adds to an unreported uplink, at most the link's capacity."""
         if self.has_recent_report(now):
             return min(self.load(now), 1.0) * self.capacity_kbyte_s
         load = max(self.typical.harmonic_mean, self.own_kbyte_s / self.capacity_kbyte_s)
         return min(load, 1.0) * self.capacity_kbyte_s
-
-    def load_with(self, now: float, rate_kbyte_s: float) -> float:
-        """Returns the load with an additional rate."""
-        return self.load(now) + rate_kbyte_s / self.capacity_kbyte_s
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from fernweir.controller import LoadEstimator, TypicalLoad
 from fernweir.interface import (
     AttemptEnded,
     CheckHealth,
@@ -19,6 +18,7 @@
     SetRung,
     TimerFired,
 )
+from fernweir.load_estimator import LinkEstimator, TypicalLoad
 from tests.helpers import SETTINGS, SLOW_START, FrontDriver, entry, placements
 
 
@@ -270,7 +270,7 @@
 
 def test_own_rate_changes_are_discarded_after_twice_the_decay_time() -> None:
     """An uplink may be reported once a day: changes since its report must not accumulate without limit."""
-    estimator = LoadEstimator(1_000.0, TypicalLoad(), decay_ms=2_000.0)
+    estimator = LinkEstimator(1_000.0, TypicalLoad(), decay_ms=2_000.0)
     estimator.observe(0.4, observed_at=0.0)
     for step in range(1, 5_001):
         estimator.add_own_rate(step * 100.0, 1.0 if step % 2 else -1.0)
