Visit only the servers that an event of the feed names in the node's transport

An event can change the address, the listing and the wish for attempts only of the servers that it names, so that only these are visited; a complete list still concerns all. The periodic upkeep goes on visiting all.

--- a/fernweir/node/attempts.py
+++ b/fernweir/node/attempts.py
@@ -107,12 +107,16 @@
             self._detach(attempt, has_failed=True)
         endpoint.attempts.clear()
 
-    def finish_unwanted(self) -> None:
+    def finish_all_unwanted(self) -> None:
         """Ends the attempts that still wait for a connection but are no longer wanted."""
-        for endpoint in self._pool.endpoints.values():
-            for attempt in list(endpoint.attempts.values()):
-                if not attempt.is_written:
-                    self._check_wanted(attempt)
+        for endpoint in list(self._pool.endpoints.values()):
+            self.finish_unwanted(endpoint)
+
+    def finish_unwanted(self, endpoint: ServerEndpoint) -> None:
+        """Ends the attempts at a server that still wait for a connection but are no longer wanted."""
+        for attempt in list(endpoint.attempts.values()):
+            if not attempt.is_written:
+                self._check_wanted(attempt)
 
     # --- sending ---
 
--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -11,7 +11,14 @@
 from fernweir.front.commands import ChangeRung, ReleaseSession, SendHealthCheck, SessionRequest, SetUp
 from fernweir.front.dispatcher import Dispatcher
 from fernweir.front.names import number_of
-from fernweir.interface import Endpoint, EndpointListUpdate, Result, ServerState, Settings
+from fernweir.interface import (
+    Endpoint,
+    EndpointListKind,
+    EndpointListUpdate,
+    Result,
+    ServerState,
+    Settings,
+)
 from fernweir.node.attempts import AttemptManager
 from fernweir.node.endpoint_feed import EndpointFeed
 from fernweir.node.frames import Frame
@@ -93,7 +100,7 @@
 
     def drop_unwanted_attempts(self) -> None:
         """Ends the attempts that still wait for a connection but are no longer wanted."""
-        self._attempts.finish_unwanted()
+        self._attempts.finish_all_unwanted()
 
     @property
     def has_unsent_messages(self) -> bool:
@@ -112,14 +119,21 @@
     # --- the endpoint list ---
 
     def on_endpoint_list(self, update: EndpointListUpdate) -> None:
-        """Applies a change of the endpoint list."""
+        """Applies a change of the endpoint list. Servers that it does not concern are not visited."""
         for entry in update.entries:
             self._apply_entry(entry)
-        for endpoint in list(self._pool.endpoints.values()):
+        for endpoint in self._endpoints_concerned_by(update):
             self._apply_address(endpoint)
-        self.drop_unwanted_attempts()
+            self._attempts.finish_unwanted(endpoint)
         self._dispatcher.schedule_step()
 
+    def _endpoints_concerned_by(self, update: EndpointListUpdate) -> list[ServerEndpoint]:
+        """Returns the servers that an update names; a complete list concerns all, as it may lack some."""
+        endpoints = self._pool.endpoints
+        if update.kind is not EndpointListKind.DELTA:
+            return list(endpoints.values())
+        return [endpoints[entry.server] for entry in update.entries if entry.server in endpoints]
+
     def _apply_entry(self, entry: Endpoint) -> None:
         """Records when a server's process started, as a new process carries no earlier sessions."""
         endpoint = self._pool.endpoints.get(entry.server)
--- a/fernweir/node/server_upkeep.py
+++ b/fernweir/node/server_upkeep.py
@@ -36,7 +36,7 @@
             return
         self._dispatcher.loop.call_later(_INTERVAL_S, self._run)
         now = self._dispatcher.now()
-        self._attempts.finish_unwanted()
+        self._attempts.finish_all_unwanted()
         self._pool.close_surplus()
         for endpoint in list(self._pool.endpoints.values()):
             self._pool.close_idle(endpoint, now)
