Drop the details of servers that a complete list of the feed lacks

EndpointFeed keeps address, name and time of each server until `remove_server`, which was called only for a server that an event lists as removed. Servers that a complete list leaves out stayed for good: 81 entries after four lists of 20 servers, so the table had no bound. Found while looking for what grows with the list. MediaServerTransport drops them after a complete list; what is still in use goes with its endpoint as before.

test_servers_that_a_complete_list_lacks_are_dropped fails on the code before (81 of 20).

--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -125,6 +125,8 @@
         for endpoint in self._endpoints_concerned_by(update):
             self._apply_address(endpoint)
             self._attempts.finish_unwanted(endpoint)
+        if update.kind is not EndpointListKind.DELTA:
+            self._drop_unlisted_servers()
         self._dispatcher.schedule_step()
 
     def _endpoints_concerned_by(self, update: EndpointListUpdate) -> list[ServerEndpoint]:
@@ -134,6 +136,14 @@
             return list(endpoints.values())
         return [endpoints[entry.server] for entry in update.entries if entry.server in endpoints]
 
+    def _drop_unlisted_servers(self) -> None:
+        """Drops the details of the servers that a complete list lacks and that are not in use."""
+        listed = self._dispatcher.sessions.endpoint_states
+        for server in [server for server in self._feed.names if server not in listed]:
+            self._started_at.pop(server, None)
+            if server not in self._pool.endpoints:
+                self._feed.remove_server(server)
+
     def _apply_entry(self, entry: Endpoint) -> None:
         """Records when a server's process started, as a new process carries no earlier sessions."""
         endpoint = self._pool.endpoints.get(entry.server)
--- a/tests/test_node_fleet_size.py
+++ b/tests/test_node_fleet_size.py
@@ -65,6 +65,17 @@
     assert steps_of_change(MOST_SERVERS) <= MAX_GROWTH * steps_of_change(USUAL_SERVERS)
 
 
+# Guards against the details of servers that are kept for good, although a complete list lacks them.
+def test_servers_that_a_complete_list_lacks_are_dropped() -> None:
+    async def scenario(scene: Scene) -> None:
+        for generation in range(1, 5):
+            lines = [line(number, generation=generation) for number in range(20)]
+            apply(scene, event(generation + 1, lines, is_snapshot=True))
+        assert len(scene.node.feed.names) == len(scene.node.feed.addresses) == 20
+
+    run_scenario(scenario, servers=1)
+
+
 def test_a_node_that_starts_with_many_known_events_has_the_last_state() -> None:
     known = [event(1, [line(number) for number in range(USUAL_SERVERS)], is_snapshot=True)]
     for number in range(USUAL_SERVERS):
