Read a complete list of the largest fleet in one event of the feed

MAX_EVENT_BYTES is 512 bytes for each of 3,200 servers now.

test_the_complete_list_of_the_largest_fleet_is_read_in_one_event fails on the code before.

--- a/fernweir/node/endpoint_feed.py
+++ b/fernweir/node/endpoint_feed.py
@@ -21,7 +21,9 @@
 from fernweir.interface import Endpoint, EndpointListKind, EndpointListUpdate, ServerState
 from fernweir.node.config import Address, ConfigError, parse_address
 
-MAX_EVENT_BYTES = 256 * 1024  # the first event holds the complete list
+MAX_LISTED_SERVERS = 3_200
+MAX_ENDPOINT_BYTES = 512
+MAX_EVENT_BYTES = MAX_LISTED_SERVERS * MAX_ENDPOINT_BYTES  # an event may hold the complete list
 _VERSION_MASK = 0xFFFFFFFF
 _STATES_BY_STATUS = {
     "up": ServerState.READY,
--- a/fernweir/node/jsonl.py
+++ b/fernweir/node/jsonl.py
@@ -83,9 +83,10 @@
             LineError: A line is too long. The lines before it are in `complete_lines`, so that the result
                 does not depend on how the stream was split into chunks.
         """
-        self._pending += data
+        chunk = bytes(data)
+        self._pending += chunk
         self.complete_lines = []
-        if b"\n" not in self._pending:
+        if b"\n" not in chunk:  # and none is pending
             self._check_length(len(self._pending))
             return []
         *lines, rest = bytes(self._pending).split(b"\n")
--- a/tests/test_node_fleet_size.py
+++ b/tests/test_node_fleet_size.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from fernweir.front.names import number_of
-from fernweir.node.endpoint_feed import EndpointFeed
+from fernweir.node.endpoint_feed import MAX_EVENT_BYTES, EndpointFeed
+from fernweir.node.jsonl import LineReader
 from tests.node_scene import Scene, run_scenario
 from tests.step_counter import count_steps
 from tests.test_fleet_size import MAX_GROWTH, MOST_SERVERS, USUAL_SERVERS
@@ -76,6 +77,17 @@
     run_scenario(scenario, servers=1)
 
 
+# Guards against a list of the largest fleet that is refused for its length, so that no server is ever known.
+def test_the_complete_list_of_the_largest_fleet_is_read_in_one_event() -> None:
+    lines = [line(number) | {"zone": "z" * 100} for number in range(MOST_SERVERS)]
+    data = event(1, lines, is_snapshot=True) + b"\n"
+    reader, feed = LineReader(MAX_EVENT_BYTES), EndpointFeed(("box",), 0.0)
+    segments = [data[start : start + 1_400] for start in range(0, len(data), 1_400)]
+    (complete_line,) = [one for segment in segments for one in reader.feed(segment)]
+    update = feed.apply_line(complete_line)
+    assert update is not None and len(update.entries) == len(feed.names) == MOST_SERVERS
+
+
 def test_a_node_that_starts_with_many_known_events_has_the_last_state() -> None:
     known = [event(1, [line(number) for number in range(USUAL_SERVERS)], is_snapshot=True)]
     for number in range(USUAL_SERVERS):
