Tell peers the changed rows of the endpoint list, and encode only these for its digest

PeerView.on_endpoint_list collected all draining servers and all rows, and Peer.on_endpoint_list built a set of all numbers and had boxes_digest sort, encode and hash the complete list.

Listener has on_endpoint_list_changed for the rows of a delta beside on_endpoint_list for a complete list. ListContent keeps the encoded rows in order and computes the same digest from them, so that fronts of both builds agree on it. The DASH front's row of titles is made again only when titles changed.

What is left grows with the list: one hash of its bytes (160 kB) a change.

--- a/fernweir/front/endpoint_list.py
+++ b/fernweir/front/endpoint_list.py
@@ -93,6 +93,7 @@
         self.version = -1
         self.servers: dict[int, ServerEntry] = {}
         self.titles: dict[str, TitlePlacement] = {}
+        self.title_revision = 0  # grows with each change of `titles`
         self._title_entries: dict[str, TitleEntry] = {}
         self._incarnations: dict[int, tuple[str, float]] = {}
 
@@ -175,6 +176,8 @@
                     entry.weight,
                 )
             )
+        if document.lessons or kind is not EndpointListKind.DELTA:
+            self.title_revision += 1
         for title in document.lessons:
             self._title_entries[title.title] = title
             self.titles[title.title] = TitlePlacement(number_of(title.title), title.cell, title.copies)
--- a/fernweir/front/peer_view.py
+++ b/fernweir/front/peer_view.py
@@ -11,7 +11,7 @@
 from fernweir.front.commands import SessionRequest
 from fernweir.front.dispatcher import Dispatcher
 from fernweir.front.session_manager import SessionPhase, SessionRecord
-from fernweir.interface import EndpointListUpdate
+from fernweir.interface import EndpointListKind, EndpointListUpdate, ServerState
 from fernweir.peers.port import AuditEvent, AuditRecord, FrontLimits, Listener
 
 
@@ -21,6 +21,9 @@
     def list_rows(self) -> list[tuple[int, Any]]:
         """Returns its content without version numbers: equal at all fronts that received the same list."""
 
+    def changed_rows(self, update: EndpointListUpdate) -> list[tuple[int, Any]]:
+        """Returns those rows of the content that an update, just applied, may have changed."""
+
     def draining(self) -> set[int]:
         """Returns the servers that are draining."""
 
@@ -116,15 +119,39 @@
 
     def on_endpoint_list(self, now: float, update: EndpointListUpdate) -> None:
         """Reports the list to the listener, and each server that has begun to drain."""
-        draining, self._list_received_at_ms = self._list.draining(), self._wall_ms()
-        if self._listener is not None:
-            self._listener.on_endpoint_list(now, self._list.list_rows(), self._list_received_at_ms)
-            for server in sorted(draining - self._draining):
-                number, suffix = self._list.named(server)
-                self._listener.on_audit_record(
-                    AuditRecord(now, AuditEvent.DRAIN, box=number, outcome=f"heard{suffix}")
-                )
-        self._draining = draining
+        self._list_received_at_ms = self._wall_ms()
+        new_drains = self._update_draining(update)
+        if self._listener is None:
+            return
+        self._report_list(self._listener, now, update, self._list_received_at_ms)
+        for server in sorted(new_drains):
+            number, suffix = self._list.named(server)
+            self._listener.on_audit_record(
+                AuditRecord(now, AuditEvent.DRAIN, box=number, outcome=f"heard{suffix}")
+            )
+
+    def _report_list(
+        self, listener: Listener, now: float, update: EndpointListUpdate, received_at_ms: float
+    ) -> None:
+        """Reports the rows that an update changed; visits the other ones only after a complete list."""
+        if update.kind is not EndpointListKind.DELTA:
+            listener.on_endpoint_list(now, self._list.list_rows(), received_at_ms)
+            return
+        states = _last_states(update)
+        removed = [server for server, state in states.items() if state is ServerState.REMOVED]
+        listener.on_endpoint_list_changed(now, self._list.changed_rows(update), removed, received_at_ms)
+
+    def _update_draining(self, update: EndpointListUpdate) -> set[int]:
+        """Updates the set of draining servers; returns those that have begun to drain."""
+        if update.kind is not EndpointListKind.DELTA:
+            previous, self._draining = self._draining, self._list.draining()
+            return self._draining - previous
+        states = _last_states(update)
+        draining = {server for server, state in states.items() if state is ServerState.DRAINING}
+        new_drains = draining - self._draining
+        self._draining.difference_update(states)
+        self._draining |= draining
+        return new_drains
 
     def _report(self, now: float, deed: AuditEvent, record: SessionRecord) -> None:
         if self._listener is not None:
@@ -141,3 +168,8 @@
                     outcome=outcome,
                 )
             )
+
+
+def _last_states(update: EndpointListUpdate) -> dict[int, ServerState]:
+    """Returns the state that each server of an update has after it."""
+    return {entry.server: entry.state for entry in update.entries}
--- a/fernweir/front/peering.py
+++ b/fernweir/front/peering.py
@@ -18,7 +18,7 @@
 from fernweir.front.server_client import ServerClient
 from fernweir.front.session_manager import SessionPhase, SessionRecord
 from fernweir.http.client import Outcome, Reply
-from fernweir.interface import Result
+from fernweir.interface import EndpointListUpdate, Result
 from fernweir.peers.acts.versions import boxes_digest
 from fernweir.peers.forward.messages import Carried, Carry
 from fernweir.peers.port import ClaimResult, SessionStatus
@@ -41,6 +41,7 @@
         self._class_names = {number: name for name, number in classes.items()}
         self._payloads: OrderedDict[bytes, bytes] = OrderedDict()
         self._handing_over = False
+        self._reported_title_revision = -1
 
     # --- requests of peers (peers.port.Port) ---
 
@@ -238,11 +239,23 @@
 
     def list_rows(self) -> list[tuple[int, Any]]:
         """Returns the list's content; it is the same at every front that applied the same list."""
-        titles = [
+        self._reported_title_revision = self._endpoint_list.title_revision
+        return [*_server_rows(self._endpoint_list.servers.values()), self._title_row()]
+
+    def changed_rows(self, update: EndpointListUpdate) -> list[tuple[int, Any]]:
+        """Returns the rows of the servers that an update names, and that of the titles if they changed."""
+        entries = self._endpoint_list.servers
+        rows = _server_rows(entries[one.server] for one in update.entries)
+        if self._reported_title_revision == self._endpoint_list.title_revision:
+            return rows
+        self._reported_title_revision = self._endpoint_list.title_revision
+        return [*rows, self._title_row()]
+
+    def _title_row(self) -> tuple[int, Any]:
+        return _title_row(
             (name, placement.first_zone, placement.replicas)
             for name, placement in self._endpoint_list.titles.items()
-        ]
-        return _rows(self._endpoint_list.servers.values(), titles)
+        )
 
     # --- helpers ---
 
@@ -311,12 +324,19 @@
 
 
 def _rows(entries: Iterable[ServerEntry], titles: Iterable[tuple[str, int, int]]) -> list[tuple[int, Any]]:
-    rows: list[tuple[int, Any]] = [
+    return [*_server_rows(entries), _title_row(titles)]
+
+
+def _server_rows(entries: Iterable[ServerEntry]) -> list[tuple[int, Any]]:
+    return [
         (entry.box, [entry.state, entry.boot, entry.host, entry.port, entry.cell, entry.kind, entry.weight])
         for entry in entries
         if entry.state != "gone"
     ]
-    return [*rows, (-1, sorted(map(list, titles)))]
+
+
+def _title_row(titles: Iterable[tuple[str, int, int]]) -> tuple[int, Any]:
+    return -1, sorted(map(list, titles))
 
 
 def _is_playing(record: SessionRecord) -> bool:
--- a/fernweir/node/peering.py
+++ b/fernweir/node/peering.py
@@ -158,6 +158,11 @@
         """Returns the content of the list: the number and the row of each server."""
         return list(self._rows_by_server.items())
 
+    def changed_rows(self, update: EndpointListUpdate) -> list[tuple[int, Any]]:
+        """Returns the rows of the listed servers that an update names."""
+        named = {one.server for one in update.entries}
+        return [(server, self._rows_by_server[server]) for server in named if server in self._rows_by_server]
+
     def draining(self) -> set[int]:
         """Returns the numbers of the servers that are draining."""
         return {server for server, row in self._rows_by_server.items() if row[0] == _DRAINING}
--- a/fernweir/peers/acts/versions.py
+++ b/fernweir/peers/acts/versions.py
@@ -14,6 +14,7 @@
 import msgspec
 
 DIGEST_BYTES = 16
+LIST_PERSON = b"fw boxes"
 Digest = Annotated[bytes, msgspec.Meta(max_length=DIGEST_BYTES)]
 
 
@@ -42,7 +43,7 @@
     listed = sorted(rows, key=lambda row: row[0])
     if any(one[0] == other[0] for one, other in pairwise(listed)):
         raise ValueError("a box is listed twice")
-    return _digest(b"fw boxes", listed)
+    return _digest(LIST_PERSON, listed)
 
 
 def settings_digest(sections: Mapping[str, Mapping[str, str]], own: Collection[str] = ()) -> bytes:
--- a/fernweir/peers/audit_recorder.py
+++ b/fernweir/peers/audit_recorder.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from msgspec.structs import replace
 
@@ -23,7 +22,7 @@
 from fernweir.peers.acts.questions import Questions
 from fernweir.peers.acts.rules import ActRules
 from fernweir.peers.acts.store import Store
-from fernweir.peers.acts.versions import Versions, boxes_digest
+from fernweir.peers.acts.versions import Versions
 from fernweir.peers.base import Effect, Event, Message, Outbox
 from fernweir.peers.port import AuditRecord
 
@@ -65,9 +64,9 @@
         """Adds a record to the audit log of this front."""
         self.chain.add(act, self.versions)
 
-    def on_endpoint_list(self, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
-        """Records the new content of the endpoint list in the versions."""
-        self.versions = replace(self.versions, boxes=boxes_digest(rows), boxes_told_at=max(int(told_at), 0))
+    def on_endpoint_list(self, digest: bytes, told_at: float) -> None:
+        """Records the digest of the endpoint list's new content in the versions."""
+        self.versions = replace(self.versions, boxes=digest, boxes_told_at=max(int(told_at), 0))
 
     def update_members(self, now: float, lives: Mapping[str, int]) -> None:
         """Sets the live fronts with their incarnations."""
--- a/fernweir/peers/peer.py
+++ b/fernweir/peers/peer.py
@@ -14,6 +14,7 @@
 
 from fernweir.peers.acts.desk import to_plain as answer_to_plain
 from fernweir.peers.acts.heads import Missing, Shortened, Tampered
+from fernweir.peers.acts.list_content import ListContent
 from fernweir.peers.acts.merge import Answer
 from fernweir.peers.acts.messages import KINDS as ACT_KINDS
 from fernweir.peers.acts.plan import Question
@@ -213,8 +214,8 @@
         self._block_reasons: dict[str, tuple[str, float]] = {}  # reason and wait, by cause
         self._conflict_notified_until: dict[str, float] = {}
         self._known_lives: dict[str, int] = {}  # last incarnation of each peer
-        self._servers: set[int] = set()
-        self._draining_count = 0
+        self._list_content = ListContent()
+        self._draining: set[int] = set()  # the numbers of servers
         self._started = self._leaving = self._displaced = False
         self._has_channels = rules.channels.parts > 0  # else sessions cannot move between fronts
         self._on_changed = changed
@@ -413,12 +414,29 @@
         self.query_planner.add_audit_record(record, self.audit.versions)
 
     def on_endpoint_list(self, now: float, rows: Sequence[tuple[int, Any]], told_at: float) -> None:
-        draining = sum(1 for number, row in rows if number >= 0 and row[0] == "draining")
-        listed = {number for number, _ in rows}
-        urgent = draining > self._draining_count or not listed >= self._servers
-        self._draining_count, self._servers = draining, listed
-        self._touch(self.audit).on_endpoint_list(rows, told_at)
-        self._touch(self.stragglers).set_own_versions(now, self.audit.versions, urgent)
+        has_removals = self._list_content.replace(rows)
+        draining = {number for number, row in rows if _is_draining(number, row)}
+        has_drains = len(draining) > len(self._draining)
+        self._draining = draining
+        self._publish_list(now, told_at, is_urgent=has_removals or has_drains)
+
+    def on_endpoint_list_changed(
+        self, now: float, rows: Sequence[tuple[int, Any]], removed: Sequence[int], told_at: float
+    ) -> None:
+        has_removals = self._list_content.update(rows, removed)
+        draining_count = len(self._draining)
+        self._draining.difference_update(removed)
+        for number, row in rows:
+            if _is_draining(number, row):
+                self._draining.add(number)
+            else:
+                self._draining.discard(number)
+        has_drains = len(self._draining) > draining_count
+        self._publish_list(now, told_at, is_urgent=has_removals or has_drains)
+
+    def _publish_list(self, now: float, told_at: float, *, is_urgent: bool) -> None:
+        self._touch(self.audit).on_endpoint_list(self._list_content.digest(), told_at)
+        self._touch(self.stragglers).set_own_versions(now, self.audit.versions, is_urgent)
         self._on_changed()
 
     # --- messages and events ---
@@ -693,3 +711,8 @@
             if known_owner is None
             else msgspec.structs.replace(carried, kind="elsewhere", why=known_owner)
         )
+
+
+def _is_draining(number: int, row: Sequence[object]) -> bool:
+    """Whether a row of the endpoint list is that of a draining server."""
+    return number >= 0 and row[0] == "draining"
--- a/fernweir/peers/port.py
+++ b/fernweir/peers/port.py
@@ -93,6 +93,11 @@
         Titles have numbers of their own, below 0. `told_at` is wall ms.
         """
 
+    def on_endpoint_list_changed(
+        self, now: float, rows: Sequence[tuple[int, Any]], removed: Sequence[int], told_at: float
+    ) -> None:
+        """Rows of the endpoint list are new or changed; those with the numbers `removed` are gone."""
+
 
 class Port(Protocol):
     """The operations of a front that its peers may use."""
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -10,10 +10,14 @@
 from heapq import heappop, heappush
 from io import StringIO
 from pathlib import Path
+from random import Random
+from types import SimpleNamespace
 from typing import Any, cast
 
 import msgspec
+import pytest
 
+from fernweir.front.dispatcher import Dispatcher
 from fernweir.front.names import number_of
 from fernweir.node.config import Address, load_config
 from fernweir.node.endpoint_feed import EndpointFeed
@@ -22,6 +26,7 @@
 from fernweir.node.peering import ListedServers, NodePort, read_peers_file, short_server_number, start_peers
 from fernweir.node.program import Node
 from fernweir.peers import base
+from fernweir.peers.acts.list_content import ListContent
 from fernweir.peers.acts.versions import Versions, boxes_digest
 from fernweir.peers.channel.messages import KINDS as CHANNELS
 from fernweir.peers.lease.messages import KINDS as LEASES
@@ -33,6 +38,8 @@
 from fernweir.peers.settings import first_versions, peer_rules
 from tests.node_scene import MediaServer, ViewerConnection
 from tests.sockets import until
+from tests.step_counter import count_steps
+from tests.test_fleet_size import MAX_GROWTH, MOST_SERVERS, USUAL_SERVERS
 from tests.test_node_process import Outside, free_address
 
 EXTRAS = "home:0;copies:4;top:1;viewer:00000000b4d65521"
@@ -377,3 +384,53 @@
     # A keeper recalls the leases that a node that is shut out may hold. No other lease or channel message is
     # sent.
     assert three.kinds & {*LEASES, *CHANNELS} == {Recall, Recalled}
+
+
+# Guards against an encoding of the complete list at each change, which took most of a front's time.
+def test_the_digest_of_a_list_is_the_same_whether_it_is_told_whole_or_in_changes() -> None:
+    rng, content, rows = Random(5), ListContent(), dict[int, list[Any]]()
+    for _ in range(600):
+        number = rng.randrange(40)
+        if rng.random() < 0.3:
+            has_removals = rows.pop(number, None) is not None
+            assert content.update([], [number]) is has_removals
+        elif rng.random() < 0.05:
+            kept = {one: rows[one] for one in rows if rng.random() < 0.8}
+            assert content.replace(kept.items()) is (len(kept) < len(rows))
+            rows = kept
+        else:
+            rows[number] = ["ready", rng.random(), "host", {"b": 1, "a": rng.randrange(9)}]
+            assert not content.update([(number, rows[number])], [])
+        assert content.digest() == boxes_digest(rows.items())
+    rows = {number: ["ready"] for number in range(70_000)}
+    content.replace(rows.items())
+    assert content.digest() == boxes_digest(rows.items())
+    with pytest.raises(ValueError, match="twice"):
+        content.replace([(1, ["ready"]), (1, ["draining"])])
+
+
+def steps_of_change_with_peers(servers: int, folder: Path) -> int:
+    """Returns the steps of a peer for a server that begins to drain."""
+    peers, feed = ThreePeers(folder), EndpointFeed(("box",), 0.0)
+    dispatcher = SimpleNamespace(sessions=SimpleNamespace(), now=lambda: 0.0)
+    port = NodePort(cast(Dispatcher, dispatcher), feed, lambda: 1e9)
+    port.set_listener(peers.peers["n0"])
+
+    def apply(number: int, lines: list[dict[str, Any]]) -> None:
+        members = {"index": number, "snapshot": number == 1, "endpoints": lines}
+        update = feed.apply_line(msgspec.json.encode({"n": number, "members": members}))
+        assert update is not None
+        port.on_endpoint_list(0.0, update)
+
+    fixed = {"address": "127.0.0.1:9", "type": "box", "group": 1, "weight": 1, "since_ms": 0}
+    apply(1, [{"name": f"s-{number}", "status": "up", **fixed} for number in range(servers)])
+    with count_steps() as counter:
+        apply(2, [{"name": "s-7", "status": "draining", **fixed}])
+    assert peers.peers["n0"].audit.versions.boxes == boxes_digest(port._listed_servers.list_rows())
+    return counter.steps
+
+
+# Guards against a visit of all servers by the peers at each change of the list.
+def test_a_change_of_the_list_costs_peers_the_same_in_a_fleet_of_any_size(tmp_path: Path) -> None:
+    usual = steps_of_change_with_peers(USUAL_SERVERS, tmp_path)
+    assert steps_of_change_with_peers(MOST_SERVERS, tmp_path) <= MAX_GROWTH * usual
--- a/tests/test_peers_servers.py
+++ b/tests/test_peers_servers.py
@@ -75,6 +75,9 @@
     def on_endpoint_list(self, now: float, rows: object, told_at: float) -> None:
         self.lists.append(rows)
 
+    def on_endpoint_list_changed(self, now: float, rows: object, removed: object, told_at: float) -> None:
+        self.lists.append(rows)
+
 
 def test_a_session_continues_at_another_front_that_claimed_its_channel() -> None:
     async def story(scene: Scene) -> None:
