--- a/fernweir/front/endpoint_list.py
+++ b/fernweir/front/endpoint_list.py
@@ -18,6 +18,7 @@
 from fernweir.interface import Endpoint, EndpointListKind, EndpointListUpdate, ServerState, Settings
 
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING, "gone": ServerState.REMOVED}
+_LISTS = frozenset(("boxes", "lessons"))  # fields of a document that are encoded entry by entry
 Slug = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._~-]*$")]
 
 
@@ -96,6 +97,11 @@
         self.title_revision = 0  # grows with each change of `titles`
         self._title_entries: dict[str, TitleEntry] = {}
         self._incarnations: dict[int, tuple[str, float]] = {}
+        # The cached document is made of these texts, so that a change costs one entry and not the list.
+        self._cached_servers: dict[int, str] = {}
+        self._uncached_servers: dict[int, None] = {}  # an ordered set
+        self._cached_titles = ""
+        self._cached_title_revision = 0
 
     @property
     def last_id(self) -> str:
@@ -116,6 +122,7 @@
         self._check(document)
         self.servers = {}
         self._title_entries, self.titles = {}, {}
+        self._cached_servers, self._uncached_servers = {}, {}
         return self._apply(now, document, EndpointListKind.CACHED if cached else EndpointListKind.FULL)
 
     def apply_delta(self, now: float, document: ListDocument) -> EndpointListUpdate | None:
@@ -139,13 +146,16 @@
 
         Ages are left out: a server from the cache counts as one that has been running for a long time.
         """
-        document = ListDocument(
-            epoch=self.epoch or "none",
-            version=max(self.version, 0),
-            boxes=[entry.model_copy(update={"age_s": None}) for entry in self.servers.values()],
-            lessons=list(self._title_entries.values()),
-        )
-        return json.dumps(document.model_dump(exclude_none=True), separators=(",", ":")).encode()
+        for server in self._uncached_servers:
+            entry = self.servers[server].model_copy(update={"age_s": None})
+            self._cached_servers[server] = _to_json(entry)
+        self._uncached_servers.clear()
+        if self._cached_title_revision != self.title_revision:
+            self._cached_titles = ",".join(map(_to_json, self._title_entries.values()))
+            self._cached_title_revision = self.title_revision
+        head = _to_json(ListDocument(epoch=self.epoch or "none", version=max(self.version, 0)), _LISTS)
+        servers = ",".join(self._cached_servers.values())
+        return f'{head[:-1]},"boxes":[{servers}],"lessons":[{self._cached_titles}]}}'.encode()
 
     def _check(self, document: ListDocument) -> None:
         numbers = [entry.box for entry in document.boxes]
@@ -166,6 +176,7 @@
         endpoints = []
         for entry in document.boxes:
             self.servers[entry.box] = entry
+            self._uncached_servers[entry.box] = None
             endpoints.append(
                 Endpoint(
                     entry.box,
@@ -195,3 +206,9 @@
             started_at = 0.0 if long_ago or entry.age_s is None else now - entry.age_s * 1000.0
             self._incarnations[entry.box] = (entry.boot, started_at)
         return started_at
+
+
+def _to_json(model: BaseModel, left_out: frozenset[str] = frozenset()) -> str:
+    """Returns a model as JSON, without the fields that are left out or None."""
+    content = model.model_dump(exclude_none=True, exclude=set(left_out))
+    return json.dumps(content, separators=(",", ":"))
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from random import Random
 from typing import Any
 
 import pytest
@@ -19,6 +20,8 @@
 from fernweir.http.sse import ServerEvent
 from fernweir.interface import EndpointListKind, NoticeKind, Result, ServerState
 from tests.helpers import SETTINGS
+from tests.step_counter import count_steps
+from tests.test_fleet_size import MAX_GROWTH, MOST_SERVERS, USUAL_SERVERS
 
 
 def entry(server: int, **fields: Any) -> dict[str, Any]:
@@ -52,6 +55,44 @@
     assert empty is not None and endpoint_list.servers == {} and endpoint_list.address(1) is None
 
 
+# Guards against an encoding of the complete list after each change, which stopped a front for its time.
+def test_a_change_of_the_cached_list_costs_the_same_in_a_fleet_of_any_size() -> None:
+    def steps(servers: int) -> int:
+        held = EndpointList(SETTINGS)
+        held.apply_full(0.0, document(1, *(entry(number) for number in range(servers))))
+        held.to_cache()
+        change = document(2, entry(servers - 1, state="draining"), base=1)
+        with count_steps() as counter:
+            assert held.apply_delta(0.0, change) is not None
+            held.to_cache()
+        return counter.steps
+
+    assert steps(MOST_SERVERS) <= MAX_GROWTH * steps(USUAL_SERVERS)
+
+
+def test_the_cached_document_has_the_servers_and_titles_of_the_last_changes() -> None:
+    rng, held, version = Random(3), EndpointList(SETTINGS), 0
+    for step in range(60):
+        version += 1
+        is_full = not step or rng.random() < 0.1
+        numbers = rng.sample(range(30), rng.randrange(1, 9))
+        lessons = [{"title": f"t{rng.randrange(5)}", "cell": rng.randrange(4), "copies": 1}]
+        fields: dict[str, Any] = {"lessons": lessons if is_full or rng.random() < 0.3 else []}
+        change = document(version, *(entry(one, cell=rng.randrange(4)) for one in numbers), **fields)
+        if is_full:
+            held.apply_full(0.0, change)
+        else:
+            held.apply_delta(0.0, change.model_copy(update={"base": version - 1}))
+        if rng.random() < 0.5:
+            continue
+        cached = EndpointList(SETTINGS)
+        cached.apply_full(0.0, read_document(held.to_cache()), cached=True)
+        assert list(cached.servers) == list(held.servers)
+        without_age = [one.model_copy(update={"age_s": None}) for one in held.servers.values()]
+        assert list(cached.servers.values()) == without_age
+        assert (cached.titles, cached.version) == (held.titles, held.version)
+
+
 def test_a_cached_list_is_applied_and_then_replaced() -> None:
     endpoint_list, restored = EndpointList(SETTINGS), EndpointList(SETTINGS)
     endpoint_list.apply_full(
