Give an entry of KNOWN-RED.txt its command with seed and what was seen

It failed here at first, on the code before too: a file named setup.py in the folder of temporary files made pytest take that folder for the root. The file was mine; nothing of the project was changed for it.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -47,10 +47,10 @@
 
 
 def test_only_the_tests_named_are_left_out_and_they_are_printed(root: Path) -> None:
-    code, said = run(root, f"{RED} | a cause | 29\ntests/test_it.py::test_x | another | #30\n")
+    code, said = run(root, f"{RED} | play 7 | lost | 29\ntests/test_it.py::test_x | play 8 | late | #30\n")
     assert code == 0 and "2 passed" in said
-    assert f"known red, left out: {RED} (issue 29: a cause)" in said
-    assert "known red, left out: tests/test_it.py::test_x (issue 30: another)" in said
+    assert f"known red, left out: {RED} (issue 29: lost; shown by play 7)" in said
+    assert "known red, left out: tests/test_it.py::test_x (issue 30: late; shown by play 8)" in said
 
 
 def test_without_the_file_every_test_counts(root: Path) -> None:
@@ -61,16 +61,18 @@
 @pytest.mark.parametrize(
     ("known", "why"),
     [
-        ("".join(f"tests/test_it.py::t{at} | a | 1\n" for at in range(4)), "line 4: 3 tests"),
-        (f"{RED} | a cause\n", "line 1 is not"),
-        (f"{RED} | | 29\n", "line 1 is not"),
-        (f"{RED} | a cause | soon\n", "line 1 is not"),
-        ("tests/test_it.py | a cause | 29\n", "line 1 is not"),
-        (f"{RED} | a cause | 29\n\n", "line 2 is not"),
-        (f"# why\n{RED} | a cause | 29\n", "line 1 is not"),
-        (f"{RED} | a | 1\n{RED} | b | 2\n", "line 2 names a test again"),
-        ("tests/test_it.py::test_of | a cause | 29\n", "no such test: tests/test_it.py::test_of"),
-        ("tests/test_not.py::test_x | a cause | 29\n", "no such test: tests/test_not.py::test_x"),
+        ("".join(f"tests/test_it.py::t{at} | c | a | 1\n" for at in range(4)), "line 4: 3 tests"),
+        ("tests/test_it.py::test_x | a cause\n", "line 1 is not"),
+        ("tests/test_it.py::test_x | a cause | 29\n", "line 1 is not"),
+        (f"{RED} | play 7 | | 29\n", "line 1 is not"),
+        (f"{RED} | | lost | 29\n", "line 1 is not"),
+        (f"{RED} | play 7 | lost | soon\n", "line 1 is not"),
+        ("tests/test_it.py | play 7 | lost | 29\n", "line 1 is not"),
+        (f"{RED} | play 7 | lost | 29\n\n", "line 2 is not"),
+        (f"# why\n{RED} | play 7 | lost | 29\n", "line 1 is not"),
+        (f"{RED} | c | a | 1\n{RED} | c | b | 2\n", "line 2 names a test again"),
+        ("tests/test_it.py::test_of | c | lost | 29\n", "no such test: tests/test_it.py::test_of"),
+        ("tests/test_not.py::test_x | c | lost | 29\n", "no such test: tests/test_not.py::test_x"),
     ],
 )  # fmt: skip
 def test_a_file_that_is_wrong_fails_before_any_test_is_run(root: Path, known: str, why: str) -> None:
