Wait for the replicated set-up before the front is killed in the test of the audit log

The test waited until any block of the killed front was replicated; a block that was sealed before the set-up satisfies that, and the record of the set-up, in the next block, died with the front. It now waits for the block that has it.

The order is forced in a second case of the test, where a block is replicated before the set-up: with the former condition it fails ("not enough values to unpack"), with the new one it passes. The assertions are unchanged.

--- a/tests/test_peers_fleet.py
+++ b/tests/test_peers_fleet.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from fernweir.front.program import start_front
 from fernweir.peers.acts.clock import Clocks
 from fernweir.peers.acts.merge import Answer
@@ -59,6 +61,12 @@
     return sum(replica.payload_of(each.payload) is not None for each in standings)
 
 
+def has_replica(one: Peers, front: str, life: int, block: int) -> bool:
+    """Whether a front has the blocks of a peer's audit log up to this one."""
+    shelf = one.peer.audit.store.shelf(front, life)
+    return shelf is not None and bool(shelf.numbers) and shelf.numbers.last >= block
+
+
 async def request_until_accepted(scene: Scene, wish: Wish, front: int, method: str = "GET") -> None:
     """Sends a request, and retries it while the reply is 503, as viewers do."""
     resource = "session" if method == "DELETE" else "manifest.mpd"
@@ -172,13 +180,18 @@
     play(scenario, PLAN, fronts=0)
 
 
-def test_operators_query_the_audit_log_of_a_killed_front() -> None:
+@pytest.mark.parametrize("is_block_sealed_before", [False, True])
+def test_operators_query_the_audit_log_of_a_killed_front(is_block_sealed_before: bool) -> None:
     async def scenario(scene: Scene) -> None:
         peers = await fleet(scene)
         wish = scene.wish(play_s=60.0)
+        if is_block_sealed_before:
+            await until(lambda: has_replica(peers[1], "front-0", peers[0].peer.me.life, block=1))
         assert (await scene.request_session(wish, front=0)).status == 200
-        life = peers[0].peer.me.life
-        await until(lambda: any(one.peer.audit.store.shelf("front-0", life) for one in peers[1:]))
+        life, chain = peers[0].peer.me.life, peers[0].peer.audit.chain
+        # A block sealed before the set-up may be replicated first: the one with the set-up has to follow.
+        set_up_block = chain.number + bool(chain._open)
+        await until(lambda: any(has_replica(one, "front-0", life, set_up_block) for one in peers[1:]))
         await until(lambda: "front-0" in peers[1].peer.query_planner.catalogue.owners())
         scene.trace.write("front.down", front="front-0")
         scene.fronts[0].kill()
