--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -11,11 +11,11 @@
 import pytest
 
 from fernweir.audit import TraceError, audit_lines, render_table
-from fernweir.controller import SafetyRules
 from fernweir.front.commands import SessionReply
 from fernweir.front.dispatcher import Dispatcher
 from fernweir.front.session_manager import SessionManager
 from fernweir.rehearsal.site import SitePlan
+from fernweir.safety_rules import SafetyRules
 from fernweir.standin.site import Cold, SiteClass, SiteTimes
 from tests.scene import Scene, play
 from tests.sockets import until
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -14,7 +14,6 @@
 
 import pytest
 
-from fernweir.controller import SafetyRules
 from fernweir.front import endpoint_list
 from fernweir.front.manifest import ManifestCache
 from fernweir.front.response_classification import classify_reply
@@ -23,6 +22,7 @@
 from fernweir.rehearsal.faults import Fault, Kind, ScheduleError, draw, read_schedule
 from fernweir.rehearsal.loop import NODE, DeadlockError, LivelockError, NotVirtualError, VirtualLoop, run
 from fernweir.rehearsal.virtual import VirtualPlan, play, shrink
+from fernweir.safety_rules import SafetyRules
 from fernweir.seats.seat import Seat
 from fernweir.seats.seat_manager import SeatManager
 
