--- a/review/standins-2/scene.py
+++ b/review/standins-2/scene.py
@@ -319,7 +319,7 @@
         with suppress(OSError, ValueError, asyncio.CancelledError):
             sent = int((await reader.readline()).split()[1])
             self._record.write("feed", f"SUB {sent}")
-            ended = asyncio.create_task(reader.read())
+            ended = asyncio.create_task(_read_to_end(reader))
             done, _ = await asyncio.wait([ended], timeout=self.first_line_after_s)
             next_number_at = 0.0
             while not done:
@@ -336,6 +336,11 @@
         writer.close()
 
 
+async def _read_to_end(reader: asyncio.StreamReader) -> None:
+    with suppress(OSError):
+        await reader.read()
+
+
 # --- viewers ---
 
 
