--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 from scene import OVER, CaseNotRunError, Scene, Viewer, play
 
+SERVERS = 6  # up to 19% vanish; here one of six
 SESSIONS = 3
 REPLACED_AFTER_S = 1.0
 LISTED_AFTER_S = 3.0  # the site's list comes 1.1 to 4.3 s late
@@ -19,9 +20,7 @@
 
 async def case(scene: Scene) -> list[str]:
     """Plays sessions on a server that vanishes; the replacement takes over its address."""
-    old = scene.server("s-1")
-    await old.listen()
-    scene.feed.add(old.listed(), snapshot=True)
+    await scene.start_servers(SERVERS)
     await scene.start_node()
     viewers: dict[str, Viewer] = {}
     for count in range(SESSIONS):
@@ -30,12 +29,15 @@
         viewer.set_up(session, "briefing")
         if not await scene.until(lambda v=viewer, s=session: v.first(s, "answer"), 3.5):
             raise CaseNotRunError(f"{session} got no answer")
+    old = next(one for one in scene.servers if one.standing)
+    if set(old.standing) != set(viewers):
+        raise CaseNotRunError("the sessions are not on one server")
     await asyncio.sleep(3.0)
     ended_at = scene.record.now()
     if scene.has_trouble:
         old.vanish()
         await asyncio.sleep(REPLACED_AFTER_S)
-        new = scene.server("s-2")
+        new = scene.server("s-7", old.group)
         await new.listen(old.port)
         await asyncio.sleep(LISTED_AFTER_S - REPLACED_AFTER_S)
         scene.feed.add(old.listed("removed"), new.listed())
--- a/review/standins-2/scene.py
+++ b/review/standins-2/scene.py
@@ -149,6 +149,7 @@
         standing: The sessions that it plays, with the connection of the set-up (None once that ended).
         setups: The times and messages of the set-ups that arrived.
         refuses: Whether it turns set-ups away as full or draining.
+        stands_still: Whether it answers no set-up; its connections stay open and are accepted.
         idle_s: The time after which it closes an idle connection.
     """
 
@@ -158,6 +159,7 @@
         self.setups: list[tuple[float, Frame]] = []
         self.writers: list[asyncio.StreamWriter] = []
         self.refuses = False
+        self.stands_still = False
         self.reports_every_s = 2.5
         self.idle_s = 15.0
         self._record = record
@@ -210,7 +212,9 @@
         elif frame.type == SETUP:
             self.setups.append((self._record.now(), frame))
             await asyncio.sleep(0.05)
-            if self.refuses:
+            if self.stands_still:
+                self._record.write(self.name, "stands still")
+            elif self.refuses:
                 self.send(Frame(RELEASE, frame.session, {CAUSE: bytes((FULL,))}), writer)
             else:
                 self.answer(frame, writer)
@@ -445,6 +449,12 @@
         self.servers.append(server)
         return server
 
+    async def start_servers(self, count: int) -> None:
+        """Starts media servers in four groups, and puts the list of them into the feed."""
+        for index in range(count):
+            await self.server(f"s-{index + 1}", index % 4).listen()
+        self.feed.add(*(server.listed() for server in self.servers), snapshot=True)
+
     def new_session(self) -> str:
         """Returns a new session id."""
         self._session_count += 1
