Review case 8: a feed whose last number comes before its event is never heard

A slow feed takes 1.5 s to send an event and sends its last number each second; the node takes the event for lost, closes the connection and subscribes again, and never hears of a drain.

--- a/review/standins-2/scene.py
+++ b/review/standins-2/scene.py
@@ -292,14 +292,15 @@
     """The control feed: numbered events, and the last number once a second.
 
     Attributes:
-        first_line_after_s: How long a subscriber waits for the first line.
+        delay_s: How long the feed takes to send an event, after SUB or after the event came into the feed.
+            The last number comes each second all the same.
         told_at: When each event came into the feed, in seconds of the record.
         number_lines: How many lines with the last number alone were sent.
     """
 
     def __init__(self, record: Record) -> None:
         self.address = ""
-        self.first_line_after_s = 0.0
+        self.delay_s = 0.0
         self.events: list[dict[str, object]] = []
         self.told_at: dict[int, float] = {}
         self.number_lines = 0
@@ -324,21 +325,27 @@
             sent = int((await reader.readline()).split()[1])
             self._record.write("feed", f"SUB {sent}")
             ended = asyncio.create_task(_read_to_end(reader))
-            done, _ = await asyncio.wait([ended], timeout=self.first_line_after_s)
-            next_number_at = 0.0
+            subscribed_at = self._record.now()
+            next_number_at = subscribed_at + 1.0
+            done: set[asyncio.Task[None]] = set()
             while not done:
-                for event in self.events[sent:]:
-                    writer.write(json.dumps(event).encode() + b"\n")
-                    self._record.write("feed", f"sent event {event['n']}")
-                sent = len(self.events)
+                while sent < len(self.events) and self._is_due(sent + 1, subscribed_at):
+                    writer.write(json.dumps(self.events[sent]).encode() + b"\n")
+                    sent += 1
+                    self._record.write("feed", f"sent event {sent}")
                 if self._record.now() >= next_number_at:
-                    writer.write(b"%d\n" % sent)
+                    writer.write(b"%d\n" % len(self.events))
+                    if sent < len(self.events):
+                        self._record.write("feed", f"sent the last number, {len(self.events)}")
                     self.number_lines += 1
-                    next_number_at = self._record.now() + 1.0
+                    next_number_at += 1.0
                 done, _ = await asyncio.wait([ended], timeout=0.05)
             self._record.write("feed", "the subscriber has closed its connection")
         writer.close()
 
+    def _is_due(self, number: int, subscribed_at: float) -> bool:
+        return self._record.now() >= max(subscribed_at, self.told_at[number]) + self.delay_s
+
 
 async def _read_to_end(reader: asyncio.StreamReader) -> None:
     with suppress(OSError):
