--- a/review/standins-2/scene.py
+++ b/review/standins-2/scene.py
@@ -75,6 +75,28 @@
     }  # fmt: skip
 
 
+def frozen_fronts_settings() -> dict[str, object]:
+    """Returns settings like those of `malsafn-main`, the deployment whose fronts stand still at times."""
+    settings = small_settings()
+    categories, extra, limits = settings["Categories"], settings["Extra"], settings["Limits"]
+    obligations = settings["Obligations"]
+    assert isinstance(categories, list)
+    assert isinstance(extra, dict)
+    assert isinstance(limits, dict)
+    assert isinstance(obligations, dict)
+    research, interview = categories
+    research.update(Name="research", Aim=1500.0, Deadline=5000.0, Gain=2.0)
+    interview.update(Name="interview", Aim=1000.0, Deadline=4000.0, Gain=1.0)
+    extra.update(
+        ClassTop=[3, 2], LevelWorth=[0.23, 0.5, 0.8, 1.0], RatesKb=[214.0, 396.0, 670.0, 2010.0], Seats=[0, 0]
+    )  # fmt: skip
+    limits.update(AttemptsCap=5)
+    obligations.update(DrainGrace=250.0, FallMultiple=4.0, Fall=1500.0)
+    for key in ("BudgetSpan", "ExtraShare", "FreeResends"):
+        del obligations[key]
+    return settings
+
+
 class Record:
     """The file `record.txt`: what was sent, answered and run, with the seconds since the start."""
 
@@ -417,7 +439,7 @@
         self.writer.close()
 
 
-def placement(session: str, home: int = 0, copies: int = 4, top: int = 4) -> str:
+def placement(session: str, home: int = 0, copies: int = 4, top: int = 3) -> str:
     """Returns the field `extras` of a set-up."""
     return f"home:{home};copies:{copies};top:{top};viewer:{int(session, 16) ^ 0xB4D65521:016x}"
 
