Node: log what each liveness check of a media server saw

Change: a connect that only the sessions at a server needed is logged with its outcome, whether the server is listed, and for how long each open connection has been silent.

--- a/fernweir/node/server_connection.py
+++ b/fernweir/node/server_connection.py
@@ -95,6 +95,7 @@
         connect_started_at: When the connect started.
         connected_at: When it was established.
         last_used_at: When data was last written, or an attempt last ended.
+        last_received_at: When data last arrived, or else when it was established.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         self.failed_attempts = RecentIds(MAX_FAILED_ATTEMPTS)
         self.has_received_eof = False
         self.connect_started_at = self.connected_at = self.last_used_at = dispatcher.now()
+        self.last_received_at = self.connect_started_at
         self._dispatcher = dispatcher
         self._events = events
         self._idle_timeout_ms = timeouts.idle_ms
@@ -146,7 +148,7 @@
             self.transport.abort()
             return
         self._timer.cancel()
-        self.connected_at = self.last_used_at = self._dispatcher.now()
+        self.connected_at = self.last_used_at = self.last_received_at = self._dispatcher.now()
         self._events.on_connected(self)
 
     def _on_connect_timeout(self) -> None:
@@ -172,7 +174,8 @@
 
     def data_received(self, data: memoryview) -> None:
         """Handles all complete messages, and aborts the connection at the first invalid one."""
-        self.endpoint.liveness.on_data_received(self._dispatcher.now())
+        self.last_received_at = self._dispatcher.now()
+        self.endpoint.liveness.on_data_received(self.last_received_at)
         error: FrameError | None = None
         try:
             frames = self._frames.feed(data)
--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -189,6 +189,7 @@
     def on_connected(self, connection: ServerConnection) -> None:
         """Sends the messages and requests that waited for a connection."""
         endpoint = connection.endpoint
+        self._log_liveness_check(connection, "accepted")
         endpoint.liveness.on_connected(self._dispatcher.now())
         self._attempts.on_liveness_known(endpoint, is_alive=True)
         endpoint.release_queue.resume_deferred()
@@ -200,6 +201,7 @@
         """Ends the requests that waited for a connection that was not established."""
         endpoint = connection.endpoint
         reason = str(error.strerror or error)
+        self._log_liveness_check(connection, reason.lower())
         if isinstance(error, TimeoutError):
             endpoint.liveness.on_connect_timeout(connection.connect_started_at, self._dispatcher.now())
         elif isinstance(error, ConnectionRefusedError):
@@ -247,6 +249,25 @@
             self._pool.connect_unless_connecting(endpoint)
         self._upkeep.check(endpoint)
 
+    def _log_liveness_check(self, connection: ServerConnection, outcome: str) -> None:
+        """Logs a connect that nothing but the sessions at its server needed."""
+        endpoint = connection.endpoint
+        if not endpoint.placed_sessions or connection.attempts:
+            return
+        self._dispatcher.log.info(
+            "liveness check",
+            server=self._pool.server_name(endpoint.server),
+            outcome=outcome,
+            listed=not self._pool.is_removed(endpoint),
+            held=len(endpoint.placed_sessions),
+            silent_ms=[round(silence) for silence in self._silences_ms(endpoint)],
+        )
+
+    def _silences_ms(self, endpoint: ServerEndpoint) -> list[float]:
+        """Returns for how long nothing has arrived on each open connection to a server, oldest first."""
+        now = self._dispatcher.now()
+        return [now - one.last_received_at for one in endpoint.connections if one.is_usable]
+
     def _reassign(self, connection: ServerConnection, reason: str) -> None:
         self._attempts.on_connection_lost(connection, reason)
         self._health_checks.on_connection_lost(connection)
