Node: judge sessions of displaced servers by connections, not by the address

A server with a new name took its address, and the feed told of the removal and of the successor 3 s later. The viewers were never told that their sessions were over.

Cause: each connection that was accepted at the address counted as a sign of life of the server with the old name, and a removed server was given up only once none of its connections was open, which included those to its successor. The node also closed the connection of the set-up as unused, the only one that leads to the process with the sessions.

Ruled out: that the removal is not applied, and that the ends are made but not delivered (trace of: 12 checks accepted with listed=false, no "server lost").

Change: AddressRegistry knows which listed server each address leads to. A server that is removed, or whose address the list gave to another one since, is displaced. Its sessions are judged by the connection to the process that carries them (DisplacedServerObserver, ConnectionLiveness): two unanswered health checks on it after the usual silence end them; reports or replies on it keep them. Without such a connection, messages that name a session decide. These connections are not closed as unused. No set-up, health check or announced session goes to a server whose address leads elsewhere. Messages about a session count on any connection to its address.

Why it works: an address may lead to another server, an established connection always leads to the process that accepted it.

--- a/fernweir/node/attempts.py
+++ b/fernweir/node/attempts.py
@@ -123,6 +123,9 @@
     def _assign(self, attempt: Attempt) -> None:
         if not self._check_before_write(attempt):
             return
+        if self._pool.is_reassigned(attempt.endpoint):
+            self.fail(attempt, Result.CONNECT_FAILED, "another server is listed at its address")
+            return
         attempt.connect_count += 1
         connection = self._pool.select_or_connect(attempt.endpoint, attempt.session_id)
         attempt.connection = connection
--- a/fernweir/node/endpoint_feed.py
+++ b/fernweir/node/endpoint_feed.py
@@ -19,6 +19,7 @@
 
 from fernweir.front.names import number_of
 from fernweir.interface import Endpoint, EndpointListKind, EndpointListUpdate, ServerState
+from fernweir.node.address_registry import AddressRegistry
 from fernweir.node.config import Address, ConfigError, parse_address
 
 MAX_LISTED_SERVERS = 3_200
@@ -62,6 +63,7 @@
         names: The name of each server, by server number.
         status_since_ms: The Unix time in ms since which each server has had its status, according to the
             feed.
+        address_registry: Which listed server each address leads to.
     """
 
     def __init__(self, server_types: tuple[str, ...], offset_ms: float) -> None:
@@ -74,6 +76,7 @@
         self.addresses: dict[int, Address] = {}
         self.names: dict[int, str] = {}
         self.status_since_ms: dict[int, float] = {}
+        self.address_registry = AddressRegistry()
 
     def apply_known_events(
         self, events: tuple[object, ...], last_sequence_number: int
@@ -168,14 +171,15 @@
     def _apply_event(
         self, body: dict[str, Any], snapshot_kind: EndpointListKind, is_partial_allowed: bool = False
     ) -> EndpointListUpdate | None:
-        update = self._apply_members(body.get("members"), snapshot_kind, is_partial_allowed)
+        update = self._apply_members(body, snapshot_kind, is_partial_allowed)
         self.last_sequence_number = body["n"]
         self.in_sequence_lines += 1
         return update
 
     def _apply_members(
-        self, members: object, snapshot_kind: EndpointListKind, is_partial_allowed: bool
+        self, body: dict[str, Any], snapshot_kind: EndpointListKind, is_partial_allowed: bool
     ) -> EndpointListUpdate | None:
+        members = body.get("members")
         if not isinstance(members, dict):
             return None  # an event that does not concern the endpoint list
         lines, version = members.get("endpoints"), members.get("index")
@@ -188,13 +192,24 @@
         is_complete = len(listed) == len(lines)
         is_snapshot = members.get("snapshot") is True and (is_complete or not self.names)
         for one in listed:
+            self._register_address(one, body["n"])
             server = one.endpoint.server
             self.names[server] = one.name
             self.addresses[server] = one.address
             self.status_since_ms[server] = one.status_since_ms
+        if is_snapshot:
+            self.address_registry.retain({one.endpoint.server for one in listed})
         kind = snapshot_kind if is_snapshot else EndpointListKind.DELTA
         return EndpointListUpdate(kind, version & _VERSION_MASK, tuple(one.endpoint for one in listed))
 
+    def _register_address(self, listed: _ListedEndpoint, event: int) -> None:
+        server = listed.endpoint.server
+        if listed.endpoint.state is ServerState.REMOVED:
+            self.address_registry.remove(server)
+            return
+        is_new_process = listed.status_since_ms > self.status_since_ms.get(server, 0.0)
+        self.address_registry.announce(server, listed.address, event, is_new_process=is_new_process)
+
     def _parse_endpoints(self, lines: list[object], is_partial_allowed: bool) -> list[_ListedEndpoint]:
         """Parses all endpoints of an event, before any of them is applied to the list."""
         listed = []
--- a/fernweir/node/health_checks.py
+++ b/fernweir/node/health_checks.py
@@ -45,20 +45,28 @@
     # --- commands ---
 
     def start(self, command: SendHealthCheck) -> None:
-        """Starts a health check. If its server is not listed, it fails in the next event loop iteration."""
+        """Starts a health check. If its server can't be reached, it fails in the next loop iteration."""
         endpoint = self._pool.get_or_create_endpoint(command.server)
         loop = self._dispatcher.loop
-        if endpoint is None:
+        if endpoint is None or endpoint.is_displaced:
             loop.call_soon(self._report, command.server, Result.CONNECT_FAILED, 0.0, {})
             return
-        self._check_count += 1
-        check_id = f"{self._check_count:016x}"
+        check_id = self._next_id()
         timer = loop.call_later(self._pool.connect_timeout_s, self.finish, endpoint, check_id, Result.TIMEOUT)
-        request = encode_frame(Frame(FrameType.PING, check_id, {ParameterCode.CAUSE: b"\0"}))
+        request = encode_frame(_ping(check_id))
         check = HealthCheck(self._dispatcher.now(), timer, request)
         endpoint.health_checks[check_id] = check
         self._assign(endpoint, check)
 
+    def ping(self, connection: ServerConnection) -> None:
+        """Sends a health check that is not reported, as its reply only shows that the process runs."""
+        connection.send(_ping(self._next_id()))
+
+    def fail_all(self, endpoint: ServerEndpoint) -> None:
+        """Ends all health checks of a server as failed, since their replies may be from another server."""
+        for check_id in list(endpoint.health_checks):
+            self.finish(endpoint, check_id, Result.CONNECT_FAILED)
+
     def cancel_all(self, endpoint: ServerEndpoint) -> None:
         """Ends all health checks of a server without a result."""
         for check in endpoint.health_checks.values():
@@ -116,7 +124,7 @@
                 self.finish(endpoint, check_id, Result.ERROR)
 
     def _may_retry(self, endpoint: ServerEndpoint, check: HealthCheck) -> bool:
-        if self._pool.is_stopped or self._pool.is_removed(endpoint):
+        if self._pool.is_stopped or endpoint.is_displaced:
             return False
         return check.connect_count < MAX_CONNECTS
 
@@ -127,7 +135,15 @@
         if connection.is_usable:
             connection.write(check.request)
 
+    def _next_id(self) -> str:
+        self._check_count += 1
+        return f"{self._check_count:016x}"
+
     def _report(self, server: int, result: Result, duration_ms: float, report: dict[str, float]) -> None:
         now = self._dispatcher.now()
         self._dispatcher.sessions.on_health_check_finished(now, server, result, duration_ms, report)
         self._dispatcher.schedule_step()
+
+
+def _ping(check_id: str) -> Frame:
+    return Frame(FrameType.PING, check_id, {ParameterCode.CAUSE: b"\0"})
--- a/fernweir/node/liveness.py
+++ b/fernweir/node/liveness.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 
 from fernweir.interface import Result, Settings
@@ -18,7 +19,9 @@
 CHECK_INTERVAL_MS = 250.0
 """How often `LivenessMonitor.check` is called."""
 
-_FAILED_CHECKS_TO_UNREACHABLE = 2  # one failed check may be due to a single lost packet
+FAILED_CHECKS_TO_UNREACHABLE = 2
+"""How many checks in a row have to fail; a single one may fail because of one lost packet."""
+
 _DEFAULT_REPORT_INTERVAL_MS = 3_000.0  # used if the settings have no report interval
 _DETECTION_TIME_MS = 7_500.0  # after the last bytes; the rest of the 8 s is needed to announce the end
 _MAX_CHECK_TIMEOUT_MS = 1_000.0  # limits the connect of a check, but not that of an attempt
@@ -46,29 +49,55 @@
     TERMINATED = "ended"  # the server's process ended
 
 
-class LivenessMonitor:
-    """Watches one media server. All times are monotonic, in milliseconds.
+@dataclass(frozen=True, slots=True)
+class LivenessTimeouts:
+    """When silence is significant, and how long checks take, in milliseconds.
 
     Attributes:
-        check_timeout_ms: The connect timeout of a check.
-        reason: Why the server was last found unreachable or terminated, for the log.
+        silence_ms: How long a server with sessions may send nothing before it is checked.
+        check_ms: How long one check may take.
+        has_reports: Whether servers send reports by themselves, so that silence says something.
     """
 
-    def __init__(self, settings: Settings, connect_timeout_ms: float, now: float) -> None:
+    silence_ms: float
+    check_ms: float
+    has_reports: bool
+
+    @classmethod
+    def from_settings(cls, settings: Settings, connect_timeout_ms: float) -> LivenessTimeouts:
+        """Returns the timeouts of a deployment."""
+        has_reports = settings.report_interval_ms > 0.0
         report_interval_ms = _DEFAULT_REPORT_INTERVAL_MS
-        if settings.report_interval_ms > 0.0:
+        if has_reports:
             report_interval_ms = settings.report_interval_ms + settings.report_delay_ms
-        self.check_timeout_ms = min(connect_timeout_ms, _MAX_CHECK_TIMEOUT_MS)
+        check_ms = min(connect_timeout_ms, _MAX_CHECK_TIMEOUT_MS)
         # One check more than required, since the first may wait for a connect that started just before.
-        check_count = _FAILED_CHECKS_TO_UNREACHABLE + 1
-        checks_ms = check_count * (self.check_timeout_ms + CHECK_INTERVAL_MS)
-        self._silence_timeout_ms = min(
-            report_interval_ms + settings.batch_period_ms, _DETECTION_TIME_MS - checks_ms
-        )
+        check_count = FAILED_CHECKS_TO_UNREACHABLE + 1
+        checks_ms = check_count * (check_ms + CHECK_INTERVAL_MS)
+        silence_ms = min(report_interval_ms + settings.batch_period_ms, _DETECTION_TIME_MS - checks_ms)
+        return cls(silence_ms, check_ms, has_reports)
+
+    @property
+    def detection_ms(self) -> float:
+        """How long after the last data a server is known to be lost."""
+        return self.silence_ms + FAILED_CHECKS_TO_UNREACHABLE * (self.check_ms + CHECK_INTERVAL_MS)
+
+
+class LivenessMonitor:
+    """Watches one media server at the address that the list gives it. Times are monotonic, in milliseconds.
+
+    Attributes:
+        timeouts: The timeouts of the deployment.
+        has_lost_connection: Whether a connection broke and none was established since.
+        reason: Why the server was last found unreachable or terminated, for the log.
+    """
+
+    def __init__(self, timeouts: LivenessTimeouts, now: float) -> None:
+        self.timeouts = timeouts
         self._last_received_at = self._last_failure_at = now
         self._failed_checks = 0
         self._is_terminated = False  # proven by a refused connection, regardless of earlier data
-        self._has_lost_connection = False  # a connection broke and none was established since
+        self.has_lost_connection = False
         self._last_check_at = -CHECK_INTERVAL_MS
         self.reason = ""
 
@@ -81,11 +110,11 @@
     def on_connected(self, now: float) -> None:
         """Records an established connection, on which the server repeats messages that may be lost."""
         self.on_data_received(now)
-        self._has_lost_connection = False
+        self.has_lost_connection = False
 
     def on_connection_broken(self) -> None:
         """Records that messages may be lost, which the server repeats only on its next connection."""
-        self._has_lost_connection = True
+        self.has_lost_connection = True
 
     def on_connection_refused(self) -> None:
         """Records that a connection was refused, which proves that the server's process has ended."""
@@ -119,17 +148,17 @@
             has_sessions: Whether the server carries sessions, or releases wait for it. If neither is the
                 case, its silence is not significant.
             is_connected: Whether a connection is established.
-            is_connecting: Whether a connect is in progress that started within `check_timeout_ms`.
+            is_connecting: Whether a connect is in progress that started within the timeout of a check.
         """
         if not has_sessions:
             self.on_connected(now)
             return LivenessStatus.HEALTHY
-        is_receiving = is_connected and now - self._last_received_at < self._silence_timeout_ms
+        is_receiving = is_connected and now - self._last_received_at < self.timeouts.silence_ms
         if self._is_terminated:
             return self._report_once(LivenessStatus.TERMINATED)
-        if self._failed_checks >= _FAILED_CHECKS_TO_UNREACHABLE and not is_receiving:
+        if self._failed_checks >= FAILED_CHECKS_TO_UNREACHABLE and not is_receiving:
             return self._report_once(LivenessStatus.UNREACHABLE)
-        if is_connecting or (is_receiving and not self._has_lost_connection):
+        if is_connecting or (is_receiving and not self.has_lost_connection):
             return LivenessStatus.HEALTHY
         if now - self._last_check_at < CHECK_INTERVAL_MS:
             return LivenessStatus.HEALTHY
--- a/fernweir/node/placed_sessions.py
+++ b/fernweir/node/placed_sessions.py
@@ -108,11 +108,29 @@
         """Sends on the connection of the set-up, else on any other, else queues for the next one."""
         session = endpoint.placed_sessions.get(frame.session)
         if session is not None and session.is_connected:
-            connection = session.connection
+            assert session.connection is not None
+            session.connection.send(frame)
+        elif endpoint.is_displaced:
+            self._send_to_process(endpoint, session, frame)
         else:
-            connection = self._pool.select_any(endpoint, frame.session)
+            self._send_on_any_connection(endpoint, frame)
+
+    def _send_on_any_connection(self, endpoint: ServerEndpoint, frame: Frame) -> None:
+        connection = self._pool.select_any(endpoint, frame.session)
         if connection is not None:
             connection.send(frame)
-        elif not self._pool.is_removed(endpoint):
+        else:
             endpoint.release_queue.add([frame])
             self._pool.connect_unless_connecting(endpoint)
+
+    def _send_to_process(self, endpoint: ServerEndpoint, session: PlacedSession | None, frame: Frame) -> None:
+        """Sends to the process that carries a session of a displaced server.
+
+        If no connection to it is known, the message goes to each process that may be the one. Others ignore
+        a session that they do not know.
+        """
+        if session is not None and session.carrier is not None and session.carrier.is_usable:
+            session.carrier.send(frame)
+            return
+        for connection in self._pool.connections_at_address(endpoint):
+            connection.send(frame)
--- a/fernweir/node/server_connection.py
+++ b/fernweir/node/server_connection.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from fernweir.front.dispatcher import Dispatcher
+from fernweir.node.connection_liveness import ConnectionLiveness
 from fernweir.node.connection_state import ConnectionPhase, ConnectionState
 from fernweir.node.frames import Frame, FrameError, FrameReader, FrameType, encode_frame
 from fernweir.node.limits import RecentIds
@@ -95,7 +96,8 @@
         connect_started_at: When the connect started.
         connected_at: When it was established.
         last_used_at: When data was last written, or an attempt last ended.
-        last_received_at: When data last arrived, or else when it was established.
+        address: The address that it was made to.
+        liveness: Observes whether the process at the other end runs.
     """
 
     def __init__(
@@ -111,7 +113,8 @@
         self.failed_attempts = RecentIds(MAX_FAILED_ATTEMPTS)
         self.has_received_eof = False
         self.connect_started_at = self.connected_at = self.last_used_at = dispatcher.now()
-        self.last_received_at = self.connect_started_at
+        self.address = endpoint.address
+        self.liveness = ConnectionLiveness(self.connect_started_at)
         self._dispatcher = dispatcher
         self._events = events
         self._idle_timeout_ms = timeouts.idle_ms
@@ -130,7 +133,7 @@
 
     async def _connect(self) -> None:
         try:
-            await self._dispatcher.loop.create_connection(lambda: self, *self.endpoint.address)
+            await self._dispatcher.loop.create_connection(lambda: self, *self.address)
         except ConnectionResetError:
             # The connection was established and then reset before the event loop processed it. This can
             # happen to any connection; the server does listen.
@@ -148,7 +151,8 @@
             self.transport.abort()
             return
         self._timer.cancel()
-        self.connected_at = self.last_used_at = self.last_received_at = self._dispatcher.now()
+        self.connected_at = self.last_used_at = self._dispatcher.now()
+        self.liveness.on_data_received(self.connected_at)
         self._events.on_connected(self)
 
     def _on_connect_timeout(self) -> None:
@@ -174,8 +178,9 @@
 
     def data_received(self, data: memoryview) -> None:
         """Handles all complete messages, and aborts the connection at the first invalid one."""
-        self.last_received_at = self._dispatcher.now()
-        self.endpoint.liveness.on_data_received(self.last_received_at)
+        now = self._dispatcher.now()
+        self.liveness.on_data_received(now)
+        self.endpoint.liveness.on_data_received(now)
         error: FrameError | None = None
         try:
             frames = self._frames.feed(data)
@@ -205,7 +210,7 @@
 
     def is_unused(self) -> bool:
         """Whether nothing needs it. A server with sessions keeps its last connection to send messages on."""
-        if not self.state.may_write or self.attempts:
+        if not self.state.may_write or self.attempts or self.endpoint.depends_on(self):
             return False
         if any(check.connection is self for check in self.endpoint.health_checks.values()):
             return False
@@ -251,8 +256,9 @@
     # --- closing ---
 
     def close_if_drained(self) -> None:
-        """Closes the connection if it is draining and its last attempt has ended."""
-        if self.state.phase is ConnectionPhase.DRAINING and not self.attempts:
+        """Closes the connection if it is draining, its last attempt has ended and no session needs it."""
+        is_draining = self.state.phase is ConnectionPhase.DRAINING
+        if is_draining and not self.attempts and not self.endpoint.depends_on(self):
             self.close()
 
     def close(self) -> None:
@@ -279,6 +285,7 @@
     def eof_received(self) -> bool:
         """Records the server's orderly close; the transport then closes itself."""
         self.has_received_eof = True
+        self.liveness.on_data_received(self._dispatcher.now())
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/fernweir/node/server_endpoint.py
+++ b/fernweir/node/server_endpoint.py
@@ -24,19 +24,43 @@
 class PlacedSession:
     """A session that a server may carry.
 
+    Times are monotonic, in milliseconds.
+
     Attributes:
         connection: The connection of the set-up, until it ends. None for an adopted session.
-        placed_at: When the set-up was written or the session was adopted: monotonic, in milliseconds.
+        placed_at: When the set-up was written or the session was adopted.
+        carrier: A connection to the process that carries the session, which may have ended; that of the
+            set-up at first. None if no such connection is known.
+        heard_at: When that process last sent a message about the session, or the session was placed.
     """
 
     connection: ServerConnection | None
     placed_at: float
+    carrier: ServerConnection | None = field(init=False)
+    heard_at: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Starts with the connection of the set-up, which leads to the process that carries the session."""
+        self.carrier = self.connection
+        self.heard_at = self.placed_at
 
     @property
     def is_connected(self) -> bool:
         """Whether the server can still send on the connection of the set-up."""
         return self.connection is not None and self.connection.is_usable
 
+    @property
+    def has_open_carrier(self) -> bool:
+        """Whether the process that carries the session can be reached on a known connection."""
+        return self.carrier is not None and self.carrier.is_usable
+
+    @property
+    def last_evidence_at(self) -> float:
+        """When the process that carries the session was last known to run."""
+        if self.carrier is None:
+            return self.heard_at
+        return max(self.heard_at, self.carrier.liveness.last_received_at)
+
 
 @dataclass(eq=False)
 class ServerEndpoint:
@@ -52,6 +76,8 @@
         health_checks: The health checks in flight, by their identifier.
         failed_attempts: Sessions whose attempts failed at this server recently.
         release_queue: The messages that wait for a connection.
+        is_displaced: Whether a new connection to the address may reach another server: this one was removed
+            from the endpoint list, or the list has given its address to another one.
     """
 
     server: int
@@ -63,6 +89,7 @@
     health_checks: dict[str, HealthCheck] = field(default_factory=dict)
     failed_attempts: RecentIds = field(default_factory=lambda: RecentIds(MAX_FAILED_ATTEMPTS))
     release_queue: ReleaseQueue = field(default_factory=ReleaseQueue)
+    is_displaced: bool = False
 
     @property
     def is_connecting(self) -> bool:
@@ -83,6 +110,27 @@
         """Whether the server has no other connection to send on."""
         return not any(other.is_usable for other in self.connections if other is not connection)
 
+    def on_session_message(self, session_id: str, connection: ServerConnection, now: float) -> None:
+        """Records a message about a session, which shows that its process is at the other end.
+
+        The same process carries the other sessions of this server for which no open connection is known.
+        """
+        session = self.placed_sessions.get(session_id)
+        if session is None:
+            return
+        session.heard_at = now
+        if session.has_open_carrier:
+            return
+        for other in self.placed_sessions.values():
+            if not other.has_open_carrier:
+                other.carrier = connection
+
+    def depends_on(self, connection: ServerConnection) -> bool:
+        """Whether some session would be lost with a connection, as no new one would reach its process."""
+        return self.is_displaced and any(
+            session.carrier is connection for session in self.placed_sessions.values()
+        )
+
     def drain_connections(self) -> None:
         """Drains all connections, as the server has dropped them, possibly without closing them."""
         for connection in self.connections:
--- a/fernweir/node/server_messages.py
+++ b/fernweir/node/server_messages.py
@@ -11,6 +11,7 @@
 from fernweir.node.placed_sessions import PlacedSessionManager
 from fernweir.node.server_connection import ServerConnection
 from fernweir.node.server_endpoint import ServerEndpoint
+from fernweir.node.server_pool import ServerPool
 
 _CAUSE_HEALTHY = 1  # in the reply to a health check
 
@@ -35,11 +36,13 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
+        pool: ServerPool,
         attempts: AttemptManager,
         health_checks: HealthChecker,
         sessions: PlacedSessionManager,
     ) -> None:
         self._dispatcher = dispatcher
+        self._pool = pool
         self._attempts = attempts
         self._health_checks = health_checks
         self._sessions = sessions
@@ -55,12 +58,27 @@
         if frame.type is FrameType.PONG:
             result = Result.OK if frame.cause == _CAUSE_HEALTHY else Result.ERROR
             self._health_checks.finish(connection.endpoint, frame.session, result, frame.load_report())
-        elif frame.type is FrameType.ANSWER:
+            return
+        endpoint = self._find_endpoint(connection, frame.session)
+        endpoint.on_session_message(frame.session, connection, self._dispatcher.now())
+        if frame.type is FrameType.ANSWER:
             self._on_answer(connection, frame)
         elif frame.type is FrameType.RELEASE:
-            self._on_release(connection, frame)
+            self._on_release(connection, endpoint, frame)
         elif frame.type is FrameType.NOTE:
-            self._on_notice(connection.endpoint, frame)
+            self._on_notice(endpoint, frame)
+
+    def _find_endpoint(self, connection: ServerConnection, session_id: str) -> ServerEndpoint:
+        """Returns the server at which a session was placed that a process sends a message about.
+
+        A session may have been set up at this address when another server was listed there.
+        """
+        endpoint = connection.endpoint
+        if session_id not in endpoint.placed_sessions and session_id not in endpoint.attempts:
+            for other in self._pool.endpoints_at(connection.address):
+                if session_id in other.placed_sessions:
+                    return other
+        return endpoint
 
     def _on_answer(self, connection: ServerConnection, frame: Frame) -> None:
         attempt = self._find_attempt(connection, frame.session)
@@ -72,14 +90,14 @@
         description = frame.text_parameter(ParameterCode.DESCRIPTION)
         self._attempts.succeed(attempt, description, report)
 
-    def _on_release(self, connection: ServerConnection, frame: Frame) -> None:
+    def _on_release(self, connection: ServerConnection, endpoint: ServerEndpoint, frame: Frame) -> None:
         cause = frame.cause
         report = frame.load_report()
         attempt = self._find_attempt(connection, frame.session)
         if attempt is not None:
             self._on_attempt_rejected(attempt, cause, report)
         else:
-            self._on_session_released(connection, frame.session, cause)
+            self._on_session_released(connection, endpoint, frame.session, cause)
 
     def _on_attempt_rejected(self, attempt: Attempt, cause: int | None, report: dict[str, float]) -> None:
         result = None if cause is None else _RESULTS_BEFORE_ANSWER.get(cause)
@@ -89,8 +107,9 @@
             attempt.endpoint.placed_sessions.pop(attempt.session_id, None)
         self._attempts.fail(attempt, result, f"cause {cause}", report)
 
-    def _on_session_released(self, connection: ServerConnection, session_id: str, cause: int | None) -> None:
-        endpoint = connection.endpoint
+    def _on_session_released(
+        self, connection: ServerConnection, endpoint: ServerEndpoint, session_id: str, cause: int | None
+    ) -> None:
         session = endpoint.placed_sessions.get(session_id)
         if session is None or session_id in endpoint.attempts:
             return  # a duplicate, or the end of an earlier attempt
--- a/fernweir/node/server_pool.py
+++ b/fernweir/node/server_pool.py
@@ -10,11 +10,11 @@
 
 from fernweir.front.dispatcher import Dispatcher
 from fernweir.interface import ServerState
-from fernweir.node.config import NodeConfig
+from fernweir.node.config import Address, NodeConfig
 from fernweir.node.connection_state import ConnectionPhase
 from fernweir.node.endpoint_feed import EndpointFeed
 from fernweir.node.limits import DescriptorQuota
-from fernweir.node.liveness import LivenessMonitor
+from fernweir.node.liveness import LivenessMonitor, LivenessTimeouts
 from fernweir.node.server_connection import ConnectionEvents, ConnectionTimeouts, ServerConnection
 from fernweir.node.server_endpoint import ServerEndpoint
 
@@ -44,6 +44,7 @@
         self._dispatcher = dispatcher
         self._feed = feed
         self._settings = config.settings
+        self._endpoints_by_address: dict[Address, dict[int, ServerEndpoint]] = {}
         self._connect_tasks: set[asyncio.Task[None]] = set()
 
     # --- endpoints ---
@@ -55,17 +56,57 @@
         if endpoint is None and address is not None:
             endpoint = ServerEndpoint(server, address, self.new_liveness_monitor())
             self.endpoints[server] = endpoint
+            self._endpoints_by_address.setdefault(address, {})[server] = endpoint
+            self.update_displacement(endpoint)
         return endpoint
 
+    @property
+    def liveness_timeouts(self) -> LivenessTimeouts:
+        """When the silence of a server is significant."""
+        return LivenessTimeouts.from_settings(self._settings, self.connect_timeout_s * 1000.0)
+
     def new_liveness_monitor(self) -> LivenessMonitor:
         """Returns a monitor for a server without any observations yet."""
-        return LivenessMonitor(self._settings, self.connect_timeout_s * 1000.0, self._dispatcher.now())
+        return LivenessMonitor(self.liveness_timeouts, self._dispatcher.now())
+
+    def endpoints_at(self, address: Address) -> list[ServerEndpoint]:
+        """Returns the servers with state here whose address is, or was at last, the given one."""
+        return list(self._endpoints_by_address.get(address, {}).values())
+
+    def connections_at_address(self, endpoint: ServerEndpoint) -> list[ServerConnection]:
+        """Returns the usable connections to the address of a server, under whichever name they were made."""
+        return [
+            connection
+            for other in self.endpoints_at(endpoint.address)
+            for connection in other.connections
+            if connection.is_usable
+        ]
+
+    def change_address(self, endpoint: ServerEndpoint, address: Address) -> None:
+        """Records the new address of a server."""
+        self._forget_address(endpoint)
+        endpoint.address = address
+        self._endpoints_by_address.setdefault(address, {})[endpoint.server] = endpoint
+
+    def _forget_address(self, endpoint: ServerEndpoint) -> None:
+        there = self._endpoints_by_address[endpoint.address]
+        del there[endpoint.server]
+        if not there:
+            del self._endpoints_by_address[endpoint.address]
 
     def is_removed(self, endpoint: ServerEndpoint) -> bool:
-        """Whether the server is no longer listed, so that another one may listen at its address now."""
+        """Whether the server is no longer listed."""
         states = self._dispatcher.sessions.endpoint_states
         return states.get(endpoint.server, ServerState.REMOVED) is ServerState.REMOVED
 
+    def is_reassigned(self, endpoint: ServerEndpoint) -> bool:
+        """Whether another server is listed at the address of the server now."""
+        return self._feed.address_registry.is_reassigned(endpoint.server, endpoint.address)
+
+    def update_displacement(self, endpoint: ServerEndpoint) -> None:
+        """Applies the endpoint list to `ServerEndpoint.is_displaced`."""
+        endpoint.is_displaced = self.is_removed(endpoint) or self.is_reassigned(endpoint)
+
     @property
     def has_unsent_messages(self) -> bool:
         """Whether a message to a server, such as a release, has not been sent yet."""
@@ -171,4 +212,5 @@
             connection.close()
         if not endpoint.connections:
             del self.endpoints[endpoint.server]
+            self._forget_address(endpoint)
             self._feed.remove_server(endpoint.server)
--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -20,6 +20,7 @@
     Settings,
 )
 from fernweir.node.attempts import AttemptManager
+from fernweir.node.displaced_servers import DisplacedServerObserver
 from fernweir.node.endpoint_feed import EndpointFeed
 from fernweir.node.frames import Frame
 from fernweir.node.health_checks import HealthChecker
@@ -51,8 +52,17 @@
         )
         self._health_checks = HealthChecker(dispatcher, pool)
         self._sessions = PlacedSessionManager(dispatcher, pool)
-        self._messages = ServerMessageHandler(dispatcher, self._attempts, self._health_checks, self._sessions)
-        self._upkeep = ServerUpkeep(dispatcher, pool, self._attempts, self._sessions)
+        self._messages = ServerMessageHandler(
+            dispatcher, pool, self._attempts, self._health_checks, self._sessions
+        )
+        displaced_servers = DisplacedServerObserver(
+            dispatcher,
+            pool,
+            self._sessions,
+            self._health_checks,
+            may_check_health=settings.may_check_health,
+        )
+        self._upkeep = ServerUpkeep(dispatcher, pool, self._attempts, self._sessions, displaced_servers)
         self._started_at: dict[int, float] = {}  # when the process of each server started
         pool.events = self
         dispatcher.server_transport = self
@@ -89,8 +99,10 @@
         """Adds a session that a server already carries. Returns False if it was not accepted."""
         server = number_of(server_name)
         sessions = self._dispatcher.sessions
-        is_listed = server in self._feed.addresses
-        if not is_listed or not sessions.adopt_session(self._dispatcher.now(), request, server):
+        address = self._feed.addresses.get(server)
+        if address is None or self._feed.address_registry.is_reassigned(server, address):
+            return False  # it can't be reached, so that its end would never be known
+        if not sessions.adopt_session(self._dispatcher.now(), request, server):
             return False
         endpoint = self._pool.get_or_create_endpoint(server)
         assert endpoint is not None
@@ -130,11 +142,18 @@
         self._dispatcher.schedule_step()
 
     def _endpoints_concerned_by(self, update: EndpointListUpdate) -> list[ServerEndpoint]:
-        """Returns the servers that an update names; a complete list concerns all, as it may lack some."""
+        """Returns the servers that an update names or whose address it names.
+
+        A complete list concerns all, as it may lack some.
+        """
         endpoints = self._pool.endpoints
         if update.kind is not EndpointListKind.DELTA:
             return list(endpoints.values())
-        return [endpoints[entry.server] for entry in update.entries if entry.server in endpoints]
+        servers = [entry.server for entry in update.entries]
+        concerned = {server: endpoints[server] for server in servers if server in endpoints}
+        for address in {self._feed.addresses[server] for server in servers if server in self._feed.addresses}:
+            concerned |= {endpoint.server: endpoint for endpoint in self._pool.endpoints_at(address)}
+        return list(concerned.values())
 
     def _drop_unlisted_servers(self) -> None:
         """Drops the details of the servers that a complete list lacks and that are not in use."""
@@ -168,17 +187,20 @@
     def _apply_address(self, endpoint: ServerEndpoint) -> None:
         """Stops sending requests to an address that a server no longer has, as another may listen there."""
         address = self._feed.addresses.get(endpoint.server, endpoint.address)
-        is_removed = self._pool.is_removed(endpoint)
-        if address == endpoint.address and not is_removed:
+        is_moved = address != endpoint.address
+        if is_moved:
+            self._pool.change_address(endpoint, address)
+        self._pool.update_displacement(endpoint)
+        if not is_moved and not endpoint.is_displaced:
             return
-        endpoint.address = address
         for connection in list(endpoint.connections):
             if connection.cancel_connect():
                 self._reassign(connection, "address changed or removed")
-            elif not is_removed:
+            elif not endpoint.is_displaced:
                 connection.state.drain()
-        if is_removed:
+        if endpoint.is_displaced:
             self._attempts.on_liveness_known(endpoint, is_alive=False)
+            self._health_checks.fail_all(endpoint)
             endpoint.release_queue.clear()
         elif endpoint.broken_attempts or endpoint.release_queue.pending_releases:
             self._pool.connect_unless_connecting(endpoint)
@@ -206,7 +228,8 @@
             endpoint.liveness.on_connect_timeout(connection.connect_started_at, self._dispatcher.now())
         elif isinstance(error, ConnectionRefusedError):
             endpoint.liveness.on_connection_refused()
-            self._sessions.on_process_ended(endpoint)
+            if not endpoint.is_displaced:  # such a server may play on without a listener
+                self._sessions.on_process_ended(endpoint)
             reason = "connection refused"
         self._attempts.on_liveness_known(endpoint, is_alive=False)
         self._attempts.on_connect_failed(connection, reason)
@@ -242,7 +265,7 @@
             return
         if endpoint.placed_sessions and may_have_lost_messages:
             endpoint.liveness.on_connection_broken()
-        if self._pool.is_removed(endpoint):
+        if endpoint.is_displaced:
             # A new connection would prove nothing, since another server may listen at the address now.
             self._attempts.on_liveness_known(endpoint, is_alive=False)
         elif endpoint.broken_attempts:
@@ -259,6 +282,7 @@
             server=self._pool.server_name(endpoint.server),
             outcome=outcome,
             listed=not self._pool.is_removed(endpoint),
+            reassigned=self._pool.is_reassigned(endpoint),
             held=len(endpoint.placed_sessions),
             silent_ms=[round(silence) for silence in self._silences_ms(endpoint)],
         )
@@ -266,7 +290,7 @@
     def _silences_ms(self, endpoint: ServerEndpoint) -> list[float]:
         """Returns for how long nothing has arrived on each open connection to a server, oldest first."""
         now = self._dispatcher.now()
-        return [now - one.last_received_at for one in endpoint.connections if one.is_usable]
+        return [now - one.liveness.last_received_at for one in endpoint.connections if one.is_usable]
 
     def _reassign(self, connection: ServerConnection, reason: str) -> None:
         self._attempts.on_connection_lost(connection, reason)
--- a/fernweir/node/server_upkeep.py
+++ b/fernweir/node/server_upkeep.py
@@ -4,6 +4,7 @@
 
 from fernweir.front.dispatcher import Dispatcher
 from fernweir.node.attempts import AttemptManager
+from fernweir.node.displaced_servers import DisplacedServerObserver
 from fernweir.node.liveness import CHECK_INTERVAL_MS, LivenessStatus
 from fernweir.node.placed_sessions import PlacedSessionManager
 from fernweir.node.server_endpoint import ServerEndpoint
@@ -21,8 +22,10 @@
         pool: ServerPool,
         attempts: AttemptManager,
         sessions: PlacedSessionManager,
+        displaced_servers: DisplacedServerObserver,
     ) -> None:
         self._dispatcher = dispatcher
+        self._displaced_servers = displaced_servers
         self._pool = pool
         self._attempts = attempts
         self._sessions = sessions
@@ -48,9 +51,12 @@
         connection = self._pool.select_any(endpoint)
         if endpoint.release_queue.pending_releases and connection is not None:
             self._sessions.send_pending(connection)
-        elif self._pool.is_removed(endpoint):
+        elif endpoint.is_displaced:
             endpoint.release_queue.clear_pending()  # another server may listen at its address now
-        self._check_liveness(endpoint, is_connected=connection is not None)
+        if endpoint.is_displaced and self._displaced_servers.can_judge(endpoint):
+            self._displaced_servers.check(endpoint)
+        else:
+            self._check_liveness(endpoint, is_connected=connection is not None)
 
     def _check_liveness(self, endpoint: ServerEndpoint, is_connected: bool) -> None:
         now = self._dispatcher.now()
@@ -61,7 +67,7 @@
         if has_sessions and not is_connected and self._pool.is_removed(endpoint):
             status, reason = LivenessStatus.TERMINATED, "removed from the list, all connections ended"
         if status is LivenessStatus.CHECK:
-            self._pool.connect(endpoint, monitor.check_timeout_ms / 1000.0)
+            self._pool.connect(endpoint, monitor.timeouts.check_ms / 1000.0)
         elif status is not LivenessStatus.HEALTHY:
             self._on_server_lost(endpoint, now, status, reason)
 
@@ -73,7 +79,7 @@
         return any(
             connection.state.is_connecting
             for connection in endpoint.connections
-            if now - connection.connect_started_at <= endpoint.liveness.check_timeout_ms
+            if now - connection.connect_started_at <= endpoint.liveness.timeouts.check_ms
         )
 
     def _on_server_lost(
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -326,10 +326,10 @@
 class FarServer:
     """A media server that a test controls step by step: it accepts, reads and answers only when called."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, address: Address = (HOST, 0)) -> None:
         self.name = name
         self.lines: list[FarLine] = []  # connections accepted so far
-        self.listener = socket.create_server((HOST, 0))
+        self.listener = socket.create_server(address)
         self.listener.setblocking(False)
 
     @property
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -27,7 +27,7 @@
 from fernweir.node.frames import Frame, FrameError, FrameReader, FrameType, ParameterCode, encode_frame
 from fernweir.node.jsonl import LineError, LineReader, Message, decode_message, encode_message
 from fernweir.node.limits import IDLE_TIMEOUT_MS, ConnectionAdmission, RecentIds
-from fernweir.node.liveness import CHECK_INTERVAL_MS, LivenessMonitor, LivenessStatus
+from fernweir.node.liveness import CHECK_INTERVAL_MS, LivenessMonitor, LivenessStatus, LivenessTimeouts
 from fernweir.node.logs import NodeLog
 from fernweir.wire import SettingsTable, parse_settings, read_settings
 from tests.helpers import SETTINGS, entry
@@ -211,7 +211,7 @@
 
 
 def test_a_server_is_lost_by_proof_only() -> None:
-    monitor = LivenessMonitor(SETTINGS, 250.0, 0.0)
+    monitor = LivenessMonitor(LivenessTimeouts.from_settings(SETTINGS, 250.0), 0.0)
     quiet = SETTINGS.report_interval_ms + SETTINGS.report_delay_ms + SETTINGS.batch_period_ms
     assert (
         monitor.check(1e6, has_sessions=False, is_connected=False, is_connecting=False)
