DASH front: connections and replies belong to a server, not to its address

A set-up or health check of a new server went on an idle connection to the removed server that had its address, which drains and still runs (drains not kept; the wrong server's health). A set-up or health check of a server that the list still had went to its successor. A 404 of the successor to a rung change ended a session that plays on at the removed server. The notice stream of the old server was opened at its successor.

Cause: the connection pool knew connections by address only, and the client took each reply at an address for one of the listed server.

Change: calls may name an owner, and connections are shared only between calls of one owner (Pool). EndpointList tells by the AddressRegistry whether an address leads to another server now; then set-ups and health checks fail as not reached, releases and rung changes only go out on open connections, and a notice stream that ends is not opened again. A 404 of a displaced server ends nothing while its notice stream is open. Connections that nobody takes are closed after their idle time, and groups without connections are dropped: with an owner for each, those of servers that are gone would have stayed.

Two assertions of tests/test_http_sockets.py named the renamed table and wanted an empty group after a failed call; they want no group now, which is stricter.

--- a/fernweir/node/address_registry.py
+++ b/fernweir/front/address_registry.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Container
 
-from fernweir.node.config import Address
+Address = tuple[str, int]
 
 
 class AddressRegistry:
--- a/fernweir/front/endpoint_list.py
+++ b/fernweir/front/endpoint_list.py
@@ -14,6 +14,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from fernweir.front.address_registry import AddressRegistry
 from fernweir.front.names import number_of
 from fernweir.interface import Endpoint, EndpointListKind, EndpointListUpdate, ServerState, Settings
 
@@ -97,6 +98,8 @@
         self.title_revision = 0  # grows with each change of `titles`
         self._title_entries: dict[str, TitleEntry] = {}
         self._incarnations: dict[int, tuple[str, float]] = {}
+        self._address_registry = AddressRegistry()
+        self._document_count = 0
         # The cached document is made of these texts, so that a change costs one entry and not the list.
         self._cached_servers: dict[int, str] = {}
         self._uncached_servers: dict[int, None] = {}  # an ordered set
@@ -113,6 +116,16 @@
         entry = self.servers.get(server)
         return (entry.host, entry.port) if entry is not None else None
 
+    def is_reassigned(self, server: int) -> bool:
+        """Returns whether another server is listed at the address of a server now."""
+        address = self.address(server)
+        return address is not None and self._address_registry.is_reassigned(server, address)
+
+    def is_removed(self, server: int) -> bool:
+        """Returns whether a server is not, or no longer, listed as one that runs."""
+        entry = self.servers.get(server)
+        return entry is None or entry.state == "gone"
+
     def apply_full(
         self, now: float, document: ListDocument, *, cached: bool = False
     ) -> EndpointListUpdate | None:
@@ -174,7 +187,11 @@
     def _apply(self, now: float, document: ListDocument, kind: EndpointListKind) -> EndpointListUpdate:
         self.epoch, self.version = document.epoch, document.version
         endpoints = []
+        self._document_count += 1
+        if kind is not EndpointListKind.DELTA:
+            self._address_registry.retain({entry.box for entry in document.boxes})
         for entry in document.boxes:
+            self._register_address(entry)
             self.servers[entry.box] = entry
             self._uncached_servers[entry.box] = None
             endpoints.append(
@@ -194,6 +211,18 @@
             self.titles[title.title] = TitlePlacement(number_of(title.title), title.cell, title.copies)
         return EndpointListUpdate(kind, document.version & 0xFFFFFFFF, tuple(endpoints))
 
+    def _register_address(self, entry: ServerEntry) -> None:
+        """Records where a server listens. Has to be called before its incarnation is recorded."""
+        if _STATES[entry.state] is ServerState.REMOVED:
+            self._address_registry.remove(entry.box)
+            return
+        boot, _ = self._incarnations.get(entry.box, ("", 0.0))
+        is_new_process = bool(entry.boot) and entry.boot != boot
+        address = (entry.host, entry.port)
+        self._address_registry.announce(
+            entry.box, address, self._document_count, is_new_process=is_new_process
+        )
+
     def _started_at(self, now: float, entry: ServerEntry) -> float:
         """Returns when this incarnation of the server started on our clock; 0 is a long time ago.
 
--- a/fernweir/front/server_client.py
+++ b/fernweir/front/server_client.py
@@ -17,12 +17,13 @@
 from fernweir.front.response_classification import classify_reply, load_report
 from fernweir.front.rungsync import RungSync, Send
 from fernweir.front.server_notices import NoticeError, NoticeStreamState, SessionNotice
-from fernweir.http.client import Call, Origin, Outcome, Pool, Reply
+from fernweir.http.client import Call, Outcome, Pool, Reply
 from fernweir.http.parse import ResponseHead
 from fernweir.http.sse import EventReader
 from fernweir.interface import RESULT_LABELS, Result
 
 MERGE_PATCH = "application/merge-patch+json"  # RFC 7396
+_REASSIGNED = "another server is listed at its address"
 ChannelFence = tuple[str, int]  # the channel and the fence under which a front controls a session
 
 
@@ -71,7 +72,8 @@
         """Sends a set-up and reports its end to the session manager exactly once."""
         core, session_manager, session_id = self.core, self.core.sessions, command.request.session_id
         sent_at = core.now()
-        origin = self.endpoint_list.address(command.server)
+        server = command.server
+        origin = self.endpoint_list.address(server)
         codec = core.set_up_codecs[command.request.protocol]
 
         def on_reply(reply: Reply) -> None:
@@ -97,6 +99,9 @@
         if origin is None:
             core.loop.call_soon(on_reply, Reply(Outcome.UNWANTED, detail="no address"))
             return
+        if self.endpoint_list.is_reassigned(server):
+            core.loop.call_soon(on_reply, Reply(Outcome.UNREACHED, detail=_REASSIGNED))
+            return
         request = codec.request(command)
         self.pool.request(
             origin,
@@ -106,7 +111,11 @@
             headers=request.headers,
             body=request.body,
             timeout_s=command.timeout_ms / 1000.0,
-            wanted=lambda: session_manager.is_attempt_wanted(session_id, command.attempt),
+            wanted=lambda: (
+                session_manager.is_attempt_wanted(session_id, command.attempt)
+                and not self.endpoint_list.is_reassigned(server)
+            ),
+            owner=server,
         )
 
     def change_rung(self, command: ChangeRung) -> None:
@@ -125,6 +134,8 @@
         core, sent_at = self.core, self.core.now()
 
         def on_reply(reply: Reply) -> None:
+            if self._is_displaced(command.server):
+                reply = Reply(Outcome.UNREACHED, detail=_REASSIGNED)  # the other server may have sent it
             result, _ = classify_reply(reply)
             now = core.now()
             core.sessions.on_health_check_finished(
@@ -133,10 +144,11 @@
             core.schedule_step()
 
         origin = self.endpoint_list.address(command.server)
-        if origin is None:
+        if origin is None or self._is_displaced(command.server):
             core.loop.call_soon(on_reply, Reply(Outcome.UNREACHED, detail="no address"))
-        else:
-            self.pool.request(origin, "GET", "/probe", on_reply, timeout_s=self.timeouts.health_check_s)
+            return
+        timeout_s = self.timeouts.health_check_s
+        self.pool.request(origin, "GET", "/probe", on_reply, timeout_s=timeout_s, owner=command.server)
 
     def claim_channel(
         self, server: int, channel: str, fence: int, overlap_ms: float, on_reply: Callable[[Reply], None],
@@ -146,13 +158,12 @@
 
         `adopt` has the sessions that this front set up there outside any channel and that join this one.
         """
-        origin = self.endpoint_list.address(server)
-        if origin is None:
+        if self.endpoint_list.address(server) is None:
             self.core.loop.call_soon(on_reply, Reply(Outcome.UNREACHED, detail="no address"))
             return
         target = f"/channels?channel={quote(channel, safe='')}"
         body = json.dumps({"fence": fence, "overlap_ms": overlap_ms, "adopt": list(adopt)}).encode()
-        self._request(origin, "PUT", target, on_reply, body)
+        self._request(server, "PUT", target, on_reply, body)
 
     def release_unowned_session(
         self, server: int, session_id: str, attempt: int, reason: str, channel_fence: ChannelFence
@@ -177,7 +188,8 @@
 
         def on_reply(reply: Reply) -> None:
             result, reason = classify_reply(reply)
-            if reply.status == 404 and reply.outcome is Outcome.ANSWERED:
+            is_unknown = reply.status == 404 and reply.outcome is Outcome.ANSWERED
+            if is_unknown and not self._is_followed_elsewhere(send.server):
                 self._rung_sync.forget(send.session_id, send.attempt)
                 core.sessions.on_session_ended(core.now(), send.session_id, send.attempt, Result.RESET)
                 core.schedule_step()
@@ -190,13 +202,12 @@
                 self._send_rung(next_send)
             self._schedule_rung_retries()
 
-        origin = self.endpoint_list.address(send.server)
-        if origin is None:
+        if self.endpoint_list.address(send.server) is None:
             self._rung_sync.forget(send.session_id, send.attempt)
             return
         body = json.dumps({"rung": send.rung}).encode()
         self._request(
-            origin,
+            send.server,
             "PATCH",
             _session_target(send.session_id, send.attempt),
             on_reply,
@@ -226,31 +237,48 @@
                     self.timeouts.request_s, self._end_session, command, channel_fence, False
                 )
 
-        origin, target = (
-            self.endpoint_list.address(command.server),
-            _session_target(command.session_id, command.attempt),
-        )
-        if origin is None:
+        server, target = command.server, _session_target(command.session_id, command.attempt)
+        if self.endpoint_list.address(server) is None:
             return
         if command.may_finish_segment and may_retry:
             body = json.dumps({"end": command.reason}).encode()
-            self._request(origin, "PATCH", target, on_reply, body, channel_fence)
+            self._request(server, "PATCH", target, on_reply, body, channel_fence)
         else:
-            self._request(origin, "DELETE", target, on_reply, channel_fence=channel_fence)
+            self._request(server, "DELETE", target, on_reply, channel_fence=channel_fence)
 
     def _request(
-        self, origin: Origin, method: str, target: str, on_reply: Callable[[Reply], None], body: bytes = b"",
+        self, server: int, method: str, target: str, on_reply: Callable[[Reply], None], body: bytes = b"",
         channel_fence: ChannelFence | None = None,
     ) -> None:  # fmt: skip
+        """Sends a request to a listed server; on a new connection only if its address still leads there."""
+        origin = self.endpoint_list.address(server)
+        assert origin is not None
         headers = [("authorization", f"Bearer {self._control_token()}")]
         if body:
             headers.append(("content-type", MERGE_PATCH))
         if channel_fence is not None:
             headers.append(("fernweir-fence", f"{channel_fence[0]};{channel_fence[1]}"))
         self.pool.request(
-            origin, method, target, on_reply, headers=headers, body=body, timeout_s=self.timeouts.request_s
+            origin,
+            method,
+            target,
+            on_reply,
+            headers=headers,
+            body=body,
+            timeout_s=self.timeouts.request_s,
+            owner=server,
+            may_connect=not self.endpoint_list.is_reassigned(server),
         )
 
+    def _is_followed_elsewhere(self, server: int) -> bool:
+        """Whether a reply may be from another server, while the notice stream tells which sessions end."""
+        stream = self._streams.get(server)
+        return self._is_displaced(server) and stream is not None and stream.state.hello_received
+
+    def _is_displaced(self, server: int) -> bool:
+        """Whether a new connection to the address of a server may reach another one."""
+        return self.endpoint_list.is_removed(server) or self.endpoint_list.is_reassigned(server)
+
     def _channel_fence(self, session_id: str) -> ChannelFence | None:
         return (
             self.core.channel_ownership.fence(session_id) if self.core.channel_ownership is not None else None
@@ -295,6 +323,9 @@
         if origin is None:
             self._report_server_lost("not listed")
             return
+        if self.client.endpoint_list.is_reassigned(self.server):
+            self._report_server_lost(_REASSIGNED)
+            return
         self.state.on_stream_opened(self.session_manager.sessions_playing_at(self.server))
         self._reader = EventReader()
         headers = [
@@ -309,6 +340,7 @@
             headers=headers,
             on_head=self._on_head,
             on_data=self._on_data,
+            owner=self.server,
         )
 
     def _on_head(self, head: ResponseHead) -> None:
--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -19,6 +19,7 @@
 from fernweir.http.reset import reset
 
 Origin = tuple[str, int]
+OwnerId = int | None
 _REQUEST_LINE_BREAKERS = re.compile(r"[\x00-\x20\x7f]")
 
 
@@ -70,16 +71,29 @@
     return "".join(lines).encode("latin-1") + body
 
 
+@dataclass(frozen=True, slots=True)
+class _ConnectionKey:
+    """What the connections of a group have in common.
+
+    Attributes:
+        origin: The address that they were made to.
+        owner: The server that they were made for, or None where the address alone identifies it.
+    """
+
+    origin: Origin
+    owner: OwnerId
+
+
 class Call:
     """One request. `on_done` is called exactly once; for a stream `on_head` and `on_data` are called too."""
 
-    __slots__ = ("_connection", "_timer", "data", "done", "method", "on_data", "on_done", "on_head", "origin",
+    __slots__ = ("_connection", "_timer", "data", "done", "key", "method", "on_data", "on_done", "on_head",
                  "pool", "wanted")  # fmt: skip
 
     def __init__(
         self,
         pool: Pool,
-        origin: Origin,
+        key: _ConnectionKey,
         method: str,
         data: bytes,
         on_done: Callable[[Reply], None],
@@ -87,7 +101,7 @@
         on_head: Callable[[ResponseHead], None] | None,
         on_data: Callable[[bytes], None] | None,
     ) -> None:
-        self.pool, self.origin, self.method, self.data = pool, origin, method, data
+        self.pool, self.key, self.method, self.data = pool, key, method, data
         self.on_done, self.wanted, self.on_head, self.on_data = on_done, wanted, on_head, on_data
         self.done = False
         self._connection: ClientConnection | None = None
@@ -131,8 +145,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a pool, carrying one call at a time."""
 
-    def __init__(self, pool: Pool, origin: Origin) -> None:
-        self.pool, self.origin = pool, origin
+    def __init__(self, pool: Pool, key: _ConnectionKey) -> None:
+        self.pool, self.key = pool, key
         self.call: Call | None = None
         self.head: ResponseHead | None = None
         self.has_received = self.closed = False
@@ -227,7 +241,7 @@
 
 
 class _OriginConnections:
-    """The connections and queued calls of one origin."""
+    """The connections and queued calls of one origin and owner."""
 
     __slots__ = ("connecting", "idle", "open", "queue")
 
@@ -237,9 +251,19 @@
         self.connecting = 0
         self.queue: deque[Call] = deque()
 
+    @property
+    def is_unused(self) -> bool:
+        return not (self.open or self.connecting or self.queue)
+
 
 class Pool:
-    """Connections by origin. Times are in seconds. `per_origin` bounds connections, including streams."""
+    """Connections by origin and owner. Times are in seconds.
+
+    An address may lead to another server later, while the connections that were made before still lead to the
+    earlier one. Calls that are meant for a named server give it as their owner, and share no connection with
+    calls to another server at the same address. `per_origin` bounds the connections of each origin and owner,
+    including streams.
+    """
 
     def __init__(
         self,
@@ -254,7 +278,8 @@
         self.buffer = memoryview(bytearray(65_536))
         self.per_origin, self.connect_s, self.idle_s = per_origin, connect_s, idle_s
         self.closed = False
-        self._by_origin: dict[Origin, _OriginConnections] = {}
+        self._connections: dict[_ConnectionKey, _OriginConnections] = {}
+        self._idle_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     def request(
@@ -270,34 +295,48 @@
         wanted: Callable[[], bool] | None = None,
         on_head: Callable[[ResponseHead], None] | None = None,
         on_data: Callable[[bytes], None] | None = None,
+        owner: OwnerId = None,
+        may_connect: bool = True,
     ) -> Call:
-        """Sends a request unless `wanted`, called immediately before the first byte, returns False."""
+        """Sends a request unless `wanted`, called immediately before the first byte, returns False.
+
+        If `may_connect` is False, the call ends as `UNREACHED` unless a connection is idle.
+        """
+        key = _ConnectionKey(origin, owner)
         data = encode_request(method, target, f"{origin[0]}:{origin[1]}", headers, body)
-        call = Call(self, origin, method, data, on_done, wanted, on_head, on_data)
+        call = Call(self, key, method, data, on_done, wanted, on_head, on_data)
         if timeout_s is not None:
             call._timer = self.loop.call_later(max(timeout_s, 0.0), call._timed_out)
-        connections = self._by_origin.setdefault(origin, _OriginConnections())
+        connections = self._connections.setdefault(key, _OriginConnections())
+        if not may_connect and not self._has_idle(connections):
+            self.loop.call_soon(call._finish, Reply(Outcome.UNREACHED, detail="no connection is open"))
+            self._discard_if_unused(key)
+            return call
         connections.queue.append(call)
-        self._process_queue(origin, connections)
+        self._process_queue(key, connections)
         return call
 
-    def _process_queue(self, origin: Origin, connections: _OriginConnections) -> None:
+    def _has_idle(self, connections: _OriginConnections) -> bool:
+        now = self.loop.time()
+        return any(one.usable and now - one.idle_since < self.idle_s for one in connections.idle)
+
+    def _process_queue(self, key: _ConnectionKey, connections: _OriginConnections) -> None:
         while connections.queue:
             connection = self._pop_idle(connections)
             if connection is None:
                 break
             call = connections.queue.popleft()
             if call.done:
-                connections.idle.append(connection)
+                self._return_idle(connection, connections)
             elif call.wanted is not None and not call.wanted():
-                connections.idle.append(connection)
+                self._return_idle(connection, connections)
                 call._finish(Reply(Outcome.UNWANTED))
             else:
                 connection.start(call)
         headroom = self.per_origin - len(connections.open) - connections.connecting
         for _ in range(min(len(connections.queue) - connections.connecting, headroom)):
             connections.connecting += 1
-            task = self.loop.create_task(self._connect(origin, connections))
+            task = self.loop.create_task(self._connect(key, connections))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -310,17 +349,20 @@
             connection.abort()
         return None
 
-    async def _connect(self, origin: Origin, connections: _OriginConnections) -> None:
+    async def _connect(self, key: _ConnectionKey, connections: _OriginConnections) -> None:
         created: list[ClientConnection] = []
 
         def protocol() -> ClientConnection:
-            created.append(ClientConnection(self, origin))
+            created.append(ClientConnection(self, key))
             return created[0]
 
         outcome, detail = Outcome.UNREACHED, ""
         try:
             async with asyncio.timeout(self.connect_s):
-                await self.loop.create_connection(protocol, *origin)
+                await self.loop.create_connection(protocol, *key.origin)
+        except asyncio.CancelledError:
+            self.loop.call_soon(self._discard_if_unused, key)
+            raise
         except TimeoutError:
             detail = "connect timed out"
         except ConnectionRefusedError as error:
@@ -335,41 +377,71 @@
             # Each queued call has an attempt: if one fails, the oldest call fails and the others keep theirs.
             if len(connections.queue) > connections.connecting:
                 connections.queue.popleft()._finish(Reply(outcome, detail=detail or "closed"))
+            self._discard_if_unused(key)
             return
         connections.open[created[0]] = None
-        created[0].idle_since = self.loop.time()
-        connections.idle.append(created[0])
-        self._process_queue(origin, connections)
+        self._add_idle(created[0], connections)
+        self._process_queue(key, connections)
 
     def _release(self, connection: ClientConnection) -> None:
+        connections = self._connections[connection.key]
+        self._add_idle(connection, connections)
+        if connections.queue:
+            self._process_queue(connection.key, connections)
+
+    def _add_idle(self, connection: ClientConnection, connections: _OriginConnections) -> None:
         connection.idle_since = self.loop.time()
-        connections = self._by_origin[connection.origin]
+        self._return_idle(connection, connections)
+
+    def _return_idle(self, connection: ClientConnection, connections: _OriginConnections) -> None:
+        """Makes a connection available that has not been used since it was taken."""
         connections.idle.append(connection)
-        if connections.queue:
-            self._process_queue(connection.origin, connections)
+        if self._idle_timer is None and not self.closed:
+            self._idle_timer = self.loop.call_at(connection.idle_since + self.idle_s, self._close_idle)
+
+    def _close_idle(self) -> None:
+        """Closes the connections that have been idle too long, such as those to servers that are gone."""
+        self._idle_timer = None
+        now = self.loop.time()
+        idle = [one for connections in self._connections.values() for one in connections.idle]
+        for connection in idle:
+            if connection.idle_since + self.idle_s <= now:  # the sum for which the timer is set
+                connection.abort()
+        remaining = [one.idle_since for one in idle if not one.closed]
+        if remaining and not self.closed:
+            self._idle_timer = self.loop.call_at(min(remaining) + self.idle_s, self._close_idle)
 
     def _on_connection_lost(self, connection: ClientConnection) -> None:
-        connections = self._by_origin.get(connection.origin)
+        connections = self._connections.get(connection.key)
         if connections is None:
             return
+        if connection in connections.idle:
+            connections.idle.remove(connection)
         if connection in connections.open:
             del connections.open[connection]
             if connections.queue and not self.closed:
-                self._process_queue(connection.origin, connections)
-        if connection in connections.idle:
-            connections.idle.remove(connection)
+                self._process_queue(connection.key, connections)
+            self._discard_if_unused(connection.key)
 
     def _remove_queued(self, call: Call) -> None:
-        connections = self._by_origin.get(call.origin)
+        connections = self._connections.get(call.key)
         if connections is not None and call in connections.queue:
             connections.queue.remove(call)
+            self._discard_if_unused(call.key)
+
+    def _discard_if_unused(self, key: _ConnectionKey) -> None:
+        connections = self._connections.get(key)
+        if connections is not None and connections.is_unused:
+            del self._connections[key]
 
     def close(self) -> None:
         """Aborts all connections. Calls in flight end with the outcome of a lost connection."""
         self.closed = True
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
         for task in list(self._tasks):
             task.cancel()
-        for connections in list(self._by_origin.values()):
+        for connections in list(self._connections.values()):
             for call in list(connections.queue):
                 call._finish(Reply(Outcome.UNWANTED, detail="closed"))
             connections.queue.clear()
--- a/fernweir/node/endpoint_feed.py
+++ b/fernweir/node/endpoint_feed.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass
 from typing import Any, TypeGuard
 
+from fernweir.front.address_registry import AddressRegistry
 from fernweir.front.names import number_of
 from fernweir.interface import Endpoint, EndpointListKind, EndpointListUpdate, ServerState
-from fernweir.node.address_registry import AddressRegistry
 from fernweir.node.config import Address, ConfigError, parse_address
 
 MAX_LISTED_SERVERS = 3_200
--- a/tests/test_http_sockets.py
+++ b/tests/test_http_sockets.py
@@ -361,10 +361,8 @@
             assert heard and got == [] and len(ended) == 1
         else:
             assert [reply.outcome.never_ran for reply in got] == [True] and heard == []
-        (connections,) = pool._by_origin.values()
-        assert (
-            connections.connecting == 0 and not connections.queue and len(connections.open) == (how == "lost")
-        )
+        left = [(one.connecting, len(one.queue), len(one.open)) for one in pool._connections.values()]
+        assert left == ([(0, 0, 1)] if how == "lost" else [])
         pool.close()
         server.close()
 
@@ -388,9 +386,7 @@
         with patch.object(loop, "create_connection", side_effect=error):
             reply = await call(("127.0.0.1", 9), pool)
         assert reply.outcome is outcome and reply.outcome.never_ran
-        assert [
-            (connections.connecting, len(connections.queue)) for connections in pool._by_origin.values()
-        ] == [(0, 0)]
+        assert not pool._connections  # nothing connects, nothing waits
 
     asyncio.run(run())
 
--- a/tests/test_node_server_identity.py
+++ b/tests/test_node_server_identity.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fernweir.node.address_registry import AddressRegistry
+from fernweir.front.address_registry import AddressRegistry
 from fernweir.node.connection_liveness import ConnectionLiveness
 from fernweir.node.liveness import LivenessStatus, LivenessTimeouts
 from tests.helpers import SETTINGS
