Peers: a message to an address goes to the front that has it now

Answers to a front that joins at the address of another one went out on the open connection to the earlier front, until that was known to be dead.

Cause: connections dialled to an address stayed the ones for that address, whoever has it now.

Ruled out: names. A dial by name is refused unless the peer proves the name, acknowledgements count only from the probed name and life, and a ping names its receiver; so the failure detector, leases, hand-offs and forwarded requests, which go to names, need no change.

Change: the registry of connections asks the membership which living front has an address, takes the one that started last, and uses a connection to it or dials anew.

--- a/fernweir/peers/link/links.py
+++ b/fernweir/peers/link/links.py
@@ -37,7 +37,8 @@
 class Links:
     """One front's sockets towards its peers; `start` creates an instance.
 
-    `address_of` returns a peer's advertised address by its name. `on_message(sender, incarnation, message)`
+    `address_of` returns a peer's advertised address by its name, `name_at` the name of the peer that has an
+    address now, or None if that is not known. `on_message(sender, incarnation, message)`
     is called with each message from a front that has the key. `on_stale(sender, incarnation,
     newest_incarnation, address)` is called for a front that sends under an older incarnation than is known
     for its name; `address` is the source of a datagram, None for a connection. Its messages are ignored until
@@ -53,6 +54,7 @@
         on_message: Callable[[str, int, Message], None],
         format_of: Callable[[str], int | None] | None,
         on_stale: Callable[[str, int, int, Address | None], None],
+        name_at: Callable[[Address], str | None],
     ) -> None:
         self.codec, self.rules, self.counts = codec, rules, LinkCounts()
         self.seal = Seal(
@@ -61,7 +63,7 @@
         self.address: Address = ("", 0)
         self._formats = identity.formats
         self._address_of, self._format_of = address_of, format_of
-        self._on_message, self._on_stale = on_message, on_stale
+        self._on_message, self._on_stale, self._name_at = on_message, on_stale, name_at
         self._loop = asyncio.get_running_loop()
         self._datagram_capacity_bytes = (
             rules.max_datagram_bytes - self.seal.overhead_bytes - _MAX_ARRAY_HEAD_BYTES
@@ -83,13 +85,16 @@
         seed: int = 0,
         format_of: Callable[[str], int | None] | None = None,
         on_stale: Callable[[str, int, int, Address | None], None] = _ignore_stale,
+        name_at: Callable[[Address], str | None] = lambda address: None,
     ) -> Links:
         """Listens for datagrams and connections on one port, any free one if it is 0.
 
         Raises OSError if the port can't be bound.
         """
         for attempts_left in reversed(range(_PORT_ATTEMPTS)):
-            links = cls(identity, codec, rules or LinkRules(), address_of, on_message, format_of, on_stale)
+            links = cls(
+                identity, codec, rules or LinkRules(), address_of, on_message, format_of, on_stale, name_at
+            )
             try:
                 await links._listen(listen, identity, seed)
             except OSError as error:
@@ -105,7 +110,7 @@
         self._datagrams = Datagrams(loop, self.seal, bucket, rules, counts, self._on_datagram, self._on_stale)
         self.connections = Connections(
             loop, identity, self.seal, listen[0], bucket, rules, counts, seed,
-            self._checked_address, self._on_frame, self._on_stale,
+            self._checked_address, self._on_frame, self._on_stale, self._name_at,
         )  # fmt: skip
         transport, _ = await loop.create_datagram_endpoint(lambda: self._datagrams, local_addr=listen)
         try:
--- a/fernweir/peers/link/registry.py
+++ b/fernweir/peers/link/registry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -39,11 +40,14 @@
 class Registry:
     """All connections, indexed by peer name and dialled address.
 
-    `seal` holds the newest incarnation of each name.
+    `seal` holds the newest incarnation of each name. `name_at` returns the name of the peer that is known to
+    have an address now, or None.
     """
 
-    def __init__(self, rules: LinkRules, seal: Seal) -> None:
-        self._rules, self._seal = rules, seal
+    def __init__(
+        self, rules: LinkRules, seal: Seal, name_at: Callable[[Address], str | None] = lambda address: None
+    ) -> None:
+        self._rules, self._seal, self._name_at = rules, seal, name_at
         self.all: dict[Connection, None] = {}  # oldest first
         self.half_open: dict[Connection, None] = {}  # accepted and not proven
         self.by_name: dict[str, Connection] = {}
@@ -86,9 +90,17 @@
 
     def find(self, target: PeerTarget) -> Connection | None:
         """Returns the connection that is used to send to a peer, if there is one."""
-        found = self.by_name.get(target) if isinstance(target, str) else self.by_address.get(target)
+        found = self.by_name.get(target) if isinstance(target, str) else self._find_at(target)
         return found if found is not None and found.is_usable and not self.is_superseded(found) else None
 
+    def _find_at(self, address: Address) -> Connection | None:
+        """Returns a connection to the peer that has an address now, which may have been another's before."""
+        name = self._name_at(address)
+        found = self.by_address.get(address)
+        if name is None or (found is not None and found.conversation.peer == name):
+            return found
+        return self.by_name.get(name)
+
     def is_superseded(self, connection: Connection) -> bool:
         """Returns whether a newer incarnation of the peer is known."""
         return connection.conversation.peer_incarnation < self._seal.newest_incarnation(
--- a/fernweir/peers/link/tcp.py
+++ b/fernweir/peers/link/tcp.py
@@ -25,6 +25,7 @@
 
 class Connections:
     """All connections of one front. `seal` holds the incarnations of peers, `address_of` validates addresses.
+    `name_at` returns the name of the peer that is known to have an address now, or None.
 
     `on_body` is called for each frame with (sender, incarnation, format, body). `on_stale` is called for a
     peer whose incarnation has been superseded, with (sender, incarnation, newest incarnation, None).
@@ -43,6 +44,7 @@
         address_of: Callable[[PeerTarget], Address | None],
         on_body: Callable[[str, int, int, bytes], None],
         on_stale: Callable[[str, int, int, Address | None], None],
+        name_at: Callable[[Address], str | None],
     ) -> None:
         self.identity, self.incarnation, self.rules, self.counts = (
             identity,
@@ -52,7 +54,7 @@
         )
         self.seal_errors_by_kind: dict[RefusalKind, int] = dict.fromkeys(RefusalKind, 0)
         self.buffer = memoryview(bytearray(65_536))
-        self.send_queues, self.registry = SendQueues(rules), Registry(rules, seal)
+        self.send_queues, self.registry = SendQueues(rules), Registry(rules, seal, name_at)
         self._loop, self._host, self._bucket, self._seal = loop, host, bucket, seal
         self._address_of, self._on_body, self._on_stale = address_of, on_body, on_stale
         self._rng = Random(f"links {seed}")
--- a/fernweir/peers/members/detector.py
+++ b/fernweir/peers/members/detector.py
@@ -69,6 +69,12 @@
         member = self._view.table.rows.get(name)
         return member.address if member is not None else None
 
+    def name_at(self, address: Address) -> str | None:
+        """Returns the living member that advertises an address, of several the one that started last."""
+        rows = self._view.table.rows
+        at_address = [rows[name] for name in self._view.table.living if rows[name].address == address]
+        return max(at_address, key=lambda member: member.life).name if at_address else None
+
     def life(self, name: str) -> int:
         """Returns the highest known life of a name, or 0."""
         known = self._view.table.record_of(name)
--- a/fernweir/peers/program.py
+++ b/fernweir/peers/program.py
@@ -92,7 +92,7 @@
         peers.links = await Links.start(
             section.listen, identity, Codec(KINDS, supported_formats), peers._address_of, peers._on_message,
             rules=config.links, seed=config.seed, format_of=peers._format_of,
-            on_stale=peers._on_stale_sender,
+            on_stale=peers._on_stale_sender, name_at=peers._name_at,
         )  # fmt: skip
         host, number = section.advertised
         address = (host, number or peers.links.address[1])
@@ -158,6 +158,9 @@
     def _address_of(self, name: str) -> Address | None:
         return self.peer.members.address(name)
 
+    def _name_at(self, address: Address) -> str | None:
+        return self.peer.members.name_at(address)
+
     def _format_of(self, name: str) -> int | None:
         member = self.peer.members.table().get(name)
         mine = self.peer.me.formats
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -78,6 +78,7 @@
                 listen, me, Codec([kinds], formats), self.fleet.addresses.get, self._on_message,
                 rules=rules, seed=self.fleet.seed, on_stale=lambda *what: self.stale.append(what[:3]),
                 format_of=lambda name: highest_common_format(formats, self.fleet.formats.get(name, (1, 1))),
+                name_at=self.fleet.names.get,
             )  # fmt: skip
         finally:
             NODE.reset(token)
@@ -109,6 +110,7 @@
     def __init__(self, loop: VirtualLoop, seed: int = 1) -> None:
         self.loop, self.seed = loop, seed
         self.addresses: dict[str, Address] = {}
+        self.names: dict[Address, str] = {}  # what the fronts know of who has an address now
         self.fronts: dict[str, Front] = {}
         self.formats: dict[str, tuple[int, int]] = {}
 
@@ -545,6 +547,32 @@
     run_fleet(main)
 
 
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_a_message_to_an_address_reaches_the_front_that_has_it_now(is_connected: bool) -> None:
+    """It went on the open connection to the front that had the address before, and the new one missed it."""
+
+    async def main(fleet: Fleet) -> None:
+        one, old = await fleet.front("a", **RULES), await fleet.front("b", **RULES)
+        address = fleet.addresses["b"]
+        one.send(address, 1, reliable=True)
+        await asyncio.sleep(0.5)
+        old.run_in_node(old.links.connections._server.close)  # it keeps its open connections
+        old.run_in_node(old.links._datagrams.close)
+        fleet.addresses["c"], fleet.names[address] = address, "c"
+        new = Front(fleet, "c", 1)
+        await new.start(address, [KEY], load().rules.LinkRules(**RULES))
+        fleet.fronts["c"] = new
+        if is_connected:
+            new.send("a", 2, reliable=True)
+            await asyncio.sleep(0.5)
+        one.send(address, 3, reliable=True)
+        await asyncio.sleep(0.5)
+        assert (old.numbers("a"), new.numbers("a")) == ([1], [3])
+        assert one.links.counts.dialled == 1 + (not is_connected)
+
+    run_fleet(main)
+
+
 def test_datagrams_go_out_while_a_long_transfer_uses_the_budget() -> None:
     async def main(fleet: Fleet) -> None:
         rules: dict[str, Any] = RULES | {"max_queue_bytes": 2_000_000, "max_total_queue_bytes": 2_000_000}
--- a/tests/test_peers_members.py
+++ b/tests/test_peers_members.py
@@ -517,6 +517,20 @@
         lives = {name: member.life for name, member in front.machine.table().items()}
 
 
+def test_an_address_belongs_to_the_living_member_that_started_there_last() -> None:
+    kit = load()
+    m = kit.messages
+    members = kit.detector.Members(kit.events.Me("a", ("h", 1), 1), kit.rules.MemberRules(), 1)
+    members.join(0.0, [])
+    assert members.name_at(("h", 1)) is None  # no other front
+    assert members.name_at(("h", 2)) is None
+    for name, life, state in (("b", 5, m.State.ALIVE), ("c", 7, m.State.ALIVE), ("d", 9, m.State.DEAD)):
+        members.on_message(0.0, "x", m.Gossip((m.Record(name, state, life, 0, "h", 2),)))
+    assert members.name_at(("h", 2)) == "c"
+    members.on_message(0.0, "x", m.Gossip((m.Record("c", m.State.LEFT, 7, 0, "h", 2),)))
+    assert members.name_at(("h", 2)) == "b"
+
+
 def test_what_the_fields_do_not_allow_is_not_decoded() -> None:
     good = ["m.sync", ["a", 0, 1, 0, "h", 1, 1, 2, ""], []]
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(good), type=Sync).sender_record.high == 2
