Node: a refused connection does not end sessions on open connections

The server got no release.

Cause: a refusal at the address was taken as the end of the server's process.

Change: while connections to the process that carries sessions are open, a refusal only makes their check due at once. They are judged as those of a displaced server: kept while anything arrives, ended after two unanswered health checks or, where none may be sent, after the usual silence. Without open connections a refusal ends the sessions at once, as before.

The tests wait until each message of a server has arrived: with the clock of the test, the acknowledgement that Nagle's algorithm waits for could come after the silence.

--- a/fernweir/node/connection_liveness.py
+++ b/fernweir/node/connection_liveness.py
@@ -20,11 +20,17 @@
         self.last_received_at = now
         self._sent_checks = 0
         self._last_check_at = now
+        self._is_suspect = False
 
     def on_data_received(self, now: float) -> None:
         """Records a sign of life: the connection was established, or data or its end arrived on it."""
         self.last_received_at = now
         self._sent_checks = 0
+        self._is_suspect = False
+
+    def suspect(self) -> None:
+        """Makes the next check due at once, as something else suggests that the process has ended."""
+        self._is_suspect = True
 
     def check(self, now: float, evidence_at: float, timeouts: LivenessTimeouts) -> LivenessStatus:
         """Returns the status of the process, which is `CHECK` if a health check has to be sent to it.
@@ -34,7 +40,7 @@
             evidence_at: When the process was last known to run; at least `last_received_at`.
             timeouts: The timeouts of the deployment.
         """
-        if now - evidence_at < timeouts.silence_ms:
+        if now - evidence_at < timeouts.silence_ms and not self._is_suspect:
             self._sent_checks = 0
             return LivenessStatus.HEALTHY
         if self._sent_checks and now - self._last_check_at < timeouts.check_ms:
--- a/fernweir/node/displaced_servers.py
+++ b/fernweir/node/displaced_servers.py
@@ -61,6 +61,12 @@
         if unreachable:
             self._check_without_carrier(endpoint, unreachable)
 
+    def on_connection_refused(self, endpoint: ServerEndpoint) -> None:
+        """Asks the processes that carry sessions of a server whether they run, if that is possible."""
+        for session in endpoint.placed_sessions.values():
+            if self._may_check_health and session.carrier is not None:
+                session.carrier.liveness.suspect()
+
     @property
     def _timeouts(self) -> LivenessTimeouts:
         return self._pool.liveness_timeouts
@@ -100,6 +106,8 @@
             self._end_sessions(endpoint, session_ids, "no message about its sessions received")
         elif not is_connected and (is_reassigned or endpoint.liveness.has_lost_connection):
             self._end_sessions(endpoint, session_ids, "removed from the list, all connections ended")
+        elif not is_connected and endpoint.is_refusing:
+            self._end_sessions(endpoint, session_ids, "connection refused")
         elif not is_connected:
             self._reconnect(endpoint, session_ids)
 
--- a/fernweir/node/placed_sessions.py
+++ b/fernweir/node/placed_sessions.py
@@ -110,7 +110,7 @@
         if session is not None and session.is_connected:
             assert session.connection is not None
             session.connection.send(frame)
-        elif endpoint.is_displaced:
+        elif endpoint.is_displaced or (endpoint.is_refusing and endpoint.has_open_carrier):
             self._send_to_process(endpoint, session, frame)
         else:
             self._send_on_any_connection(endpoint, frame)
--- a/fernweir/node/server_endpoint.py
+++ b/fernweir/node/server_endpoint.py
@@ -78,6 +78,8 @@
         release_queue: The messages that wait for a connection.
         is_displaced: Whether a new connection to the address may reach another server: this one was removed
             from the endpoint list, or the list has given its address to another one.
+        is_refusing: Whether the last connect was refused while connections to its process were open. It may
+            play on without a listener.
     """
 
     server: int
@@ -90,6 +92,7 @@
     failed_attempts: RecentIds = field(default_factory=lambda: RecentIds(MAX_FAILED_ATTEMPTS))
     release_queue: ReleaseQueue = field(default_factory=ReleaseQueue)
     is_displaced: bool = False
+    is_refusing: bool = False
 
     @property
     def is_connecting(self) -> bool:
@@ -125,9 +128,19 @@
             if not other.has_open_carrier:
                 other.carrier = connection
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether only open connections are certain to lead to the server, and no new one."""
+        return self.is_displaced or self.is_refusing
+
+    @property
+    def has_open_carrier(self) -> bool:
+        """Whether the process that carries some session can be reached on a known connection."""
+        return any(session.has_open_carrier for session in self.placed_sessions.values())
+
     def depends_on(self, connection: ServerConnection) -> bool:
         """Whether some session would be lost with a connection, as no new one would reach its process."""
-        return self.is_displaced and any(
+        return self.is_cut_off and any(
             session.carrier is connection for session in self.placed_sessions.values()
         )
 
--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -55,14 +55,14 @@
         self._messages = ServerMessageHandler(
             dispatcher, pool, self._attempts, self._health_checks, self._sessions
         )
-        displaced_servers = DisplacedServerObserver(
+        self._displaced_servers = DisplacedServerObserver(
             dispatcher,
             pool,
             self._sessions,
             self._health_checks,
             may_check_health=settings.may_check_health,
         )
-        self._upkeep = ServerUpkeep(dispatcher, pool, self._attempts, self._sessions, displaced_servers)
+        self._upkeep = ServerUpkeep(dispatcher, pool, self._attempts, self._sessions, self._displaced_servers)
         self._started_at: dict[int, float] = {}  # when the process of each server started
         pool.events = self
         dispatcher.server_transport = self
@@ -211,6 +211,7 @@
     def on_connected(self, connection: ServerConnection) -> None:
         """Sends the messages and requests that waited for a connection."""
         endpoint = connection.endpoint
+        endpoint.is_refusing = False
         self._log_liveness_check(connection, "accepted")
         endpoint.liveness.on_connected(self._dispatcher.now())
         self._attempts.on_liveness_known(endpoint, is_alive=True)
@@ -227,14 +228,23 @@
         if isinstance(error, TimeoutError):
             endpoint.liveness.on_connect_timeout(connection.connect_started_at, self._dispatcher.now())
         elif isinstance(error, ConnectionRefusedError):
-            endpoint.liveness.on_connection_refused()
-            if not endpoint.is_displaced:  # such a server may play on without a listener
-                self._sessions.on_process_ended(endpoint)
+            self._on_connection_refused(endpoint)
             reason = "connection refused"
         self._attempts.on_liveness_known(endpoint, is_alive=False)
         self._attempts.on_connect_failed(connection, reason)
         self._health_checks.on_connect_failed(connection)
 
+    def _on_connection_refused(self, endpoint: ServerEndpoint) -> None:
+        """Records that a server accepts no connections. Its process may play on, if some are open."""
+        if endpoint.has_open_carrier and self._displaced_servers.can_judge(endpoint):
+            endpoint.is_refusing = True
+            endpoint.drain_connections()
+            self._displaced_servers.on_connection_refused(endpoint)
+            return
+        endpoint.liveness.on_connection_refused()
+        if not endpoint.is_displaced:
+            self._sessions.on_process_ended(endpoint)
+
     def on_reset_while_connecting(self, connection: ServerConnection) -> None:
         """Records that the server is alive, and reassigns the requests that waited for the connection."""
         endpoint = connection.endpoint
--- a/fernweir/node/server_upkeep.py
+++ b/fernweir/node/server_upkeep.py
@@ -53,7 +53,7 @@
             self._sessions.send_pending(connection)
         elif endpoint.is_displaced:
             endpoint.release_queue.clear_pending()  # another server may listen at its address now
-        if endpoint.is_displaced and self._displaced_servers.can_judge(endpoint):
+        if endpoint.is_cut_off and self._displaced_servers.can_judge(endpoint):
             self._displaced_servers.check(endpoint)
         else:
             self._check_liveness(endpoint, is_connected=connection is not None)
--- a/tests/test_node_displaced_servers.py
+++ b/tests/test_node_displaced_servers.py
@@ -13,6 +13,7 @@
 from tests.helpers import SETTINGS
 from tests.node_scene import PLAIN, FarLine, FarServer, FarViewer, Stage, staged
 from tests.test_node_crossing_servers import (
+    deliver_frames,
     release_descriptor,
     send_feed_event,
     wait_for_answer,
@@ -57,27 +58,27 @@
         for feed in stage.feed.poll():
             feed.write(b"%d\n" % stage.node.feed.last_sequence_number)
         for process in alive:
-            reply_to_health_checks(process)
+            reply_to_health_checks(stage, process)
         if reports_on is not None and passed % REPORT_MS == 0.0:
-            send_report(reports_on)
+            send_report(stage, reports_on, min(reports_on.answered - reports_on.ended))
     stage.loop.settle()
     stage.poll()
 
 
-def reply_to_health_checks(process: FarServer) -> None:
+def reply_to_health_checks(stage: Stage, process: FarServer) -> None:
     process.poll()
     for line in process.lines:
-        for frame in [frame for frame in line.received if frame.type is FrameType.PING]:
-            line.received.remove(frame)
-            if not line.over:
-                line.send_frame(Frame(FrameType.PONG, frame.session, {ParameterCode.CAUSE: b"\1"}))
+        pings = [frame for frame in line.received if frame.type is FrameType.PING]
+        line.received = [frame for frame in line.received if frame.type is not FrameType.PING]
+        replies = [Frame(FrameType.PONG, ping.session, {ParameterCode.CAUSE: b"\1"}) for ping in pings]
+        if replies and not line.over:
+            deliver_frames(stage, line, *replies)
 
 
-def send_report(line: FarLine) -> None:
-    """Sends a report on one of the sessions, as a server does at intervals."""
-    session = min(line.answered - line.ended)
+def send_report(stage: Stage, line: FarLine, session: str) -> None:
+    """Delivers a report on one of the sessions, as a server sends it at intervals."""
     parameters = {ParameterCode.NOTE: b"port", ParameterCode.LEVEL: b"0.2"}
-    line.send_frame(Frame(FrameType.NOTE, session, parameters))
+    deliver_frames(stage, line, Frame(FrameType.NOTE, session, parameters))
 
 
 def may_report(settings: Settings, line: FarLine) -> FarLine | None:
@@ -235,8 +236,7 @@
         other.answer(second)
         for id in (first, second):
             wait_for_answer(stage, viewer, id)
-        send_report(one)
-        stage.loop.settle()
+        send_report(stage, one, first)
         address.replace_process("s-new")
         tell(stage, address, "together", "s-0", "s-new")
         play(stage, 20_000.0, reports_on=one)
@@ -286,13 +286,62 @@
         send_feed_event(stage, address.entry("s-new", "draining"))
         endpoint = next(iter(stage.node.server_pool.endpoints.values()))
         assert not endpoint.health_checks
-        reply_to_health_checks(successor)
+        reply_to_health_checks(stage, successor)
         stage.loop.advance(5_000.0)
         viewer.poll()
         assert stage.answers[request.id].type == "release"
         assert successor.setups() == []
 
 
+def refuse(stage: Stage, viewer: FarViewer, server: FarServer) -> None:
+    """The server stops listening, and a set-up that needs a new connection meets that."""
+    server.listener.close()
+    busy, waiting = stage.setup(), stage.setup()
+    viewer.send(busy, waiting)  # the first one takes the open connection
+    stage.loop.until(lambda: viewer.poll() is not None and waiting.id in stage.answers)
+    assert stage.answers[waiting.id].type == "release"
+    server.line_of(busy.id).release(busy.id, 34)
+    stage.loop.until(lambda: viewer.poll() is not None and busy.id in stage.answers)
+
+
+@EVIDENCE
+@pytest.mark.parametrize("status", ["up", "draining", "removed"])
+def test_a_server_that_refuses_connections_and_plays_on_keeps_its_sessions(
+    status: str, settings: Settings
+) -> None:
+    """One refused connection ended all sessions, though the connections to their process were in use."""
+    with staged(settings=settings) as stage:
+        viewer, address = stage.far_viewer(), Address(stage)
+        id, line = stage.establish_session(viewer)
+        refuse(stage, viewer, line.server)
+        if status != "up":
+            send_feed_event(stage, address.entry("s-0", status))
+        play(stage, 30_000.0, line.server, reports_on=may_report(settings, line))
+        assert not ended(stage, viewer, id)
+        line.release(id, 16)
+        stage.loop.until(lambda: ended(stage, viewer, id))
+        assert stage.ends[id].cause == 16
+
+
+@EVIDENCE
+@pytest.mark.parametrize("connection", ["silent", "reset", "closed"])
+def test_a_server_that_refuses_connections_and_has_ended_loses_its_sessions(
+    connection: str, settings: Settings
+) -> None:
+    with staged(settings=settings) as stage:
+        viewer = stage.far_viewer()
+        id, line = stage.establish_session(viewer)
+        refuse(stage, viewer, line.server)
+        vanish(line)
+        if connection == "reset":
+            line.reset()
+        elif connection == "closed":
+            line.close()
+        play(stage, END_NOTICE_MS if connection == "silent" else 1_000.0)
+        assert ended(stage, viewer, id)
+        assert stage.ends[id].cause == 41
+
+
 def adopted(stage: Stage, viewer: FarViewer, server: str) -> Message:
     """Announces a session that plays at a server already."""
     plays = stage.setup(extras=f"home:0;copies:4;top:0;viewer:00000000b4d65521;at:{server}")
@@ -318,11 +367,6 @@
         assert successor.accept() is None
 
 
-def report_on(line: FarLine, id: str) -> None:
-    parameters = {ParameterCode.NOTE: b"port", ParameterCode.LEVEL: b"0.2"}
-    line.send_frame(Frame(FrameType.NOTE, id, parameters))
-
-
 @pytest.mark.parametrize("plays_on", [True, False])
 def test_sessions_announced_at_a_server_depend_on_messages_about_them_once_it_is_removed(
     plays_on: bool,
@@ -339,7 +383,7 @@
         for _ in range(10):
             play(stage, REPORT_MS)
             if plays_on:
-                report_on(line, first.id)
+                send_report(stage, line, first.id)
         stage.loop.settle()
         assert is_playing(stage, first.id) is plays_on
         assert is_playing(stage, second.id) is plays_on
