Node: keep the connection that shows which process carries a session

Callers saw (random plays of displaced servers, tests/test_node_displaced_random.py): sessions of a vanished server were kept, or those of a server that plays ended. Three causes, found one after the other by the plays:

- Before the list told of the successor, the node closed the only connection to the old process as unused or drained, since a newer one was open, which the successor had accepted.
A connection that carries sessions is closed now only if another one surely leads to the same process, also if the list tells late.
- A connection counted as one to the same process if it was made before the other one last received anything, even if it was older and its own process had ended before.
Now the process of the older one has to have been heard after the newer one was made.
- Without health checks, reports on connections made under the successor's name did not count for sessions that were set up there before it was listed.

Ruled out: messages that arrive late. Five findings of the plays came from Nagle's algorithm in the stand-ins, whose clock goes on at once; they set TCP_NODELAY now.

Change: ServerConnection.may_replace and leads_to_same_process_as, ServerEndpoint.is_last_for_sessions.

--- a/fernweir/node/displaced_servers.py
+++ b/fernweir/node/displaced_servers.py
@@ -92,8 +92,8 @@
             return carrier.liveness.last_received_at
         return max(
             other.liveness.last_received_at
-            for other in endpoint.connections
-            if other is carrier or _leads_to_same_process(other, carrier)
+            for other in [carrier, *self._pool.connections_at_address(endpoint)]
+            if other is carrier or other.leads_to_same_process_as(carrier)
         )
 
     def _check_without_carrier(self, endpoint: ServerEndpoint, session_ids: list[str]) -> None:
@@ -143,15 +143,10 @@
     if carrier is None or carrier.is_usable:
         return carrier
     candidates = [
-        other for other in endpoint.connections if other.is_usable and _leads_to_same_process(other, carrier)
+        other for other in endpoint.connections if other.is_usable and other.leads_to_same_process_as(carrier)
     ]
     if not candidates:
         return None
     session.heard_at = session.last_evidence_at
     session.carrier = candidates[-1]
     return session.carrier
-
-
-def _leads_to_same_process(other: ServerConnection, known: ServerConnection) -> bool:
-    """Whether a connection was accepted while the process behind a known one still ran at its address."""
-    return other.address == known.address and other.connected_at <= known.liveness.last_received_at
--- a/fernweir/node/server_connection.py
+++ b/fernweir/node/server_connection.py
@@ -26,6 +26,7 @@
 _MAX_UNSENT_BYTES = 256 * 1024
 _MAX_SENT_RELEASES = 64
 _UNCONFIRMED_MS = 1_000.0  # a break of the connection may have lost what was written within this time
+_LIST_DELAY_MS = 10_000.0  # how late the endpoint list may tell of a change, also after a break of the feed
 _REUSE_RATIO = 0.8  # of the idle timeout, at which the server may close; limits the idle time before reuse
 _CLOSE_RATIO = 0.5  # fraction of the idle timeout after which an unused connection is closed
 
@@ -208,18 +209,32 @@
         is_fresh = now - self.last_used_at < _REUSE_RATIO * self._idle_timeout_ms
         return self.state.may_start_request and self.is_usable and is_fresh
 
+    def leads_to_same_process_as(self, other: ServerConnection) -> bool:
+        """Whether the newer of two connections was accepted while the process behind the older one ran."""
+        older, newer = sorted((self, other), key=lambda connection: connection.connected_at)
+        return self.address == other.address and newer.connected_at <= older.liveness.last_received_at
+
+    def may_replace(self, other: ServerConnection, now: float) -> bool:
+        """Whether it surely leads to the same process as another one, which may be closed then.
+
+        If one was made shortly after the other, the list may still tell that another server accepted it.
+        """
+        connected_at = (self.connected_at, other.connected_at)
+        is_list_current = self.connected_at == other.connected_at or now - max(connected_at) > _LIST_DELAY_MS
+        return is_list_current and self.leads_to_same_process_as(other)
+
     def is_unused(self) -> bool:
-        """Whether nothing needs it. A server with sessions keeps its last connection to send messages on."""
+        """Whether nothing needs it. A server with sessions keeps a connection to send messages on."""
         if not self.state.may_write or self.attempts or self.endpoint.depends_on(self):
             return False
         if any(check.connection is self for check in self.endpoint.health_checks.values()):
             return False
-        return not (self.endpoint.placed_sessions and self.endpoint.is_only_usable(self))
+        return not self.endpoint.is_last_for_sessions(self, self._dispatcher.now())
 
     def may_close(self, now: float) -> bool:
         """Whether it is unused, and either has been so for long enough or accepts no new requests."""
         is_expired = now - self.last_used_at > _CLOSE_RATIO * self._idle_timeout_ms
-        return self.is_unused() and (is_expired or not self.state.may_start_request)
+        return (is_expired or not self.state.may_start_request) and self.is_unused()
 
     def write(self, data: bytes) -> bool:
         """Writes bytes.
@@ -257,8 +272,7 @@
 
     def close_if_drained(self) -> None:
         """Closes the connection if it is draining, its last attempt has ended and no session needs it."""
-        is_draining = self.state.phase is ConnectionPhase.DRAINING
-        if is_draining and not self.attempts and not self.endpoint.depends_on(self):
+        if self.state.phase is ConnectionPhase.DRAINING and self.is_unused():
             self.close()
 
     def close(self) -> None:
--- a/fernweir/node/server_endpoint.py
+++ b/fernweir/node/server_endpoint.py
@@ -109,9 +109,15 @@
         """The attempts whose connection broke and that wait until it is known whether the server is alive."""
         return [attempt for attempt in self.attempts.values() if attempt.break_reason]
 
-    def is_only_usable(self, connection: ServerConnection) -> bool:
-        """Whether the server has no other connection to send on."""
-        return not any(other.is_usable for other in self.connections if other is not connection)
+    def is_last_for_sessions(self, connection: ServerConnection, now: float) -> bool:
+        """Whether sessions need a connection, as no other is known to lead to their process or the server."""
+        if not self.placed_sessions:
+            return False
+        carriers = {session.carrier for session in self.placed_sessions.values() if session.has_open_carrier}
+        others = [other for other in self.connections if other is not connection and other.is_usable]
+        if connection in carriers:
+            return not any(other in carriers and other.may_replace(connection, now) for other in others)
+        return not others
 
     def on_session_message(self, session_id: str, connection: ServerConnection, now: float) -> None:
         """Records a message about a session, which shows that its process is at the other end.
--- a/tests/node_scene.py
+++ b/tests/node_scene.py
@@ -343,6 +343,8 @@
             sock, _ = self.listener.accept()
         except OSError:  # the backlog is empty, or the listener is closed
             return None
+        # The clock of a test goes on while Nagle's algorithm would hold back a message.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.lines.append(FarLine(self, sock))
         return self.lines[-1]
 
