--- a/tests/test_node_displaced_random.py
+++ b/tests/test_node_displaced_random.py
@@ -95,6 +95,8 @@
             displaced = [one for one in self.processes if one not in self.listeners and not one.has_ended]
             if displaced:
                 self._vanish(self.rng.choice(displaced))
+        elif draw < 0.28:
+            self.rng.choice(self.listeners).far.listener.close()  # it plays on and refuses connections
 
     def _replace(self, place: int) -> None:
         """Another process takes an address. The earlier one vanishes, or plays on its open connections."""
