DASH front: the notice stream is a module of its own; displaced servers reworded

Cause: server_client.py had grown to 440 lines with two jobs: requests to servers, and the stream of notices from each.

The docstring of displaced_servers names refused connections, too.

--- a/fernweir/front/endpoint_list.py
+++ b/fernweir/front/endpoint_list.py
@@ -18,6 +18,9 @@
 from fernweir.front.names import number_of
 from fernweir.interface import Endpoint, EndpointListKind, EndpointListUpdate, ServerState, Settings
 
+ADDRESS_REASSIGNED = "another server is listed at its address"
+"""Why a server cannot be reached, for logs and journals."""
+
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING, "gone": ServerState.REMOVED}
 _LISTS = frozenset(("boxes", "lessons"))  # fields of a document that are encoded entry by entry
 Slug = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._~-]*$")]
--- a/fernweir/front/server_client.py
+++ b/fernweir/front/server_client.py
@@ -1,4 +1,4 @@
-"""The front's client for media servers: set-ups, rungs, releases, health checks and notice streams.
+"""The front's client for media servers: set-ups, rungs, releases and health checks.
 
 Does the I/O for the dispatcher's commands and reports each outcome to the session manager.
 """
@@ -13,17 +13,14 @@
 
 from fernweir.front.commands import ChangeRung, ReleaseSession, SendHealthCheck, SetUp, SetUpResult
 from fernweir.front.dispatcher import Dispatcher, InvalidServerReplyError
-from fernweir.front.endpoint_list import EndpointList
+from fernweir.front.endpoint_list import ADDRESS_REASSIGNED, EndpointList
+from fernweir.front.notice_stream import NoticeStream
 from fernweir.front.response_classification import classify_reply, load_report
 from fernweir.front.rungsync import RungSync, Send
-from fernweir.front.server_notices import NoticeError, NoticeStreamState, SessionNotice
-from fernweir.http.client import Call, Outcome, Pool, Reply
-from fernweir.http.parse import ResponseHead
-from fernweir.http.sse import EventReader
+from fernweir.http.client import Outcome, Pool, Reply
 from fernweir.interface import RESULT_LABELS, Result
 
 MERGE_PATCH = "application/merge-patch+json"  # RFC 7396
-_REASSIGNED = "another server is listed at its address"
 ChannelFence = tuple[str, int]  # the channel and the fence under which a front controls a session
 
 
@@ -59,11 +56,11 @@
         self.core, self.pool, self.endpoint_list = core, pool, endpoint_list
         self.stream_pool = stream_pool  # a pool of their own, so that notice streams cannot delay set-ups
         self.timeouts = timeouts or ServerTimeouts()
-        self._control_token = control_token
-        self._rng = Random(seed)
-        self._rung_sync = RungSync()
+        self.control_token = control_token
+        self.rng = Random(seed)
+        self.rung_sync = RungSync()
         self._rung_timer_at: float | None = None
-        self._streams: dict[int, _NoticeStream] = {}
+        self._streams: dict[int, NoticeStream] = {}
         self.closed = False
 
     # --- commands ---
@@ -100,7 +97,7 @@
             core.loop.call_soon(on_reply, Reply(Outcome.UNWANTED, detail="no address"))
             return
         if self.endpoint_list.is_reassigned(server):
-            core.loop.call_soon(on_reply, Reply(Outcome.UNREACHED, detail=_REASSIGNED))
+            core.loop.call_soon(on_reply, Reply(Outcome.UNREACHED, detail=ADDRESS_REASSIGNED))
             return
         request = codec.request(command)
         self.pool.request(
@@ -120,13 +117,13 @@
 
     def change_rung(self, command: ChangeRung) -> None:
         """Sends a session's new rung, now or when the one in flight has ended."""
-        send = self._rung_sync.set_rung(command.session_id, command.attempt, command.server, command.rung)
+        send = self.rung_sync.set_rung(command.session_id, command.attempt, command.server, command.rung)
         if send is not None:
             self._send_rung(send)
 
     def release(self, command: ReleaseSession) -> None:
         """Asks a server to end a session that is no longer wanted."""
-        self._rung_sync.forget(command.session_id, command.attempt)
+        self.rung_sync.forget(command.session_id, command.attempt)
         self._end_session(command, self._channel_fence(command.session_id), may_retry=True)
 
     def check_health(self, command: SendHealthCheck) -> None:
@@ -135,7 +132,9 @@
 
         def on_reply(reply: Reply) -> None:
             if self._is_displaced(command.server):
-                reply = Reply(Outcome.UNREACHED, detail=_REASSIGNED)  # the other server may have sent it
+                reply = Reply(
+                    Outcome.UNREACHED, detail=ADDRESS_REASSIGNED
+                )  # the other server may have sent it
             result, _ = classify_reply(reply)
             now = core.now()
             core.sessions.on_health_check_finished(
@@ -190,20 +189,20 @@
             result, reason = classify_reply(reply)
             is_unknown = reply.status == 404 and reply.outcome is Outcome.ANSWERED
             if is_unknown and not self._is_followed_elsewhere(send.server):
-                self._rung_sync.forget(send.session_id, send.attempt)
+                self.rung_sync.forget(send.session_id, send.attempt)
                 core.sessions.on_session_ended(core.now(), send.session_id, send.attempt, Result.RESET)
                 core.schedule_step()
                 return
             delivered = result is Result.OK
             if not delivered:
                 core.log.info("rung change failed", session=send.session_id, box=send.server, why=reason)
-            next_send = self._rung_sync.on_send_finished(core.now(), send, delivered)
+            next_send = self.rung_sync.on_send_finished(core.now(), send, delivered)
             if next_send is not None:
                 self._send_rung(next_send)
             self._schedule_rung_retries()
 
         if self.endpoint_list.address(send.server) is None:
-            self._rung_sync.forget(send.session_id, send.attempt)
+            self.rung_sync.forget(send.session_id, send.attempt)
             return
         body = json.dumps({"rung": send.rung}).encode()
         self._request(
@@ -216,14 +215,14 @@
         )
 
     def _schedule_rung_retries(self) -> None:
-        deadline = self._rung_sync.next_deadline()
+        deadline = self.rung_sync.next_deadline()
         if deadline is not None and deadline != self._rung_timer_at and not self.closed:
             self._rung_timer_at = deadline
             self.core.loop.call_at(deadline / 1000.0, self._on_rung_timer)
 
     def _on_rung_timer(self) -> None:
         self._rung_timer_at = None
-        for send in [] if self.closed else self._rung_sync.pop_due(self.core.now()):
+        for send in [] if self.closed else self.rung_sync.pop_due(self.core.now()):
             self._send_rung(send)
         self._schedule_rung_retries()
 
@@ -253,7 +252,7 @@
         """Sends a request to a listed server; on a new connection only if its address still leads there."""
         origin = self.endpoint_list.address(server)
         assert origin is not None
-        headers = [("authorization", f"Bearer {self._control_token()}")]
+        headers = [("authorization", f"Bearer {self.control_token()}")]
         if body:
             headers.append(("content-type", MERGE_PATCH))
         if channel_fence is not None:
@@ -286,145 +285,8 @@
 
     def _open_notice_stream(self, server: int) -> None:
         if server not in self._streams and not self.closed:
-            _NoticeStream(self, server)
+            NoticeStream(self, self._streams, server)
 
 
 def _session_target(session_id: str, attempt: int) -> str:
     return f"/sessions/{quote(session_id, safe='')}?attempt={attempt}"
-
-
-class _NoticeStream:
-    """One server's notice stream, which is reopened for as long as sessions play there."""
-
-    def __init__(self, client: ServerClient, server: int) -> None:
-        self.client, self.server = client, server
-        self.core, self.session_manager = client.core, client.core.sessions
-        self.state = NoticeStreamState()
-        self._reader = EventReader()
-        self._stream_request: Call | None = None
-        self._reconnects = 0
-        self._last_received_at = self._last_used_at = self.core.loop.time()
-        self._stopped = self._reported_silent = False
-        client._streams[server] = self  # until `stop`, which `_open` may call
-        self._open()
-        self._check_silence()
-
-    def stop(self) -> None:
-        self._stopped = True
-        self.client._streams.pop(self.server, None)
-        self.session_manager.on_server_silence_changed(self.server, False)
-        if self._stream_request is not None:
-            self._stream_request.cancel()
-
-    def _open(self) -> None:
-        origin = self.client.endpoint_list.address(self.server)
-        if self._stopped:
-            return
-        if origin is None:
-            self._report_server_lost("not listed")
-            return
-        if self.client.endpoint_list.is_reassigned(self.server):
-            self._report_server_lost(_REASSIGNED)
-            return
-        self.state.on_stream_opened(self.session_manager.sessions_playing_at(self.server))
-        self._reader = EventReader()
-        headers = [
-            ("authorization", f"Bearer {self.client._control_token()}"),
-            ("accept", "text/event-stream"),
-        ]
-        self._stream_request = self.client.stream_pool.request(
-            origin,
-            "GET",
-            "/notes",
-            self._on_stream_ended,
-            headers=headers,
-            on_head=self._on_head,
-            on_data=self._on_data,
-            owner=self.server,
-        )
-
-    def _on_head(self, head: ResponseHead) -> None:
-        self._on_received()
-        if head.status != 200 and self._stream_request is not None:
-            self.core.log.warning("notice stream refused", box=self.server, status=head.status)
-
-    def _on_received(self) -> None:
-        self._last_received_at = self.core.loop.time()
-        if self._reported_silent:
-            self._reported_silent = False
-            self.session_manager.on_server_silence_changed(self.server, False)
-
-    def _on_data(self, data: bytes) -> None:
-        self._on_received()
-        try:
-            events = self._reader.feed(data)
-        except ValueError:
-            events = []
-            if self._stream_request is not None:
-                self._stream_request.cancel()
-        now = self.core.now()
-        for event in events:
-            try:
-                updates = self.state.handle(event)
-            except NoticeError as error:
-                self.core.log.warning("server notice skipped", box=self.server, why=str(error))
-                continue
-            if self.state.hello_received:
-                self._reconnects = 0
-            for update in updates:
-                if isinstance(update, SessionNotice):
-                    self.session_manager.on_server_notice(
-                        now, update.session_id, update.attempt, update.kind, update.level
-                    )
-                else:
-                    self.client._rung_sync.forget(update.session_id, update.attempt)
-                    self.session_manager.on_session_ended(
-                        now, update.session_id, update.attempt, update.result
-                    )
-        if events:
-            self.core.schedule_step()
-
-    def _on_stream_ended(self, reply: Reply) -> None:
-        self._stream_request = None
-        if self._stopped:
-            return
-        if reply.outcome is Outcome.REFUSED:
-            self._report_server_lost(reply.detail)
-            return
-        timeouts = self.client.timeouts
-        backoff_s = min(
-            timeouts.reconnect_backoff_s * 2.0**self._reconnects, timeouts.max_reconnect_backoff_s
-        )
-        self._reconnects += 1
-        # A server that stays silent on new streams too keeps its viewers waiting as well.
-        if self._reconnects > 2:
-            self._report_silent()
-        self.core.loop.call_later(backoff_s * (0.5 + self.client._rng.random()), self._open)
-
-    def _report_server_lost(self, reason: str) -> None:
-        """Nothing accepts connections there any more: the process and its sessions are gone."""
-        session_count = self.session_manager.on_server_lost(self.core.now(), self.server)
-        self.core.log.info("server lost", box=self.server, sessions=session_count, why=reason)
-        self.stop()
-        self.core.schedule_step()
-
-    def _report_silent(self) -> None:
-        if not self._reported_silent:
-            self._reported_silent = True
-            self.session_manager.on_server_silence_changed(self.server, True)
-
-    def _check_silence(self) -> None:
-        if self._stopped:
-            return
-        now, timeouts = self.core.loop.time(), self.client.timeouts
-        if self.session_manager.sessions_playing_at(self.server):
-            self._last_used_at = now
-        elif now - self._last_used_at > timeouts.stream_unused_s:
-            self.stop()
-            return
-        if now - self._last_received_at > timeouts.stream_silence_s:
-            self._report_silent()
-            self._last_received_at = now
-            if self._stream_request is not None:
-                self._stream_request.cancel()
-        self.core.loop.call_later(timeouts.stream_silence_s / 4.0, self._check_silence)
--- a/fernweir/node/displaced_servers.py
+++ b/fernweir/node/displaced_servers.py
@@ -1,9 +1,10 @@
-"""Observes the sessions of servers whose address may lead to another server.
+"""Observes the sessions of servers that a new connection may not reach.
 
-This is so for a server that was removed from the endpoint list, and for one whose address the list has given
-to another server since. A connection that is accepted at the address says nothing about such a server then.
-It may still run and play its sessions, so each session is judged by the connection to the process that
-carries it. A session for which none is known is kept while messages about it arrive.
+The address of a server may lead to another one if the server was removed from the endpoint list, or if the
+list has given its address to another server since. A connection that is accepted there then says nothing
+about the server. Nor does a refused one, as its process may play on without a listener. Therefore each
+session is judged by the connection to the process that carries it. A session for which none is known is kept
+while messages about it arrive.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 
 
 class DisplacedServerObserver:
-    """Ends the sessions of displaced servers whose processes no longer run."""
+    """Ends the sessions of such servers whose processes no longer run."""
 
     def __init__(
         self,
@@ -93,7 +94,7 @@
         return max(
             other.liveness.last_received_at
             for other in [carrier, *self._pool.connections_at_address(endpoint)]
-            if other is carrier or other.leads_to_same_process_as(carrier)
+            if other.leads_to_same_process_as(carrier)
         )
 
     def _check_without_carrier(self, endpoint: ServerEndpoint, session_ids: list[str]) -> None:
