Node: a message on another connection shows where a session's process is

Callers saw: nothing yet; found by reading. After a short partition the connection of the set-ups may stay open and silent (PROTOCOL), while the server sends its reports on a newer one. Once such a server was removed, its sessions were announced as ended, since the silent connection decided.

Cause: a message that names a session moved it to the connection of the message only if no other was open.

Change: it always does, with the sessions that shared its former connection. A message on a connection that carried a failed attempt of the session moves nothing, as it may be late.

--- a/fernweir/node/server_endpoint.py
+++ b/fernweir/node/server_endpoint.py
@@ -122,16 +122,19 @@
     def on_session_message(self, session_id: str, connection: ServerConnection, now: float) -> None:
         """Records a message about a session, which shows that its process is at the other end.
 
-        The same process carries the other sessions of this server for which no open connection is known.
+        The same process carries the sessions with the same known connection to it, which may be open and
+        silent after a partition, and those without one if this session had none either.
         """
         session = self.placed_sessions.get(session_id)
-        if session is None:
+        if session is None or session_id in connection.failed_attempts:
             return
         session.heard_at = now
-        if session.has_open_carrier:
+        former = session.carrier
+        had_open_carrier = session.has_open_carrier
+        if former is connection:
             return
         for other in self.placed_sessions.values():
-            if not other.has_open_carrier:
+            if other.carrier is former or not (had_open_carrier or other.has_open_carrier):
                 other.carrier = connection
 
     @property
--- a/tests/test_node_displaced_servers.py
+++ b/tests/test_node_displaced_servers.py
@@ -68,11 +68,17 @@
 def reply_to_health_checks(stage: Stage, process: FarServer) -> None:
     process.poll()
     for line in process.lines:
-        pings = [frame for frame in line.received if frame.type is FrameType.PING]
-        line.received = [frame for frame in line.received if frame.type is not FrameType.PING]
-        replies = [Frame(FrameType.PONG, ping.session, {ParameterCode.CAUSE: b"\1"}) for ping in pings]
-        if replies and not line.over:
-            deliver_frames(stage, line, *replies)
+        reply_to_health_checks_on(stage, line)
+
+
+def reply_to_health_checks_on(stage: Stage, line: FarLine) -> None:
+    """Replies to the health checks on one connection only, as if the others were cut."""
+    line.poll()
+    pings = [frame for frame in line.received if frame.type is FrameType.PING]
+    line.received = [frame for frame in line.received if frame.type is not FrameType.PING]
+    replies = [Frame(FrameType.PONG, ping.session, {ParameterCode.CAUSE: b"\1"}) for ping in pings]
+    if replies and not line.over:
+        deliver_frames(stage, line, *replies)
 
 
 def send_report(stage: Stage, line: FarLine, session: str) -> None:
@@ -249,6 +255,33 @@
         assert ended(stage, viewer, second)
 
 
+@EVIDENCE
+def test_a_message_on_another_connection_keeps_the_sessions_of_a_connection_that_fell_silent(
+    settings: Settings,
+) -> None:
+    """After a partition the connection of the set-ups may stay open and silent while a newer one works."""
+    with staged(settings=settings) as stage:
+        viewer, address = stage.far_viewer(), Address(stage)
+        (first, line), (second, _) = stage.establish_session(viewer), stage.establish_session(viewer)
+        other = stage.far["s-0"].line_of(second)
+        assert other is line
+        stage.loop.until(lambda: play(stage, STEP_MS) is None and len(stage.far["s-0"].lines) > 1)
+        newer = stage.far["s-0"].lines[-1]  # made as the first one was silent
+        send_report(stage, newer, first)
+        send_feed_event(stage, address.entry("s-0", "removed"))
+        for step in range(160):
+            play(stage, STEP_MS)
+            reply_to_health_checks_on(stage, newer)
+            if settings.report_interval_ms and step % 16 == 0:
+                send_report(stage, newer, first)
+        assert not ended(stage, viewer, first)
+        assert not ended(stage, viewer, second)
+        vanish(line)
+        play(stage, END_NOTICE_MS)
+        assert ended(stage, viewer, first)
+        assert ended(stage, viewer, second)
+
+
 @pytest.mark.parametrize("before", ["idle", "connecting", "nothing"])
 def test_no_set_up_goes_to_the_successor_of_the_server_it_is_meant_for(before: str) -> None:
     """The list still has the old server, so the controller still chooses it; its address leads elsewhere."""
