Node: a connection reset while connecting shows that a server listens again

Cause: on reading again, a server counted as refusing connections until one was established, though a connect that was accepted and then reset proves a listener, too.

Change: such a connect ends that state.

--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -248,6 +248,7 @@
     def on_reset_while_connecting(self, connection: ServerConnection) -> None:
         """Records that the server is alive, and reassigns the requests that waited for the connection."""
         endpoint = connection.endpoint
+        endpoint.is_refusing = False
         endpoint.liveness.on_data_received(self._dispatcher.now())
         self._attempts.on_liveness_known(endpoint, is_alive=True)
         self.on_connection_lost(connection, "connection reset while connecting", may_have_lost_messages=True)
