DASH front: close idle connections of earlier servers without a timer

A callback at the end of a cancelled connect added one more step.

Ruled out, each on a scratch copy: owners of connections, the registry of addresses and the checks of displaced servers (without the timer the digest is the kept one, and the steps differ by the one callback).

Change: idle connections of the earlier servers at an address are closed, once they are past their idle time, when another server uses the address; that is the only case in which owners could leave some behind. Groups without connections are dropped within the connect.

--- a/fernweir/http/client.py
+++ b/fernweir/http/client.py
@@ -279,7 +279,7 @@
         self.per_origin, self.connect_s, self.idle_s = per_origin, connect_s, idle_s
         self.closed = False
         self._connections: dict[_ConnectionKey, _OriginConnections] = {}
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._owners: dict[Origin, list[OwnerId]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def request(
@@ -307,7 +307,7 @@
         call = Call(self, key, method, data, on_done, wanted, on_head, on_data)
         if timeout_s is not None:
             call._timer = self.loop.call_later(max(timeout_s, 0.0), call._timed_out)
-        connections = self._connections.setdefault(key, _OriginConnections())
+        connections = self._connections_of(key)
         if not may_connect and not self._has_idle(connections):
             self.loop.call_soon(call._finish, Reply(Outcome.UNREACHED, detail="no connection is open"))
             self._discard_if_unused(key)
@@ -316,6 +316,28 @@
         self._process_queue(key, connections)
         return call
 
+    def _connections_of(self, key: _ConnectionKey) -> _OriginConnections:
+        """Returns the group of a key; closes what other servers at its address have left idle too long."""
+        connections = self._connections.get(key)
+        if connections is None:
+            connections = _OriginConnections()
+            self._register(key, connections)
+        for owner in list(self._owners[key.origin]):
+            if owner != key.owner:
+                self._close_expired(self._connections[_ConnectionKey(key.origin, owner)])
+        return connections
+
+    def _register(self, key: _ConnectionKey, connections: _OriginConnections) -> None:
+        if key not in self._connections:
+            self._connections[key] = connections
+            self._owners.setdefault(key.origin, []).append(key.owner)
+
+    def _close_expired(self, connections: _OriginConnections) -> None:
+        now = self.loop.time()
+        for connection in list(connections.idle):
+            if now - connection.idle_since >= self.idle_s:
+                connection.abort()
+
     def _has_idle(self, connections: _OriginConnections) -> bool:
         now = self.loop.time()
         return any(one.usable and now - one.idle_since < self.idle_s for one in connections.idle)
@@ -327,9 +349,9 @@
                 break
             call = connections.queue.popleft()
             if call.done:
-                self._return_idle(connection, connections)
+                connections.idle.append(connection)
             elif call.wanted is not None and not call.wanted():
-                self._return_idle(connection, connections)
+                connections.idle.append(connection)
                 call._finish(Reply(Outcome.UNWANTED))
             else:
                 connection.start(call)
@@ -360,9 +382,6 @@
         try:
             async with asyncio.timeout(self.connect_s):
                 await self.loop.create_connection(protocol, *key.origin)
-        except asyncio.CancelledError:
-            self.loop.call_soon(self._discard_if_unused, key)
-            raise
         except TimeoutError:
             detail = "connect timed out"
         except ConnectionRefusedError as error:
@@ -371,6 +390,7 @@
             detail = str(error)
         finally:
             connections.connecting -= 1
+            self._discard_if_unused(key)
         if detail or self.closed:
             if created and created[0].usable:
                 created[0].abort()
@@ -379,38 +399,19 @@
                 connections.queue.popleft()._finish(Reply(outcome, detail=detail or "closed"))
             self._discard_if_unused(key)
             return
+        self._register(key, connections)
         connections.open[created[0]] = None
-        self._add_idle(created[0], connections)
+        created[0].idle_since = self.loop.time()
+        connections.idle.append(created[0])
         self._process_queue(key, connections)
 
     def _release(self, connection: ClientConnection) -> None:
+        connection.idle_since = self.loop.time()
         connections = self._connections[connection.key]
-        self._add_idle(connection, connections)
+        connections.idle.append(connection)
         if connections.queue:
             self._process_queue(connection.key, connections)
 
-    def _add_idle(self, connection: ClientConnection, connections: _OriginConnections) -> None:
-        connection.idle_since = self.loop.time()
-        self._return_idle(connection, connections)
-
-    def _return_idle(self, connection: ClientConnection, connections: _OriginConnections) -> None:
-        """Makes a connection available that has not been used since it was taken."""
-        connections.idle.append(connection)
-        if self._idle_timer is None and not self.closed:
-            self._idle_timer = self.loop.call_at(connection.idle_since + self.idle_s, self._close_idle)
-
-    def _close_idle(self) -> None:
-        """Closes the connections that have been idle too long, such as those to servers that are gone."""
-        self._idle_timer = None
-        now = self.loop.time()
-        idle = [one for connections in self._connections.values() for one in connections.idle]
-        for connection in idle:
-            if connection.idle_since + self.idle_s <= now:  # the sum for which the timer is set
-                connection.abort()
-        remaining = [one.idle_since for one in idle if not one.closed]
-        if remaining and not self.closed:
-            self._idle_timer = self.loop.call_at(min(remaining) + self.idle_s, self._close_idle)
-
     def _on_connection_lost(self, connection: ClientConnection) -> None:
         connections = self._connections.get(connection.key)
         if connections is None:
@@ -433,12 +434,14 @@
         connections = self._connections.get(key)
         if connections is not None and connections.is_unused:
             del self._connections[key]
+            owners = self._owners[key.origin]
+            owners.remove(key.owner)
+            if not owners:
+                del self._owners[key.origin]
 
     def close(self) -> None:
         """Aborts all connections. Calls in flight end with the outcome of a lost connection."""
         self.closed = True
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
         for task in list(self._tasks):
             task.cancel()
         for connections in list(self._connections.values()):
