Node: a server whose address is its own again is no longer displaced

Callers saw: nothing yet; found on reading the whole change again. A server stayed displaced when the other server that the list had put at its address was removed or moved: its health checks failed for good and its connections were judged one by one.

Cause: the transport looked for servers at the addresses of an event after the details of removed servers were dropped, and not at the addresses that moved servers had before.

Change: the feed tells the addresses that the last event concerns, former ones included.

--- a/fernweir/node/endpoint_feed.py
+++ b/fernweir/node/endpoint_feed.py
@@ -64,6 +64,7 @@
         status_since_ms: The Unix time in ms since which each server has had its status, according to the
             feed.
         address_registry: Which listed server each address leads to.
+        concerned_addresses: The addresses that the servers of the last event have, or had before it.
     """
 
     def __init__(self, server_types: tuple[str, ...], offset_ms: float) -> None:
@@ -77,6 +78,7 @@
         self.names: dict[int, str] = {}
         self.status_since_ms: dict[int, float] = {}
         self.address_registry = AddressRegistry()
+        self.concerned_addresses: set[Address] = set()
 
     def apply_known_events(
         self, events: tuple[object, ...], last_sequence_number: int
@@ -191,9 +193,11 @@
         # An incomplete list is not applied as a snapshot, so that endpoints missing from it are kept.
         is_complete = len(listed) == len(lines)
         is_snapshot = members.get("snapshot") is True and (is_complete or not self.names)
+        self.concerned_addresses = {one.address for one in listed}
         for one in listed:
             self._register_address(one, body["n"])
             server = one.endpoint.server
+            self.concerned_addresses.add(self.addresses.get(server, one.address))
             self.names[server] = one.name
             self.addresses[server] = one.address
             self.status_since_ms[server] = one.status_since_ms
--- a/fernweir/node/server_transport.py
+++ b/fernweir/node/server_transport.py
@@ -142,16 +142,16 @@
         self._dispatcher.schedule_step()
 
     def _endpoints_concerned_by(self, update: EndpointListUpdate) -> list[ServerEndpoint]:
-        """Returns the servers that an update names or whose address it names.
+        """Returns the servers that an update names, and others at the addresses of those.
 
         A complete list concerns all, as it may lack some.
         """
         endpoints = self._pool.endpoints
         if update.kind is not EndpointListKind.DELTA:
             return list(endpoints.values())
-        servers = [entry.server for entry in update.entries]
-        concerned = {server: endpoints[server] for server in servers if server in endpoints}
-        for address in {self._feed.addresses[server] for server in servers if server in self._feed.addresses}:
+        named = [endpoints[entry.server] for entry in update.entries if entry.server in endpoints]
+        concerned = {endpoint.server: endpoint for endpoint in named}
+        for address in self._feed.concerned_addresses:
             concerned |= {endpoint.server: endpoint for endpoint in self._pool.endpoints_at(address)}
         return list(concerned.values())
 
--- a/tests/test_node_displaced_servers.py
+++ b/tests/test_node_displaced_servers.py
@@ -487,3 +487,22 @@
         play(stage, 5_000.0)
         _, line = stage.establish_session(viewer)
         assert line.server.name == "s-0"
+
+
+@pytest.mark.parametrize("how", ["removed", "moved"])
+def test_a_server_whose_address_is_its_own_again_is_checked_and_used_as_before(how: str) -> None:
+    """Its health checks failed for good, as the end of the other listing was not applied to it."""
+    with staged(settings=SETTINGS) as stage:
+        viewer, address = stage.far_viewer(), Address(stage)
+        id, line = stage.establish_session(viewer)
+        (endpoint,) = stage.node.server_pool.endpoints.values()
+        send_feed_event(stage, address.entry("s-new", "draining"))
+        assert endpoint.is_displaced
+        elsewhere = {"address": "127.0.0.1:9"} if how == "moved" else {"status": "removed"}
+        send_feed_event(stage, address.entry("s-new", "draining") | elsewhere)
+        assert not endpoint.is_displaced
+        play(stage, 3_000.0, line.server, reports_on=line)
+        assert not ended(stage, viewer, id)
+        other, new_line = stage.establish_session(viewer)
+        assert new_line.server is line.server
+        assert other in stage.answers
